Start the workspace: design, core library and interfaces

The core library holds the error table, clocks, timers, hashing, counters and tasks; the data classes of rules, settings, commands and the view let the other libraries be written in parallel.

--- /dev/null
+++ b/libs/caller/mulberry_caller/__init__.py
@@ -0,0 +1,1 @@
+"""Client library for callers."""
--- /dev/null
+++ b/libs/cli/mulberry_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool mulberrystage."""
--- /dev/null
+++ b/libs/control/mulberry_control/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines under a lease."""
--- /dev/null
+++ b/libs/core/mulberry_core/__init__.py
@@ -0,0 +1,40 @@
+"""Parts that every library of mulberrystage shares.
+
+Error kinds with the table of answers, clocks, the timer service, hashing,
+counters and tasks.
+"""
+
+from mulberry_core._clock import Clock, ManualClock, SystemClock
+from mulberry_core._counters import Counters, MemoryCounters, StatsdCounters
+from mulberry_core._errors import (
+    ANSWER_BY_KIND,
+    ErrorAnswer,
+    ErrorKind,
+    Refusal,
+    RunState,
+)
+from mulberry_core._hashing import bucket, digest128, ring_position
+from mulberry_core._sentinels import Missing
+from mulberry_core._tasks import TaskPool
+from mulberry_core._timers import Subscription, TimerService
+
+__all__ = [
+    "ANSWER_BY_KIND",
+    "Clock",
+    "Counters",
+    "ErrorAnswer",
+    "ErrorKind",
+    "ManualClock",
+    "MemoryCounters",
+    "Missing",
+    "Refusal",
+    "RunState",
+    "StatsdCounters",
+    "Subscription",
+    "SystemClock",
+    "TaskPool",
+    "TimerService",
+    "bucket",
+    "digest128",
+    "ring_position",
+]
--- /dev/null
+++ b/libs/core/mulberry_core/_timers.py
@@ -0,0 +1,123 @@
+"""The timer service: one thread that calls back those who subscribed."""
+
+import heapq
+import itertools
+import threading
+from collections.abc import Callable
+
+from absl import logging
+
+from mulberry_core import _clock
+
+Callback = Callable[[], None]
+
+#: A real clock is re-read at least this often, so that a manual clock or a
+#: suspended machine does not leave a due callback waiting.
+_MAX_WAIT_S = 0.25
+
+
+class Subscription:
+    """A callback at the timer service, until cancelled."""
+
+    def __init__(self, name: str, callback: Callback, period_s: float) -> None:
+        #: For log lines.
+        self.name = name
+        #: Seconds between calls; zero for a single call.
+        self.period_s = period_s
+        self._callback = callback
+        self._cancelled = threading.Event()
+
+    @property
+    def cancelled(self) -> bool:
+        """Whether the callback will not be called any more."""
+        return self._cancelled.is_set()
+
+    def cancel(self) -> None:
+        """Stops further calls; one that is running goes on to its end."""
+        self._cancelled.set()
+
+    def call(self) -> None:
+        """Calls back unless cancelled; a failure must not stop the others."""
+        if self.cancelled:
+            return
+        try:
+            self._callback()
+        except Exception:
+            logging.exception("timer callback %s failed", self.name)
+
+
+class TimerService:
+    """Calls subscribers at their time, one after the other.
+
+    Callbacks must be short: they share one thread. Long work belongs in a
+    `TaskPool` that the callback wakes.
+    """
+
+    def __init__(self, clock: _clock.Clock) -> None:
+        self._clock = clock
+        self._condition = threading.Condition()
+        self._order = itertools.count()
+        self._due: list[tuple[float, int, Subscription]] = []
+        self._stopped = False
+        self._thread = threading.Thread(
+            target=self._run, name="timers", daemon=True
+        )
+
+    def start(self) -> None:
+        """Starts the thread; without it, `run_due` drives the service."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends the thread and drops what is still due."""
+        with self._condition:
+            self._stopped = True
+            self._condition.notify()
+        if self._thread.is_alive():
+            self._thread.join()
+
+    def every(
+        self, period_s: float, callback: Callback, name: str
+    ) -> Subscription:
+        """Calls `callback` each `period_s` seconds, first after one period."""
+        return self._add(period_s, Subscription(name, callback, period_s))
+
+    def after(
+        self, delay_s: float, callback: Callback, name: str
+    ) -> Subscription:
+        """Calls `callback` once, `delay_s` seconds from now."""
+        return self._add(delay_s, Subscription(name, callback, 0.0))
+
+    def run_due(self) -> None:
+        """Calls everything that is due now."""
+        for subscription in self._take_due():
+            subscription.call()
+            if subscription.period_s and not subscription.cancelled:
+                self._add(subscription.period_s, subscription)
+
+    def _add(self, delay_s: float, subscription: Subscription) -> Subscription:
+        due_s = self._clock.now() + delay_s
+        with self._condition:
+            heapq.heappush(self._due, (due_s, next(self._order), subscription))
+            self._condition.notify()
+        return subscription
+
+    def _take_due(self) -> list[Subscription]:
+        now_s = self._clock.now()
+        taken = []
+        with self._condition:
+            while self._due and self._due[0][0] <= now_s:
+                taken.append(heapq.heappop(self._due)[2])
+        return taken
+
+    def _run(self) -> None:
+        while True:
+            with self._condition:
+                if self._stopped:
+                    return
+                wait_s = _MAX_WAIT_S
+                if self._due:
+                    until_due_s = self._due[0][0] - self._clock.now()
+                    wait_s = min(wait_s, until_due_s)
+                if wait_s > 0:
+                    self._condition.wait(wait_s)
+            self.run_due()
--- /dev/null
+++ b/libs/core/mulberry_core/tests/test_hashing.py
@@ -0,0 +1,15 @@
+"""Tests of the hashes that instances must agree on."""
+
+import mulberry_core as core
+
+
+def test_values_are_fixed() -> None:
+    """Guards against a change that would move every session and member."""
+    assert core.digest128(b"") == "99aa06d3014798d86001c324468d497f"
+    assert core.bucket("s1", "m", 100) == core.bucket("s1", "m", 100)
+
+
+def test_buckets_are_even() -> None:
+    """Guards against a skewed roll-out percentage."""
+    hits = sum(core.bucket(f"s{i}", "m", 100) < 10 for i in range(10_000))
+    assert 850 <= hits <= 1150
--- /dev/null
+++ b/libs/daemon/mulberry_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon mulberrystaged."""
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of model, version and upstream; admission, limits, retries."""
--- /dev/null
+++ b/libs/experiments/mulberry_experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, load generator and long randomised runs."""
--- /dev/null
+++ b/libs/membership/mulberry_membership/__init__.py
@@ -0,0 +1,1 @@
+"""Members, failure detection and soft state."""
--- /dev/null
+++ b/libs/standins/mulberry_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in engine, plain service, rater and weight store."""
--- /dev/null
+++ b/libs/state/mulberry_state/_view.py
@@ -0,0 +1,59 @@
+"""The part of the state that every instance holds."""
+
+import dataclasses
+from collections.abc import Mapping
+
+import mulberry_core as core
+import mulberry_rules as rules
+from mulberry_state import _commands
+
+
+@dataclasses.dataclass(frozen=True)
+class Verdict:
+    """What is held of one version, and since which verdict."""
+
+    state: _commands.VerdictState
+    number: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class RolloutStep:
+    """Where a roll-out stands."""
+
+    to_version: str
+    #: Index into the steps of the rule, or `NO_STEP`.
+    step: int
+    #: Unix time of the change, seconds.
+    since_s: float
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class View:
+    """A consistent, immutable picture of the small state."""
+
+    #: Grows with every change of the view; never goes back on an instance.
+    revision: int
+    #: Number of the rules in force, 0 before the first.
+    rules_number: int
+    rules: rules.Rules | core.Missing
+    rules_text: str
+    #: By (model, version).
+    verdicts_by_version: Mapping[tuple[str, str], Verdict]
+    rollout_steps_by_model: Mapping[str, RolloutStep]
+    strikes_by_digest: Mapping[str, int]
+    #: gRPC address by instance name.
+    voters_by_name: Mapping[str, str]
+
+
+EMPTY_VIEW = View(
+    revision=0,
+    rules_number=0,
+    rules=core.Missing.UNSET,
+    rules_text="",
+    verdicts_by_version={},
+    rollout_steps_by_model={},
+    strikes_by_digest={},
+    voters_by_name={},
+)
--- /dev/null
+++ b/libs/upstream/mulberry_upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Client of upstreams, answer checks and the send gate."""
--- /dev/null
+++ b/libs/wire/mulberry_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Protobuf messages and gRPC services between instances."""
