--- /dev/null
+++ b/libs/upstream/mulberry_upstream/_adapter.py
@@ -0,0 +1,350 @@
+"""Engine adapters: send chat work to an engine and check its answer."""
+
+import abc
+import dataclasses
+import enum
+from collections.abc import Callable, Iterator
+
+import mulberry_core as core
+from mulberry_upstream import (
+    _checker,
+    _failures,
+    _gate,
+    _send_record,
+    _sse,
+    _transfer,
+)
+
+#: An event longer than this is taken for garbled, bytes.
+_MAX_EVENT_BYTES = 1_048_576
+
+
+def _never() -> bool:
+    return False
+
+
+@dataclasses.dataclass(frozen=True)
+class ChatRequest:
+    """One send of chat work to one upstream."""
+
+    #: Issued by the gate for this send; names the upstream.
+    permit: _gate.SendPermit
+    #: Sends of the request over all its attempts.
+    record: _send_record.SendRecord
+    request_id: str
+    #: Body as the engine gets it.
+    body: bytes
+    bounds: _transfer.Bounds
+    #: Key of the caller, empty if there is none.
+    idempotency_key: str = ""
+    #: Passed to the engine, 1 is the most urgent.
+    priority: int = 2
+    #: Chunks received before, to resume on the same upstream.
+    resume_from: int = 0
+    #: Continues the checks of an earlier attempt; unset for a new answer.
+    checker: _checker.AnswerChecker | core.Missing = core.Missing.UNSET
+    #: Asked at least every 250 ms whether the caller has gone.
+    is_abandoned: Callable[[], bool] = _never
+
+
+class Recovery(enum.Enum):
+    """What can still be done for an answer that was not complete."""
+
+    #: Nothing: the answer is complete, or the caller or its time is gone.
+    NONE = "none"
+    #: Resume on the same upstream, or run it again on another.
+    RESUME = "resume"
+    #: Only run it again on another upstream.
+    RERUN = "rerun"
+
+
+@dataclasses.dataclass(frozen=True)
+class ChatOutcome:
+    """How a streamed answer ended."""
+
+    #: Unset if the answer is complete.
+    refusal: core.Refusal | core.Missing
+    recovery: Recovery
+    #: End of a complete answer, from its finish reason on; forwarded only
+    #: after the bill is committed.
+    tail: bytes
+    text: str
+    finish_reason: str
+    tokens_in: int
+    tokens_out: int
+    chunks: int
+
+    @property
+    def complete(self) -> bool:
+        """Whether every check of the answer passed."""
+        return isinstance(self.refusal, core.Missing)
+
+
+@dataclasses.dataclass(frozen=True)
+class ChatAnswer:
+    """A checked whole answer."""
+
+    body: bytes
+    content_type: str
+    text: str
+    finish_reason: str
+    tokens_in: int
+    tokens_out: int
+
+
+class ChatStream(abc.ABC):
+    """Iterates over blocks of whole events, as received.
+
+    The end of the answer, from its finish reason on, is not iterated over:
+    it is in `outcome.tail` once every check has passed.
+    """
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Returns itself."""
+        return self
+
+    @abc.abstractmethod
+    def __next__(self) -> bytes:
+        """Returns the next block that may be forwarded."""
+
+    @abc.abstractmethod
+    def cancel(self) -> None:
+        """Ends the stream and the run on the engine, from any thread."""
+
+    @property
+    @abc.abstractmethod
+    def outcome(self) -> ChatOutcome:
+        """How the stream ended; raises `RuntimeError` before the end."""
+
+    @property
+    @abc.abstractmethod
+    def checker(self) -> _checker.AnswerChecker:
+        """The state of the checks."""
+
+
+class EngineAdapter(abc.ABC):
+    """Speaks the protocol of one kind of engine."""
+
+    @abc.abstractmethod
+    def open_chat(self, request: ChatRequest) -> ChatStream | core.Refusal:
+        """Sends a request for a streamed answer and waits for its headers."""
+
+    @abc.abstractmethod
+    def chat(self, request: ChatRequest) -> ChatAnswer | core.Refusal:
+        """Sends a request for a whole answer and checks it."""
+
+
+class ChatEngineAdapter(EngineAdapter):
+    """Engines that speak the usual chat completions protocol."""
+
+    _PATH = "/v1/chat/completions"
+
+    def __init__(self, pool: _transfer.HandlePool) -> None:
+        self._pool = pool
+
+    def open_chat(self, request: ChatRequest) -> ChatStream | core.Refusal:
+        """See `EngineAdapter`."""
+        opened = self._open(request)
+        if isinstance(opened, core.Refusal):
+            return opened
+        transfer, attempt = opened
+        first = b""
+        while not transfer.status and transfer.end is None:
+            first = transfer.step()
+        if transfer.status == 200:
+            return _EventStream(request, transfer, attempt, first)
+        return _refuse_status(request, transfer, attempt, first)
+
+    def chat(self, request: ChatRequest) -> ChatAnswer | core.Refusal:
+        """See `EngineAdapter`."""
+        opened = self._open(request)
+        if isinstance(opened, core.Refusal):
+            return opened
+        transfer, attempt = opened
+        parts = []
+        while transfer.end is None:
+            parts.append(transfer.step())
+        if transfer.status != 200 or transfer.end is not _transfer.End.WHOLE:
+            return _failures.refuse(
+                request.record, attempt, transfer, b"".join(parts)
+            )
+        checked = _checker.check_whole(b"".join(parts), request.request_id)
+        if isinstance(checked, _checker.Fault):
+            return request.record.refuse(checked.kind, checked.reason)
+        attempt.settle(_send_record.AttemptState.ANSWERED)
+        return ChatAnswer(
+            checked.body,
+            transfer.header_by_name.get("content-type", "application/json"),
+            checked.text,
+            checked.finish_reason,
+            checked.usage.tokens_in,
+            checked.usage.tokens_out,
+        )
+
+    def _open(
+        self, request: ChatRequest
+    ) -> tuple[_transfer.Transfer, _send_record.SendAttempt] | core.Refusal:
+        permit = request.permit
+        headers = _headers(request)
+        if not _transfer.are_header_lines(headers):
+            return request.record.refuse(
+                core.ErrorKind.BAD_REQUEST, "a header has control characters"
+            )
+        if not permit.redeem():
+            return request.record.refuse(
+                core.ErrorKind.INTERNAL, "the send permit is no longer valid"
+            )
+        http = _transfer.HttpRequest(
+            address=permit.upstream.address,
+            method="POST",
+            path=self._PATH,
+            headers=headers,
+            body=request.body,
+            may_repeat=True,
+        )
+        attempt = request.record.begin(permit.upstream.name)
+        transfer = _transfer.Transfer(
+            self._pool, http, request.bounds, request.is_abandoned
+        )
+        return transfer, attempt
+
+
+def _headers(request: ChatRequest) -> list[str]:
+    headers = [
+        "Content-Type: application/json",
+        "Accept: text/event-stream, application/json",
+        f"X-Request-Id: {request.request_id}",
+        f"X-Mulberry-Model: {request.permit.model}",
+        f"X-Mulberry-Version: {request.permit.version}",
+        f"X-Mulberry-Priority: {request.priority}",
+    ]
+    if request.idempotency_key:
+        headers.append(f"Idempotency-Key: {request.idempotency_key}")
+    if request.resume_from:
+        headers.append(f"X-Resume-From: {request.resume_from}")
+    return headers
+
+
+def _refuse_status(
+    request: ChatRequest,
+    transfer: _transfer.Transfer,
+    attempt: _send_record.SendAttempt,
+    first: bytes,
+) -> core.Refusal:
+    parts = [first]
+    while transfer.end is None:
+        parts.append(transfer.step())
+    return _failures.refuse(request.record, attempt, transfer, b"".join(parts))
+
+
+class _EventStream(ChatStream):
+    """The events of one answer from one connection."""
+
+    def __init__(
+        self,
+        request: ChatRequest,
+        transfer: _transfer.Transfer,
+        attempt: _send_record.SendAttempt,
+        first: bytes,
+    ) -> None:
+        self._request = request
+        self._transfer = transfer
+        self._attempt = attempt
+        self._first = first
+        self._splitter = _sse.SseSplitter()
+        self._outcome: ChatOutcome | None = None
+        given = request.checker
+        self._checker = (
+            given
+            if isinstance(given, _checker.AnswerChecker)
+            else _checker.AnswerChecker(request.request_id)
+        )
+
+    @property
+    def checker(self) -> _checker.AnswerChecker:
+        """See `ChatStream`."""
+        return self._checker
+
+    @property
+    def outcome(self) -> ChatOutcome:
+        """See `ChatStream`."""
+        if self._outcome is None and self._transfer.end is not None:
+            self._end_transfer()
+        if self._outcome is None:
+            raise RuntimeError("the stream has not ended")
+        return self._outcome
+
+    def cancel(self) -> None:
+        """See `ChatStream`."""
+        self._transfer.cancel()
+
+    def __next__(self) -> bytes:
+        """See `ChatStream`."""
+        while self._outcome is None:
+            data = self._first or self._transfer.step()
+            self._first = b""
+            if data:
+                block = self._check(data)
+                if block:
+                    return block
+            elif self._transfer.end is not None:
+                self._end_transfer()
+        raise StopIteration
+
+    def _check(self, data: bytes) -> bytes:
+        """Returns what may be forwarded of `data`."""
+        passed = []
+        for event in self._splitter.feed(data):
+            verdict = self._checker.accept(event)
+            if verdict is _checker.Verdict.PASS:
+                passed.append(event)
+            elif isinstance(verdict, _checker.Fault):
+                self._fail(verdict, Recovery.RERUN)
+                break
+        if self._checker.chunks:
+            self._attempt.settle(_send_record.AttemptState.ANSWERED)
+        if self._splitter.pending_bytes > _MAX_EVENT_BYTES:
+            self._fail(
+                _checker.Fault(
+                    core.ErrorKind.ANSWER_INCOMPLETE, "an event is too long"
+                ),
+                Recovery.RERUN,
+            )
+        elif self._checker.done:
+            self._complete()
+        return passed[0] if len(passed) == 1 else b"".join(passed)
+
+    def _complete(self) -> None:
+        # The framing normally ends right after [DONE]; one more step lets
+        # libcurl see it and keep the connection.
+        self._transfer.step_if_ready()
+        self._end(core.Missing.UNSET, Recovery.NONE, self._checker.tail)
+
+    def _end_transfer(self) -> None:
+        fault = _failures.stream_fault(self._transfer)
+        recoverable = self._transfer.end in _failures.RESUMABLE_ENDS
+        self._fail(fault, Recovery.RESUME if recoverable else Recovery.NONE)
+
+    def _fail(self, fault: _checker.Fault, recovery: Recovery) -> None:
+        if self._outcome is None:
+            refusal = self._request.record.refuse(fault.kind, fault.reason)
+            self._end(refusal, recovery, b"")
+
+    def _end(
+        self,
+        refusal: core.Refusal | core.Missing,
+        recovery: Recovery,
+        tail: bytes,
+    ) -> None:
+        self._transfer.close()
+        usage = self._checker.usage
+        self._outcome = ChatOutcome(
+            refusal=refusal,
+            recovery=recovery,
+            tail=tail,
+            text=self._checker.text,
+            finish_reason=self._checker.finish_reason,
+            tokens_in=usage.tokens_in,
+            tokens_out=usage.tokens_out,
+            chunks=self._checker.chunks,
+        )
--- /dev/null
+++ b/libs/upstream/mulberry_upstream/_checker.py
@@ -0,0 +1,340 @@
+"""Verifies that an answer is the whole answer to its own request (P5)."""
+
+import dataclasses
+import enum
+import json
+from collections.abc import Sequence
+from typing import Any
+
+import mulberry_core as core
+
+_DONE = b"[DONE]"
+#: Stands for an event that carries no data, for example a comment.
+_NO_DATA = b""
+
+
+class Verdict(enum.Enum):
+    """What to do with an event that passed the checks."""
+
+    #: Forward it now.
+    PASS = "pass"
+    #: Part of the end of the answer; forward it after the bill.
+    HOLD = "hold"
+    #: Already forwarded from an earlier run.
+    DROP = "drop"
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """Why an answer was rejected."""
+
+    kind: core.ErrorKind
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Usage:
+    """Tokens as the engine counts them."""
+
+    tokens_in: int
+    tokens_out: int
+
+
+def _incomplete(reason: str) -> Fault:
+    return Fault(core.ErrorKind.ANSWER_INCOMPLETE, reason)
+
+
+class AnswerChecker:
+    """Checks one streamed answer event by event.
+
+    Verifies the id of every chunk, the numbers of numbered events (SSE field
+    `id`, from 1), that nothing follows a finish reason but usage, and the
+    final `[DONE]`. Everything from the first finish reason on is held, so
+    that the caller cannot take the answer for complete before it is billed.
+
+    Without event numbers, a repeated chunk shows only as more chunks than
+    tokens, and a lost chunk does not show.
+    """
+
+    def __init__(self, request_id: str, forwarded: Sequence[str] = ()) -> None:
+        """Creates a checker.
+
+        Args:
+            request_id: The id of every chunk must end with it.
+            forwarded: Chunks that an earlier run of the same request has
+                forwarded; this run must repeat them and they are dropped.
+        """
+        self._request_id = request_id
+        self._forwarded = forwarded
+        self._pieces: list[str] = []
+        self._texts: list[str] = []
+        self._held: list[bytes] = []
+        self._passed = 0
+        self._numbered = False
+        self._finish_by_index: dict[int, str] = {}
+        self._open_indexes: set[int] = set()
+        self._usage: Usage | core.Missing = core.Missing.UNSET
+        self._done = False
+
+    @property
+    def request_id(self) -> str:
+        """The id that the answer must carry."""
+        return self._request_id
+
+    @property
+    def chunks(self) -> int:
+        """Chunks accepted so far, held and dropped ones included."""
+        return len(self._pieces)
+
+    @property
+    def done(self) -> bool:
+        """Whether the answer has ended and passed every check."""
+        return self._done
+
+    @property
+    def tail(self) -> bytes:
+        """The held end of the answer."""
+        return b"".join(self._held)
+
+    @property
+    def text(self) -> str:
+        """The text of the answer so far."""
+        return "".join(self._texts)
+
+    @property
+    def finish_reason(self) -> str:
+        """The finish reason of the first choice, empty before it."""
+        return self._finish_by_index.get(0, "")
+
+    @property
+    def usage(self) -> Usage:
+        """Tokens from the usage chunk, or else counted chunks with text."""
+        if isinstance(self._usage, Usage):
+            return self._usage
+        return Usage(0, sum(1 for text in self._texts if text))
+
+    def for_rerun(self) -> "AnswerChecker":
+        """Returns a checker for a run of the same request from the start."""
+        if self._passed < len(self._forwarded):
+            # Cut while it repeated chunks: nothing new was forwarded.
+            return AnswerChecker(self._request_id, self._forwarded)
+        return AnswerChecker(
+            self._request_id, tuple(self._pieces[: self._passed])
+        )
+
+    def accept(self, event: bytes) -> Verdict | Fault:
+        """Checks the next whole event."""
+        number, data = _fields(event)
+        if data == _NO_DATA:
+            return self._place_comment(event)
+        if self._done:
+            return _incomplete("the answer goes on after [DONE]")
+        if data == _DONE:
+            return self._accept_done(event)
+        return self._accept_chunk(event, number, data)
+
+    def _place_comment(self, event: bytes) -> Verdict:
+        if self._held or self._done:
+            self._held.append(event)
+            return Verdict.HOLD
+        if self.chunks < len(self._forwarded):
+            return Verdict.DROP
+        return Verdict.PASS
+
+    def _accept_chunk(
+        self, event: bytes, number: bytes, data: bytes
+    ) -> Verdict | Fault:
+        fault = self._check_number(number)
+        if fault:
+            return fault
+        try:
+            chunk = json.loads(data)
+        except ValueError:
+            return _incomplete(f"chunk {self.chunks + 1} is garbled")
+        if not isinstance(chunk, dict):
+            return _incomplete(f"chunk {self.chunks + 1} is not an object")
+        if "error" in chunk:
+            return Fault(
+                core.ErrorKind.UPSTREAM_FAILED,
+                f"the engine reported an error: {str(chunk['error'])[:200]}",
+            )
+        chunk_id = chunk.get("id")
+        if not isinstance(chunk_id, str) or not chunk_id.endswith(
+            self._request_id
+        ):
+            return Fault(
+                core.ErrorKind.ANSWER_MISMATCHED,
+                f"chunk {self.chunks + 1} carries the id {chunk_id!r:.80}",
+            )
+        return self._take_choices(event, chunk)
+
+    def _check_number(self, number: bytes) -> Fault | None:
+        expected = self.chunks + 1
+        if not number.isdigit():
+            if self._numbered:
+                return _incomplete(f"event {expected} carries no number")
+            return None
+        if not self._numbered and self._pieces:
+            return _incomplete(f"event {expected} is numbered, others are not")
+        self._numbered = True
+        found = int(number)
+        if found == expected:
+            return None
+        what = "repeated" if found < expected else "out of order"
+        return _incomplete(f"event {found} is {what}; {expected} was due")
+
+    def _take_choices(
+        self, event: bytes, chunk: dict[str, Any]
+    ) -> Verdict | Fault:
+        usage = chunk.get("usage")
+        if isinstance(usage, dict):
+            self._usage = _read_usage(usage)
+        choices = chunk.get("choices")
+        if not isinstance(choices, list):
+            return _incomplete(f"chunk {self.chunks + 1} has no choices")
+        if len(choices) == 1 and (simple := _simple_text(choices[0])):
+            # A chunk with nothing but text of the first choice.
+            if 0 in self._finish_by_index:
+                return _incomplete("text follows the finish reason")
+            self._open_indexes.add(0)
+            self._texts.append(simple)
+            return self._place_chunk(event, simple)
+        for choice in choices:
+            fault = self._take_choice(choice)
+            if fault:
+                return fault
+        return self._place_chunk(event, json.dumps(choices, sort_keys=True))
+
+    def _take_choice(self, choice: Any) -> Fault | None:
+        if not isinstance(choice, dict):
+            return _incomplete(f"chunk {self.chunks + 1} has a bad choice")
+        index = choice.get("index", 0)
+        delta = choice.get("delta")
+        if not isinstance(index, int) or not isinstance(delta, dict):
+            return _incomplete(f"chunk {self.chunks + 1} has a bad choice")
+        if index in self._finish_by_index:
+            return _incomplete("a choice goes on after its finish reason")
+        self._open_indexes.add(index)
+        text = delta.get("content")
+        if isinstance(text, str) and index == 0:
+            self._texts.append(text)
+        finish = choice.get("finish_reason")
+        if isinstance(finish, str):
+            self._finish_by_index[index] = finish
+            self._open_indexes.discard(index)
+        return None
+
+    def _place_chunk(self, event: bytes, piece: str) -> Verdict | Fault:
+        place = len(self._pieces)
+        self._pieces.append(piece)
+        if place < len(self._forwarded):
+            if self._forwarded[place] != piece:
+                return _incomplete(
+                    f"the second run differs from the first at chunk "
+                    f"{place + 1}"
+                )
+            self._passed += 1
+            return Verdict.DROP
+        if self._finish_by_index:
+            self._held.append(event)
+            return Verdict.HOLD
+        self._passed += 1
+        return Verdict.PASS
+
+    def _accept_done(self, event: bytes) -> Verdict | Fault:
+        if not self._finish_by_index or self._open_indexes:
+            return _incomplete("the answer ends without a finish reason")
+        if self.chunks < len(self._forwarded):
+            return _incomplete("the second run is shorter than the first")
+        if isinstance(self._usage, Usage):
+            counted = sum(1 for text in self._texts if text)
+            if counted > self._usage.tokens_out:
+                return _incomplete(
+                    f"the answer has {counted} chunks of text but only "
+                    f"{self._usage.tokens_out} tokens"
+                )
+        self._held.append(event)
+        self._done = True
+        return Verdict.HOLD
+
+
+@dataclasses.dataclass(frozen=True)
+class WholeAnswer:
+    """A checked answer that came in one piece."""
+
+    body: bytes
+    text: str
+    finish_reason: str
+    usage: Usage
+
+
+def check_whole(body: bytes, request_id: str) -> WholeAnswer | Fault:
+    """Checks a whole chat completion: JSON, id, finish reason, usage."""
+    try:
+        answer = json.loads(body)
+    except ValueError:
+        return _incomplete("the answer is not valid JSON")
+    if not isinstance(answer, dict):
+        return _incomplete("the answer is not an object")
+    answer_id = answer.get("id")
+    if not isinstance(answer_id, str) or not answer_id.endswith(request_id):
+        return Fault(
+            core.ErrorKind.ANSWER_MISMATCHED,
+            f"the answer carries the id {answer_id!r:.80}",
+        )
+    return _whole_choices(body, answer)
+
+
+def _whole_choices(body: bytes, answer: dict[str, Any]) -> WholeAnswer | Fault:
+    choices = answer.get("choices")
+    if not isinstance(choices, list) or not choices:
+        return _incomplete("the answer has no choices")
+    for choice in choices:
+        if not isinstance(choice, dict) or not isinstance(
+            choice.get("message"), dict
+        ):
+            return _incomplete("the answer has a choice without a message")
+        if not isinstance(choice.get("finish_reason"), str):
+            return _incomplete("the answer has no finish reason")
+    text = choices[0]["message"].get("content")
+    usage = answer.get("usage")
+    return WholeAnswer(
+        body,
+        text if isinstance(text, str) else "",
+        choices[0]["finish_reason"],
+        _read_usage(usage) if isinstance(usage, dict) else Usage(0, 0),
+    )
+
+
+def _fields(event: bytes) -> tuple[bytes, bytes]:
+    """Returns the `id` and the joined `data` fields of an event."""
+    number = b""
+    data = _NO_DATA
+    for line in event.split(b"\n"):
+        if line.startswith(b"data:"):
+            value = line[5:].strip()
+            data = value if data == _NO_DATA else data + b"\n" + value
+        elif line.startswith(b"id:"):
+            number = line[3:].strip()
+    return number, data
+
+
+def _simple_text(choice: Any) -> str:
+    """Returns the text of a choice that holds nothing else, or ''."""
+    if not isinstance(choice, dict) or choice.get("finish_reason") is not None:
+        return ""
+    delta = choice.get("delta")
+    if not isinstance(delta, dict) or len(delta) != 1:
+        return ""
+    if choice.get("index", 0) != 0:
+        return ""
+    text = delta.get("content")
+    return text if isinstance(text, str) else ""
+
+
+def _read_usage(usage: dict[str, Any]) -> Usage:
+    def count(name: str) -> int:
+        value = usage.get(name)
+        return value if isinstance(value, int) and value >= 0 else 0
+
+    return Usage(count("prompt_tokens"), count("completion_tokens"))
--- /dev/null
+++ b/libs/upstream/mulberry_upstream/_failures.py
@@ -0,0 +1,107 @@
+"""Maps the end of a transfer to the refusal that the caller gets."""
+
+from collections.abc import Mapping
+
+import mulberry_core as core
+from mulberry_upstream import _checker, _send_record, _transfer
+
+#: Ends after which the same upstream may still hold the answer.
+RESUMABLE_ENDS = frozenset(
+    {_transfer.End.WHOLE, _transfer.End.FAILED, _transfer.End.SILENT}
+)
+
+_KIND_BY_END: Mapping[_transfer.End, core.ErrorKind] = {
+    _transfer.End.WHOLE: core.ErrorKind.UPSTREAM_FAILED,
+    _transfer.End.FAILED: core.ErrorKind.UPSTREAM_FAILED,
+    _transfer.End.OVERSIZE: core.ErrorKind.ANSWER_INCOMPLETE,
+    _transfer.End.CONNECT_TIMEOUT: core.ErrorKind.UPSTREAM_FAILED,
+    _transfer.End.SILENT: core.ErrorKind.UPSTREAM_FAILED,
+    _transfer.End.DEADLINE: core.ErrorKind.DEADLINE_EXCEEDED,
+    _transfer.End.CANCELED: core.ErrorKind.CALLER_GONE,
+}
+
+_REASON_BY_END: Mapping[_transfer.End, str] = {
+    _transfer.End.WHOLE: "the answer ended early",
+    _transfer.End.FAILED: "the connection failed",
+    _transfer.End.OVERSIZE: "the answer is larger than allowed",
+    _transfer.End.CONNECT_TIMEOUT: "no connection in time",
+    _transfer.End.SILENT: "no byte in time",
+    _transfer.End.DEADLINE: "the deadline passed",
+    _transfer.End.CANCELED: "the caller has gone",
+}
+
+#: Kinds for an answer that had begun.
+_CUT_KIND = core.ErrorKind.ANSWER_INCOMPLETE
+#: Characters of an upstream's error that go into a reason.
+_MAX_QUOTED = 200
+
+
+def says_not_run(transfer: _transfer.Transfer) -> bool:
+    """Whether the upstream states that it refused without running."""
+    return (
+        transfer.status == 503
+        and transfer.header_by_name.get("x-not-run") == "1"
+    )
+
+
+def refuse(
+    record: _send_record.SendRecord,
+    attempt: _send_record.SendAttempt,
+    transfer: _transfer.Transfer,
+    body: bytes,
+) -> core.Refusal:
+    """Settles the attempt and refuses, for an answer that is no result."""
+    if transfer.no_byte_sent:
+        attempt.settle(_send_record.AttemptState.NOT_SENT)
+    elif says_not_run(transfer):
+        attempt.settle(_send_record.AttemptState.REFUSED)
+        return record.refuse(
+            core.ErrorKind.UPSTREAM_REFUSED,
+            f"upstream {attempt.upstream} refused to run it",
+            _retry_after(transfer),
+        )
+    end = transfer.end or _transfer.End.FAILED
+    if end is _transfer.End.WHOLE and transfer.status != 200:
+        return _refuse_error(record, attempt, transfer.status, body)
+    kind = _KIND_BY_END[end]
+    if transfer.status == 200 and kind is core.ErrorKind.UPSTREAM_FAILED:
+        kind = _CUT_KIND
+    return record.refuse(kind, _reason(attempt.upstream, transfer))
+
+
+def stream_fault(transfer: _transfer.Transfer) -> _checker.Fault:
+    """Returns the fault of a stream whose transfer ended before `[DONE]`."""
+    end = transfer.end or _transfer.End.FAILED
+    kind = _KIND_BY_END[end]
+    if kind is core.ErrorKind.UPSTREAM_FAILED:
+        kind = _CUT_KIND
+    return _checker.Fault(kind, _reason("", transfer))
+
+
+def _refuse_error(
+    record: _send_record.SendRecord,
+    attempt: _send_record.SendAttempt,
+    status: int,
+    body: bytes,
+) -> core.Refusal:
+    quoted = body[:_MAX_QUOTED].decode("utf-8", "replace")
+    kind = (
+        core.ErrorKind.BAD_REQUEST
+        if status in (400, 413, 422)
+        else core.ErrorKind.UPSTREAM_FAILED
+    )
+    return record.refuse(
+        kind, f"upstream {attempt.upstream} answered {status}: {quoted}"
+    )
+
+
+def _reason(upstream: str, transfer: _transfer.Transfer) -> str:
+    end = transfer.end or _transfer.End.FAILED
+    parts = [f"upstream {upstream}" if upstream else "", _REASON_BY_END[end]]
+    detail = transfer.error if end is _transfer.End.FAILED else ""
+    return ": ".join(part for part in (*parts, detail) if part)
+
+
+def _retry_after(transfer: _transfer.Transfer) -> float | core.Missing:
+    value = transfer.header_by_name.get("retry-after", "")
+    return float(value) if value.isdigit() else core.Missing.UNSET
--- /dev/null
+++ b/libs/upstream/mulberry_upstream/_resume.py
@@ -0,0 +1,103 @@
+"""Continues a streamed answer after its upstream was cut or failed."""
+
+import dataclasses
+from collections.abc import Callable
+
+import mulberry_core as core
+from mulberry_upstream import _adapter, _checker
+
+
+@dataclasses.dataclass(frozen=True)
+class ReopenPlan:
+    """What the next attempt of a stream has to do."""
+
+    #: True: resume on the same upstream; false: run it again on another.
+    resume: bool
+    #: For `ChatRequest.resume_from`.
+    resume_from: int
+    #: For `ChatRequest.checker`.
+    checker: _checker.AnswerChecker
+    #: Why the attempt before ended.
+    cause: core.Refusal
+
+
+#: Chooses the upstream, asks the gate anew and sends.
+Reopen = Callable[[ReopenPlan], "_adapter.ChatStream | core.Refusal"]
+
+
+class ResumingStream(_adapter.ChatStream):
+    """A stream that survives cuts as far as its attempts allow.
+
+    After a cut it first resumes on the same upstream. If that fails, or if
+    the answer was faulty, it runs the request again on another upstream,
+    compares the chunks forwarded before and drops them.
+    """
+
+    def __init__(
+        self,
+        first: _adapter.ChatStream,
+        reopen: Reopen,
+        max_reopens: int = 2,
+    ) -> None:
+        self._stream = first
+        self._reopen = reopen
+        self._reopens_left = max_reopens
+        self._canceled = False
+        self._outcome: _adapter.ChatOutcome | None = None
+
+    @property
+    def checker(self) -> _checker.AnswerChecker:
+        """See `ChatStream`."""
+        return self._stream.checker
+
+    @property
+    def outcome(self) -> _adapter.ChatOutcome:
+        """See `ChatStream`."""
+        if self._canceled and self._outcome is None:
+            return self._stream.outcome
+        if self._outcome is None:
+            raise RuntimeError("the stream has not ended")
+        return self._outcome
+
+    def cancel(self) -> None:
+        """See `ChatStream`."""
+        self._canceled = True
+        self._stream.cancel()
+
+    def __next__(self) -> bytes:
+        """See `ChatStream`."""
+        while self._outcome is None:
+            block = next(self._stream, b"")
+            if block:
+                return block
+            if not self._continue():
+                self._outcome = self._stream.outcome
+        raise StopIteration
+
+    def _continue(self) -> bool:
+        """Opens the next attempt; false if there is none."""
+        outcome = self._stream.outcome
+        recovery = outcome.recovery
+        cause = outcome.refusal
+        while (
+            recovery is not _adapter.Recovery.NONE
+            and isinstance(cause, core.Refusal)
+            and self._reopens_left > 0
+            and not self._canceled
+        ):
+            self._reopens_left -= 1
+            opened = self._reopen(self._plan(recovery, cause))
+            if not isinstance(opened, core.Refusal):
+                self._stream = opened
+                return True
+            cause = opened
+            recovery = _adapter.Recovery.RERUN
+        return False
+
+    def _plan(
+        self, recovery: _adapter.Recovery, cause: core.Refusal
+    ) -> ReopenPlan:
+        checker = self._stream.checker
+        if recovery is _adapter.Recovery.RESUME:
+            return ReopenPlan(True, checker.chunks, checker, cause)
+        return ReopenPlan(False, 0, checker.for_rerun(), cause)
--- /dev/null
+++ b/libs/upstream/mulberry_upstream/_sse.py
@@ -0,0 +1,40 @@
+"""Splits a byte stream into whole server-sent events."""
+
+import re
+
+#: Events end with an empty line; lines end with LF or CRLF.
+_EVENT_END = re.compile(rb"\n\r?\n")
+
+
+class SseSplitter:
+    """Collects bytes and gives back whole events, byte for byte as received.
+
+    Any split of the input gives the same events.
+    """
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    @property
+    def pending_bytes(self) -> int:
+        """Length of the event that has not ended yet."""
+        return len(self._rest)
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Returns the events that end within `data`."""
+        # One whole event in one read is by far the most frequent case.
+        if (
+            not self._rest
+            and data.endswith(b"\n\n")
+            and data.find(b"\n\n") == len(data) - 2
+            and b"\n\r\n" not in data
+        ):
+            return [data]
+        rest = self._rest + data
+        events = []
+        start = 0
+        for match in _EVENT_END.finditer(rest):
+            events.append(rest[start : match.end()])
+            start = match.end()
+        self._rest = rest[start:]
+        return events
