Parse rule files and settings

Checks between lines find unknown names, duplicates, keys shared by two teams, steps that do not grow, roll-outs that start from a withdrawn version, cascades that are not ordered by cost, and calls that an earlier kind takes away (a `once` call hidden by a wider kind would be resent).

A `withdraw` line wins over the `version` line of the same version, so that an emergency withdrawal is one added line.

--- a/libs/rules/mulberry_rules/__init__.py
+++ b/libs/rules/mulberry_rules/__init__.py
@@ -1,5 +1,14 @@
 """Rule file and settings: text to validated data."""
 
+from mulberry_rules._choices import CHOICES_BY_POLICY
+from mulberry_rules._diff import diff_rules
+from mulberry_rules._errors import RuleError, RuleErrors
+from mulberry_rules._load_settings import (
+    SettingsError,
+    SettingsErrors,
+    load_settings,
+    parse_settings,
+)
 from mulberry_rules._model import (
     DEFAULT_KIND,
     Allowance,
@@ -16,10 +25,13 @@
     Team,
     Version,
 )
+from mulberry_rules._parse import EMPTY_RULES, parse_rules
 from mulberry_rules._settings import Limits, Policy, Settings, Timing, Tls
 
 __all__ = [
+    "CHOICES_BY_POLICY",
     "DEFAULT_KIND",
+    "EMPTY_RULES",
     "Allowance",
     "CallTarget",
     "Cascade",
@@ -30,12 +42,20 @@
     "Model",
     "Policy",
     "Rollout",
+    "RuleError",
+    "RuleErrors",
     "RuleLine",
     "Rules",
     "Service",
     "Settings",
+    "SettingsError",
+    "SettingsErrors",
     "Team",
     "Timing",
     "Tls",
     "Version",
+    "diff_rules",
+    "load_settings",
+    "parse_rules",
+    "parse_settings",
 ]
--- /dev/null
+++ b/libs/rules/mulberry_rules/_checks.py
@@ -0,0 +1,365 @@
+"""Checks between the lines of a rule file."""
+
+import collections
+import dataclasses
+import fnmatch
+import itertools
+from collections.abc import Collection, Iterator
+
+import mulberry_core as core
+from mulberry_rules import _cursor, _errors, _lines, _model, _statements
+
+#: Keyword and the number of words after it that make a rule unique.
+_UNIQUE_WORDS_BY_KEYWORD = {
+    "team": 1,
+    "model": 1,
+    "version": 2,
+    "withdraw": 2,
+    "allow": 3,
+    "cascade": 1,
+    "rollout": 1,
+    "service": 1,
+    "kind": 1,
+    "limit": 1,
+}
+
+#: Words that would make a rule ambiguous if they were names.
+_RESERVED_BY_KEYWORD = {
+    "model": ("service",),
+    "kind": (_model.DEFAULT_KIND.name,),
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Placed:
+    """A statement with the words it was read from."""
+
+    line: _lines.Line
+    statement: _statements.Statement
+
+
+class Names:
+    """What a file declares, also on lines that have other errors.
+
+    A faulty `team` line must not make each mention of the team an error.
+    """
+
+    def __init__(self, lines: Collection[_lines.Line]) -> None:
+        self.by_keyword: dict[str, set[str]] = collections.defaultdict(set)
+        self.versions_by_model: dict[str, set[str]] = collections.defaultdict(
+            set
+        )
+        self.withdrawn: set[tuple[str, str]] = set()
+        for line in lines:
+            words = [token.text for token in line.tokens[1:3]]
+            if words:
+                self.by_keyword[line.keyword].add(words[0])
+            if line.keyword in ("version", "withdraw") and len(words) > 1:
+                self.versions_by_model[words[0]].add(words[1])
+                if line.keyword == "withdraw":
+                    self.withdrawn.add((words[0], words[1]))
+
+    def missing(
+        self, line: _lines.Line, keyword: str, name: str, skip: int = 1
+    ) -> Iterator[_errors.RuleError]:
+        """Yields an error if no line of `keyword` declares `name`."""
+        known = self.by_keyword[keyword]
+        if name not in known:
+            yield line.error(
+                name,
+                f"there is no {keyword} of this name",
+                _cursor.did_you_mean(name, known),
+                skip,
+            )
+
+    def missing_version(
+        self, line: _lines.Line, model: str, version: str, skip: int = 2
+    ) -> Iterator[_errors.RuleError]:
+        """Yields an error if `model` has no such version."""
+        known = self.versions_by_model[model]
+        if model in self.by_keyword["model"] and version not in known:
+            yield line.error(
+                version,
+                f"{model} has no version of this name",
+                _cursor.did_you_mean(version, known),
+                skip,
+            )
+
+
+def check(
+    lines: Collection[_lines.Line], placed: Collection[Placed]
+) -> list[_errors.RuleError]:
+    """Returns the errors that show only between several lines."""
+    names = Names(lines)
+    errors = [*_duplicates(lines), *_reserved(lines)]
+    for item in placed:
+        errors.extend(_check_statement(item, names))
+    errors.extend(_shared_keys(placed))
+    errors.extend(_dear_first(placed))
+    errors.extend(_hidden_calls(placed))
+    return errors
+
+
+def _check_statement(item: Placed, names: Names) -> Iterator[_errors.RuleError]:
+    line = item.line
+    match item.statement:
+        case _model.Team() as team:
+            yield from _check_team(line, team)
+        case _model.Model() as model:
+            yield from _check_model(line, model, names)
+        case _model.Version() | _statements.Withdrawal() as version:
+            yield from names.missing(line, "model", version.model)
+        case _model.Allowance() as allowance:
+            yield from _check_allowance(line, allowance, names)
+        case _model.Cascade() as cascade:
+            yield from _check_cascade(line, cascade, names)
+        case _model.Rollout() as rollout:
+            yield from _check_rollout(line, rollout, names)
+        case _model.Kind() as kind:
+            yield from _check_kind(line, kind, names)
+        case _model.Limit() as limit:
+            yield from names.missing(line, "team", limit.team)
+        case _model.Service() | _statements.EditedFrom():
+            pass
+
+
+def _check_team(
+    line: _lines.Line, team: _model.Team
+) -> Iterator[_errors.RuleError]:
+    if not team.key_hashes:
+        yield line.error(
+            team.name,
+            "the team has no key, so it cannot send requests",
+            "add `key sha256:HEX`",
+        )
+
+
+def _check_model(
+    line: _lines.Line, model: _model.Model, names: Names
+) -> Iterator[_errors.RuleError]:
+    if not names.versions_by_model[model.name]:
+        yield line.error(
+            model.name,
+            "the model has no version",
+            f"add a line `version {model.name} VERSION`",
+        )
+
+
+def _check_allowance(
+    line: _lines.Line, allowance: _model.Allowance, names: Names
+) -> Iterator[_errors.RuleError]:
+    yield from names.missing(line, "team", allowance.team)
+    if not isinstance(allowance.service, core.Missing):
+        yield from names.missing(line, "service", allowance.service, skip=3)
+    if isinstance(allowance.model, core.Missing):
+        return
+    if allowance.model in names.by_keyword["cascade"]:
+        yield line.error(
+            allowance.model,
+            "this is a cascade, not a model",
+            "allow each model of the cascade on a line of its own",
+            skip=2,
+        )
+        return
+    yield from names.missing(line, "model", allowance.model, skip=2)
+    if not isinstance(allowance.version, core.Missing):
+        yield from names.missing_version(
+            line, allowance.model, allowance.version, skip=3
+        )
+
+
+def _check_cascade(
+    line: _lines.Line, cascade: _model.Cascade, names: Names
+) -> Iterator[_errors.RuleError]:
+    if cascade.name in names.by_keyword["model"]:
+        yield line.error(
+            cascade.name,
+            "a model has the same name",
+            "give the cascade another name",
+        )
+    for model in cascade.models:
+        yield from names.missing(line, "model", model, skip=2)
+    for model, count in collections.Counter(cascade.models).items():
+        if count > 1:
+            yield line.error(
+                model,
+                "the model stands twice in the cascade",
+                "name each model once",
+                skip=2,
+            )
+
+
+def _check_rollout(
+    line: _lines.Line, rollout: _model.Rollout, names: Names
+) -> Iterator[_errors.RuleError]:
+    yield from names.missing(line, "model", rollout.model)
+    for version in (rollout.from_version, rollout.to_version):
+        yield from names.missing_version(line, rollout.model, version)
+    if rollout.from_version == rollout.to_version:
+        yield line.error(
+            rollout.to_version,
+            "the roll-out leads to the version it starts from",
+            "name another version after `to`, or delete the line",
+        )
+    if (rollout.model, rollout.from_version) in names.withdrawn:
+        yield line.error(
+            rollout.from_version,
+            "the roll-out starts from a withdrawn version, so sessions "
+            "outside its share would have no version",
+            "start it from a live version, or delete the line",
+        )
+    steps = rollout.steps
+    for before, after in itertools.pairwise(steps):
+        if after <= before:
+            yield line.error(
+                _written_step(line, after),
+                "the steps do not grow",
+                "write growing percentages, like `1% 5% 25% 100%`",
+            )
+
+
+def _written_step(line: _lines.Line, step: float) -> str:
+    """Returns the last word that gives this percentage, as it is spelled."""
+    return next(
+        (
+            token.text
+            for token in reversed(line.tokens)
+            if token.text.endswith("%")
+            and float(token.text.removesuffix("%")) / 100 == step
+        ),
+        "",
+    )
+
+
+def _check_kind(
+    line: _lines.Line, kind: _model.Kind, names: Names
+) -> Iterator[_errors.RuleError]:
+    target = kind.target
+    if isinstance(target, _model.CallTarget):
+        yield from names.missing(line, "service", target.service, skip=2)
+        return
+    known = names.by_keyword["model"] | names.by_keyword["cascade"]
+    if target.name not in known:
+        yield line.error(
+            target.name,
+            "there is no model or cascade of this name",
+            _cursor.did_you_mean(target.name, known),
+            skip=2,
+        )
+
+
+def _duplicates(
+    lines: Collection[_lines.Line],
+) -> Iterator[_errors.RuleError]:
+    """Finds rules that declare the same thing twice."""
+    first_by_words: dict[tuple[str, ...], _lines.Line] = {}
+    for line in lines:
+        count = _UNIQUE_WORDS_BY_KEYWORD.get(line.keyword, 0)
+        if not count or len(line.tokens) < 2:
+            continue
+        words = tuple(token.text for token in line.tokens[: count + 1])
+        first = first_by_words.setdefault(words, line)
+        if first is not line:
+            yield line.error(
+                words[1],
+                f"line {first.number} has this rule already",
+                "delete one of the two lines",
+            )
+
+
+def _reserved(lines: Collection[_lines.Line]) -> Iterator[_errors.RuleError]:
+    for line in lines:
+        reserved = _RESERVED_BY_KEYWORD.get(line.keyword, ())
+        name = line.tokens[1].text if len(line.tokens) > 1 else ""
+        if name in reserved:
+            yield line.error(
+                name, "this name has a fixed meaning", "use another name"
+            )
+
+
+def _shared_keys(placed: Collection[Placed]) -> Iterator[_errors.RuleError]:
+    """Finds keys that would not tell which team a caller belongs to."""
+    first_by_hash: dict[str, Placed] = {}
+    for item in placed:
+        if not isinstance(item.statement, _model.Team):
+            continue
+        for key_hash in dict.fromkeys(item.statement.key_hashes):
+            first = first_by_hash.setdefault(key_hash, item)
+            if item.statement.key_hashes.count(key_hash) > 1:
+                message = "the team has this key twice"
+            elif first is not item:
+                message = f"line {first.line.number} has the same key"
+            else:
+                continue
+            yield item.line.error(
+                _written_hash(item.line, key_hash),
+                message,
+                "give each team keys of its own",
+            )
+
+
+def _written_hash(line: _lines.Line, key_hash: str) -> str:
+    """Returns the hash as the line spells it, for the error's column."""
+    return next(
+        (
+            token.text
+            for token in line.tokens
+            if token.text.lower().endswith(key_hash)
+        ),
+        key_hash,
+    )
+
+
+def _dear_first(placed: Collection[Placed]) -> Iterator[_errors.RuleError]:
+    """Finds cascades that try a dear model before a cheaper one."""
+    cost_by_model = {
+        item.statement.name: item.statement.cost_per_1k_tokens
+        for item in placed
+        if isinstance(item.statement, _model.Model)
+    }
+    for item in placed:
+        if not isinstance(item.statement, _model.Cascade):
+            continue
+        models = [m for m in item.statement.models if m in cost_by_model]
+        for before, after in itertools.pairwise(models):
+            if cost_by_model[after] < cost_by_model[before]:
+                yield item.line.error(
+                    after,
+                    f"{after} is cheaper than {before}, which stands before it",
+                    "order the models from the cheapest to the dearest",
+                    skip=2,
+                )
+
+
+def _hidden_calls(placed: Collection[Placed]) -> Iterator[_errors.RuleError]:
+    """Finds calls that an earlier kind takes away.
+
+    A `once` call that an earlier, wider kind takes would be resent like any
+    other call.
+    """
+    earlier: list[tuple[_model.Kind, _model.CallTarget]] = []
+    for item in placed:
+        kind = item.statement
+        if not isinstance(kind, _model.Kind):
+            continue
+        if not isinstance(kind.target, _model.CallTarget):
+            continue
+        hiding = next(
+            (by for by, target in earlier if _covers(target, kind.target)), None
+        )
+        if hiding is not None:
+            yield item.line.error(
+                kind.name,
+                f"kind {hiding.name} on line {hiding.line.number} takes all "
+                "calls of this kind",
+                "move this line before it, or change one of the paths",
+            )
+        earlier.append((kind, kind.target))
+
+
+def _covers(wide: _model.CallTarget, narrow: _model.CallTarget) -> bool:
+    return (
+        wide.service == narrow.service
+        and wide.method == narrow.method
+        and fnmatch.fnmatchcase(narrow.path, wide.path)
+    )
--- /dev/null
+++ b/libs/rules/mulberry_rules/_cursor.py
@@ -0,0 +1,224 @@
+"""Reads the words of one rule and notes what is wrong with them."""
+
+import dataclasses
+import difflib
+import re
+from collections.abc import Callable, Collection, Mapping
+from typing import Any
+
+from mulberry_rules import _errors, _lines
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+_INTEGER = re.compile(r"[0-9]{1,9}")
+_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+_PERCENT = re.compile(r"([0-9]{1,3}(?:\.[0-9]{1,6})?)%")
+_DURATION = re.compile(r"([0-9]{1,6}(?:\.[0-9]{1,3})?)(ms|s|m|h|d)")
+_KEY_HASH = re.compile(r"sha256:([0-9a-fA-F]{64})")
+_METHOD = re.compile(r"GET|HEAD|POST|PUT|PATCH|DELETE|OPTIONS")
+#: Leaves out `?`, `[` and `]`, which path matching would read as wildcards.
+_PATH = re.compile(r"/[A-Za-z0-9._~!$&'()*+,;=:@%/-]*")
+
+_SECONDS_BY_UNIT = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}
+
+
+def did_you_mean(text: str, known: Collection[str]) -> str:
+    """Returns a suggestion for a word that is not among `known`."""
+    close = difflib.get_close_matches(text, known, n=1)
+    if close:
+        return f"did you mean `{close[0]}`?"
+    if known:
+        return "use one of: " + ", ".join(sorted(known))
+    return "add a line that declares it"
+
+
+class Cursor:
+    """Position in the words of one rule.
+
+    A reading method returns a stand-in value after it has noted an error, so
+    that one pass finds every error of the line; the caller drops the rule
+    when `errors` is not empty.
+    """
+
+    def __init__(self, line: _lines.Line) -> None:
+        self.line = line
+        self.errors: list[_errors.RuleError] = []
+        self._next = 1
+
+    @property
+    def peek(self) -> str:
+        """The next word, empty at the end of the line."""
+        tokens = self.line.tokens
+        return tokens[self._next].text if self._next < len(tokens) else ""
+
+    def fail(self, message: str, suggestion: str) -> None:
+        """Notes an error at the next word and passes over the word."""
+        tokens = self.line.tokens
+        if self._next < len(tokens):
+            token = tokens[self._next]
+            column, text = token.column, token.text
+        else:
+            column, text = self.line.end_column, ""
+        self.errors.append(
+            _errors.RuleError(
+                self.line.number, column, text, message, suggestion
+            )
+        )
+        self._next += 1
+
+    def word(self) -> str:
+        """Takes the next word as it is, empty at the end of the line."""
+        text = self.peek
+        self._next += 1
+        return text
+
+    def name(self, what: str) -> str:
+        """Takes the name of a team, model, version or the like."""
+        match = self._match(
+            _NAME,
+            f"{what} is not a valid name",
+            f"{what} is missing",
+            "use up to 64 of A-Z a-z 0-9 . _ - and begin with a letter or digit",
+        )
+        return match.group() if match else ""
+
+    def integer(self, what: str, low: int, high: int) -> int:
+        """Takes a whole number between `low` and `high`."""
+        return int(self._number(_INTEGER, what, low, high))
+
+    def number(self, what: str, low: float, high: float) -> float:
+        """Takes a decimal number between `low` and `high`."""
+        return self._number(_NUMBER, what, low, high)
+
+    def percent(self) -> float:
+        """Takes a percentage; returns it as a share, 0 to 1."""
+        suggestion = "use a percentage above 0% and up to 100%, like `5%`"
+        match = self._match(
+            _PERCENT,
+            "this is not a percentage",
+            "a step is missing",
+            suggestion,
+        )
+        share = float(match.group(1)) / 100 if match else 1.0
+        if not 0 < share <= 1:
+            self._fail_last("the percentage is out of range", suggestion)
+        return share
+
+    def duration(self, what: str) -> float:
+        """Takes a duration above zero; returns seconds."""
+        suggestion = "use a number above 0 with ms, s, m, h or d, like `30s`"
+        match = self._match(
+            _DURATION,
+            f"{what} is not a duration",
+            f"{what} is missing",
+            suggestion,
+        )
+        if not match:
+            return 1.0
+        seconds = float(match.group(1)) * _SECONDS_BY_UNIT[match.group(2)]
+        if seconds <= 0:
+            self._fail_last(f"{what} must be above zero", suggestion)
+        return seconds
+
+    def key_hash(self) -> str:
+        """Takes the hash of a key; returns 64 lower-case hex digits."""
+        match = self._match(
+            _KEY_HASH,
+            "the key is not a SHA-256 hash",
+            "the hash of the key is missing",
+            "write `sha256:` and 64 hex digits, never the key itself",
+        )
+        return match.group(1).lower() if match else ""
+
+    def method(self) -> str:
+        """Takes an HTTP method."""
+        match = self._match(
+            _METHOD,
+            "this is not an HTTP method",
+            "the HTTP method is missing",
+            "use GET, HEAD, POST, PUT, PATCH, DELETE or OPTIONS",
+        )
+        return match.group() if match else ""
+
+    def path(self) -> str:
+        """Takes a path pattern below a service."""
+        match = self._match(
+            _PATH,
+            "this is not a path",
+            "the path is missing",
+            "begin it with `/`; `*` stands for any text, as in `/stock/*`",
+        )
+        return match.group() if match else ""
+
+    def end(self) -> None:
+        """Notes an error for words that should not be there."""
+        while self.peek:
+            self.fail("this word does not belong here", "delete it")
+
+    def _number(
+        self, pattern: re.Pattern[str], what: str, low: float, high: float
+    ) -> float:
+        kind = "whole number" if pattern is _INTEGER else "number"
+        suggestion = f"use a {kind} from {low:g} to {high:g}"
+        match = self._match(
+            pattern,
+            f"{what} is not a {kind}",
+            f"{what} is missing",
+            suggestion,
+        )
+        value = float(match.group()) if match else low
+        if not low <= value <= high:
+            self._fail_last(f"{what} is out of range", suggestion)
+        return value
+
+    def _match(
+        self, pattern: re.Pattern[str], wrong: str, missing: str, suggest: str
+    ) -> re.Match[str] | None:
+        match = pattern.fullmatch(self.peek)
+        if match:
+            self._next += 1
+        else:
+            self.fail(wrong if self.peek else missing, suggest)
+        return match
+
+    def _fail_last(self, message: str, suggestion: str) -> None:
+        self._next -= 1
+        self.fail(message, suggestion)
+
+
+@dataclasses.dataclass(frozen=True)
+class Clause:
+    """A keyword inside a rule and what follows it."""
+
+    read: Callable[[Cursor], Any]
+    #: Shown where the clause is missing.
+    example: str
+    required: bool = True
+    #: How often it may stand.
+    most: int = 1
+
+
+def read_clauses(
+    cursor: Cursor, clause_by_word: Mapping[str, Clause]
+) -> dict[str, list[Any]]:
+    """Reads clauses in any order up to the end of the line.
+
+    Returns:
+        The values of each clause in the order of the line; empty lists for
+        those that are not there.
+    """
+    values: dict[str, list[Any]] = {word: [] for word in clause_by_word}
+    while cursor.peek:
+        clause = clause_by_word.get(cursor.peek)
+        if clause is None:
+            cursor.fail(
+                "this word does not belong here",
+                did_you_mean(cursor.peek, clause_by_word),
+            )
+        elif len(values[cursor.peek]) >= clause.most:
+            cursor.fail("this stands too often", "delete the repetition")
+        else:
+            values[cursor.word()].append(clause.read(cursor))
+    for word, clause in clause_by_word.items():
+        if clause.required and not values[word]:
+            cursor.fail(f"`{word}` is missing", f"add `{clause.example}`")
+    return values
--- /dev/null
+++ b/libs/rules/mulberry_rules/_errors.py
@@ -0,0 +1,36 @@
+"""What is wrong with a rule file: sentinel values with their reasons."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class RuleError:
+    """One fault of a rule file."""
+
+    #: Line number, from 1.
+    line: int
+    #: Column of the offending text in characters, from 1.
+    column: int
+    #: The offending text; empty where something is missing.
+    text: str
+    #: What is wrong.
+    message: str
+    #: What to write instead.
+    suggestion: str
+
+    def __str__(self) -> str:
+        at = f" at {self.text!r}" if self.text else ""
+        return (
+            f"line {self.line}, column {self.column}{at}: "
+            f"{self.message}; {self.suggestion}"
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class RuleErrors:
+    """Returned in place of `Rules`: every fault, in the order of the file."""
+
+    errors: tuple[RuleError, ...]
+
+    def __str__(self) -> str:
+        return "\n".join(str(error) for error in self.errors)
--- /dev/null
+++ b/libs/rules/mulberry_rules/_lines.py
@@ -0,0 +1,139 @@
+"""Splits the text of a rule file into lines of tokens."""
+
+import dataclasses
+import re
+
+from mulberry_rules import _errors, _model
+
+#: A larger file is refused before it is parsed. The largest file expected at
+#: the design scale (2,000 lines of 120 characters) stays well below.
+MAX_TEXT_CHARACTERS = 1_000_000
+
+#: Rule that names its base and needs no `# asked by`.
+EDITED_FROM = "edited-from"
+
+_TOKEN = re.compile(r"[^ \t]+")
+_ASKED_BY = re.compile(r"[ \t]*asked[ \t]+by[ \t]+(\S.*)", re.IGNORECASE)
+_UNPRINTABLE = re.compile(r"[\x00-\x08\x0b-\x1f\x7f\ud800-\udfff]")
+_BYTE_ORDER_MARK = "\ufeff"
+
+
+@dataclasses.dataclass(frozen=True)
+class Token:
+    """A word of a rule."""
+
+    text: str
+    #: Column of its first character, from 1.
+    column: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Line:
+    """A line that holds a rule."""
+
+    number: int
+    #: At least one.
+    tokens: tuple[Token, ...]
+    rule: _model.RuleLine
+
+    @property
+    def keyword(self) -> str:
+        """The first word of the rule."""
+        return self.tokens[0].text
+
+    @property
+    def end_column(self) -> int:
+        """The column after the last word."""
+        return self.tokens[-1].column + len(self.tokens[-1].text)
+
+    def error(
+        self, text: str, message: str, suggestion: str, skip: int = 1
+    ) -> _errors.RuleError:
+        """Returns an error at the first word equal to `text`.
+
+        Args:
+            text: The offending word.
+            message: What is wrong.
+            suggestion: What to write instead.
+            skip: How many words at the start are not searched.
+        """
+        column = next(
+            (tok.column for tok in self.tokens[skip:] if tok.text == text),
+            self.tokens[0].column,
+        )
+        return _errors.RuleError(self.number, column, text, message, suggestion)
+
+
+@dataclasses.dataclass(frozen=True)
+class SplitText:
+    """The rules of a text and what was wrong with its form."""
+
+    lines: tuple[Line, ...]
+    errors: tuple[_errors.RuleError, ...]
+
+
+def split_text(text: str) -> SplitText:
+    """Splits a rule file; blank lines and pure comments are left out."""
+    lines = []
+    errors: list[_errors.RuleError] = []
+    # Editors count "\n" only, so `str.splitlines` would shift the numbers.
+    raw_lines = text.removeprefix(_BYTE_ORDER_MARK).split("\n")
+    for number, raw in enumerate(raw_lines, start=1):
+        content = raw.removesuffix("\r")
+        errors.extend(_unprintable(number, content))
+        line = _split_line(number, content)
+        if line is None:
+            continue
+        lines.append(line)
+        if line.keyword != EDITED_FROM and not line.rule.asked_by:
+            errors.append(_not_asked(line, content))
+    return SplitText(tuple(lines), tuple(errors))
+
+
+def _split_line(number: int, content: str) -> Line | None:
+    body, _, comment = content.partition("#")
+    tokens = tuple(
+        Token(match.group(), match.start() + 1)
+        for match in _TOKEN.finditer(body)
+    )
+    if not tokens:
+        return None
+    asked = _ASKED_BY.fullmatch(comment)
+    asked_by = " ".join(asked.group(1).split()) if asked else ""
+    text = " ".join(token.text for token in tokens)
+    return Line(number, tokens, _model.RuleLine(number, text, asked_by))
+
+
+def _not_asked(line: Line, content: str) -> _errors.RuleError:
+    body, mark, comment = content.partition("#")
+    return _errors.RuleError(
+        line.number,
+        len(body) + 1 if mark else line.end_column,
+        f"{mark}{comment}".strip(),
+        "the rule does not say who asked for it",
+        "end the line with `# asked by WHO`",
+    )
+
+
+def _unprintable(number: int, content: str) -> list[_errors.RuleError]:
+    return [
+        _errors.RuleError(
+            number,
+            match.start() + 1,
+            match.group().encode("unicode_escape").decode("ascii"),
+            "the line holds a character that cannot be printed",
+            "delete it; the file must be plain UTF-8 text",
+        )
+        for match in _UNPRINTABLE.finditer(content)
+    ]
+
+
+def too_long(text: str) -> _errors.RuleError:
+    """Returns the error of a file above `MAX_TEXT_CHARACTERS`."""
+    return _errors.RuleError(
+        1,
+        1,
+        "",
+        f"the file has {len(text)} characters",
+        f"keep it below {MAX_TEXT_CHARACTERS} characters",
+    )
--- /dev/null
+++ b/libs/rules/mulberry_rules/_statements.py
@@ -0,0 +1,312 @@
+"""One reader for each keyword of the rule file."""
+
+import dataclasses
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import mulberry_core as core
+from mulberry_rules import _cursor, _lines, _model
+
+#: A team has two keys while it changes from one to the other.
+_MAX_KEYS = 2
+_MAX_CASCADE_MODELS = 8
+_MAX_WEIGHT = 1000.0
+_MAX_COST = 1e6
+_MAX_RATE = 1e8
+_MAX_EXPOSED = 1_000_000
+_LEAST_URGENT_PRIORITY = 9
+
+
+@dataclasses.dataclass(frozen=True)
+class EditedFrom:
+    """Number of the rules that the file was edited from."""
+
+    number: int
+    line: _model.RuleLine
+
+
+@dataclasses.dataclass(frozen=True)
+class Withdrawal:
+    """A version that may get no new work."""
+
+    model: str
+    version: str
+    line: _model.RuleLine
+
+
+Statement = (
+    EditedFrom
+    | Withdrawal
+    | _model.Team
+    | _model.Model
+    | _model.Version
+    | _model.Allowance
+    | _model.Cascade
+    | _model.Rollout
+    | _model.Service
+    | _model.Kind
+    | _model.Limit
+)
+
+
+def _flag(cursor: _cursor.Cursor) -> bool:
+    return True
+
+
+def _share(what: str) -> Callable[[_cursor.Cursor], float]:
+    return lambda cursor: cursor.number(what, 0.0, 1.0)
+
+
+def _name(what: str) -> Callable[[_cursor.Cursor], str]:
+    return lambda cursor: cursor.name(what)
+
+
+def _positive(cursor: _cursor.Cursor, what: str, most: float) -> float:
+    return cursor.number(what, 0.001, most)
+
+
+def _first(values: list[Any], default: Any) -> Any:
+    return values[0] if values else default
+
+
+def _edited_from(cursor: _cursor.Cursor) -> EditedFrom:
+    number = cursor.integer("the number", 0, 999_999_999)
+    cursor.end()
+    return EditedFrom(number, cursor.line.rule)
+
+
+_TEAM_CLAUSES = {
+    # A missing key is found by the checks, which name the team.
+    "key": _cursor.Clause(
+        lambda cursor: cursor.key_hash(), "key sha256:HEX", False, _MAX_KEYS
+    ),
+    "weight": _cursor.Clause(
+        lambda cursor: _positive(cursor, "the weight", _MAX_WEIGHT),
+        "weight 1",
+        False,
+    ),
+}
+
+
+def _team(cursor: _cursor.Cursor) -> _model.Team:
+    name = cursor.name("the team")
+    values = _cursor.read_clauses(cursor, _TEAM_CLAUSES)
+    return _model.Team(
+        name=name,
+        key_hashes=tuple(values["key"]),
+        weight=_first(values["weight"], 1.0),
+        line=cursor.line.rule,
+    )
+
+
+_MODEL_CLAUSES = {
+    "cost": _cursor.Clause(
+        lambda cursor: cursor.number("the cost", 0.0, _MAX_COST), "cost 12.0"
+    ),
+    "quality": _cursor.Clause(_share("the quality"), "quality 0.9"),
+}
+
+
+def _model_rule(cursor: _cursor.Cursor) -> _model.Model:
+    name = cursor.name("the model")
+    values = _cursor.read_clauses(cursor, _MODEL_CLAUSES)
+    return _model.Model(
+        name=name,
+        cost_per_1k_tokens=_first(values["cost"], 0.0),
+        quality=_first(values["quality"], 0.0),
+        line=cursor.line.rule,
+    )
+
+
+def _version(cursor: _cursor.Cursor) -> _model.Version:
+    model = cursor.name("the model")
+    version = cursor.name("the version")
+    cursor.end()
+    return _model.Version(model, version, False, cursor.line.rule)
+
+
+def _withdraw(cursor: _cursor.Cursor) -> Withdrawal:
+    model = cursor.name("the model")
+    version = cursor.name("the version")
+    cursor.end()
+    return Withdrawal(model, version, cursor.line.rule)
+
+
+def _allow(cursor: _cursor.Cursor) -> _model.Allowance:
+    team = cursor.name("the team")
+    model: str | core.Missing = core.Missing.UNSET
+    version: str | core.Missing = core.Missing.UNSET
+    service: str | core.Missing = core.Missing.UNSET
+    if cursor.peek == "service":
+        cursor.word()
+        service = cursor.name("the service")
+    else:
+        model = cursor.name("the model")
+        if cursor.peek:
+            version = cursor.name("the version")
+    cursor.end()
+    return _model.Allowance(team, model, version, service, cursor.line.rule)
+
+
+_CASCADE_CLAUSES = {
+    "from": _cursor.Clause(_name("the model"), "from MODEL"),
+    "to": _cursor.Clause(
+        _name("the model"), "to MODEL", most=_MAX_CASCADE_MODELS - 1
+    ),
+    "quality": _cursor.Clause(_share("the quality"), "quality 0.9"),
+}
+
+
+def _cascade(cursor: _cursor.Cursor) -> _model.Cascade:
+    name = cursor.name("the cascade")
+    values = _cursor.read_clauses(cursor, _CASCADE_CLAUSES)
+    return _model.Cascade(
+        name=name,
+        models=(*values["from"], *values["to"]),
+        quality=_first(values["quality"], 0.0),
+        line=cursor.line.rule,
+    )
+
+
+def _steps(cursor: _cursor.Cursor) -> tuple[float, ...]:
+    steps = [cursor.percent()]
+    while cursor.peek and cursor.peek not in _ROLLOUT_CLAUSES:
+        steps.append(cursor.percent())
+    return tuple(steps)
+
+
+_ROLLOUT_CLAUSES = {
+    "from": _cursor.Clause(_name("the version"), "from VERSION"),
+    "to": _cursor.Clause(_name("the version"), "to VERSION"),
+    "steps": _cursor.Clause(_steps, "steps 1% 5% 25% 100%"),
+    "every": _cursor.Clause(
+        lambda cursor: cursor.duration("the time on a step"), "every 30m"
+    ),
+    "expose": _cursor.Clause(
+        lambda cursor: cursor.integer(
+            "the number of requests", 1, _MAX_EXPOSED
+        ),
+        "expose 50",
+    ),
+    "hold": _cursor.Clause(_flag, "hold", False),
+}
+
+
+def _rollout(cursor: _cursor.Cursor) -> _model.Rollout:
+    model = cursor.name("the model")
+    values = _cursor.read_clauses(cursor, _ROLLOUT_CLAUSES)
+    return _model.Rollout(
+        model=model,
+        from_version=_first(values["from"], ""),
+        to_version=_first(values["to"], ""),
+        steps=_first(values["steps"], ()),
+        step_s=_first(values["every"], 0.0),
+        max_exposed=_first(values["expose"], 0),
+        held=bool(values["hold"]),
+        line=cursor.line.rule,
+    )
+
+
+def _service(cursor: _cursor.Cursor) -> _model.Service:
+    name = cursor.name("the service")
+    cursor.end()
+    return _model.Service(name, cursor.line.rule)
+
+
+def _chat_target(cursor: _cursor.Cursor) -> _model.ChatTarget:
+    return _model.ChatTarget(cursor.name("the model or cascade"))
+
+
+def _call_target(cursor: _cursor.Cursor) -> _model.CallTarget:
+    service = cursor.name("the service")
+    method = cursor.method()
+    return _model.CallTarget(service, method, cursor.path())
+
+
+_KIND_CLAUSES = {
+    "chat": _cursor.Clause(_chat_target, "chat MODEL", False),
+    "call": _cursor.Clause(_call_target, "call SERVICE GET /PATH", False),
+    "priority": _cursor.Clause(
+        lambda cursor: cursor.integer(
+            "the priority", 1, _LEAST_URGENT_PRIORITY
+        ),
+        "priority 2",
+    ),
+    "deadline": _cursor.Clause(
+        lambda cursor: cursor.duration("the deadline"), "deadline 60s"
+    ),
+    "once": _cursor.Clause(_flag, "once", False),
+}
+
+
+def _kind(cursor: _cursor.Cursor) -> _model.Kind:
+    name = cursor.name("the kind")
+    values = _cursor.read_clauses(cursor, _KIND_CLAUSES)
+    targets = values["chat"] + values["call"]
+    if len(targets) != 1:
+        cursor.errors.append(
+            cursor.line.error(
+                name,
+                "a kind needs either `chat` or `call`",
+                "write `chat MODEL` or `call SERVICE METHOD /PATH`",
+            )
+        )
+    if values["once"] and values["chat"]:
+        cursor.errors.append(
+            cursor.line.error(
+                "once",
+                "`once` is for calls of services only",
+                "delete `once`; chat work may run again",
+            )
+        )
+    return _model.Kind(
+        name=name,
+        target=_first(targets, _model.ChatTarget("")),
+        priority=_first(values["priority"], 1),
+        deadline_s=_first(values["deadline"], 1.0),
+        idempotent=not values["once"],
+        line=cursor.line.rule,
+    )
+
+
+_LIMIT_UNITS = ("requests/s", "tokens/s")
+
+
+def _limit(cursor: _cursor.Cursor) -> _model.Limit:
+    team = cursor.name("the team")
+    rate_by_unit: dict[str, float] = {}
+    while cursor.peek or not rate_by_unit:
+        rate = _positive(cursor, "the limit", _MAX_RATE)
+        if cursor.errors:
+            break
+        unit = cursor.peek
+        if unit in _LIMIT_UNITS and unit not in rate_by_unit:
+            cursor.word()
+        else:
+            cursor.fail(
+                "the unit of the limit is not valid or stands twice",
+                "write `N requests/s` or `N tokens/s`, each at most once",
+            )
+        rate_by_unit[unit] = rate
+    return _model.Limit(
+        team=team,
+        requests_per_s=rate_by_unit.get("requests/s", core.Missing.UNLIMITED),
+        tokens_per_s=rate_by_unit.get("tokens/s", core.Missing.UNLIMITED),
+        line=cursor.line.rule,
+    )
+
+
+#: The reader of each keyword.
+READER_BY_KEYWORD: Mapping[str, Callable[[_cursor.Cursor], Statement]] = {
+    _lines.EDITED_FROM: _edited_from,
+    "team": _team,
+    "model": _model_rule,
+    "version": _version,
+    "withdraw": _withdraw,
+    "allow": _allow,
+    "cascade": _cascade,
+    "rollout": _rollout,
+    "service": _service,
+    "kind": _kind,
+    "limit": _limit,
+}
