--- a/libs/rules/mulberry_rules/_lines.py
+++ b/libs/rules/mulberry_rules/_lines.py
@@ -13,7 +13,11 @@
 EDITED_FROM = "edited-from"
 
 _TOKEN = re.compile(r"[^ \t]+")
-_ASKED_BY = re.compile(r"[ \t]*asked[ \t]+by[ \t]+(\S.*)", re.IGNORECASE)
+#: Two spaces, a tab, a comma or a semicolon end the name of who asked.
+_ASKED_BY = re.compile(
+    r"[ \t]*asked[ \t]+by[ \t]+([^ \t,;].*?)(?:(?:  |\t|,|;)(.*))?",
+    re.IGNORECASE,
+)
 _UNPRINTABLE = re.compile(r"[\x00-\x08\x0b-\x1f\x7f\ud800-\udfff]")
 _BYTE_ORDER_MARK = "\ufeff"
 
@@ -99,9 +103,11 @@
     if not tokens:
         return None
     asked = _ASKED_BY.fullmatch(comment)
-    asked_by = " ".join(asked.group(1).split()) if asked else ""
+    asked_by = asked.group(1).strip() if asked else ""
+    reason = " ".join((asked.group(2) or "").split()) if asked else ""
     text = " ".join(token.text for token in tokens)
-    return Line(number, tokens, _model.RuleLine(number, text, asked_by))
+    rule = _model.RuleLine(number, text, asked_by, reason)
+    return Line(number, tokens, rule)
 
 
 def _not_asked(line: Line, content: str) -> _errors.RuleError:
--- a/libs/rules/mulberry_rules/_model.py
+++ b/libs/rules/mulberry_rules/_model.py
@@ -15,8 +15,10 @@
     number: int
     #: The rule without its comment.
     text: str
-    #: Who asked for the rule, and why if they said so.
+    #: Who asked for the rule.
     asked_by: str
+    #: Why, if the line says so after the name.
+    reason: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
