Add interfaces and baselines of the decisions

Admission has a form with a callback next to the blocking one, so that it can be measured without threads.

--- /dev/null
+++ b/libs/decisions/mulberry_decisions/_admission.py
@@ -0,0 +1,189 @@
+"""Admission of work at one entry: interface and baseline."""
+
+import abc
+import collections
+import enum
+import threading
+from collections.abc import Callable
+
+import mulberry_core as core
+from mulberry_decisions import _work
+
+
+class Ticket:
+    """The right to run one request; must be released exactly once."""
+
+    def __init__(
+        self,
+        work: _work.Work,
+        admitted_at_s: float,
+        on_release: Callable[["Ticket", _work.Outcome], None],
+    ) -> None:
+        self.work = work
+        #: `core.Clock.now` of the admission, seconds.
+        self.admitted_at_s = admitted_at_s
+        self._on_release = on_release
+        self._lock = threading.Lock()
+        self._released = False
+
+    def release(self, outcome: _work.Outcome) -> None:
+        """Gives the place back; further calls change nothing."""
+        with self._lock:
+            if self._released:
+                return
+            self._released = True
+        self._on_release(self, outcome)
+
+
+#: Receives the decision on a submitted request, exactly once.
+Decided = Callable[[Ticket | core.Refusal], None]
+
+
+class QueuePlace(enum.Enum):
+    """Answer of `Admission.withdraw`."""
+
+    #: The request waited and is removed; it will get no decision.
+    REMOVED = "removed"
+    #: The request has been or is being decided.
+    DECIDED = "decided"
+
+
+class Admission(abc.ABC):
+    """Limits how many requests run at once, and who waits for a place."""
+
+    def enter(self, work: _work.Work) -> Ticket | core.Refusal:
+        """Blocks the calling thread until the request may run.
+
+        Returns:
+            A ticket, or a refusal of kind `OVERLOADED`,
+            `DEADLINE_UNREACHABLE` or `DEADLINE_EXCEEDED`.
+        """
+        decision: list[Ticket | core.Refusal] = []
+        ready = threading.Event()
+
+        def decided(result: Ticket | core.Refusal) -> None:
+            decision.append(result)
+            ready.set()
+
+        self.submit(work, decided)
+        wait_s = max(0.0, work.deadline_at_s - self.clock.now())
+        if not ready.wait(min(wait_s, threading.TIMEOUT_MAX)):
+            if self.withdraw(work, decided) is QueuePlace.REMOVED:
+                return too_late(work)
+            ready.wait()
+        return decision[0]
+
+    @property
+    @abc.abstractmethod
+    def clock(self) -> core.Clock:
+        """The clock that deadlines refer to."""
+
+    @abc.abstractmethod
+    def submit(self, work: _work.Work, decided: Decided) -> None:
+        """Calls `decided` now or later with a ticket or a refusal.
+
+        `decided` is called without any lock held, possibly on another thread.
+        """
+
+    @abc.abstractmethod
+    def withdraw(self, work: _work.Work, decided: Decided) -> QueuePlace:
+        """Removes a waiting request, for example because its caller left."""
+
+    @abc.abstractmethod
+    def set_capacity(self, places: int) -> None:
+        """Sets how many requests may run at once."""
+
+    @abc.abstractmethod
+    def waiting(self) -> int:
+        """Returns how many requests wait."""
+
+    @abc.abstractmethod
+    def running(self) -> int:
+        """Returns how many tickets are out."""
+
+
+def too_late(work: _work.Work) -> core.Refusal:
+    """Returns the refusal of a request whose deadline passed in the queue."""
+    return core.Refusal(
+        core.ErrorKind.DEADLINE_EXCEEDED,
+        core.RunState.NOT_RUN,
+        f"work of kind {work.kind} reached its deadline in the queue",
+    )
+
+
+class FirstCome(Admission):
+    """Serves in order of arrival; refuses only when the queue is full."""
+
+    def __init__(self, clock: core.Clock, places: int, max_queue: int) -> None:
+        self._clock = clock
+        self._places = places
+        self._max_queue = max_queue
+        self._lock = threading.Lock()
+        self._running = 0
+        self._queue: collections.deque[tuple[_work.Work, Decided]] = (
+            collections.deque()
+        )
+
+    @property
+    def clock(self) -> core.Clock:
+        """The clock that deadlines refer to."""
+        return self._clock
+
+    def submit(self, work: _work.Work, decided: Decided) -> None:
+        """Admits, queues or refuses the request."""
+        with self._lock:
+            full = len(self._queue) >= self._max_queue
+            if self._running < self._places or not full:
+                self._queue.append((work, decided))
+                full = False
+        if full:
+            decided(queue_full(self._max_queue))
+        else:
+            self._admit()
+
+    def withdraw(self, work: _work.Work, decided: Decided) -> QueuePlace:
+        """Removes the request if it still waits."""
+        with self._lock:
+            if (work, decided) in self._queue:
+                self._queue.remove((work, decided))
+                return QueuePlace.REMOVED
+        return QueuePlace.DECIDED
+
+    def set_capacity(self, places: int) -> None:
+        """Sets how many requests may run at once."""
+        with self._lock:
+            self._places = places
+        self._admit()
+
+    def waiting(self) -> int:
+        """Returns the length of the queue."""
+        with self._lock:
+            return len(self._queue)
+
+    def running(self) -> int:
+        """Returns how many tickets are out."""
+        with self._lock:
+            return self._running
+
+    def _admit(self) -> None:
+        while True:
+            with self._lock:
+                if not self._queue or self._running >= self._places:
+                    return
+                work, decided = self._queue.popleft()
+                self._running += 1
+            decided(Ticket(work, self._clock.now(), self._release))
+
+    def _release(self, ticket: Ticket, outcome: _work.Outcome) -> None:
+        with self._lock:
+            self._running -= 1
+        self._admit()
+
+
+def queue_full(max_queue: int) -> core.Refusal:
+    """Returns the refusal of a request that finds the queue full."""
+    return core.Refusal(
+        core.ErrorKind.OVERLOADED,
+        core.RunState.NOT_RUN,
+        f"{max_queue} requests are already waiting",
+    )
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/_limits.py
@@ -0,0 +1,153 @@
+"""Limits of a team over all entries: interface and baseline."""
+
+import abc
+import dataclasses
+import threading
+from collections.abc import Mapping
+
+import mulberry_core as core
+
+#: Stands for no limit; infinity times no elapsed time would be no number.
+_NO_LIMIT_PER_S = 1e12
+
+
+@dataclasses.dataclass(frozen=True)
+class TeamLimit:
+    """What a team may take over all entries together."""
+
+    requests_per_s: float | core.Missing = core.Missing.UNLIMITED
+    tokens_per_s: float | core.Missing = core.Missing.UNLIMITED
+
+
+@dataclasses.dataclass(frozen=True)
+class Demand:
+    """What callers of a team ask for at one entry, admitted or not."""
+
+    requests_per_s: float = 0.0
+    tokens_per_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Taken:
+    """The request is within its team's limit."""
+
+    team: str
+    #: Expected tokens that were taken.
+    tokens: int
+
+
+class TeamLimiter(abc.ABC):
+    """Keeps each team within its limit over all entries."""
+
+    @abc.abstractmethod
+    def set_limits(self, limits_by_team: Mapping[str, TeamLimit]) -> None:
+        """Sets the limits; teams without an entry are not limited."""
+
+    @abc.abstractmethod
+    def take(self, team: str, tokens: int) -> Taken | core.Refusal:
+        """Takes one request and its expected tokens.
+
+        Returns:
+            What was taken, or a refusal of kind `LIMIT_EXCEEDED`.
+        """
+
+    @abc.abstractmethod
+    def settle(self, taken: Taken, used_tokens: int) -> None:
+        """Replaces the expected tokens by those that were used."""
+
+    @abc.abstractmethod
+    def demand(self) -> Mapping[str, Demand]:
+        """Returns the demand by team at this entry, to be published."""
+
+    @abc.abstractmethod
+    def merge(
+        self, demand_by_instance: Mapping[str, Mapping[str, Demand]]
+    ) -> None:
+        """Replaces the demand of the other entries.
+
+        Args:
+            demand_by_instance: Demand by team of each live instance other
+                than this one.
+        """
+
+
+def limit_exceeded(team: str, after_s: float) -> core.Refusal:
+    """Returns the refusal of a request over its team's limit."""
+    return core.Refusal(
+        core.ErrorKind.LIMIT_EXCEEDED,
+        core.RunState.NOT_RUN,
+        f"team {team} has used up its limit",
+        retry_after_s=max(0.1, after_s),
+    )
+
+
+class EqualShares(TeamLimiter):
+    """Gives each entry the same part of a limit, whatever its demand."""
+
+    #: Seconds of the limit that a bucket holds.
+    BURST_S = 1.0
+
+    def __init__(self, clock: core.Clock, entries: int = 1) -> None:
+        self._clock = clock
+        self._entries = entries
+        self._lock = threading.Lock()
+        self._limits: dict[str, TeamLimit] = {}
+        #: Tokens left by team, for requests and for tokens.
+        self._left: dict[str, list[float]] = {}
+        self._filled_at_s: dict[str, float] = {}
+
+    def set_limits(self, limits_by_team: Mapping[str, TeamLimit]) -> None:
+        """Sets the limits."""
+        with self._lock:
+            self._limits = dict(limits_by_team)
+
+    def take(self, team: str, tokens: int) -> Taken | core.Refusal:
+        """Takes from both buckets of the team."""
+        with self._lock:
+            rates = self._rates(team)
+            left = self._fill(team, rates)
+            if left[0] < 1.0 or left[1] <= 0.0:
+                return limit_exceeded(team, 1.0 / rates[0])
+            left[0] -= 1.0
+            left[1] -= tokens
+        return Taken(team, tokens)
+
+    def settle(self, taken: Taken, used_tokens: int) -> None:
+        """Gives back what was not used."""
+        with self._lock:
+            if taken.team in self._left:
+                self._left[taken.team][1] += taken.tokens - used_tokens
+
+    def demand(self) -> Mapping[str, Demand]:
+        """Returns nothing; the shares do not depend on it."""
+        return {}
+
+    def merge(
+        self, demand_by_instance: Mapping[str, Mapping[str, Demand]]
+    ) -> None:
+        """Counts the live instances."""
+        with self._lock:
+            self._entries = len(demand_by_instance) + 1
+
+    def _rates(self, team: str) -> tuple[float, float]:
+        limit = self._limits.get(team, TeamLimit())
+        requests, tokens = limit.requests_per_s, limit.tokens_per_s
+        return (
+            _NO_LIMIT_PER_S
+            if isinstance(requests, core.Missing)
+            else max(1e-9, requests / self._entries),
+            _NO_LIMIT_PER_S
+            if isinstance(tokens, core.Missing)
+            else max(1e-9, tokens / self._entries),
+        )
+
+    def _fill(self, team: str, rates: tuple[float, float]) -> list[float]:
+        now = self._clock.now()
+        since_s = now - self._filled_at_s.get(team, float("-inf"))
+        self._filled_at_s[team] = now
+        left = self._left.setdefault(team, [0.0, 0.0])
+        for index, rate in enumerate(rates):
+            # A bucket below one request could never serve any.
+            depth = max(1.0, rate * self.BURST_S)
+            left[index] = min(depth, left[index] + rate * since_s)
+        return left
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/_rollout.py
@@ -0,0 +1,79 @@
+"""Steps of a rollout: interface and baseline."""
+
+import abc
+import dataclasses
+import enum
+
+import mulberry_core as core
+from mulberry_decisions import _versions
+
+#: Step of a rollout that has not begun or was stopped.
+NO_STEP = -1
+
+
+class Move(enum.Enum):
+    """What happens to a rollout."""
+
+    FORWARD = "forward"
+    HOLD = "hold"
+    BACK = "back"
+
+
+@dataclasses.dataclass(frozen=True)
+class RolloutState:
+    """Where a rollout stands, with the evidence so far."""
+
+    model: str
+    to_version: str
+    #: Index into `steps`, or `NO_STEP`.
+    step: int
+    #: Shares of new sessions, 0 to 1, growing.
+    steps: tuple[float, ...]
+    #: Seconds since the last change of the step.
+    on_step_s: float
+    #: Shortest time on one step, seconds.
+    step_s: float
+    #: Whether the rules hold the rollout where it is.
+    held: bool
+    #: Standing of `to_version`.
+    standing: _versions.Standing
+    #: Requests that have met `to_version` since its last verdict.
+    exposed: int = 0
+    #: Whether the evidence shows it to be as good as the old version.
+    proven: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class RolloutAdvice:
+    """The next move and the step that it leads to."""
+
+    move: Move
+    step: int
+    reason: str
+
+
+class RolloutAdvancer(abc.ABC):
+    """Advises the next step of a rollout."""
+
+    @abc.abstractmethod
+    def advise(self, state: RolloutState) -> RolloutAdvice:
+        """Returns the move that the state supports."""
+
+
+class TimedSteps(RolloutAdvancer):
+    """Steps forward whenever the time of a step has passed."""
+
+    def advise(self, state: RolloutState) -> RolloutAdvice:
+        """Looks at the time and at the rules' hold only."""
+        at_end = state.step + 1 >= len(state.steps)
+        too_early = state.step != NO_STEP and state.on_step_s < state.step_s
+        if state.held or at_end or too_early:
+            return RolloutAdvice(Move.HOLD, state.step, "not due")
+        return RolloutAdvice(Move.FORWARD, state.step + 1, "step time passed")
+
+
+def share_of(state: RolloutState) -> float | core.Missing:
+    """Returns the share of the current step, unset before the first."""
+    if not 0 <= state.step < len(state.steps):
+        return core.Missing.UNSET
+    return state.steps[state.step]
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/_work.py
@@ -0,0 +1,52 @@
+"""One unit of work and the ways in which it can end."""
+
+import dataclasses
+import enum
+
+import mulberry_core as core
+
+
+class Outcome(enum.Enum):
+    """How a run of a request on an upstream ended."""
+
+    #: The answer arrived and passed the checks.
+    COMPLETED = "completed"
+    #: The upstream answered with an error.
+    FAILED = "failed"
+    #: The answer ended early.
+    TRUNCATED = "truncated"
+    #: The answer broke the protocol or belonged to another request.
+    GARBLED = "garbled"
+    #: The deadline passed before the answer was complete.
+    LATE = "late"
+    #: The upstream was lost during the run.
+    CRASHED = "crashed"
+    #: The caller went away.
+    CANCELED = "canceled"
+    #: The upstream refused the work without running it.
+    REFUSED = "refused"
+
+
+@dataclasses.dataclass(frozen=True)
+class Work:
+    """What the decisions know of one request."""
+
+    team: str
+    #: Name of the kind in the rules.
+    kind: str
+    #: 1 is the most urgent.
+    priority: int
+    #: `core.Clock.now` at which the answer must be complete, seconds.
+    deadline_at_s: float
+    #: Session id of the caller.
+    session: str | core.Missing = core.Missing.UNSET
+    #: `core.digest128` of the request body.
+    content: str = ""
+    #: Digests of the growing prefixes of the prompt, shortest first.
+    prefixes: tuple[str, ...] = ()
+    #: Tokens of prompt and answer together.
+    expected_tokens: int = 0
+    #: Whether the work may run more than once.
+    is_idempotent: bool = True
+    #: Whether this is a call of a plain service, not of a model.
+    is_call: bool = False
