--- /dev/null
+++ b/libs/membership/mulberry_membership/_local.py
@@ -0,0 +1,122 @@
+"""Soft state of a single process, for tests and embedding."""
+
+import math
+import threading
+from collections.abc import Mapping
+
+import mulberry_core as core
+from mulberry_membership import _records, _soft_state, _store
+
+
+class LocalSoftState(_soft_state.SoftState):
+    """Keeps the records of one instance that has no peers."""
+
+    def __init__(self, owner: str, clock: core.Clock) -> None:
+        self._owner = owner
+        self._store = _store.RecordStore(clock)
+        self._lock = threading.Lock()
+        self._epoch = max(1, int(clock.wall() * 1000))
+        self._sequence = 0
+
+    @property
+    def owner(self) -> str:
+        """Name of this instance."""
+        return self._owner
+
+    def publish(
+        self,
+        kind: _records.RecordKind,
+        id: str,
+        payload: bytes,
+        ttl_s: float | core.Missing = core.Missing.UNLIMITED,
+        urgent: bool = False,
+    ) -> _records.Record:
+        """Publishes this instance's own record."""
+        record = _records.Record(
+            kind=kind,
+            id=id,
+            owner=self._owner,
+            epoch=self._epoch,
+            incarnation=self._epoch,
+            sequence=self._next_sequence(),
+            payload=payload,
+            urgent=urgent,
+        )
+        self._store.merge(record, seconds(ttl_s))
+        return record
+
+    def put(
+        self,
+        kind: _records.RecordKind,
+        id: str,
+        incarnation: int,
+        sequence: int,
+        payload: bytes,
+        ttl_s: float | core.Missing = core.Missing.UNLIMITED,
+        removed: bool = False,
+        urgent: bool = False,
+    ) -> bool:
+        """Publishes a record that something else orders."""
+        record = _records.Record(
+            kind=kind,
+            id=id,
+            owner=self._owner,
+            epoch=self._epoch,
+            incarnation=incarnation,
+            sequence=sequence,
+            payload=payload,
+            removed=removed,
+            urgent=urgent,
+        )
+        return self._store.merge(record, seconds(ttl_s))
+
+    def remove(
+        self, kind: _records.RecordKind, id: str, urgent: bool = True
+    ) -> None:
+        """Removes a record that this instance published."""
+        held = self._store.latest((kind, id))
+        if isinstance(held, core.Missing) or held.owner != self._owner:
+            return
+        self.put(
+            kind,
+            id,
+            held.incarnation,
+            held.sequence,
+            b"",
+            removed=True,
+            urgent=urgent,
+        )
+
+    def records(
+        self, kind: _records.RecordKind
+    ) -> Mapping[str, _records.Record]:
+        """Returns the live records of a kind by id."""
+        self._store.expire()
+        return self._store.records(kind)
+
+    def latest(
+        self, kind: _records.RecordKind, id: str
+    ) -> _records.Record | core.Missing:
+        """Returns the newest record held of an id, also if it is removed."""
+        self._store.expire()
+        return self._store.latest((kind, id))
+
+    def age_s(self, kind: _records.RecordKind, id: str) -> float:
+        """Returns the seconds since the newest record arrived here."""
+        return self._store.age_s((kind, id))
+
+    def subscribe(
+        self, kind: _records.RecordKind, callback: _soft_state.Callback
+    ) -> None:
+        """Calls back with each change of a record of this kind."""
+        self._store.subscribe(kind, callback)
+
+    def _next_sequence(self) -> int:
+        with self._lock:
+            self._sequence += 1
+            return self._sequence
+
+
+def seconds(ttl_s: float | core.Missing) -> float:
+    """Returns a time to live as a number, infinite for unlimited."""
+    return math.inf if isinstance(ttl_s, core.Missing) else ttl_s
--- /dev/null
+++ b/libs/membership/mulberry_membership/_store.py
@@ -0,0 +1,228 @@
+"""Holds the newest record of each key and remembers the order of changes."""
+
+import dataclasses
+import math
+import threading
+from collections.abc import Callable, Iterator, Mapping
+
+import mulberry_core as core
+from mulberry_membership import _records, _soft_state
+
+#: Seconds for which a removal is remembered. It must exceed the time that a
+#: message or an announcement can be late; exchanges time out after 1 s.
+TOMBSTONE_S = 60.0
+#: Bounds the memory of an instance against a faulty or hostile peer.
+MAX_RECORDS = 50_000
+
+Key = tuple[_records.RecordKind, str]
+
+
+@dataclasses.dataclass
+class Held:
+    """A record with what this instance alone knows of it."""
+
+    record: _records.Record
+    #: Local time at which the record expires, seconds; may be infinite.
+    expires_s: float
+    #: Local time at which the record arrived, seconds.
+    since_s: float
+    #: Number of the change that stored the record.
+    stamp: int
+    #: Peer that sent the record; empty for one made here.
+    source: str
+    #: Whether `records` lists it.
+    visible: bool
+
+
+class RecordStore:
+    """Thread-safe; merging is commutative, associative and idempotent."""
+
+    def __init__(
+        self,
+        clock: core.Clock,
+        is_valid: Callable[[_records.Record], bool] = lambda _: True,
+    ) -> None:
+        """Creates an empty store.
+
+        Args:
+            clock: Source of local time.
+            is_valid: Whether the owner of a record still vouches for it;
+                called with the lock held, so it must not call the store.
+        """
+        self._clock = clock
+        self._is_valid = is_valid
+        self._lock = threading.RLock()
+        #: Ordered by stamp, oldest change first.
+        self._held_by_key: dict[Key, Held] = {}
+        self._stamp = 0
+        self._callbacks: dict[
+            _records.RecordKind, list[_soft_state.Callback]
+        ] = {kind: [] for kind in _records.RecordKind}
+
+    @property
+    def stamp(self) -> int:
+        """Number of the newest change."""
+        with self._lock:
+            return self._stamp
+
+    def merge(
+        self,
+        record: _records.Record,
+        ttl_s: float = math.inf,
+        source: str = "",
+    ) -> bool:
+        """Stores the record if it is newer than the one held of its key."""
+        with self._lock:
+            held = self._held_by_key.get(record.key)
+            if held and held.record.order >= record.order:
+                return False
+            if not held and len(self._held_by_key) >= MAX_RECORDS:
+                return False
+            if record.removed:
+                ttl_s = min(ttl_s, TOMBSTONE_S)
+            self._store(record, ttl_s, source)
+            was_visible = bool(held and held.visible)
+            visible = self._held_by_key[record.key].visible
+        if visible:
+            self._notify(record)
+        elif was_visible:
+            self._notify(dataclasses.replace(record, removed=True))
+        return True
+
+    def records(
+        self, kind: _records.RecordKind
+    ) -> Mapping[str, _records.Record]:
+        """Returns the visible records of a kind by id."""
+        now_s = self._clock.now()
+        with self._lock:
+            return {
+                id: held.record
+                for (held_kind, id), held in self._held_by_key.items()
+                if held_kind is kind and held.visible and held.expires_s > now_s
+            }
+
+    def latest(self, key: Key) -> _records.Record | core.Missing:
+        """Returns the newest record of a key, also if it is removed."""
+        with self._lock:
+            held = self._held_by_key.get(key)
+            return held.record if held else core.Missing.UNSET
+
+    def age_s(self, key: Key) -> float:
+        """Returns the seconds since the newest record of a key arrived."""
+        with self._lock:
+            held = self._held_by_key.get(key)
+            return self._clock.now() - held.since_s if held else math.inf
+
+    def changes_since(self, stamp: int, exclude_source: str) -> list[Held]:
+        """Returns what changed after `stamp`, oldest first.
+
+        What `exclude_source` itself sent is left out.
+        """
+        with self._lock:
+            newer = []
+            for held in reversed(self._held_by_key.values()):
+                if held.stamp <= stamp:
+                    break
+                if held.source != exclude_source or not exclude_source:
+                    newer.append(dataclasses.replace(held))
+        newer.reverse()
+        return newer
+
+    def expire(self) -> None:
+        """Removes what has expired.
+
+        An expired record stays as a removal for a while: another instance
+        may still hold it and send it again.
+        """
+        now_s = self._clock.now()
+        with self._lock:
+            expired = [
+                held
+                for held in self._held_by_key.values()
+                if held.expires_s <= now_s
+            ]
+            for held in expired:
+                self._expire_one(held, now_s)
+        for held in expired:
+            if held.visible:
+                self._notify(dataclasses.replace(held.record, removed=True))
+
+    def reassess(self, owner: str) -> None:
+        """Applies a change of the owner's state to all its records."""
+        changed = []
+        with self._lock:
+            for held in self._owned_by(owner):
+                visible = self._is_visible(held.record)
+                if visible != held.visible:
+                    held.visible = visible
+                    changed.append((held.record, visible))
+        for record, visible in changed:
+            self._notify(dataclasses.replace(record, removed=not visible))
+
+    def purge(self, should_drop: Callable[[_records.Record], bool]) -> int:
+        """Drops records without trace; returns how many."""
+        with self._lock:
+            dropped = [
+                held
+                for held in self._held_by_key.values()
+                if should_drop(held.record)
+            ]
+            for held in dropped:
+                del self._held_by_key[held.record.key]
+        for held in dropped:
+            if held.visible:
+                self._notify(dataclasses.replace(held.record, removed=True))
+        return len(dropped)
+
+    def subscribe(
+        self, kind: _records.RecordKind, callback: _soft_state.Callback
+    ) -> None:
+        """Calls back with each change of a record of this kind."""
+        with self._lock:
+            self._callbacks[kind].append(callback)
+
+    def _store(
+        self, record: _records.Record, ttl_s: float, source: str
+    ) -> None:
+        now_s = self._clock.now()
+        self._stamp += 1
+        # A dict keeps the order of insertion, so the newest change is last.
+        self._held_by_key.pop(record.key, None)
+        self._held_by_key[record.key] = Held(
+            record=record,
+            expires_s=now_s + ttl_s,
+            since_s=now_s,
+            stamp=self._stamp,
+            source=source,
+            visible=self._is_visible(record),
+        )
+
+    def _expire_one(self, held: Held, now_s: float) -> None:
+        key = held.record.key
+        if held.record.removed:
+            del self._held_by_key[key]
+            return
+        tombstone = dataclasses.replace(held.record, removed=True, payload=b"")
+        # The stamp stays: every instance expires the record by itself.
+        self._held_by_key[key] = dataclasses.replace(
+            held,
+            record=tombstone,
+            expires_s=now_s + TOMBSTONE_S,
+            visible=False,
+        )
+
+    def _is_visible(self, record: _records.Record) -> bool:
+        return not record.removed and self._is_valid(record)
+
+    def _owned_by(self, owner: str) -> Iterator[Held]:
+        return (
+            held
+            for held in self._held_by_key.values()
+            if held.record.owner == owner
+        )
+
+    def _notify(self, record: _records.Record) -> None:
+        with self._lock:
+            callbacks = tuple(self._callbacks[record.kind])
+        for callback in callbacks:
+            callback(record)
