Add the state machine and the client without a log

The machine applies commands from stamped records and reads no clock. Every record carries the leader's Unix time, for people and retention, and a log time that goes on by CLOCK_BOOTTIME, for named leases: a leader whose time of day is ahead must not end a lease early.

Repeated commands: bills, claims and pins are recognized by the rows that they leave for 30 days; other results are kept by command id for 30 days, results whose repetition does no harm (lease renewals, refused claims) for one hour. A bill row is kept serialized, and folded into the sums after 30 days.

--- a/libs/state/mulberry_state/__init__.py
+++ b/libs/state/mulberry_state/__init__.py
@@ -1,5 +1,7 @@
 """Replicated log and state machine."""
 
+from mulberry_state._audit import AuditRecord
+from mulberry_state._claims import Claim
 from mulberry_state._client import StateClient
 from mulberry_state._commands import (
     NO_STEP,
@@ -45,6 +47,11 @@
     VerdictStale,
     VerdictState,
 )
+from mulberry_state._invariants import InvariantError
+from mulberry_state._ledger import LedgerSum
+from mulberry_state._local import LocalStateClient
+from mulberry_state._machine import Stamp, StateMachine
+from mulberry_state._parser import RulesParser
 from mulberry_state._view import EMPTY_VIEW, RolloutStep, Verdict, View
 
 __all__ = [
@@ -53,9 +60,11 @@
     "AcquireLease",
     "AdvanceRollout",
     "Answer",
+    "AuditRecord",
     "Bill",
     "BillMismatch",
     "BillRecorded",
+    "Claim",
     "ClaimCall",
     "ClaimGranted",
     "ClaimLost",
@@ -67,9 +76,12 @@
     "ClearStrikes",
     "Command",
     "CrashRecorded",
+    "InvariantError",
     "LeaseGranted",
     "LeaseHeld",
     "LeaseLost",
+    "LedgerSum",
+    "LocalStateClient",
     "OrderRecorded",
     "OrderState",
     "PinSession",
@@ -84,10 +96,13 @@
     "RolloutStep",
     "RulesAccepted",
     "RulesConflict",
+    "RulesParser",
     "RulesRejected",
     "SessionPinned",
     "SettleClaim",
+    "Stamp",
     "StateClient",
+    "StateMachine",
     "StrikesCleared",
     "SubmitRules",
     "Verdict",
--- /dev/null
+++ b/libs/state/mulberry_state/_dedup.py
@@ -0,0 +1,54 @@
+"""Results of earlier commands, returned when a command is sent again."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from mulberry_state import _codec, _commands
+from mulberry_wire import state_pb2
+
+
+class ResultTable:
+    """Results by command id, kept for a fixed time."""
+
+    def __init__(self, retention_s: float) -> None:
+        self._retention_s = retention_s
+        # In the order of time, so that expiry looks at the front only.
+        self._row_by_id: dict[str, tuple[float, bytes]] = {}
+
+    def __len__(self) -> int:
+        return len(self._row_by_id)
+
+    def find(self, command_id: str) -> _commands.Result | None:
+        """Returns the first result of the command, or `None`."""
+        row = self._row_by_id.get(command_id)
+        if row is None:
+            return None
+        return _codec.read_result(state_pb2.Result.FromString(row[1]))
+
+    def store(
+        self, command_id: str, result: _commands.Result, wall_s: float
+    ) -> None:
+        """Keeps the result of a command."""
+        data = _codec.result_message(result).SerializeToString()
+        self._row_by_id[command_id] = (wall_s, data)
+
+    def expire(self, wall_s: float) -> None:
+        """Drops results that are past their retention."""
+        while self._row_by_id:
+            command_id, row = next(iter(self._row_by_id.items()))
+            if row[0] + self._retention_s > wall_s:
+                break
+            del self._row_by_id[command_id]
+
+    def write(self, target: Any) -> None:
+        """Copies the table into a repeated field of a snapshot."""
+        for command_id, (wall_s, data) in self._row_by_id.items():
+            row = target.add(command_id=command_id, wall_s=wall_s)
+            row.result.ParseFromString(data)
+
+    def restore(self, messages: Iterable[state_pb2.StoredResult]) -> None:
+        """Replaces the table by that of a snapshot."""
+        self._row_by_id = {
+            item.command_id: (item.wall_s, item.result.SerializeToString())
+            for item in messages
+        }
--- /dev/null
+++ b/libs/state/mulberry_state/_ledger.py
@@ -0,0 +1,166 @@
+"""Bills and their sums."""
+
+import dataclasses
+from collections.abc import Iterable, Iterator
+
+from mulberry_state import _codec, _commands, _invariants
+from mulberry_wire import state_pb2
+
+#: Bills keep one row each for this long, so that a resend under the same key
+#: finds it; afterwards only the sums remain. Seconds.
+BILL_RETENTION_S = 30 * 86_400.0
+
+_MICROS = 1_000_000
+
+SumKey = tuple[str, str, str, str]
+
+
+@dataclasses.dataclass(frozen=True)
+class LedgerSum:
+    """Sum of the bills of one team, model, version and kind."""
+
+    team: str
+    model: str
+    version: str
+    kind: str
+    bills: int = 0
+    tokens_in: int = 0
+    tokens_out: int = 0
+    #: Millionths of the unit of cost.
+    cost_micros: int = 0
+
+    @property
+    def cost(self) -> float:
+        """Cost in the unit of the rule file."""
+        return self.cost_micros / _MICROS
+
+
+def bill_key(team: str, key: str) -> str:
+    """Returns the key of a bill or claim; no name holds a zero byte."""
+    return f"{team}\x00{key}"
+
+
+class Ledger:
+    """Bills by (team, key) with sums that are kept up to date.
+
+    Rows are kept serialized: an object for each bill takes several times the
+    memory, and snapshots copy the rows as they are.
+    """
+
+    def __init__(self) -> None:
+        self._row_by_key: dict[str, bytes] = {}
+        self._total_by_key: dict[SumKey, LedgerSum] = {}
+        self._expired_by_key: dict[SumKey, LedgerSum] = {}
+        self._expired_bills = 0
+        self._total_bills = 0
+
+    def __len__(self) -> int:
+        return len(self._row_by_key)
+
+    def find(self, team: str, key: str) -> state_pb2.BillRow | None:
+        """Returns the row under (team, key), or `None`."""
+        row = self._row_by_key.get(bill_key(team, key))
+        return None if row is None else state_pb2.BillRow.FromString(row)
+
+    def record(self, bill: _commands.Bill, wall_s: float) -> None:
+        """Adds a bill whose key is not in use."""
+        key = bill_key(bill.team, bill.key)
+        _invariants.require(
+            key not in self._row_by_key,
+            f"request {bill.request_id} would be billed twice",
+        )
+        row = state_pb2.BillRow(
+            wall_s=wall_s, cost_micros=round(bill.cost * _MICROS)
+        )
+        _codec.fill(bill, row.bill)
+        self._row_by_key[key] = row.SerializeToString()
+        self._total_bills += 1
+        _add(self._total_by_key, row)
+        self._require_counts()
+
+    def expire(self, wall_s: float) -> None:
+        """Folds rows that are past their retention into the expired sums."""
+        while self._row_by_key:
+            key, data = next(iter(self._row_by_key.items()))
+            row = state_pb2.BillRow.FromString(data)
+            if row.wall_s + BILL_RETENTION_S > wall_s:
+                break
+            del self._row_by_key[key]
+            self._expired_bills += 1
+            _add(self._expired_by_key, row)
+        self._require_counts()
+
+    def sums(self) -> tuple[LedgerSum, ...]:
+        """Returns the sums, ordered by team, model, version and kind."""
+        return tuple(
+            self._total_by_key[key] for key in sorted(self._total_by_key)
+        )
+
+    def rows(self) -> Iterator[state_pb2.BillRow]:
+        """Yields the rows that are still kept, oldest first."""
+        for data in list(self._row_by_key.values()):
+            yield state_pb2.BillRow.FromString(data)
+
+    def check(self) -> tuple[str, ...]:
+        """Adds up all rows again and returns each difference as a sentence."""
+        again = dict(self._expired_by_key)
+        for row in self.rows():
+            _add(again, row)
+        return tuple(
+            f"sum of {' '.join(key)} is {self._total_by_key.get(key)}, "
+            f"its records give {again.get(key)}"
+            for key in sorted({*again, *self._total_by_key})
+            if again.get(key) != self._total_by_key.get(key)
+        )
+
+    def write(self, snapshot: state_pb2.StateSnapshot) -> None:
+        """Copies the ledger into a snapshot."""
+        snapshot.bills.extend(self._row_by_key.values())
+        for target, sums in (
+            (snapshot.totals, self._total_by_key),
+            (snapshot.expired, self._expired_by_key),
+        ):
+            for item in sums.values():
+                _codec.fill(item, target.add())
+
+    def restore(self, snapshot: state_pb2.StateSnapshot) -> None:
+        """Replaces the ledger by that of a snapshot."""
+        self._row_by_key = {}
+        for data in snapshot.bills:
+            bill = state_pb2.BillRow.FromString(data).bill
+            self._row_by_key[bill_key(bill.team, bill.key)] = data
+        self._total_by_key = _read_sums(snapshot.totals)
+        self._expired_by_key = _read_sums(snapshot.expired)
+        self._total_bills = sum(s.bills for s in self._total_by_key.values())
+        self._expired_bills = sum(
+            s.bills for s in self._expired_by_key.values()
+        )
+        self._require_counts()
+        differences = self.check()
+        _invariants.require(not differences, "; ".join(differences))
+
+    def _require_counts(self) -> None:
+        _invariants.require(
+            self._total_bills == len(self._row_by_key) + self._expired_bills,
+            "the sums of the ledger do not cover all bills",
+        )
+
+
+def _add(sums: dict[SumKey, LedgerSum], row: state_pb2.BillRow) -> None:
+    bill = row.bill
+    key = (bill.team, bill.model, bill.version, bill.kind)
+    old = sums.get(key) or LedgerSum(*key)
+    sums[key] = LedgerSum(
+        *key,
+        bills=old.bills + 1,
+        tokens_in=old.tokens_in + bill.tokens_in,
+        tokens_out=old.tokens_out + bill.tokens_out,
+        cost_micros=old.cost_micros + row.cost_micros,
+    )
+
+
+def _read_sums(
+    messages: Iterable[state_pb2.LedgerSum],
+) -> dict[SumKey, LedgerSum]:
+    sums = [_codec.read(LedgerSum, item) for item in messages]
+    return {(s.team, s.model, s.version, s.kind): s for s in sums}
--- /dev/null
+++ b/libs/state/mulberry_state/_local.py
@@ -0,0 +1,71 @@
+"""The state machine in one process, without a log."""
+
+import threading
+from collections.abc import Callable, Mapping
+
+import mulberry_core as core
+from mulberry_state import _client, _commands, _machine, _parser, _view
+
+
+class LocalStateClient(_client.StateClient):
+    """Applies commands at once; for tests and embedding, nothing is kept."""
+
+    def __init__(
+        self,
+        parser: _parser.RulesParser,
+        clock: core.Clock,
+        lease_term_s: float = 8.0,
+        voters_by_name: Mapping[str, str] | None = None,
+    ) -> None:
+        self._clock = clock
+        self._lease_term_s = lease_term_s
+        self._lock = threading.Lock()
+        #: For tests and embedders; read it while no other thread proposes.
+        self.machine = _machine.StateMachine(parser)
+        self._callbacks: list[Callable[[_view.View], None]] = []
+        self._lease_ends_s = float("inf")
+        if voters_by_name:
+            self.machine.set_voters(voters_by_name, "settings", self._stamp())
+
+    def propose(
+        self, command: _commands.Command, timeout_s: float
+    ) -> _commands.Result | core.Refusal:
+        """Applies a command and returns its result."""
+        with self._lock:
+            before = self.machine.view.revision
+            result = self.machine.apply(command, self._stamp())
+            view = self.machine.view
+            callbacks = tuple(self._callbacks)
+        if view.revision != before:
+            for callback in callbacks:
+                callback(view)
+        return result
+
+    def view(self) -> _view.View:
+        """Returns the view after the last command."""
+        return self.machine.view
+
+    def lease_remaining_s(self) -> float:
+        """Returns a whole lease term, or less after `stop_renewing`."""
+        left_s = self._lease_ends_s - self._clock.now()
+        return max(0.0, min(self._lease_term_s, left_s))
+
+    def subscribe(self, callback: Callable[[_view.View], None]) -> None:
+        """Calls back with each new view, on the proposing thread."""
+        with self._lock:
+            self._callbacks.append(callback)
+
+    def stop_renewing(self) -> None:
+        """Lets the rules lease run out, as on an isolated instance."""
+        self._lease_ends_s = self._clock.now() + self._lease_term_s
+
+    def resume_renewing(self) -> None:
+        """Renews the rules lease again."""
+        self._lease_ends_s = float("inf")
+
+    def _stamp(self) -> _machine.Stamp:
+        return _machine.Stamp(
+            index=self.machine.index + 1,
+            wall_s=self._clock.wall(),
+            log_s=self._clock.now(),
+        )
--- /dev/null
+++ b/libs/state/mulberry_state/_machine.py
@@ -0,0 +1,463 @@
+"""The replicated state machine.
+
+Pure data: the same commands in the same order give the same state on every
+voter. It reads no clock; every record carries the times of its leader.
+"""
+
+import dataclasses
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from google.protobuf import message
+
+import mulberry_core as core
+from mulberry_state import (
+    _audit,
+    _claims,
+    _commands,
+    _dedup,
+    _invariants,
+    _leases,
+    _ledger,
+    _parser,
+    _pins,
+    _rulebook,
+    _versions,
+    _view,
+)
+from mulberry_wire import state_pb2
+
+#: Version of the snapshot's format.
+SNAPSHOT_FORMAT = 1
+
+#: A client gives up a command after seconds; an hour covers every copy of it
+#: that may still be under way. Used for results whose repetition does no
+#: harm: renewals of leases and refused claims. Seconds.
+SHORT_RETENTION_S = 3600.0
+
+#: Old rows are looked for at most this often, seconds.
+_EXPIRY_PERIOD_S = 60.0
+
+_SHORT = (
+    _commands.LeaseGranted,
+    _commands.LeaseHeld,
+    _commands.LeaseLost,
+    _commands.OrderRecorded,
+    _commands.ClaimOpen,
+    _commands.ClaimMismatch,
+    _commands.ClaimLost,
+)
+
+#: Recognized as repeated by the rows they leave behind.
+_DEDUPLICATED_BY_KEY = (
+    _commands.ClaimGranted,
+    _commands.ClaimRecorded,
+    _commands.ClaimSettled,
+    _commands.BillRecorded,
+    _commands.BillMismatch,
+    _commands.SessionPinned,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Stamp:
+    """Position and time of a record, set by the leader that appended it."""
+
+    #: Log index.
+    index: int
+    #: Unix time, seconds: for people and for retention.
+    wall_s: float
+    #: Log time, seconds: goes on from the predecessor's by CLOCK_BOOTTIME, so
+    #: that a leader whose time of day is ahead ends no lease early.
+    log_s: float
+
+
+class StateMachine:
+    """Applies commands; not thread-safe, its owner holds a lock."""
+
+    def __init__(self, parser: _parser.RulesParser) -> None:
+        self._parser = parser
+        self._index = 0
+        self._wall_s = 0.0
+        self._log_s = 0.0
+        self._revision = 0
+        self._expired_at_s = 0.0
+        self._in_effect_revision = 0
+        self._in_effect_s = 0.0
+        self._voters_by_name: dict[str, str] = {}
+        self.rulebook = _rulebook.Rulebook(parser)
+        self.versions = _versions.Versions()
+        self.ledger = _ledger.Ledger()
+        self.claims = _claims.Claims()
+        self.pins = _pins.Pins()
+        self.leases = _leases.Leases()
+        self.audit = _audit.AuditTrail()
+        self._results = _dedup.ResultTable(_claims.CLAIM_RETENTION_S)
+        self._short_results = _dedup.ResultTable(SHORT_RETENTION_S)
+        self._view = _view.EMPTY_VIEW
+        self._handlers: Mapping[type, Callable[[Any], _commands.Result]] = {
+            _commands.SubmitRules: self._submit_rules,
+            _commands.ClaimCall: self._claim_call,
+            _commands.SettleClaim: self._settle_claim,
+            _commands.ReleaseClaim: self._release_claim,
+            _commands.RecordBill: self._record_bill,
+            _commands.PinSession: self._pin_session,
+            _commands.RecordVerdict: self._record_verdict,
+            _commands.AdvanceRollout: self._advance_rollout,
+            _commands.RecordCrash: self._record_crash,
+            _commands.ClearStrikes: self._clear_strikes,
+            _commands.AcquireLease: self._acquire_lease,
+            _commands.RecordOrder: self._record_order,
+        }
+
+    @property
+    def view(self) -> _view.View:
+        """The part of the state that every instance sees; immutable."""
+        return self._view
+
+    @property
+    def index(self) -> int:
+        """Log index of the last applied record."""
+        return self._index
+
+    @property
+    def log_s(self) -> float:
+        """Log time of the last applied record, seconds."""
+        return self._log_s
+
+    @property
+    def in_effect(self) -> tuple[int, float]:
+        """Newest revision marked in effect everywhere, and its Unix time."""
+        return self._in_effect_revision, self._in_effect_s
+
+    def apply(
+        self, command: _commands.Command, stamp: Stamp
+    ) -> _commands.Result:
+        """Applies one command; one that was applied before changes nothing.
+
+        Raises:
+            InvariantError: The state contradicts a guarantee.
+        """
+        self._advance(stamp)
+        for table in (self._results, self._short_results):
+            found = table.find(command.command_id)
+            if found is not None:
+                return found
+        result = self._handlers[type(command)](command)
+        if isinstance(result, _SHORT):
+            self._short_results.store(command.command_id, result, self._wall_s)
+        elif not isinstance(result, _DEDUPLICATED_BY_KEY):
+            self._results.store(command.command_id, result, self._wall_s)
+        return result
+
+    def set_voters(
+        self, voters_by_name: Mapping[str, str], who: str, stamp: Stamp
+    ) -> None:
+        """Shows the voters in the view; membership itself is the log's."""
+        self._advance(stamp)
+        if dict(voters_by_name) == self._voters_by_name:
+            return
+        self._voters_by_name = dict(voters_by_name)
+        names = " ".join(sorted(voters_by_name))
+        self._change_view()
+        self._note(who, f"voters are {names}", in_view=True)
+
+    def mark_in_effect(self, revision: int, stamp: Stamp) -> None:
+        """Records that every instance has the view of `revision`."""
+        self._advance(stamp)
+        if revision > self._in_effect_revision:
+            self._in_effect_revision = revision
+            self._in_effect_s = self._wall_s
+            self.audit.mark_in_effect(revision, self._wall_s)
+
+    def pass_over(self, stamp: Stamp) -> None:
+        """Notes a record without content."""
+        self._advance(stamp)
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state as bytes."""
+        out = state_pb2.StateSnapshot(
+            format=SNAPSHOT_FORMAT,
+            index=self._index,
+            wall_s=self._wall_s,
+            log_s=self._log_s,
+            revision=self._revision,
+            in_effect_revision=self._in_effect_revision,
+            in_effect_s=self._in_effect_s,
+            voters_by_name=self._voters_by_name,
+        )
+        self.rulebook.write(out)
+        self.versions.write(out)
+        self.ledger.write(out)
+        self.claims.write(out)
+        self.pins.write(out)
+        self.leases.write(out)
+        self.audit.write(out)
+        self._results.write(out.results)
+        self._short_results.write(out.short_results)
+        return out.SerializeToString(deterministic=True)
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the state by that of a snapshot.
+
+        Raises:
+            ValueError: The bytes are no snapshot of a known format.
+            InvariantError: The snapshot contradicts a guarantee.
+        """
+        source = state_pb2.StateSnapshot()
+        try:
+            source.ParseFromString(data)
+        except message.DecodeError as error:
+            raise ValueError(f"malformed snapshot: {error}") from error
+        if source.format != SNAPSHOT_FORMAT:
+            raise ValueError(
+                f"snapshot format {source.format} is not {SNAPSHOT_FORMAT}"
+            )
+        self._index = source.index
+        self._wall_s = source.wall_s
+        self._log_s = source.log_s
+        self._revision = source.revision
+        self._in_effect_revision = source.in_effect_revision
+        self._in_effect_s = source.in_effect_s
+        self._voters_by_name = dict(source.voters_by_name)
+        self.rulebook.restore(source.rules_texts)
+        self.versions.restore(source)
+        self.ledger.restore(source)
+        self.claims.restore(source.claims)
+        self.pins.restore(source.pins)
+        self.leases.restore(source)
+        self.audit.restore(source.audit)
+        self._results.restore(source.results)
+        self._short_results.restore(source.short_results)
+        self._build_view()
+
+    def _advance(self, stamp: Stamp) -> None:
+        _invariants.require(
+            stamp.index > self._index,
+            f"record {stamp.index} was applied after record {self._index}",
+        )
+        self._index = stamp.index
+        # The time of day may jump back; the state's time does not.
+        self._wall_s = max(self._wall_s, stamp.wall_s)
+        self._log_s = max(self._log_s, stamp.log_s)
+        if self._wall_s - self._expired_at_s >= _EXPIRY_PERIOD_S:
+            self._expired_at_s = self._wall_s
+            self._expire()
+
+    def _expire(self) -> None:
+        self.ledger.expire(self._wall_s)
+        self.claims.expire(self._wall_s)
+        self.pins.expire(self._wall_s)
+        self._results.expire(self._wall_s)
+        self._short_results.expire(self._wall_s)
+        if self.versions.expire(self._wall_s):
+            self._change_view()
+
+    def _change_view(self) -> None:
+        self._revision += 1
+        self._build_view()
+
+    def _build_view(self) -> None:
+        _invariants.require(
+            self._revision >= self._view.revision
+            and self.rulebook.number >= self._view.rules_number,
+            "the view would go back",
+        )
+        versions = self.versions
+        self._view = _view.View(
+            revision=self._revision,
+            rules_number=self.rulebook.number,
+            rules=self.rulebook.rules,
+            rules_text=self.rulebook.text,
+            verdicts_by_version=dict(versions.verdict_by_version),
+            rollout_steps_by_model=dict(versions.step_by_model),
+            strikes_by_digest={
+                digest: versions.strikes(digest)
+                for digest in versions.strikes_by_digest
+            },
+            voters_by_name=dict(self._voters_by_name),
+        )
+
+    def _note(self, who: str, what: str, in_view: bool = False) -> None:
+        self.audit.add(
+            _audit.AuditRecord(
+                index=self._index,
+                wall_s=self._wall_s,
+                who=who,
+                what=what,
+                revision=self._revision if in_view else 0,
+            )
+        )
+
+    def _submit_rules(self, command: _commands.SubmitRules) -> _commands.Result:
+        before = self.rulebook.number
+        result, changes = self.rulebook.submit(command, self._wall_s)
+        if isinstance(result, _commands.RulesRejected):
+            count = len(result.errors)
+            self._note(command.operator, f"rules rejected: {count} errors")
+        elif isinstance(result, _commands.RulesConflict):
+            self._note(
+                command.operator,
+                f"rules edited from {command.edited_from} refused: "
+                f"{result.number} by {result.changed_by} are in force",
+            )
+        elif self.rulebook.number != before:
+            rules = self.rulebook.rules
+            if not isinstance(rules, core.Missing):
+                self.versions.drop_old_rollouts(rules)
+            self._change_view()
+            self._note(
+                command.operator,
+                f"rules {self.rulebook.number}: {'; '.join(changes)}",
+                in_view=True,
+            )
+        return result
+
+    def _claim_call(self, command: _commands.ClaimCall) -> _commands.Result:
+        claim = self.claims.find(command.team, command.key)
+        if claim is None:
+            # A bill under this key belongs to work of another kind.
+            if self.ledger.find(command.team, command.key):
+                return _commands.ClaimMismatch()
+            self.claims.grant(command)
+            return _commands.ClaimGranted()
+        if (claim.body_digest, claim.kind) != (
+            command.body_digest,
+            command.kind,
+        ):
+            return _commands.ClaimMismatch()
+        if claim.command_id == command.command_id:
+            return _commands.ClaimGranted()
+        if claim.answer is not None:
+            return _commands.ClaimRecorded(claim.answer, claim.request_id)
+        return _commands.ClaimOpen(claim.request_id, claim.entry)
+
+    def _settle_claim(self, command: _commands.SettleClaim) -> _commands.Result:
+        claim = self.claims.find(command.team, command.key)
+        bill = command.bill
+        if (
+            claim is None
+            or claim.request_id != command.request_id
+            or (bill.team, bill.key) != (command.team, command.key)
+        ):
+            return _commands.ClaimLost()
+        if claim.answer is None:
+            self.claims.settle(claim, command.answer, self._wall_s)
+            self.ledger.record(bill, self._wall_s)
+        return _commands.ClaimSettled()
+
+    def _release_claim(
+        self, command: _commands.ReleaseClaim
+    ) -> _commands.Result:
+        claim = self.claims.find(command.team, command.key)
+        if (
+            claim is None
+            or claim.request_id != command.request_id
+            or claim.answer is not None
+        ):
+            return _commands.ClaimLost()
+        self.claims.release(claim)
+        # A late copy of the granted command must not open the claim again.
+        self._results.store(
+            claim.command_id, _commands.ClaimGranted(), self._wall_s
+        )
+        return _commands.ClaimReleased()
+
+    def _record_bill(self, command: _commands.RecordBill) -> _commands.Result:
+        bill = command.bill
+        row = self.ledger.find(bill.team, bill.key)
+        if row is not None:
+            if row.bill.body_digest != bill.body_digest:
+                return _commands.BillMismatch()
+            # The same request is a command sent again: its first result.
+            return _commands.BillRecorded(
+                first=row.bill.request_id == bill.request_id
+            )
+        if self.claims.find(bill.team, bill.key):
+            # The key is in use by a call whose settlement will bill it.
+            return _commands.BillMismatch()
+        self.ledger.record(bill, self._wall_s)
+        return _commands.BillRecorded(first=True)
+
+    def _pin_session(self, command: _commands.PinSession) -> _commands.Result:
+        old = self.pins.version(command)
+        version, moved = self.pins.pin(command, self._is_usable, self._wall_s)
+        if moved:
+            self._note(
+                "sessions",
+                f"session {command.session} of {command.team} moved from "
+                f"{command.model} {old} to {version}",
+            )
+        return _commands.SessionPinned(version)
+
+    def _is_usable(self, model: str, version: str) -> bool:
+        rules = self.rulebook.rules
+        withdrawn = not isinstance(rules, core.Missing) and rules.is_withdrawn(
+            model, version
+        )
+        return not withdrawn and not self.versions.is_bad(model, version)
+
+    def _record_verdict(
+        self, command: _commands.RecordVerdict
+    ) -> _commands.Result:
+        result = self.versions.record_verdict(command)
+        if isinstance(result, _commands.VerdictRecorded):
+            self._change_view()
+            self._note(
+                "version judge",
+                f"verdict {result.number} on {command.model} "
+                f"{command.version}: {command.state.value}, {command.reason} "
+                f"({command.evidence})",
+                in_view=True,
+            )
+        return result
+
+    def _advance_rollout(
+        self, command: _commands.AdvanceRollout
+    ) -> _commands.Result:
+        result = self.versions.advance(
+            command, self.rulebook.rules, self._wall_s
+        )
+        if isinstance(result, _commands.RolloutAdvanced):
+            self._change_view()
+            self._note(
+                "roll-out",
+                f"{command.model} {command.to_version} moved from step "
+                f"{command.after_step} to {command.step}: {command.reason}",
+                in_view=True,
+            )
+        return result
+
+    def _record_crash(self, command: _commands.RecordCrash) -> _commands.Result:
+        result, changed = self.versions.record_crash(command, self._wall_s)
+        if changed:
+            self._change_view()
+            self._note(
+                "crash guard",
+                f"upstream {command.upstream} crashed with "
+                f"{len(command.digests)} contents in flight",
+                in_view=True,
+            )
+        return result
+
+    def _clear_strikes(
+        self, command: _commands.ClearStrikes
+    ) -> _commands.Result:
+        if self.versions.clear_strikes(command.digests):
+            self._change_view()
+        return _commands.StrikesCleared()
+
+    def _acquire_lease(
+        self, command: _commands.AcquireLease
+    ) -> _commands.Result:
+        return self.leases.acquire(command, self._log_s)
+
+    def _record_order(self, command: _commands.RecordOrder) -> _commands.Result:
+        result = self.leases.record_order(command, self._log_s, self._wall_s)
+        if isinstance(result, _commands.OrderRecorded):
+            self._note(
+                f"lease {command.lease_name} {command.fencing_number}",
+                f"order {command.order} to {command.upstream} "
+                f"{command.state.value}",
+            )
+        return result
--- /dev/null
+++ b/libs/state/mulberry_state/_parser.py
@@ -0,0 +1,20 @@
+"""How the state machine reads rule files."""
+
+import abc
+
+import mulberry_rules as rules
+
+
+class RulesParser(abc.ABC):
+    """Parses and compares rule files.
+
+    Voters must agree on its results, so it may depend on its arguments only.
+    """
+
+    @abc.abstractmethod
+    def parse(self, text: str) -> rules.Rules | tuple[str, ...]:
+        """Returns the rules, or one sentence for each error."""
+
+    @abc.abstractmethod
+    def diff(self, old: rules.Rules, new: rules.Rules) -> tuple[str, ...]:
+        """Returns one sentence for each change."""
