Add upstream announcements and the upstream directory

Entries need the list of upstreams. A home removes a silent upstream with the order of its last announcement, so that a record of a newer home survives.

--- /dev/null
+++ b/libs/membership/mulberry_membership/_directory.py
@@ -0,0 +1,242 @@
+"""The upstream directory: home of announcements and list of all upstreams."""
+
+import dataclasses
+import enum
+import threading
+from collections.abc import Mapping
+
+import mulberry_core as core
+from mulberry_membership import (
+    _announcements,
+    _records,
+    _soft_state,
+    _upstreams,
+)
+
+#: Shortest time between two publications of changed load alone, seconds.
+LOAD_PERIOD_S = 1.0
+#: Changes of load below both thresholds are not published: refreshing 600
+#: upstreams each 1.5 s would cost every instance about 24 KB/s of its 5 KB/s.
+LOAD_CHANGE_SHARE = 0.25
+LOAD_CHANGE_REQUESTS = 2
+#: How long the order of an upstream that is gone is remembered, seconds. A
+#: later announcement of the same order would be one that was delayed this
+#: long on its connection.
+REMEMBER_S = 600.0
+#: Upstreams of one home; bounds memory against faulty announcers.
+MAX_UPSTREAMS = 5_000
+#: Period of `tick`, seconds.
+TICK_PERIOD_S = 0.25
+#: Upstreams are not listed once their home has been in doubt for this long,
+#: seconds: the home may have learned that they are leaving, and a leaving
+#: upstream must get no new work after 3 s.
+MAX_DOUBT_S = 2.0
+
+_KIND = _records.RecordKind.UPSTREAM
+
+
+class AnnounceOutcome(enum.Enum):
+    """What became of an announcement."""
+
+    #: It is the newest of its upstream.
+    ACCEPTED = "accepted"
+    #: A newer one of the upstream is known; nothing changed.
+    OUTDATED = "outdated"
+    #: This instance holds as many upstreams as it can.
+    FULL = "full"
+
+
+@dataclasses.dataclass
+class _Homed:
+    """An upstream that announces itself at this instance."""
+
+    newest: _announcements.Announcement
+    #: Local time at which the newest announcement ends, seconds.
+    expires_s: float
+    #: Local time at which the newest announcement arrived, seconds.
+    arrived_s: float
+    #: What the soft state holds.
+    published: _announcements.Announcement | core.Missing
+    published_s: float
+    #: Cleared when announcements stop; the order stays known for a while.
+    live: bool
+
+
+class UpstreamDirectory:
+    """Takes announcements of upstreams and lists those of all homes."""
+
+    def __init__(
+        self,
+        soft_state: _soft_state.SoftState,
+        clock: core.Clock,
+        counters: core.Counters,
+    ) -> None:
+        self._soft_state = soft_state
+        self._clock = clock
+        self._counters = counters
+        self._lock = threading.Lock()
+        self._homed_by_name: dict[str, _Homed] = {}
+
+    def start(self, timers: core.TimerService) -> core.Subscription:
+        """Subscribes `tick` at the timer service."""
+        return timers.every(TICK_PERIOD_S, self.tick, "upstream directory")
+
+    def announce(
+        self, announcement: _announcements.Announcement
+    ) -> AnnounceOutcome:
+        """Takes an announcement that arrived at this instance."""
+        with self._lock:
+            outcome = self._take(announcement)
+        self._counters.increment(f"membership.announcements.{outcome.value}")
+        return outcome
+
+    def tick(self) -> None:
+        """Publishes held back changes of load and drops silent upstreams."""
+        now_s = self._clock.now()
+        with self._lock:
+            for name, homed in list(self._homed_by_name.items()):
+                if homed.live and homed.expires_s <= now_s:
+                    self._expire(homed)
+                elif homed.live:
+                    self._publish_if_changed(homed, now_s)
+                elif homed.expires_s + REMEMBER_S <= now_s:
+                    del self._homed_by_name[name]
+
+    def upstreams(self) -> Mapping[str, _upstreams.Upstream]:
+        """Returns the upstreams of all homes by name."""
+        upstreams = {}
+        for name, record in self._soft_state.records(_KIND).items():
+            if self._soft_state.doubt_s(record.owner) > MAX_DOUBT_S:
+                continue
+            upstream = _upstreams.decode_upstream(
+                record, self._soft_state.age_s(_KIND, name)
+            )
+            if not isinstance(upstream, core.Missing):
+                upstreams[name] = self._with_newest(upstream)
+        return upstreams
+
+    def _take(
+        self, announcement: _announcements.Announcement
+    ) -> AnnounceOutcome:
+        name = announcement.name
+        homed = self._homed_by_name.get(name)
+        if homed and announcement.order <= homed.newest.order:
+            return AnnounceOutcome.OUTDATED
+        if self._is_outdated(announcement):
+            return AnnounceOutcome.OUTDATED
+        if not homed and len(self._homed_by_name) >= MAX_UPSTREAMS:
+            return AnnounceOutcome.FULL
+        now_s = self._clock.now()
+        homed = _Homed(
+            newest=announcement,
+            expires_s=now_s + announcement.valid_s,
+            arrived_s=now_s,
+            published=homed.published if homed else core.Missing.UNSET,
+            published_s=homed.published_s if homed else -LOAD_PERIOD_S,
+            live=True,
+        )
+        self._homed_by_name[name] = homed
+        self._publish_if_changed(homed, now_s)
+        return AnnounceOutcome.ACCEPTED
+
+    def _is_outdated(self, announcement: _announcements.Announcement) -> bool:
+        """Whether another home has a record at least as new."""
+        record = self._soft_state.latest(_KIND, announcement.name)
+        if isinstance(record, core.Missing):
+            return False
+        return announcement.order <= (record.incarnation, record.sequence)
+
+    def _publish_if_changed(self, homed: _Homed, now_s: float) -> None:
+        published = homed.published
+        if (
+            isinstance(published, core.Missing)
+            or not self._is_ours(homed)
+            or not _is_same_service(published, homed.newest)
+        ):
+            self._publish(homed, now_s, urgent=True)
+            return
+        waited = now_s - homed.published_s >= LOAD_PERIOD_S
+        if waited and _load_changed(published, homed.newest):
+            self._publish(homed, now_s, urgent=False)
+
+    def _is_ours(self, homed: _Homed) -> bool:
+        """Whether the soft state lists the upstream with this home."""
+        record = self._soft_state.latest(_KIND, homed.newest.name)
+        return (
+            not isinstance(record, core.Missing)
+            and not record.removed
+            and record.owner == self._soft_state.owner
+        )
+
+    def _publish(self, homed: _Homed, now_s: float, urgent: bool) -> None:
+        newest = homed.newest
+        self._soft_state.put(
+            _KIND,
+            newest.name,
+            newest.incarnation,
+            newest.sequence,
+            _upstreams.encode_upstream(newest),
+            urgent=urgent,
+        )
+        homed.published = newest
+        homed.published_s = now_s
+        self._counters.increment("membership.upstream_records")
+
+    def _expire(self, homed: _Homed) -> None:
+        homed.live = False
+        homed.published = core.Missing.UNSET
+        # If the upstream has moved to another home, the record there has a
+        # higher order and this removal changes nothing.
+        self._soft_state.put(
+            _KIND,
+            homed.newest.name,
+            homed.newest.incarnation,
+            homed.newest.sequence,
+            b"",
+            removed=True,
+            urgent=True,
+        )
+        self._counters.increment("membership.upstreams_expired")
+
+    def _with_newest(
+        self, upstream: _upstreams.Upstream
+    ) -> _upstreams.Upstream:
+        """Replaces the load by the newest report where this is the home."""
+        with self._lock:
+            homed = self._homed_by_name.get(upstream.name)
+        if not homed or not homed.live:
+            return upstream
+        newest = homed.newest
+        if newest.order < (upstream.incarnation, upstream.sequence):
+            return upstream
+        return dataclasses.replace(
+            upstream,
+            sequence=newest.sequence,
+            running=newest.running,
+            queued=newest.queued,
+            load_age_s=self._clock.now() - homed.arrived_s,
+        )
+
+
+def _is_same_service(
+    published: _announcements.Announcement,
+    newest: _announcements.Announcement,
+) -> bool:
+    """Whether nothing but the load and the order differ."""
+    return published == dataclasses.replace(
+        newest,
+        sequence=published.sequence,
+        running=published.running,
+        queued=published.queued,
+    )
+
+
+def _load_changed(
+    published: _announcements.Announcement,
+    newest: _announcements.Announcement,
+) -> bool:
+    old = published.running + published.queued
+    change = abs(newest.running + newest.queued - old)
+    return change >= LOAD_CHANGE_REQUESTS or (
+        change > 0 and change >= LOAD_CHANGE_SHARE * old
+    )
--- a/libs/membership/mulberry_membership/_local.py
+++ b/libs/membership/mulberry_membership/_local.py
@@ -105,6 +105,10 @@
         """Returns the seconds since the newest record arrived here."""
         return self._store.age_s((kind, id))
 
+    def doubt_s(self, owner: str) -> float:
+        """Returns zero: there is no other instance to be cut off from."""
+        return 0.0
+
     def subscribe(
         self, kind: _records.RecordKind, callback: _soft_state.Callback
     ) -> None:
--- a/libs/membership/mulberry_membership/_soft_state.py
+++ b/libs/membership/mulberry_membership/_soft_state.py
@@ -88,6 +88,14 @@
         Infinite where nothing is held.
         """
 
+    @abc.abstractmethod
+    def doubt_s(self, owner: str) -> float:
+        """Returns for how long the records of an owner may be out of date.
+
+        Seconds since exchanges with the owner, or all exchanges of this
+        instance, began to fail; zero while they succeed.
+        """
+
     @abc.abstractmethod
     def subscribe(self, kind: _records.RecordKind, callback: Callback) -> None:
         """Calls back with each change of a record of this kind."""
--- /dev/null
+++ b/libs/membership/mulberry_membership/tests/test_directory.py
@@ -0,0 +1,239 @@
+"""Tests of announcements and of the upstream directory."""
+
+import dataclasses
+import json
+from typing import Any
+
+import pytest
+
+import mulberry_core as core
+import mulberry_membership as membership
+
+BODY: dict[str, Any] = {
+    "name": "pool-1",
+    "address": "http://127.0.0.1:8000",
+    "incarnation": 5,
+    "sequence": 1,
+    "state": "ready",
+    "zone": "coban-a",
+    "serves": [{"model": "cedro-chico", "version": "2026-02"}],
+    "capacity": 8,
+    "load": {"running": 4, "queued": 0},
+    "checks_fencing": True,
+    "valid_s": 3,
+}
+
+
+def _announcement(**changes: Any) -> membership.Announcement:
+    parsed = membership.parse_announcement(json.dumps(BODY).encode())
+    assert isinstance(parsed, membership.Announcement)
+    return dataclasses.replace(parsed, **changes)
+
+
+class _Homes:
+    """Directories of several homes over one shared store."""
+
+    def __init__(self) -> None:
+        self.clock = core.ManualClock(100.0)
+        self.state = membership.LocalSoftState("home", self.clock)
+        self.counters = core.MemoryCounters()
+        self.directory = membership.UpstreamDirectory(
+            self.state, self.clock, self.counters
+        )
+
+    def announce(self, **changes: Any) -> membership.AnnounceOutcome:
+        return self.directory.announce(_announcement(**changes))
+
+    def pass_time(self, seconds: float) -> None:
+        self.clock.advance(seconds)
+        self.directory.tick()
+
+    @property
+    def published(self) -> int:
+        return self.counters.count("membership.upstream_records")
+
+
+@pytest.mark.parametrize(
+    ("changes", "expected"),
+    [
+        ({"name": ""}, "name"),
+        ({"name": "x" * 129}, "name"),
+        ({"name": "a b"}, "name"),
+        ({"name": 7}, "name"),
+        ({"address": "file:///etc/passwd"}, "address"),
+        ({"address": "http://127.0.0.1:8000/v1"}, "address"),
+        ({"incarnation": -1}, "incarnation"),
+        ({"incarnation": 2**63}, "incarnation"),
+        ({"sequence": "1"}, "sequence"),
+        ({"sequence": True}, "sequence"),
+        ({"state": "busy"}, "state"),
+        ({"serves": [{"model": "m"}]}, "serves.0.version"),
+        ({"serves": [BODY["serves"][0]] * 257}, "serves"),
+        ({"service": "taller-app"}, "either serves or service"),
+        ({"capacity": 0}, "capacity"),
+        ({"capacity": 1.5}, "capacity"),
+        ({"load": {"running": -1, "queued": 0}}, "load.running"),
+        ({"load": None}, "load"),
+        ({"valid_s": 0}, "valid_s"),
+        ({"valid_s": 1e9}, "valid_s"),
+        ({"valid_s": "NaN"}, "valid_s"),
+        ({"checks_fencing": "yes"}, "checks_fencing"),
+    ],
+)
+def test_malformed_announcement_is_refused(
+    changes: dict[str, Any], expected: str
+) -> None:
+    """Guards against a malformed announcement that reaches the routing."""
+    body = json.dumps({**BODY, **changes}).encode()
+    refusal = membership.parse_announcement(body)
+    assert isinstance(refusal, core.Refusal)
+    assert refusal.kind is core.ErrorKind.BAD_REQUEST
+    assert expected in refusal.reason
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b"null",
+        b"\xff\xfe{}",
+        b'{"name":' * 5000,
+        json.dumps(BODY).encode()[:-1],
+        json.dumps(BODY).replace("3", "NaN").encode(),
+    ],
+)
+def test_garbage_is_refused(body: bytes) -> None:
+    """Guards against input that is not an announcement at all."""
+    assert isinstance(membership.parse_announcement(body), core.Refusal)
+
+
+def test_oversized_announcement_is_refused() -> None:
+    """Guards against memory taken by one announcement."""
+    body = b" " * (membership.MAX_ANNOUNCEMENT_BYTES + 1)
+    refusal = membership.parse_announcement(body)
+    assert isinstance(refusal, core.Refusal)
+    assert refusal.kind is core.ErrorKind.REQUEST_TOO_LARGE
+
+
+def test_announced_upstream_is_listed() -> None:
+    """Guards against fields lost on the way to the list."""
+    homes = _Homes()
+    assert homes.announce() is membership.AnnounceOutcome.ACCEPTED
+    upstream = homes.directory.upstreams()["pool-1"]
+    assert upstream.address == "http://127.0.0.1:8000"
+    assert upstream.serves("cedro-chico", "2026-02")
+    assert upstream.service is core.Missing.UNSET
+    assert (upstream.capacity, upstream.running, upstream.queued) == (8, 4, 0)
+    assert upstream.checks_fencing
+    assert upstream.home == "home"
+
+
+@pytest.mark.parametrize("order", [(5, 2), (5, 1), (4, 9)])
+def test_late_announcement_changes_nothing(order: tuple[int, int]) -> None:
+    """Guards against a delayed `ready` that revives a leaving upstream."""
+    homes = _Homes()
+    homes.announce(sequence=2, state=membership.UpstreamState.LEAVING)
+    outcome = homes.announce(incarnation=order[0], sequence=order[1])
+    assert outcome is membership.AnnounceOutcome.OUTDATED
+    state = homes.directory.upstreams()["pool-1"].state
+    assert state is membership.UpstreamState.LEAVING
+
+
+def test_silent_upstream_expires_and_stays_gone() -> None:
+    """Guards against work sent to an upstream that crashed."""
+    homes = _Homes()
+    homes.announce(sequence=7)
+    homes.pass_time(2.9)
+    assert "pool-1" in homes.directory.upstreams()
+    homes.pass_time(0.1)
+    assert homes.directory.upstreams() == {}
+    assert homes.announce(sequence=7) is membership.AnnounceOutcome.OUTDATED
+    # The tombstone of the soft state is gone by now; the home remembers.
+    homes.pass_time(120.0)
+    assert homes.announce(sequence=6) is membership.AnnounceOutcome.OUTDATED
+    assert homes.directory.upstreams() == {}
+    assert homes.announce(sequence=8) is membership.AnnounceOutcome.ACCEPTED
+    assert "pool-1" in homes.directory.upstreams()
+
+
+def test_late_announcement_of_another_home_is_outdated() -> None:
+    """Guards against revival through an instance that saw nothing before."""
+    homes = _Homes()
+    homes.announce(sequence=7)
+    homes.pass_time(3.0)
+    other = membership.UpstreamDirectory(
+        homes.state, homes.clock, homes.counters
+    )
+    outcome = other.announce(_announcement(sequence=6))
+    assert outcome is membership.AnnounceOutcome.OUTDATED
+    assert other.upstreams() == {}
+
+
+def test_old_home_does_not_remove_a_moved_upstream() -> None:
+    """Guards against an upstream lost because it changed its home."""
+    homes = _Homes()
+    homes.announce(sequence=7)
+    homes.state.put(
+        membership.RecordKind.UPSTREAM, "pool-1", 5, 8, b"", urgent=True
+    )
+    homes.pass_time(3.0)
+    assert "pool-1" in homes.directory.upstreams()
+
+
+@pytest.mark.parametrize(
+    ("running", "published"),
+    [(4, 1), (5, 2), (6, 2), (3, 2), (2, 2)],
+)
+def test_load_is_published_on_change(running: int, published: int) -> None:
+    """Guards against bytes spent on announcements that say nothing new."""
+    homes = _Homes()
+    homes.announce(sequence=1, running=4)
+    homes.pass_time(1.0)
+    homes.announce(sequence=2, running=running)
+    assert homes.published == published
+
+
+def test_small_relative_change_is_not_published() -> None:
+    """Guards against a record for each request of a busy upstream."""
+    homes = _Homes()
+    homes.announce(sequence=1, running=40)
+    homes.pass_time(1.0)
+    homes.announce(sequence=2, running=41)
+    assert homes.published == 1
+    assert homes.directory.upstreams()["pool-1"].running == 41
+
+
+def test_load_is_published_at_most_once_a_second() -> None:
+    """Guards against a fluctuating load that floods the instances."""
+    homes = _Homes()
+    homes.announce(sequence=1, running=0)
+    for sequence in range(2, 12):
+        homes.clock.advance(0.05)
+        homes.announce(sequence=sequence, running=10 * sequence)
+    assert homes.published == 1
+    homes.pass_time(0.6)
+    assert homes.published == 2
+
+
+def test_leaving_is_published_at_once_and_urgent() -> None:
+    """Guards against P8 broken by the limit on publications."""
+    homes = _Homes()
+    records: list[membership.Record] = []
+    homes.state.subscribe(membership.RecordKind.UPSTREAM, records.append)
+    homes.announce(sequence=1)
+    homes.announce(sequence=2, state=membership.UpstreamState.LEAVING)
+    assert homes.published == 2
+    assert records[-1].urgent
+    state = homes.directory.upstreams()["pool-1"].state
+    assert state is membership.UpstreamState.LEAVING
+
+
+def test_restarted_upstream_replaces_its_predecessor() -> None:
+    """Guards against a restart that is taken for a late announcement."""
+    homes = _Homes()
+    homes.announce(sequence=900)
+    outcome = homes.announce(incarnation=6, sequence=0, address="127.0.0.1:81")
+    assert outcome is membership.AnnounceOutcome.ACCEPTED
+    assert homes.directory.upstreams()["pool-1"].address == "127.0.0.1:81"
