Add priority admission, shared team limits and the retry budget

Admission serves urgent work first, shares places between teams by weight, keeps places free for the urgent demand it has seen, and refuses work that cannot meet its deadline.

--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -45,6 +45,9 @@
     RatingKey,
     TryModel,
 )
+from mulberry_decisions._priority_admission import (
+    PriorityAdmission,
+)
 from mulberry_decisions._retries import (
     NoRetries,
     RetryBudget,
@@ -58,6 +61,12 @@
     RolloutState,
     TimedSteps,
 )
+from mulberry_decisions._shared_limits import (
+    SharedLimiter,
+)
+from mulberry_decisions._shared_retries import (
+    ShareRetryBudget,
+)
 from mulberry_decisions._table import (
     ADMISSIONS,
     CRASH_GUARDS,
@@ -130,6 +139,7 @@
     "NoRetries",
     "Observation",
     "Outcome",
+    "PriorityAdmission",
     "Proposal",
     "QueuePlace",
     "RatingCounts",
@@ -140,6 +150,8 @@
     "RolloutAdvice",
     "RolloutState",
     "RoundRobin",
+    "ShareRetryBudget",
+    "SharedLimiter",
     "StableVersion",
     "Standing",
     "Taken",
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/_priority_admission.py
@@ -0,0 +1,241 @@
+"""Admission with priorities, fair shares and early refusal."""
+
+import math
+import threading
+from collections.abc import Callable, Mapping
+
+import mulberry_core as core
+from mulberry_decisions import (
+    _admission,
+    _fair_queue,
+    _service_times,
+    _work,
+)
+
+#: Deviations added to the mean run time when a request arrives. A request
+#: that would only just finish in time is refused at once, because running
+#: late wastes a place.
+_ARRIVAL_DEVIATIONS = 2.0
+#: Deviations added when a waiting request is about to run.
+_START_DEVIATIONS = 1.0
+#: Share of places that each less urgent priority may use although more
+#: urgent work waits; without it dossiers would starve during a rush.
+_GUARANTEED_SHARE = 0.1
+#: Largest share of places kept free for more urgent work.
+_MAX_RESERVED_SHARE = 0.25
+#: Time over which the demand of urgent work is averaged, seconds.
+_DEMAND_WINDOW_S = 30.0
+
+_Action = Callable[[], None]
+
+
+class _UrgentDemand:
+    """Places that each priority needs at once: arrival rate x run time."""
+
+    def __init__(self) -> None:
+        self._places: dict[int, float] = {}
+        self._updated_s: dict[int, float] = {}
+
+    def arrived(self, priority: int, expected_s: float, now_s: float) -> None:
+        self._decay(priority, now_s)
+        self._places[priority] += expected_s / _DEMAND_WINDOW_S
+
+    def needed(self, priority: int, now_s: float) -> float:
+        """Places that work more urgent than `priority` needs, with slack."""
+        mean = 0.0
+        for other in self._places:
+            if other < priority:
+                self._decay(other, now_s)
+                mean += self._places[other]
+        return mean + 2.0 * math.sqrt(mean)
+
+    def _decay(self, priority: int, now_s: float) -> None:
+        since_s = now_s - self._updated_s.get(priority, now_s)
+        self._updated_s[priority] = now_s
+        self._places[priority] = self._places.get(priority, 0.0) * math.exp(
+            -since_s / _DEMAND_WINDOW_S
+        )
+
+
+class PriorityAdmission(_admission.Admission):
+    """Urgent work first, teams by weight, hopeless work refused at once."""
+
+    def __init__(self, clock: core.Clock, places: int, max_queue: int) -> None:
+        self._clock = clock
+        self._places = places
+        self._max_queue = max_queue
+        self._lock = threading.Lock()
+        self._queue = _fair_queue.FairQueue()
+        self._times = _service_times.ServiceTimes()
+        self._demand = _UrgentDemand()
+        self._running_by_priority: dict[int, int] = {}
+
+    @property
+    def clock(self) -> core.Clock:
+        """The clock that deadlines refer to."""
+        return self._clock
+
+    def set_weights(self, weights_by_team: Mapping[str, float]) -> None:
+        """Sets the teams' weights from the rules."""
+        with self._lock:
+            self._queue.set_weights(weights_by_team)
+
+    def set_capacity(self, places: int) -> None:
+        """Sets how many requests may run at once."""
+        with self._lock:
+            self._places = places
+            actions = self._admit()
+        _run(actions)
+
+    def waiting(self) -> int:
+        """Returns the length of the queue."""
+        with self._lock:
+            return len(self._queue)
+
+    def running(self) -> int:
+        """Returns how many tickets are out."""
+        with self._lock:
+            return self._running()
+
+    def submit(self, work: _work.Work, decided: _admission.Decided) -> None:
+        """Admits, queues or refuses the request."""
+        with self._lock:
+            now_s = self._clock.now()
+            expected_s = self._times.mean_s(work.kind)
+            self._demand.arrived(work.priority, expected_s, now_s)
+            refusal = self._refuse_early(work, now_s)
+            actions: list[_Action] = []
+            if isinstance(refusal, core.Refusal):
+                actions.append(_decide(decided, refusal))
+            else:
+                self._queue.append(
+                    _fair_queue.Waiting(work, decided, expected_s)
+                )
+                actions += self._admit()
+                actions += self._shorten()
+        _run(actions)
+
+    def withdraw(
+        self, work: _work.Work, decided: _admission.Decided
+    ) -> _admission.QueuePlace:
+        """Removes the request if it still waits."""
+        with self._lock:
+            for waiting in self._queue.find(work, decided):
+                self._queue.remove(waiting)
+                return _admission.QueuePlace.REMOVED
+        return _admission.QueuePlace.DECIDED
+
+    def _refuse_early(
+        self, work: _work.Work, now_s: float
+    ) -> core.Refusal | core.Missing:
+        wait_s = 0.0
+        if self._running() >= self._places:
+            ahead_s = self._queue.seconds_ahead(work.team, work.priority)
+            wait_s = ahead_s / max(1, self._places)
+        needed_s = wait_s + self._times.likely_s(work.kind, _ARRIVAL_DEVIATIONS)
+        # Nothing is refused on an estimate while a place is free: a kind
+        # whose estimate is wrong would otherwise never be measured again.
+        hopeless = now_s + needed_s > work.deadline_at_s and wait_s > 0.0
+        if now_s >= work.deadline_at_s or hopeless:
+            return _unreachable(work, now_s, needed_s)
+        return core.Missing.UNSET
+
+    def _shorten(self) -> list[_Action]:
+        """Keeps the queue within its bound; the least urgent work leaves."""
+        actions: list[_Action] = []
+        while len(self._queue) > self._max_queue:
+            last = self._queue.least_urgent()
+            self._queue.remove(last)
+            refusal = _admission.queue_full(self._max_queue)
+            actions.append(_decide(last.decided, refusal))
+        return actions
+
+    def _admit(self) -> list[_Action]:
+        actions: list[_Action] = []
+        now_s = self._clock.now()
+        while len(self._queue) and self._running() < self._places:
+            priority = self._next_priority(now_s)
+            if isinstance(priority, core.Missing):
+                break
+            waiting = self._queue.pop(priority)
+            actions.append(self._start_or_refuse(waiting, now_s))
+        return actions
+
+    def _start_or_refuse(
+        self, waiting: _fair_queue.Waiting, now_s: float
+    ) -> _Action:
+        work = waiting.work
+        needed_s = self._times.likely_s(work.kind, _START_DEVIATIONS)
+        left_s = work.deadline_at_s - now_s
+        if left_s <= 0 or (left_s < needed_s and self._is_busy()):
+            return _decide(waiting.decided, _unreachable(work, now_s, needed_s))
+        running = self._running_by_priority
+        running[work.priority] = running.get(work.priority, 0) + 1
+        ticket = _admission.Ticket(work, now_s, self._release)
+        return _decide(waiting.decided, ticket)
+
+    def _next_priority(self, now_s: float) -> int | core.Missing:
+        """Returns the priority that gets the next place, unset for none."""
+        waiting = self._queue.priorities()
+        guaranteed = int(self._places * _GUARANTEED_SHARE)
+        for priority in waiting[1:]:
+            if self._running_by_priority.get(priority, 0) < guaranteed:
+                return priority
+        for priority in waiting:
+            if self._running() + self._reserved(priority, now_s) < self._places:
+                return priority
+        return core.Missing.UNSET
+
+    def _reserved(self, priority: int, now_s: float) -> int:
+        """Places kept free for work more urgent than `priority`."""
+        urgent = sum(
+            count
+            for other, count in self._running_by_priority.items()
+            if other < priority
+        )
+        missing = self._demand.needed(priority, now_s) - urgent
+        bound = int(self._places * _MAX_RESERVED_SHARE)
+        return max(0, min(bound, math.ceil(missing)))
+
+    def _is_busy(self) -> bool:
+        """Whether most places are taken; estimates only count then."""
+        return 2 * self._running() >= self._places
+
+    def _running(self) -> int:
+        return sum(self._running_by_priority.values())
+
+    def _release(
+        self, ticket: _admission.Ticket, outcome: _work.Outcome
+    ) -> None:
+        with self._lock:
+            self._running_by_priority[ticket.work.priority] -= 1
+            if outcome in (_work.Outcome.COMPLETED, _work.Outcome.LATE):
+                seconds = self._clock.now() - ticket.admitted_at_s
+                self._times.observe(ticket.work.kind, seconds)
+            actions = self._admit()
+        _run(actions)
+
+
+def _unreachable(
+    work: _work.Work, now_s: float, needed_s: float
+) -> core.Refusal:
+    left_s = work.deadline_at_s - now_s
+    return core.Refusal(
+        core.ErrorKind.DEADLINE_UNREACHABLE,
+        core.RunState.NOT_RUN,
+        f"work of kind {work.kind} needs about {needed_s:.1f} s and has "
+        f"{left_s:.1f} s left",
+        retry_after_s=max(1.0, needed_s - left_s),
+    )
+
+
+def _decide(
+    decided: _admission.Decided, result: _admission.Ticket | core.Refusal
+) -> _Action:
+    return lambda: decided(result)
+
+
+def _run(actions: list[_Action]) -> None:
+    """Calls the decisions after the lock has been released."""
+    for action in actions:
+        action()
--- a/libs/decisions/mulberry_decisions/_table.py
+++ b/libs/decisions/mulberry_decisions/_table.py
@@ -10,8 +10,11 @@
     _judge,
     _limits,
     _models,
+    _priority_admission,
     _retries,
     _rollout,
+    _shared_limits,
+    _shared_retries,
     _upstreams,
     _versions,
 )
@@ -46,14 +49,17 @@
     str, Callable[[core.Clock, int, int], _admission.Admission]
 ] = {
     "first_come": _admission.FirstCome,
+    "priority": _priority_admission.PriorityAdmission,
 }
 
 TEAM_LIMITERS: Mapping[str, Callable[[core.Clock], _limits.TeamLimiter]] = {
     "equal_shares": _limits.EqualShares,
+    "shared": _shared_limits.SharedLimiter,
 }
 
 RETRY_BUDGETS: Mapping[str, Callable[[core.Clock], _retries.RetryBudget]] = {
     "none": lambda clock: _retries.NoRetries(),
+    "share": _shared_retries.ShareRetryBudget,
     "unlimited": lambda clock: _retries.UnlimitedRetries(),
 }
 
