Add stand-ins for engines, services, the rater and the weight store

Each is one process that announces itself, records what it ran and takes faults over HTTP. Answers depend on model, version, prompt and quality only, so that a second run agrees with the first. Chunks are numbered by the SSE field id, which lets the answer checker see repeated and lost chunks.

--- a/libs/standins/mulberry_standins/__init__.py
+++ b/libs/standins/mulberry_standins/__init__.py
@@ -1,1 +1,18 @@
 """Stand-in engine, plain service, rater and weight store."""
+
+from mulberry_standins._answers import quality_in
+from mulberry_standins._faults import NO_FAULTS, Faults
+from mulberry_standins._main import create, main
+from mulberry_standins._options import Options, parse_options
+from mulberry_standins._standin import Standin
+
+__all__ = [
+    "NO_FAULTS",
+    "Faults",
+    "Options",
+    "Standin",
+    "create",
+    "main",
+    "parse_options",
+    "quality_in",
+]
--- /dev/null
+++ b/libs/standins/mulberry_standins/_answers.py
@@ -0,0 +1,72 @@
+"""Deterministic answers that carry their own quality."""
+
+import dataclasses
+import json
+import re
+from collections.abc import Sequence
+from typing import Any
+
+import mulberry_core as core
+
+_WORDS = (
+    "mulberry", "branch", "shade", "frame", "cedar", "hive", "plan", "board",
+    "measure", "panel", "notch", "roof", "stand", "letter", "sheet", "leaf",
+)  # fmt: skip
+_QUALITY = re.compile(r"\(quality (0\.\d\d|1\.00)\)")
+#: Widest distance of one answer's quality from that of its version.
+_SPREAD = 0.05
+_SPREAD_STEPS = 101
+
+
+@dataclasses.dataclass(frozen=True)
+class Prompt:
+    """A chat request as the engine reads it."""
+
+    model: str
+    version: str
+    text: str
+    streamed: bool
+    max_tokens: int | core.Missing
+
+
+def read_prompt(body: Any, model: str, version: str) -> Prompt | core.Missing:
+    """Reads the body of a chat request, unset if it is malformed."""
+    if not isinstance(body, dict):
+        return core.Missing.UNSET
+    messages = body.get("messages")
+    if not isinstance(messages, list):
+        return core.Missing.UNSET
+    limit = body.get("max_tokens")
+    return Prompt(
+        model=model or str(body.get("model", "")),
+        version=version,
+        text=json.dumps(messages, sort_keys=True),
+        streamed=body.get("stream") is True,
+        max_tokens=limit if isinstance(limit, int) else core.Missing.UNSET,
+    )
+
+
+def tokens_of(prompt: Prompt, count: int, quality: float) -> Sequence[str]:
+    """Returns the tokens of the answer; the last one holds its quality.
+
+    They depend on model, version, prompt and quality only, so that a second
+    run gives the same answer.
+    """
+    if isinstance(prompt.max_tokens, int):
+        count = min(count, prompt.max_tokens)
+    salt = f"{prompt.model}\x00{prompt.version}"
+    start = core.bucket(prompt.text, salt, 1 << 32)
+    words = [
+        _WORDS[(start // (place + 1) + place) % len(_WORDS)] + " "
+        for place in range(max(0, count - 1))
+    ]
+    step = core.bucket(prompt.text, f"{salt}\x00quality", _SPREAD_STEPS)
+    spread = (step / (_SPREAD_STEPS - 1) * 2 - 1) * _SPREAD
+    own = min(1.0, max(0.0, quality + spread))
+    return [*words, f"(quality {own:.2f})"]
+
+
+def quality_in(answer: str) -> float | core.Missing:
+    """Returns the quality that an answer carries, unset if it has none."""
+    found = _QUALITY.search(answer)
+    return float(found.group(1)) if found else core.Missing.UNSET
--- /dev/null
+++ b/libs/standins/mulberry_standins/_load.py
@@ -0,0 +1,129 @@
+"""Running and waiting requests, run records and the lagging load report."""
+
+import collections
+import heapq
+import itertools
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+#: Seconds after the announcement of leaving from which new work is late.
+_LEAVING_BOUND_S = 3.0
+#: Changes of the load that are kept for the lagging report.
+_MAX_HISTORY = 10_000
+
+
+class RunLog:
+    """What the stand-in has run, in order."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._keys: list[str] = []
+        self._late: list[str] = []
+        self._request_ids: set[str] = set()
+        self._left_s: float | None = None
+
+    def add(self, key: str, request_id: str) -> int:
+        """Records one run and returns its number, from 1."""
+        with self._lock:
+            self._keys.append(key or request_id)
+            self._request_ids.add(request_id)
+            if (
+                self._left_s is not None
+                and time.monotonic() - self._left_s > _LEAVING_BOUND_S
+            ):
+                self._late.append(key or request_id)
+            return len(self._keys)
+
+    def knows(self, request_id: str) -> bool:
+        """Whether this request has been run here."""
+        with self._lock:
+            return request_id in self._request_ids
+
+    def mark_leaving(self) -> None:
+        """Runs that begin 3 s from now or later are late."""
+        with self._lock:
+            self._left_s = time.monotonic()
+
+    def keys(self) -> list[str]:
+        """Returns the keys of all runs."""
+        with self._lock:
+            return list(self._keys)
+
+    def late(self) -> list[str]:
+        """Returns the runs that began more than 3 s after leaving."""
+        with self._lock:
+            return list(self._late)
+
+
+class Slots:
+    """Bounded running requests; the most urgent waits the shortest."""
+
+    def __init__(self, capacity: int, max_queue: int, lag_s: float) -> None:
+        self.capacity = capacity
+        self._max_queue = max_queue
+        self._lag_s = lag_s
+        self._condition = threading.Condition()
+        self._order = itertools.count()
+        self._waiting: list[tuple[int, int]] = []
+        self._running = 0
+        self._history: collections.deque[tuple[float, int, int]] = (
+            collections.deque([(0.0, 0, 0)], maxlen=_MAX_HISTORY)
+        )
+
+    @contextmanager
+    def hold(self, priority: int) -> Iterator[bool]:
+        """Waits for a slot; gives false if the queue is full."""
+        if not self._enter(priority):
+            yield False
+            return
+        try:
+            yield True
+        finally:
+            self._leave()
+
+    @property
+    def busy(self) -> int:
+        """Requests that run or wait now."""
+        with self._condition:
+            return self._running + len(self._waiting)
+
+    def reported(self) -> dict[str, Any]:
+        """Returns the load as it was `lag_s` seconds ago."""
+        before_s = time.monotonic() - self._lag_s
+        with self._condition:
+            while len(self._history) > 1 and self._history[1][0] <= before_s:
+                self._history.popleft()
+            _, running, queued = self._history[0]
+        return {"running": running, "queued": queued}
+
+    def _enter(self, priority: int) -> bool:
+        with self._condition:
+            if (
+                self._running >= self.capacity
+                and len(self._waiting) >= self._max_queue
+            ):
+                return False
+            ticket = (priority, next(self._order))
+            heapq.heappush(self._waiting, ticket)
+            self._note()
+            while self._running >= self.capacity or self._waiting[0] != ticket:
+                self._condition.wait()
+            heapq.heappop(self._waiting)
+            self._running += 1
+            self._note()
+            self._condition.notify_all()
+            return True
+
+    def _leave(self) -> None:
+        with self._condition:
+            self._running -= 1
+            self._note()
+            self._condition.notify_all()
+
+    def _note(self) -> None:
+        self._history.append(
+            (time.monotonic(), self._running, len(self._waiting))
+        )
--- /dev/null
+++ b/libs/standins/mulberry_standins/_orders.py
@@ -0,0 +1,90 @@
+"""Orders to an engine: load and unload versions, with fencing numbers."""
+
+import threading
+import time
+from collections.abc import Sequence
+from typing import Any
+
+from mulberry_standins import _http
+
+_ORDERS = frozenset({"load", "unload"})
+
+
+class OrderBook:
+    """Carries orders out and records all of them."""
+
+    def __init__(
+        self,
+        serves: Sequence[tuple[str, str]],
+        load_s: float,
+        checks_fencing: bool,
+    ) -> None:
+        self._lock = threading.Lock()
+        self._serves = list(serves)
+        self._load_s = load_s
+        self._checks_fencing = checks_fencing
+        self._highest = 0
+        self._records: list[dict[str, Any]] = []
+
+    def serves(self) -> tuple[tuple[str, str], ...]:
+        """Returns the loaded (model, version) pairs."""
+        with self._lock:
+            return tuple(self._serves)
+
+    def handle_list(self, exchange: _http.Exchange) -> None:
+        """Answers with all orders in the order of their arrival."""
+        with self._lock:
+            records = list(self._records)
+        exchange.answer(200, records)
+
+    def handle_order(self, exchange: _http.Exchange) -> None:
+        """Checks the fencing number and carries the order out.
+
+        The body is `{"order": "load"|"unload", "model", "version",
+        "fencing_number"}`. The answer comes when the order is done.
+        """
+        body = exchange.json_body()
+        if not _is_order(body):
+            exchange.answer(400, {"error": {"message": "malformed order"}})
+            return
+        if not self._record(body):
+            exchange.answer(
+                409,
+                {
+                    "error": {"message": "the fencing number is outdated"},
+                    "highest": self._highest,
+                },
+            )
+            return
+        self._carry_out(body)
+        exchange.answer(200, {"state": "done"})
+
+    def _record(self, body: dict[str, Any]) -> bool:
+        number = body["fencing_number"]
+        with self._lock:
+            accepted = not self._checks_fencing or number >= self._highest
+            self._highest = max(self._highest, number)
+            self._records.append(
+                {**body, "accepted": accepted, "at_s": time.time()}
+            )
+        return accepted
+
+    def _carry_out(self, body: dict[str, Any]) -> None:
+        served = (body["model"], body["version"])
+        if body["order"] == "load":
+            time.sleep(self._load_s)
+        with self._lock:
+            if body["order"] == "unload" and served in self._serves:
+                self._serves.remove(served)
+            elif body["order"] == "load" and served not in self._serves:
+                self._serves.append(served)
+
+
+def _is_order(body: Any) -> bool:
+    return (
+        isinstance(body, dict)
+        and body.get("order") in _ORDERS
+        and isinstance(body.get("model"), str)
+        and isinstance(body.get("version"), str)
+        and isinstance(body.get("fencing_number"), int)
+    )
--- /dev/null
+++ b/libs/standins/mulberry_standins/_standin.py
@@ -0,0 +1,161 @@
+"""What all stand-ins have in common: process life, faults, run records."""
+
+import abc
+import json
+import os
+import signal
+import threading
+import time
+from typing import Any
+
+from mulberry_standins import _announcer, _faults, _http, _load, _options
+
+#: Exit status after a crash marker.
+CRASH_STATUS = 70
+_POLL_S = 0.02
+
+
+class Standin(abc.ABC):
+    """One stand-in with its server and its announcer."""
+
+    def __init__(self, options: _options.Options) -> None:
+        self._options = options
+        self._faults = _faults.FaultBoard()
+        self._runs = _load.RunLog()
+        self._slots = _load.Slots(
+            options.capacity, options.max_queue, options.load_lag_s
+        )
+        self._server = _http.StandinServer(
+            options.port, {**self._common_routes(), **self._routes()}
+        )
+        self._name = (
+            options.name or f"{options.role}-{self._server.server_port}"
+        )
+        self._announcer = _announcer.Announcer(
+            options.entries if self._announces else (),
+            options.announce_key,
+            self._description,
+        )
+        self._serving = threading.Thread(
+            target=self._server.serve_forever,
+            kwargs={"poll_interval": _POLL_S},
+            name="server",
+            daemon=True,
+        )
+
+    #: Whether entries learn of this stand-in by its announcements.
+    _announces = True
+
+    @property
+    def address(self) -> str:
+        """Base URL."""
+        return self._server.address
+
+    @property
+    def name(self) -> str:
+        """Name of the upstream."""
+        return self._name
+
+    def start(self) -> None:
+        """Serves and announces on threads of its own."""
+        self._serving.start()
+        self._announcer.start()
+
+    def stop(self) -> None:
+        """Stops at once, without finishing what runs."""
+        self._announcer.stop()
+        self._server.shutdown()
+        self._server.server_close()
+
+    def leave(self) -> None:
+        """Announces to leave, finishes what runs, then stops."""
+        self._runs.mark_leaving()
+        self._announcer.leave()
+        if self._announces and self._options.entries:
+            time.sleep(self._options.leave_s)
+        until_s = time.monotonic() + self._options.finish_s
+        while self._slots.busy and time.monotonic() < until_s:
+            time.sleep(_POLL_S)
+        self.stop()
+
+    def run_process(self) -> None:
+        """Serves until SIGTERM or SIGINT; the whole life of a process."""
+        leaving = threading.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: leaving.set())
+        self.start()
+        line = {
+            "name": self._name,
+            "address": self.address,
+            "port": self._server.server_port,
+            "pid": os.getpid(),
+            "runs": f"{self.address}/runs",
+        }
+        print(json.dumps(line), flush=True)
+        leaving.wait()
+        self.leave()
+
+    @abc.abstractmethod
+    def _routes(self) -> dict[tuple[str, str], _http.Handler]:
+        """Returns the handlers of this role by method and route."""
+
+    def _description(self) -> dict[str, Any]:
+        return {
+            "name": self._name,
+            "address": self.address,
+            "zone": self._options.zone,
+            "capacity": self._options.capacity,
+            "load": self._slots.reported(),
+            "checks_fencing": self._options.checks_fencing,
+        }
+
+    def _common_routes(self) -> dict[tuple[str, str], _http.Handler]:
+        return {
+            ("GET", "/runs"): lambda e: e.answer(200, self._runs.keys()),
+            ("GET", "/status"): self._handle_status,
+            ("GET", "/faults"): self._handle_get_faults,
+            ("POST", "/faults"): self._handle_set_faults,
+        }
+
+    def _handle_status(self, exchange: _http.Exchange) -> None:
+        exchange.answer(
+            200,
+            {
+                **self._description(),
+                "announcements_accepted": self._announcer.accepted,
+                "late_runs": self._runs.late(),
+            },
+        )
+
+    def _handle_get_faults(self, exchange: _http.Exchange) -> None:
+        exchange.answer(200, vars(self._faults.get()))
+
+    def _handle_set_faults(self, exchange: _http.Exchange) -> None:
+        body = exchange.json_body()
+        if not isinstance(body, dict):
+            exchange.answer(400, {"error": {"message": "no JSON object"}})
+            return
+        faults = _faults.parse_faults(body)
+        if isinstance(faults, str):
+            exchange.answer(400, {"error": {"message": faults}})
+            return
+        self._faults.set(faults)
+        exchange.answer(200, vars(faults))
+
+    def _crash_on_marker(
+        self, faults: _faults.Faults, exchange: _http.Exchange
+    ) -> None:
+        marker = faults.crash_marker.encode()
+        if marker and marker in exchange.body:
+            os._exit(CRASH_STATUS)
+
+    def _refuse_by_fault(
+        self, faults: _faults.Faults, exchange: _http.Exchange
+    ) -> bool:
+        if faults.refuse:
+            exchange.refuse("refused by a fault")
+        elif faults.status:
+            exchange.answer(
+                faults.status, {"error": {"message": "status by a fault"}}
+            )
+        return faults.refuse or faults.status != 0
--- /dev/null
+++ b/libs/standins/mulberry_standins/_stream.py
@@ -0,0 +1,130 @@
+"""Sends a chat answer as events, with the faults that are switched on."""
+
+import dataclasses
+import json
+import time
+from collections.abc import Iterator, Sequence
+
+from mulberry_standins import _faults, _http
+
+_GARBAGE = b'data: {"id":"chatcmpl-\xff\xfe'
+_DONE = b"data: [DONE]\n\n"
+_LAST_CHUNK = b"0\r\n\r\n"
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """What is to be streamed."""
+
+    answer_id: str
+    model: str
+    tokens: Sequence[str]
+    prompt_tokens: int
+    #: Unix time, seconds.
+    created_s: int
+
+    @property
+    def usage(self) -> dict[str, int]:
+        """Token counts in the usual form."""
+        count = len(self.tokens)
+        return {
+            "prompt_tokens": self.prompt_tokens,
+            "completion_tokens": count,
+            "total_tokens": self.prompt_tokens + count,
+        }
+
+    def events(self) -> Iterator[bytes]:
+        """Renders the numbered chunks, without `[DONE]`."""
+        head = json.dumps(
+            {
+                "id": self.answer_id,
+                "object": "chat.completion.chunk",
+                "created": self.created_s,
+                "model": self.model,
+            },
+            separators=(",", ":"),
+        )[:-1]
+
+        def event(number: int, rest: str) -> bytes:
+            return f"id: {number}\ndata: {head},{rest}}}\n\n".encode()
+
+        def choice(delta: str, finish: str) -> str:
+            return (
+                f'"choices":[{{"index":0,"delta":{delta},'
+                f'"finish_reason":{finish}}}]'
+            )
+
+        yield event(1, choice('{"role":"assistant","content":""}', "null"))
+        number = 2
+        for token in self.tokens:
+            delta = f'{{"content":{json.dumps(token)}}}'
+            yield event(number, choice(delta, "null"))
+            number += 1
+        yield event(number, choice("{}", '"stop"'))
+        usage = json.dumps(self.usage, separators=(",", ":"))
+        yield event(number + 1, f'"choices":[],"usage":{usage}')
+
+
+@dataclasses.dataclass(frozen=True)
+class Pace:
+    """When the tokens are due."""
+
+    first_token_s: float
+    token_s: float
+    delay_end_s: float
+
+    def due_s(self, number: int, tokens: int) -> float:
+        """Returns when chunk `number` (from 1) is due after the start."""
+        # Chunk 1 carries the role and comes with the first token.
+        place = min(max(0, number - 2), max(0, tokens - 1))
+        due_s = self.first_token_s + place * self.token_s
+        return due_s + (self.delay_end_s if number > tokens + 1 else 0.0)
+
+
+def send_stream(
+    exchange: _http.Exchange,
+    answer: Answer,
+    pace: Pace,
+    faults: _faults.Faults,
+    resume_from: int,
+) -> None:
+    """Streams the answer; chunks before `resume_from` were received."""
+    exchange.send_response(200)
+    exchange.send_header("Content-Type", "text/event-stream")
+    exchange.send_header("Cache-Control", "no-store")
+    exchange.send_header("Transfer-Encoding", "chunked")
+    exchange.end_headers()
+    tokens = len(answer.tokens)
+    start_s = time.monotonic()
+    if resume_from:
+        start_s -= pace.due_s(resume_from, tokens)
+    sent = 0
+    for number, event in enumerate(answer.events(), 1):
+        if number <= resume_from:
+            continue
+        if sent == faults.cut_after:
+            exchange.drop()
+            return
+        wait_s = start_s + pace.due_s(number, tokens) - time.monotonic()
+        if wait_s > 0:
+            time.sleep(wait_s)
+        for block in _with_faults(event, number, faults):
+            exchange.send(b"%x\r\n%s\r\n" % (len(block), block))
+        sent += 1
+    end = b"%x\r\n%s\r\n" % (len(_DONE), _DONE)
+    exchange.send(end + _LAST_CHUNK)
+
+
+def _with_faults(
+    event: bytes, number: int, faults: _faults.Faults
+) -> Iterator[bytes]:
+    if number == faults.drop_at:
+        return
+    if number == faults.garble_at:
+        yield _GARBAGE + b"\n\n"
+        return
+    yield event
+    if number == faults.duplicate_at:
+        yield event
+    if number == 1 and faults.oversize_bytes:
+        yield b": " + b"x" * faults.oversize_bytes + b"\n\n"
--- a/libs/upstream/mulberry_upstream/_gate.py
+++ b/libs/upstream/mulberry_upstream/_gate.py
@@ -27,7 +27,7 @@
     """An upstream as last announced."""
 
     name: str
-    #: `IP:PORT`.
+    #: `IP:PORT` or the URL of its root.
     address: str
     incarnation: int
     #: Whether it announced that it is leaving.
--- a/libs/upstream/mulberry_upstream/_transfer.py
+++ b/libs/upstream/mulberry_upstream/_transfer.py
@@ -66,6 +66,7 @@
 class HttpRequest:
     """What is sent."""
 
+    #: `IP:PORT` or the URL of its root.
     address: str
     method: str
     #: Path and query, starting with `/`.
@@ -88,6 +89,13 @@
     )
 
 
+def base_url(address: str) -> str:
+    """Returns an announced address, `IP:PORT` or a URL, as a URL."""
+    if address.startswith(("http://", "https://")):
+        return address.rstrip("/")
+    return f"http://{address}"
+
+
 def _new_multi() -> pycurl.CurlMulti:
     multi = pycurl.CurlMulti()
     multi.setopt(pycurl.M_MAXCONNECTS, 1)
@@ -240,9 +248,9 @@
     def _set_options(self, easy: pycurl.Curl) -> None:
         request = self._request
         easy.reset()
-        easy.setopt(pycurl.URL, f"http://{request.address}{request.path}")
+        easy.setopt(pycurl.URL, f"{base_url(request.address)}{request.path}")
         easy.setopt(pycurl.PATH_AS_IS, 1)
-        easy.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP)
+        easy.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP | pycurl.PROTO_HTTPS)
         easy.setopt(pycurl.PROXY, "")
         easy.setopt(pycurl.NOSIGNAL, 1)
         easy.setopt(pycurl.TCP_NODELAY, 1)
