Test the upstream adapters against stand-ins with faults

A table of faults (cut, crossed, repeated, lost, garbled, silent, slow, oversize, closed, refused, crash) checks kind, run state and recovery. Raw socket servers show that libcurl sends a request again on its own when a kept connection closes, that a call which may run once is sent once, and that a refused re-send does not count as not run.

--- a/libs/standins/mulberry_standins/_stream.py
+++ b/libs/standins/mulberry_standins/_stream.py
@@ -8,7 +8,6 @@
 from mulberry_standins import _faults, _http
 
 _GARBAGE = b'data: {"id":"chatcmpl-\xff\xfe'
-_DONE = b"data: [DONE]\n\n"
 _LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -99,6 +98,7 @@
     if resume_from:
         start_s -= pace.due_s(resume_from, tokens)
     sent = 0
+    number = 0
     for number, event in enumerate(answer.events(), 1):
         if number <= resume_from:
             continue
@@ -111,8 +111,11 @@
         for block in _with_faults(event, number, faults):
             exchange.send(b"%x\r\n%s\r\n" % (len(block), block))
         sent += 1
-    end = b"%x\r\n%s\r\n" % (len(_DONE), _DONE)
-    exchange.send(end + _LAST_CHUNK)
+    if sent == faults.cut_after:
+        exchange.drop()
+        return
+    done = b"id: %d\ndata: [DONE]\n\n" % (number + 1)
+    exchange.send(b"%x\r\n%s\r\n" % (len(done), done) + _LAST_CHUNK)
 
 
 def _with_faults(
--- a/libs/upstream/mulberry_upstream/_checker.py
+++ b/libs/upstream/mulberry_upstream/_checker.py
@@ -130,7 +130,7 @@
         if self._done:
             return _incomplete("the answer goes on after [DONE]")
         if data == _DONE:
-            return self._accept_done(event)
+            return self._accept_done(event, number)
         return self._accept_chunk(event, number, data)
 
     def _place_comment(self, event: bytes) -> Verdict:
@@ -241,7 +241,11 @@
         self._passed += 1
         return Verdict.PASS
 
-    def _accept_done(self, event: bytes) -> Verdict | Fault:
+    def _accept_done(self, event: bytes, number: bytes) -> Verdict | Fault:
+        # [DONE] need not be numbered, even where the chunks are.
+        fault = self._check_number(number) if number else None
+        if fault:
+            return fault
         if not self._finish_by_index or self._open_indexes:
             return _incomplete("the answer ends without a finish reason")
         if self.chunks < len(self._forwarded):
--- /dev/null
+++ b/libs/upstream/mulberry_upstream/tests/test_contract.py
@@ -0,0 +1,312 @@
+"""Contract of the adapters against stand-ins with one fault each."""
+
+import dataclasses
+import json
+import os
+import subprocess
+import sys
+import time
+import urllib.request
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+import mulberry_core as core
+import mulberry_upstream as upstream
+
+_Kind = core.ErrorKind
+_Run = core.RunState
+_Recovery = upstream.Recovery
+_SetFaults = Callable[..., None]
+
+
+def _text(blocks: list[bytes]) -> str:
+    """Returns the text in forwarded events."""
+    texts = []
+    for line in b"".join(blocks).split(b"\n"):
+        if line.startswith(b"data: {"):
+            for choice in json.loads(line[6:])["choices"]:
+                texts.append(choice["delta"].get("content", ""))
+    return "".join(texts)
+
+
+def _runs(address: str) -> Any:
+    with urllib.request.urlopen(f"{address}/runs") as answer:
+        return json.load(answer)
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    """A fault of the engine and what must become of the answer."""
+
+    name: str
+    faults: dict[str, Any]
+    kind: _Kind
+    run: _Run
+    recovery: _Recovery
+    bounds: upstream.Bounds = dataclasses.field(
+        default_factory=lambda: upstream.Bounds(30.0)
+    )
+
+
+_INCOMPLETE = _Kind.ANSWER_INCOMPLETE
+_QUIET = upstream.Bounds(30.0, idle_s=0.3)
+_SHORT = upstream.Bounds(0.3)
+_SMALL = upstream.Bounds(30.0, max_bytes=100_000)
+#: With 8 tokens: 1 is the role, 2 to 9 text, 10 the finish reason, 11 usage.
+_STREAM_CASES = [
+    Case("cut before the first chunk", {"cut_after": 0},
+         _INCOMPLETE, _Run.UNKNOWN, _Recovery.RESUME),
+    Case("cut in the text", {"cut_after": 5},
+         _INCOMPLETE, _Run.RAN, _Recovery.RESUME),
+    Case("cut after the finish reason", {"cut_after": 10},
+         _INCOMPLETE, _Run.RAN, _Recovery.RESUME),
+    Case("cut before [DONE]", {"cut_after": 11, "delay_end_s": 0.0},
+         _INCOMPLETE, _Run.RAN, _Recovery.RESUME),
+    Case("crossed", {"cross_id": "request-other"},
+         _Kind.ANSWER_MISMATCHED, _Run.UNKNOWN, _Recovery.RERUN),
+    Case("duplicate", {"duplicate_at": 4},
+         _INCOMPLETE, _Run.RAN, _Recovery.RERUN),
+    Case("lost chunk", {"drop_at": 4},
+         _INCOMPLETE, _Run.RAN, _Recovery.RERUN),
+    Case("lost finish reason", {"drop_at": 10},
+         _INCOMPLETE, _Run.RAN, _Recovery.RERUN),
+    Case("garbled text", {"garble_at": 4},
+         _INCOMPLETE, _Run.RAN, _Recovery.RERUN),
+    Case("garbled end", {"garble_at": 11},
+         _INCOMPLETE, _Run.RAN, _Recovery.RERUN),
+    Case("silent before the text", {"first_token_s": 20.0},
+         _INCOMPLETE, _Run.UNKNOWN, _Recovery.RESUME, _QUIET),
+    Case("silent before the end", {"delay_end_s": 20.0},
+         _INCOMPLETE, _Run.RAN, _Recovery.RESUME, _QUIET),
+    Case("slower than the deadline", {"token_s": 20.0},
+         _Kind.DEADLINE_EXCEEDED, _Run.RAN, _Recovery.NONE, _SHORT),
+    Case("oversize", {"oversize_bytes": 2_000_000},
+         _INCOMPLETE, _Run.RAN, _Recovery.NONE, _SMALL),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("case", _STREAM_CASES, ids=lambda case: case.name)
+def test_faulty_stream_is_never_complete(
+    bench: Any, set_faults: _SetFaults, case: Case
+) -> None:
+    """Guards against a faulty answer being taken for complete."""
+    engine = bench.start()
+    whole = bench.chat.chat(bench.chat_request(engine.address, streamed=False))
+    assert isinstance(whole, upstream.ChatAnswer)
+    bench.new_request()
+    set_faults(engine.address, **case.faults)
+    stream = bench.chat.open_chat(
+        bench.chat_request(engine.address, bounds=case.bounds)
+    )
+    assert isinstance(stream, upstream.ChatStream)
+    forwarded = list(stream)
+    outcome = stream.outcome
+    assert isinstance(outcome.refusal, core.Refusal)
+    assert outcome.refusal.kind is case.kind, outcome.refusal.reason
+    assert outcome.refusal.run is case.run
+    assert outcome.recovery is case.recovery
+    assert outcome.tail == b""
+    assert whole.text.startswith(_text(forwarded))
+    assert b"[DONE]" not in b"".join(forwarded)
+    assert b'"stop"' not in b"".join(forwarded)
+
+
+_REFUSED_CASES = [
+    Case("refused", {"refuse": True},
+         _Kind.UPSTREAM_REFUSED, _Run.NOT_RUN, _Recovery.NONE),
+    Case("error", {"status": 500},
+         _Kind.UPSTREAM_FAILED, _Run.UNKNOWN, _Recovery.NONE),
+    Case("503 without a statement", {"status": 503},
+         _Kind.UPSTREAM_FAILED, _Run.UNKNOWN, _Recovery.NONE),
+    Case("bad request", {"status": 400},
+         _Kind.BAD_REQUEST, _Run.UNKNOWN, _Recovery.NONE),
+    Case("closed before the answer", {"close_without_answer": True},
+         _Kind.UPSTREAM_FAILED, _Run.UNKNOWN, _Recovery.NONE),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("streamed", [True, False])
+@pytest.mark.parametrize("case", _REFUSED_CASES, ids=lambda case: case.name)
+def test_refused_before_the_answer(
+    bench: Any, set_faults: _SetFaults, case: Case, streamed: bool
+) -> None:
+    """Guards against `not_run` for work that an engine may have run."""
+    engine = bench.start()
+    set_faults(engine.address, **case.faults)
+    request = bench.chat_request(engine.address, streamed)
+    send = bench.chat.open_chat if streamed else bench.chat.chat
+    refusal = send(request)
+    assert isinstance(refusal, core.Refusal)
+    assert refusal.kind is case.kind
+    assert refusal.run is case.run
+    if refusal.run is _Run.NOT_RUN:
+        assert _runs(engine.address) == []
+
+
+_WHOLE_CASES = [
+    Case("crossed", {"cross_id": "request-other"},
+         _Kind.ANSWER_MISMATCHED, _Run.UNKNOWN, _Recovery.NONE),
+    Case("cut", {"cut_after": 1},
+         _INCOMPLETE, _Run.UNKNOWN, _Recovery.NONE),
+    Case("garbled", {"garble_at": 1},
+         _INCOMPLETE, _Run.UNKNOWN, _Recovery.NONE),
+    Case("silent", {"first_token_s": 20.0},
+         _Kind.UPSTREAM_FAILED, _Run.UNKNOWN, _Recovery.NONE,
+         upstream.Bounds(30.0, first_byte_s=0.3)),
+    Case("slower than the deadline", {"first_token_s": 20.0},
+         _Kind.DEADLINE_EXCEEDED, _Run.UNKNOWN, _Recovery.NONE, _SHORT),
+    Case("oversize", {"oversize_bytes": 2_000_000},
+         _INCOMPLETE, _Run.UNKNOWN, _Recovery.NONE, _SMALL),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("case", _WHOLE_CASES, ids=lambda case: case.name)
+def test_faulty_whole_answer_is_refused(
+    bench: Any, set_faults: _SetFaults, case: Case
+) -> None:
+    """Guards against a cut, crossed or garbled whole answer."""
+    engine = bench.start()
+    set_faults(engine.address, **case.faults)
+    refusal = bench.chat.chat(
+        bench.chat_request(engine.address, False, bounds=case.bounds)
+    )
+    assert isinstance(refusal, core.Refusal)
+    assert refusal.kind is case.kind, refusal.reason
+    assert refusal.run is case.run
+
+
+def test_good_stream_holds_its_end_and_counts_tokens(bench: Any) -> None:
+    """Guards against an end that is forwarded before the bill."""
+    engine = bench.start()
+    stream = bench.chat.open_chat(bench.chat_request(engine.address))
+    assert isinstance(stream, upstream.ChatStream)
+    forwarded = list(stream)
+    outcome = stream.outcome
+    assert outcome.complete
+    assert outcome.tokens_out == 8
+    assert outcome.tokens_in > 0
+    assert _text(forwarded) == outcome.text
+    assert b'"stop"' not in b"".join(forwarded)
+    assert outcome.tail.endswith(b"data: [DONE]\n\n")
+    assert b'"usage"' in outcome.tail
+    assert bench.record.run is _Run.RAN
+    assert _runs(engine.address) == [bench.request_id]
+
+
+def test_crash_of_the_engine(bench: Any) -> None:
+    """Guards against a crash being reported as not run."""
+    process = subprocess.Popen(
+        [sys.executable, "-c", "import mulberry_standins as s; s.main()"]
+        + ["engine", "--serves", "cedro@2026-02"],
+        stdout=subprocess.PIPE,
+    )
+    try:
+        assert process.stdout is not None
+        address = json.loads(process.stdout.readline())["address"]
+        body = json.dumps({"crash_marker": "poison"}).encode()
+        urllib.request.urlopen(f"{address}/faults", body).close()
+        request = bench.chat_request(address, content="some poison here")
+        refusal = bench.chat.open_chat(request)
+        assert isinstance(refusal, core.Refusal)
+        assert refusal.kind is _Kind.UPSTREAM_FAILED
+        assert refusal.run is _Run.UNKNOWN
+        assert process.wait(10) != os.EX_OK
+    finally:
+        process.kill()
+        process.communicate()
+
+
+def test_cancel_stops_the_run(bench: Any, set_faults: _SetFaults) -> None:
+    """Guards against an engine that works on for a caller who has gone."""
+    engine = bench.start(tokens=10_000, tokens_per_s=50.0)
+    stream = bench.chat.open_chat(bench.chat_request(engine.address))
+    assert isinstance(stream, upstream.ChatStream)
+    next(stream)
+    stream.cancel()
+    assert next(stream, b"") == b""
+    refusal = stream.outcome.refusal
+    assert isinstance(refusal, core.Refusal)
+    assert refusal.kind is _Kind.CALLER_GONE
+    for _ in range(500):
+        with urllib.request.urlopen(f"{engine.address}/status") as answer:
+            if json.load(answer)["load"]["running"] == 0:
+                return
+        time.sleep(0.02)
+    pytest.fail("the engine still runs a canceled request")
+
+
+def test_caller_gone_while_the_engine_is_silent(
+    bench: Any, set_faults: _SetFaults
+) -> None:
+    """Guards against waiting for a token that nobody will read."""
+    engine = bench.start()
+    set_faults(engine.address, first_token_s=20.0)
+    stream = bench.chat.open_chat(
+        bench.chat_request(engine.address, is_abandoned=lambda: True)
+    )
+    if isinstance(stream, upstream.ChatStream):
+        assert list(stream) == []
+        stream = stream.outcome.refusal
+    assert isinstance(stream, core.Refusal)
+    assert stream.kind is _Kind.CALLER_GONE
+
+
+@pytest.mark.parametrize(
+    ("faults", "kind", "run"),
+    [
+        ({"refuse": True}, _Kind.UPSTREAM_REFUSED, _Run.NOT_RUN),
+        ({"close_without_answer": True}, _Kind.UPSTREAM_FAILED, _Run.UNKNOWN),
+        ({"oversize_bytes": 2_000_000}, _INCOMPLETE, _Run.RAN),
+    ],
+    ids=["refused", "closed", "oversize"],
+)
+def test_faulty_service(
+    bench: Any,
+    set_faults: _SetFaults,
+    faults: dict[str, Any],
+    kind: _Kind,
+    run: _Run,
+) -> None:
+    """Guards against a wrong run state of a call that may not run twice."""
+    service = bench.start("service")
+    set_faults(service.address, **faults)
+    refusal = bench.service.call(
+        bench.service_request(service.address, bounds=_SMALL)
+    )
+    assert isinstance(refusal, core.Refusal)
+    assert refusal.kind is kind
+    assert refusal.run is run
+    expected = 0 if run is _Run.NOT_RUN else 1
+    assert len(_runs(service.address)) == expected
+
+
+def test_service_answers_pass_through(
+    bench: Any, set_faults: _SetFaults
+) -> None:
+    """Guards against errors of a service that turn into refusals."""
+    service = bench.start("service")
+    answer = bench.service.call(bench.service_request(service.address))
+    assert isinstance(answer, upstream.ServiceAnswer)
+    assert answer.status == 201
+    assert json.loads(answer.body)["serial"] == 1
+    bench.new_request()
+    set_faults(service.address, status=418)
+    answer = bench.service.call(bench.service_request(service.address))
+    assert isinstance(answer, upstream.ServiceAnswer)
+    assert answer.status == 418
+
+
+@pytest.mark.parametrize(
+    "header", ["X-A: b\r\nX-Forged: c", "X-A: \x00", "X-A: \u0142"]
+)
+def test_forged_headers_are_refused(bench: Any, header: str) -> None:
+    """Guards against header lines smuggled to a service."""
+    request = dataclasses.replace(
+        bench.service_request("127.0.0.1:9"), headers=[header]
+    )
+    refusal = bench.service.call(request)
+    assert isinstance(refusal, core.Refusal)
+    assert refusal.kind is _Kind.BAD_REQUEST
+    assert refusal.run is _Run.NOT_RUN
--- /dev/null
+++ b/libs/upstream/mulberry_upstream/tests/test_run_state.py
@@ -0,0 +1,227 @@
+"""Tests of run states and of calls that may run once, on bare sockets."""
+
+import socket
+import threading
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+import mulberry_core as core
+import mulberry_upstream as upstream
+
+_Run = core.RunState
+_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+
+class ClosingServer:
+    """Answers the first request; reads later ones whole and closes."""
+
+    def __init__(self) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self.bodies: list[bytes] = []
+        self._close_listener = False
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def refuse_connections_after_next(self) -> None:
+        """Stops listening before the next request is dropped."""
+        self._close_listener = True
+
+    def stop(self) -> None:
+        """Stops listening."""
+        self._listener.close()
+
+    def _serve(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            with connection:
+                while self._serve_one(connection):
+                    pass
+
+    def _serve_one(self, connection: socket.socket) -> bool:
+        with connection.makefile("rb") as reader:
+            length = 0
+            line = reader.readline()
+            if not line:
+                return False
+            while line not in (b"\r\n", b""):
+                if line.lower().startswith(b"content-length:"):
+                    length = int(line.split(b":")[1])
+                line = reader.readline()
+            self.bodies.append(reader.read(length))
+        if len(self.bodies) == 1:
+            connection.sendall(_ANSWER)
+            return True
+        if self._close_listener:
+            self._listener.close()
+        return False
+
+
+@pytest.fixture
+def server() -> Iterator[ClosingServer]:
+    made = ClosingServer()
+    yield made
+    made.stop()
+
+
+def test_call_that_may_run_once_is_sent_once(
+    bench: Any, server: ClosingServer
+) -> None:
+    """Guards against libcurl's own re-send (a deposit booked twice)."""
+    first = bench.service.call(
+        bench.service_request(server.address, body=b"first")
+    )
+    assert isinstance(first, upstream.ServiceAnswer)
+    bench.new_request()
+    second = bench.service.call(
+        bench.service_request(server.address, body=b"second")
+    )
+    assert isinstance(second, core.Refusal)
+    assert second.run is _Run.UNKNOWN
+    assert server.bodies.count(b"second") == 1
+
+
+def test_kept_connections_are_what_makes_libcurl_resend(
+    bench: Any, server: ClosingServer
+) -> None:
+    """Guards the test above: the server does provoke a re-send."""
+    for body in (b"first", b"second"):
+        bench.new_request()
+        request = bench.service_request(server.address, True, body)
+        answer = bench.service.call(request)
+    assert isinstance(answer, core.Refusal)
+    assert answer.run is _Run.UNKNOWN
+    assert server.bodies.count(b"second") == 2
+
+
+def test_refused_connection_after_a_resend_is_not_not_run(
+    bench: Any, server: ClosingServer
+) -> None:
+    """Guards against `not_run` when only the re-send was refused."""
+    bench.service.call(bench.service_request(server.address, True, b"first"))
+    bench.new_request()
+    server.refuse_connections_after_next()
+    refusal = bench.service.call(
+        bench.service_request(server.address, True, b"second")
+    )
+    assert isinstance(refusal, core.Refusal)
+    assert server.bodies.count(b"second") == 1
+    assert refusal.run is _Run.UNKNOWN
+
+
+def _closed_address() -> str:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+def test_refused_connection_is_not_run(bench: Any) -> None:
+    """Guards against callers who may not resend what never left."""
+    address = _closed_address()
+    for refusal in (
+        bench.service.call(bench.service_request(address)),
+        bench.chat.open_chat(bench.chat_request(address)),
+        bench.chat.chat(bench.chat_request(address, streamed=False)),
+    ):
+        assert isinstance(refusal, core.Refusal)
+        assert refusal.run is _Run.NOT_RUN
+        assert refusal.kind is core.ErrorKind.UPSTREAM_FAILED
+
+
+def test_connection_that_is_never_accepted_is_not_run(bench: Any) -> None:
+    """Guards against `unknown` for a connection that never came about."""
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        # Fills the accept queue, so that further connects get no answer.
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        refusal = bench.service.call(
+            bench.service_request(
+                address, bounds=upstream.Bounds(20.0, connect_s=0.3)
+            )
+        )
+        for filler in fillers:
+            filler.close()
+    assert isinstance(refusal, core.Refusal)
+    assert refusal.run is _Run.NOT_RUN
+
+
+def test_partly_sent_body_is_unknown(bench: Any) -> None:
+    """Guards against `not_run` when the upstream read part of a request."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def read_some() -> None:
+            connection, _ = listener.accept()
+            connection.recv(100)
+            connection.close()
+
+        thread = threading.Thread(target=read_some)
+        thread.start()
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        refusal = bench.service.call(
+            bench.service_request(address, body=b"x" * 20_000_000)
+        )
+        thread.join()
+    assert isinstance(refusal, core.Refusal)
+    assert refusal.run is _Run.UNKNOWN
+
+
+def test_answer_without_a_length_is_refused(bench: Any) -> None:
+    """Guards against a cut answer that looks like a short one."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def answer() -> None:
+            connection, _ = listener.accept()
+            connection.recv(65_536)
+            connection.sendall(b"HTTP/1.1 200 OK\r\n\r\n{}")
+            connection.close()
+
+        thread = threading.Thread(target=answer)
+        thread.start()
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        refusal = bench.service.call(bench.service_request(address))
+        thread.join()
+    assert isinstance(refusal, core.Refusal)
+    assert refusal.kind is core.ErrorKind.ANSWER_INCOMPLETE
+    assert refusal.run is _Run.RAN
+
+
+_State = upstream.AttemptState
+
+
+@pytest.mark.parametrize(
+    ("states", "run"),
+    [
+        ([], _Run.NOT_RUN),
+        ([_State.NOT_SENT, _State.REFUSED], _Run.NOT_RUN),
+        ([_State.NOT_SENT, _State.OPEN], _Run.UNKNOWN),
+        ([_State.OPEN, _State.REFUSED], _Run.UNKNOWN),
+        ([_State.OPEN, _State.ANSWERED, _State.REFUSED], _Run.RAN),
+    ],
+)
+def test_run_state_covers_all_attempts(
+    states: list[upstream.AttemptState], run: _Run
+) -> None:
+    """Guards against a retry that hides an earlier attempt."""
+    record = upstream.SendRecord()
+    for state in states:
+        record.begin("u1").settle(state)
+    assert record.run is run
+    assert record.refuse(core.ErrorKind.OVERLOADED, "x").run is run
+
+
+def test_settled_attempts_stay_settled() -> None:
+    """Guards against an answered attempt that turns into `not_run`."""
+    record = upstream.SendRecord()
+    attempt = record.begin("u1")
+    attempt.settle(_State.ANSWERED)
+    attempt.settle(_State.NOT_SENT)
+    assert record.run is _Run.RAN
