--- /dev/null
+++ b/libs/entry/mulberry_entry/_answer_stream.py
@@ -0,0 +1,85 @@
+"""The events of a streamed answer as the caller gets them."""
+
+from collections.abc import Callable, Iterator
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+import mulberry_upstream as upstream
+from mulberry_entry import _chat_run, _responses
+
+
+class AnswerStream:
+    """Passes events on and holds the end back until the bill is durable.
+
+    A class rather than a generator: the server calls `close` also when the
+    caller has gone before the first event, and the place must be given back.
+    """
+
+    def __init__(
+        self,
+        run: _chat_run.ChatRun,
+        stream: upstream.ResumingStream,
+        model: str,
+        version: str,
+        release: Callable[[decisions.Outcome], None],
+        on_complete: Callable[[str], None],
+    ) -> None:
+        self._run = run
+        self._stream = stream
+        self._model = model
+        self._version = version
+        self._release = release
+        self._on_complete = on_complete
+        self._ended = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Returns itself."""
+        return self
+
+    def __next__(self) -> bytes:
+        """Returns the next events."""
+        if self._ended:
+            raise StopIteration
+        block = next(self._stream, b"")
+        if block:
+            return block
+        self._ended = True
+        return self._end(self._stream.outcome)
+
+    def close(self) -> None:
+        """Cancels the run on the upstream if the caller has gone."""
+        if self._ended:
+            return
+        self._ended = True
+        self._stream.cancel()
+        gone = self._run.record.refuse(
+            core.ErrorKind.CALLER_GONE, "the caller closed the connection"
+        )
+        self._run.parts.counters.increment("entry.callers_gone")
+        self._run.failed(self._model, self._version, gone)
+        self._release(decisions.Outcome.CANCELED)
+
+    def _end(self, outcome: upstream.ChatOutcome) -> bytes:
+        """Returns the last events: the end of the answer, or the error."""
+        refusal = outcome.refusal
+        if isinstance(refusal, core.Missing):
+            self._run.completed(
+                self._model,
+                self._version,
+                outcome.tokens_in,
+                outcome.tokens_out,
+            )
+            refusal = self._run.bill()
+        else:
+            self._run.failed(self._model, self._version, refusal)
+        if isinstance(refusal, core.Refusal):
+            self._release(_chat_run.outcome_of(refusal))
+            self._run.parts.counters.increment(
+                f"entry.refusals.{refusal.kind.value}"
+            )
+            return _responses.refusal_event(
+                refusal, self._run.request.request_id
+            )
+        self._release(decisions.Outcome.COMPLETED)
+        self._on_complete(outcome.text)
+        return outcome.tail
--- /dev/null
+++ b/libs/entry/mulberry_entry/_app.py
@@ -0,0 +1,243 @@
+"""The WSGI application of an entry."""
+
+import hmac
+import select
+import socket
+import threading
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+import werkzeug
+from absl import logging
+from werkzeug import exceptions, routing
+
+import mulberry_core as core
+import mulberry_membership as membership
+import mulberry_rules as rules
+from mulberry_entry import (
+    _calls,
+    _chat,
+    _dispatch,
+    _entry_list,
+    _parts,
+    _requests,
+    _responses,
+    _server,
+)
+
+_Answer = werkzeug.Response | core.Refusal
+_Handler = Callable[..., _Answer]
+
+_URLS = routing.Map(
+    [
+        routing.Rule("/v1/entries", endpoint="entries", methods=["GET"]),
+        routing.Rule("/v1/models", endpoint="models", methods=["GET"]),
+        routing.Rule("/v1/chat/completions", endpoint="chat", methods=["POST"]),
+        routing.Rule(
+            "/v1/announcements", endpoint="announce", methods=["POST"]
+        ),
+        routing.Rule("/services/<service>/<path:path>", endpoint="call"),
+    ],
+    merge_slashes=False,
+)
+
+
+class EntryApp:
+    """Routes requests to their handlers and refusals to their answers."""
+
+    def __init__(self, parts: _parts.EntryParts) -> None:
+        self._parts = parts
+        dispatcher = _dispatch.Dispatcher(parts)
+        self._chat = _chat.ChatHandler(parts, dispatcher)
+        self._calls = _calls.CallHandler(parts, dispatcher)
+        self._leaving = threading.Event()
+        self._lock = threading.Lock()
+        self._running = 0
+        self._handlers_by_endpoint: Mapping[str, _Handler] = {
+            "entries": self._entries,
+            "models": self._models,
+            "chat": self._run_chat,
+            "announce": self._announce,
+            "call": self._run_call,
+        }
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Answers one request."""
+        http = werkzeug.Request(environ)
+        request_id = _requests.new_request_id()
+        with self._lock:
+            self._running += 1
+        response = self._respond(http, request_id)
+        response.call_on_close(self._finished)
+        if self._leaving.is_set():
+            _requests.close_after_answer(http)
+        return response(environ, start_response)
+
+    @property
+    def running(self) -> int:
+        """Requests that are being answered, streams included."""
+        with self._lock:
+            return self._running
+
+    def leave(self) -> None:
+        """Answers from now on close their connections."""
+        self._leaving.set()
+
+    def _finished(self) -> None:
+        with self._lock:
+            self._running -= 1
+
+    def _respond(
+        self, http: werkzeug.Request, request_id: str
+    ) -> werkzeug.Response:
+        try:
+            endpoint, values = _URLS.bind_to_environ(http.environ).match()
+            answer = self._handlers_by_endpoint[endpoint](
+                http, request_id, **values
+            )
+        except exceptions.HTTPException as error:
+            answer = core.Refusal(
+                core.ErrorKind.NOT_FOUND,
+                core.RunState.NOT_RUN,
+                f"{http.method} {http.path}: {error.name}",
+            )
+        except Exception:
+            logging.exception("request %s failed", request_id)
+            answer = core.Refusal(
+                core.ErrorKind.INTERNAL, core.RunState.UNKNOWN, "see the log"
+            )
+        if isinstance(answer, core.Refusal):
+            self._parts.counters.increment(
+                f"entry.refusals.{answer.kind.value}"
+            )
+            return _responses.refusal_response(answer, request_id)
+        self._parts.counters.increment("entry.answers")
+        return answer
+
+    def _entries(self, http: werkzeug.Request, request_id: str) -> _Answer:
+        zone = http.args.get("zone", core.Missing.UNSET)
+        records = self._parts.soft_state.records(membership.RecordKind.ENTRY)
+        return _responses.json_response(
+            200,
+            _entry_list.entry_list_body(
+                [
+                    _entry_list.EntryState.decode(record.payload)
+                    for record in records.values()
+                ],
+                zone,
+                self._parts.timing.entries_keep_s,
+            ),
+        )
+
+    def _models(self, http: werkzeug.Request, request_id: str) -> _Answer:
+        read = self._read(http, request_id)
+        if isinstance(read, core.Refusal):
+            return read
+        request, in_force = read
+        names = [*in_force.models_by_name, *in_force.cascades_by_name]
+        usable = [
+            name
+            for name in names
+            if not isinstance(
+                _chat.plan_models(in_force, request.team, name), core.Refusal
+            )
+        ]
+        data = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "router"}
+            for name in usable
+        ]
+        return _responses.json_response(200, {"object": "list", "data": data})
+
+    def _run_chat(self, http: werkzeug.Request, request_id: str) -> _Answer:
+        read = self._read(http, request_id)
+        if isinstance(read, core.Refusal):
+            return read
+        request, in_force = read
+        return self._chat.handle(request, in_force, _gone_check(http))
+
+    def _run_call(
+        self,
+        http: werkzeug.Request,
+        request_id: str,
+        service: str,
+        path: str,
+    ) -> _Answer:
+        read = self._read(http, request_id)
+        if isinstance(read, core.Refusal):
+            return read
+        request, in_force = read
+        return self._calls.handle(
+            request, http, service, path, in_force, _gone_check(http)
+        )
+
+    def _announce(self, http: werkzeug.Request, request_id: str) -> _Answer:
+        body = _requests.read_body(http, membership.MAX_ANNOUNCEMENT_BYTES)
+        if isinstance(body, core.Refusal):
+            return body
+        if not self._may_announce(http):
+            return core.Refusal(
+                core.ErrorKind.UNAUTHENTICATED,
+                core.RunState.NOT_RUN,
+                "the announcement key is missing or wrong",
+            )
+        parsed = membership.parse_announcement(body)
+        if isinstance(parsed, core.Refusal):
+            return parsed
+        outcome = self._parts.directory.announce(parsed)
+        return _responses.json_response(200, {"outcome": outcome.value})
+
+    def _may_announce(self, http: werkzeug.Request) -> bool:
+        expected = self._parts.announce_key_hash
+        if isinstance(expected, core.Missing):
+            return True
+        key = _requests.bearer_key(http)
+        return not isinstance(key, core.Missing) and hmac.compare_digest(
+            _requests.hash_key(key), expected
+        )
+
+    def _read(
+        self, http: werkzeug.Request, request_id: str
+    ) -> tuple[_requests.CallerRequest, rules.Rules] | core.Refusal:
+        """Reads a request of a team under rules that are in force."""
+        client = self._parts.state
+        view = client.view()
+        if isinstance(view.rules, core.Missing):
+            return core.Refusal(
+                core.ErrorKind.NO_RULES, core.RunState.NOT_RUN, "no rules yet"
+            )
+        if client.lease_remaining_s() <= 0:
+            return core.Refusal(
+                core.ErrorKind.RULES_LEASE_EXPIRED,
+                core.RunState.NOT_RUN,
+                "no quorum has confirmed the rules of this instance lately",
+            )
+        request = _requests.read_request(
+            http,
+            view.rules,
+            self._parts.limits.max_body_bytes,
+            request_id,
+            self._parts.clock.now(),
+        )
+        if isinstance(request, core.Refusal):
+            return request
+        return request, view.rules
+
+
+def _gone_check(http: werkzeug.Request) -> Callable[[], bool]:
+    """Returns a check whether the caller has closed its connection."""
+    http_request = http.environ.get(_server.REQUEST_KEY)
+    connection = getattr(http_request, "conn", None)
+    caller_socket = getattr(connection, "socket", None)
+    if not isinstance(caller_socket, socket.socket):
+        return lambda: False
+
+    def is_gone() -> bool:
+        try:
+            readable, _, _ = select.select([caller_socket], [], [], 0)
+            return bool(readable) and not caller_socket.recv(1, socket.MSG_PEEK)
+        except (OSError, ValueError):
+            return True
+
+    return is_gone
--- /dev/null
+++ b/libs/entry/mulberry_entry/_billing.py
@@ -0,0 +1,123 @@
+"""Bills and settled claims: durable before the end of an answer is sent."""
+
+import collections
+import threading
+import uuid
+
+from absl import logging
+
+import mulberry_core as core
+import mulberry_state as state
+
+#: Settlements and releases that wait for a quorum; each holds one answer of at most the
+#: size that is kept for replay.
+_MAX_WAITING = 10_000
+
+_RETRY_PERIOD_S = 0.5
+_RETRY_TIMEOUT_S = 2.0
+_RELEASE_TIMEOUT_S = 1.0
+
+
+_Waiting = state.SettleClaim | state.ReleaseClaim
+
+
+class Biller:
+    """Commits bills and settles claims through the replicated state."""
+
+    def __init__(
+        self,
+        client: state.StateClient,
+        timers: core.TimerService,
+        tasks: core.TaskPool,
+        counters: core.Counters,
+    ) -> None:
+        self._client = client
+        self._counters = counters
+        self._lock = threading.Lock()
+        self._waiting: collections.deque[_Waiting] = collections.deque()
+        self._due = threading.Event()
+        timers.every(_RETRY_PERIOD_S, self._due.set, "settle retries")
+        tasks.spawn("settle retries", self._retry)
+
+    def bill(
+        self, bill: state.Bill, timeout_s: float
+    ) -> core.Refusal | core.Missing:
+        """Commits a bill; a refusal means the end may not be passed on."""
+        command = state.RecordBill(uuid.uuid4().hex, bill)
+        result = self._client.propose(command, timeout_s)
+        if isinstance(result, state.BillRecorded):
+            self._counters.increment("entry.bills")
+            return core.Missing.UNSET
+        if isinstance(result, state.BillMismatch):
+            return core.Refusal(
+                core.ErrorKind.IDEMPOTENCY_KEY_REUSED,
+                core.RunState.RAN,
+                f"key {bill.key} was billed for another body",
+            )
+        self._counters.increment("entry.bills_failed")
+        return core.Refusal(
+            core.ErrorKind.BILL_NOT_RECORDED, core.RunState.RAN, str(result)
+        )
+
+    def settle(
+        self, command: state.SettleClaim, timeout_s: float
+    ) -> core.Refusal | core.Missing:
+        """Records an answer and its bill.
+
+        The call has run and may not run again, so a settlement that finds no
+        quorum is tried again until it is recorded; a caller who sends the
+        call again then gets the recorded answer.
+        """
+        result = self._client.propose(command, timeout_s)
+        if isinstance(result, state.ClaimSettled):
+            self._counters.increment("entry.bills")
+            return core.Missing.UNSET
+        self._counters.increment("entry.settlements_delayed")
+        self._queue(command)
+        return core.Refusal(
+            core.ErrorKind.BILL_NOT_RECORDED, core.RunState.RAN, str(result)
+        )
+
+    def release(self, command: state.ReleaseClaim) -> None:
+        """Gives a claim back; tried again until a quorum records it."""
+        result = self._client.propose(command, _RELEASE_TIMEOUT_S)
+        if isinstance(result, core.Refusal):
+            self.release_later(command)
+
+    def release_later(self, command: state.ReleaseClaim) -> None:
+        """Gives a claim back that may have been committed without a result."""
+        self._queue(command)
+        self._due.set()
+
+    def waiting(self) -> int:
+        """Returns how many settlements and releases are not recorded yet."""
+        with self._lock:
+            return len(self._waiting)
+
+    def _queue(self, command: _Waiting) -> None:
+        with self._lock:
+            if len(self._waiting) >= _MAX_WAITING:
+                # The claim stays open: callers are told "unknown", which is
+                # true, and the call is never run again.
+                self._waiting.popleft()
+                logging.error("dropped a settlement; its claim stays open")
+            self._waiting.append(command)
+
+    def _retry(self, stop: threading.Event) -> None:
+        while not stop.is_set():
+            if not self._due.wait(_RETRY_PERIOD_S):
+                continue
+            self._due.clear()
+            self._retry_waiting(stop)
+
+    def _retry_waiting(self, stop: threading.Event) -> None:
+        while not stop.is_set():
+            with self._lock:
+                if not self._waiting:
+                    return
+                command = self._waiting[0]
+            result = self._client.propose(command, _RETRY_TIMEOUT_S)
+            if isinstance(result, core.Refusal):
+                return
+            with self._lock:
+                self._waiting.remove(command)
--- /dev/null
+++ b/libs/entry/mulberry_entry/_calls.py
@@ -0,0 +1,369 @@
+"""Calls of plain services, repeatable ones and those that run at most once."""
+
+import urllib.parse
+import uuid
+from collections.abc import Callable, Mapping
+
+import werkzeug
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+import mulberry_rules as rules
+import mulberry_state as state
+import mulberry_upstream as upstream
+from mulberry_entry import _dispatch, _parts, _requests, _work
+
+_CLAIM_TIMEOUT_S = 3.0
+_MIN_SETTLE_TIMEOUT_S = 1.0
+_MAX_SENDS = 3
+
+#: Tokens that a call counts for in limits.
+_CALL_TOKENS = 0
+
+_OUTCOME_BY_KIND: Mapping[core.ErrorKind, decisions.Outcome] = {
+    core.ErrorKind.UPSTREAM_REFUSED: decisions.Outcome.REFUSED,
+    core.ErrorKind.ANSWER_INCOMPLETE: decisions.Outcome.TRUNCATED,
+    core.ErrorKind.DEADLINE_EXCEEDED: decisions.Outcome.LATE,
+    core.ErrorKind.CALLER_GONE: decisions.Outcome.CANCELED,
+}
+
+_RETRYABLE = frozenset(
+    {
+        core.ErrorKind.UPSTREAM_REFUSED,
+        core.ErrorKind.UPSTREAM_FAILED,
+        core.ErrorKind.ANSWER_INCOMPLETE,
+    }
+)
+
+#: Headers of the caller that reach the service.
+_PASSED_HEADERS = ("Content-Type", "Accept", "Accept-Language", "If-Match")
+
+#: Headers of the service's answer that reach the caller.
+_RETURNED_HEADERS = ("etag", "location", "cache-control", "last-modified")
+
+
+class Call:
+    """One call with everything that its sends share."""
+
+    def __init__(
+        self,
+        request: _requests.CallerRequest,
+        service: str,
+        method: str,
+        path: str,
+        kind: rules.Kind,
+        headers: tuple[str, ...],
+        is_abandoned: Callable[[], bool],
+    ) -> None:
+        self.request = request
+        self.service = service
+        self.method = method
+        #: Path with query below the service.
+        self.path = path
+        self.kind = kind
+        self.headers = headers
+        self.is_abandoned = is_abandoned
+        self.record = upstream.SendRecord()
+        content = f"{method} {service} {path}\n".encode() + request.body
+        self.work = _work.call_work(request, kind, content)
+        #: Names the whole call: the same key with another path is an error.
+        self.digest = core.digest128(content)
+
+
+class CallHandler:
+    """Answers `/services/SERVICE/…`."""
+
+    def __init__(
+        self, parts: _parts.EntryParts, dispatcher: _dispatch.Dispatcher
+    ) -> None:
+        self._parts = parts
+        self._dispatcher = dispatcher
+
+    def handle(
+        self,
+        request: _requests.CallerRequest,
+        http: werkzeug.Request,
+        service: str,
+        path: str,
+        in_force: rules.Rules,
+        is_abandoned: Callable[[], bool],
+    ) -> werkzeug.Response | core.Refusal:
+        """Returns the answer of the service, or of its recorded run."""
+        refusal = check_allowed(in_force, request.team, service)
+        if isinstance(refusal, core.Refusal):
+            return refusal
+        below = "/" + urllib.parse.quote(path, safe="/:@!$&'()*+,;=~-._")
+        kind = _work.call_kind(in_force, service, http.method, below)
+        query = http.environ.get("QUERY_STRING", "")
+        call = Call(
+            request,
+            service,
+            http.method,
+            f"{below}?{query}" if query else below,
+            kind,
+            tuple(
+                f"{name}: {http.headers[name]}"
+                for name in _PASSED_HEADERS
+                if name in http.headers
+            ),
+            is_abandoned,
+        )
+        return self._admitted(call)
+
+    def _admitted(self, call: Call) -> werkzeug.Response | core.Refusal:
+        made = self._parts.decisions
+        taken = made.team_limiter.take(call.work.team, _CALL_TOKENS)
+        if isinstance(taken, core.Refusal):
+            return taken
+        ticket = made.admission.enter(call.work)
+        if isinstance(ticket, core.Refusal):
+            return ticket
+        made.retry_budget.request_started(call.work)
+        outcome = decisions.Outcome.FAILED
+        try:
+            run = self._repeatable if call.kind.idempotent else self._once
+            answer = run(call)
+            if not isinstance(answer, core.Refusal):
+                outcome = decisions.Outcome.COMPLETED
+            return answer
+        finally:
+            ticket.release(outcome)
+
+    def _repeatable(self, call: Call) -> werkzeug.Response | core.Refusal:
+        answer = self._send_with_retries(call)
+        if isinstance(answer, core.Refusal):
+            return answer
+        billed = self._parts.biller.bill(
+            self._bill(call), max(_MIN_SETTLE_TIMEOUT_S, self._left_s(call))
+        )
+        if isinstance(billed, core.Refusal):
+            return billed
+        return _answer_response(call, answer)
+
+    def _once(self, call: Call) -> werkzeug.Response | core.Refusal:
+        """Claims the call before the first byte and settles it afterwards."""
+        claimed = self._claim(call)
+        if not isinstance(claimed, state.ClaimGranted):
+            return claimed
+        answer = self._send_with_retries(call)
+        if isinstance(answer, core.Refusal):
+            if call.record.run is core.RunState.NOT_RUN:
+                self._parts.biller.release(_release_of(call))
+            return answer
+        settled = self._parts.biller.settle(
+            self._settlement(call, answer),
+            max(_MIN_SETTLE_TIMEOUT_S, self._left_s(call)),
+        )
+        if isinstance(settled, core.Refusal):
+            return settled
+        return _answer_response(call, answer)
+
+    def _claim(
+        self, call: Call
+    ) -> state.ClaimGranted | werkzeug.Response | core.Refusal:
+        result = self._parts.state.propose(
+            state.ClaimCall(
+                uuid.uuid4().hex,
+                call.request.team,
+                call.request.key,
+                call.digest,
+                call.kind.name,
+                call.request.request_id,
+                self._parts.instance,
+            ),
+            min(_CLAIM_TIMEOUT_S, max(0.0, self._left_s(call))),
+        )
+        if isinstance(result, core.Refusal):
+            # Nothing was sent. The claim may still be committed later; it
+            # is given back so that the key can be used again.
+            self._parts.biller.release_later(_release_of(call))
+        return _claim_answer(call, result)
+
+    def _send_with_retries(
+        self, call: Call
+    ) -> upstream.ServiceAnswer | core.Refusal:
+        exclude: set[str] = set()
+        failure: core.Refusal | core.Missing = core.Missing.UNSET
+        for _ in range(_MAX_SENDS):
+            held = self._dispatcher.reserve(
+                call.work,
+                _dispatch.Destination(call.request.team, call.service, ""),
+                call.record.run,
+                exclude,
+            )
+            if isinstance(held, core.Refusal):
+                return held if isinstance(failure, core.Missing) else failure
+            answer = self._send(call, held)
+            if not isinstance(answer, core.Refusal):
+                return answer
+            failure = answer
+            exclude.add(held.chosen.name)
+            if not self._may_retry(call, answer):
+                break
+        assert isinstance(failure, core.Refusal)
+        return failure
+
+    def _send(
+        self, call: Call, held: _dispatch.Reservation
+    ) -> upstream.ServiceAnswer | core.Refusal:
+        left_s = max(0.0, self._left_s(call))
+        answer = self._parts.service.call(
+            upstream.ServiceRequest(
+                permit=held.permit,
+                record=call.record,
+                request_id=call.request.request_id,
+                method=call.method,
+                path=call.path,
+                headers=call.headers,
+                body=call.request.body,
+                idempotent=call.kind.idempotent,
+                bounds=upstream.Bounds(total_s=left_s, first_byte_s=left_s),
+                idempotency_key=""
+                if isinstance(call.request.idempotency_key, core.Missing)
+                else call.request.idempotency_key,
+                is_abandoned=call.is_abandoned
+                if call.kind.idempotent
+                else lambda: False,
+            )
+        )
+        if not isinstance(answer, core.Refusal):
+            held.end(decisions.Outcome.COMPLETED)
+        elif (
+            answer.kind is core.ErrorKind.UPSTREAM_FAILED
+            and answer.run is not core.RunState.NOT_RUN
+        ):
+            self._dispatcher.connection_broke(held)
+        else:
+            held.end(
+                _OUTCOME_BY_KIND.get(answer.kind, decisions.Outcome.FAILED)
+            )
+        return answer
+
+    def _may_retry(self, call: Call, refusal: core.Refusal) -> bool:
+        return (
+            refusal.kind in _RETRYABLE
+            and self._left_s(call) > 0
+            and self._parts.decisions.retry_budget.try_retry(
+                call.work, refusal.run
+            )
+        )
+
+    def _left_s(self, call: Call) -> float:
+        return call.work.deadline_at_s - self._parts.clock.now()
+
+    def _bill(self, call: Call) -> state.Bill:
+        return state.Bill(
+            team=call.request.team,
+            key=call.request.key,
+            request_id=call.request.request_id,
+            kind=call.kind.name,
+            model=call.service,
+            version="",
+            tokens_in=0,
+            tokens_out=0,
+            cost=0.0,
+            body_digest=call.digest,
+        )
+
+    def _settlement(
+        self, call: Call, answer: upstream.ServiceAnswer
+    ) -> state.SettleClaim:
+        kept = len(answer.body) <= self._parts.limits.max_kept_answer_bytes
+        return state.SettleClaim(
+            uuid.uuid4().hex,
+            call.request.team,
+            call.request.key,
+            call.request.request_id,
+            state.Answer(
+                answer.status,
+                answer.content_type,
+                answer.body if kept else b"",
+                kept,
+            ),
+            self._bill(call),
+        )
+
+
+def _release_of(call: Call) -> state.ReleaseClaim:
+    return state.ReleaseClaim(
+        uuid.uuid4().hex,
+        call.request.team,
+        call.request.key,
+        call.request.request_id,
+    )
+
+
+def check_allowed(
+    in_force: rules.Rules, team: str, service: str
+) -> core.Refusal | core.Missing:
+    """Refuses services that are unknown or not allowed."""
+    if service not in in_force.services_by_name:
+        return core.Refusal(
+            core.ErrorKind.UNKNOWN_SERVICE,
+            core.RunState.NOT_RUN,
+            f"no service {service!r}",
+        )
+    if not in_force.allows_service(team, service):
+        return core.Refusal(
+            core.ErrorKind.NOT_ALLOWED,
+            core.RunState.NOT_RUN,
+            f"team {team} may not use {service}",
+        )
+    return core.Missing.UNSET
+
+
+def _claim_answer(
+    call: Call, result: state.Result | core.Refusal
+) -> state.ClaimGranted | werkzeug.Response | core.Refusal:
+    if isinstance(result, state.ClaimGranted | core.Refusal):
+        return result
+    if isinstance(result, state.ClaimMismatch):
+        return core.Refusal(
+            core.ErrorKind.IDEMPOTENCY_KEY_REUSED,
+            core.RunState.NOT_RUN,
+            f"key {call.request.key} belongs to another call",
+        )
+    if isinstance(result, state.ClaimOpen):
+        return core.Refusal(
+            core.ErrorKind.CLAIM_OPEN,
+            core.RunState.UNKNOWN,
+            f"request {result.request_id} at {result.entry} holds the key",
+        )
+    if isinstance(result, state.ClaimRecorded):
+        return _replayed(call, result)
+    return core.Refusal(
+        core.ErrorKind.INTERNAL, core.RunState.NOT_RUN, f"result {result}"
+    )
+
+
+def _replayed(
+    call: Call, result: state.ClaimRecorded
+) -> werkzeug.Response | core.Refusal:
+    answer = result.answer
+    if not answer.kept:
+        return core.Refusal(
+            core.ErrorKind.ANSWER_NOT_KEPT,
+            core.RunState.RAN,
+            f"request {result.request_id} has run",
+        )
+    return werkzeug.Response(
+        answer.body,
+        answer.status,
+        {
+            "X-Request-Id": call.request.request_id,
+            "X-Mulberry-Replayed": result.request_id,
+        },
+        content_type=answer.content_type,
+    )
+
+
+def _answer_response(
+    call: Call, answer: upstream.ServiceAnswer
+) -> werkzeug.Response:
+    headers = {"X-Request-Id": call.request.request_id}
+    for name in _RETURNED_HEADERS:
+        if name in answer.header_by_name:
+            headers[name] = answer.header_by_name[name]
+    return werkzeug.Response(
+        answer.body, answer.status, headers, content_type=answer.content_type
+    )
--- /dev/null
+++ b/libs/entry/mulberry_entry/_chat.py
@@ -0,0 +1,321 @@
+"""Chat completions: from the caller's request to the end of the answer."""
+
+import dataclasses
+import json
+from collections.abc import Callable, Iterator
+
+import werkzeug
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+import mulberry_rules as rules
+import mulberry_upstream as upstream
+from mulberry_entry import (
+    _answer_stream,
+    _chat_run,
+    _dispatch,
+    _parts,
+    _rater,
+    _requests,
+    _responses,
+    _versions,
+    _work,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """The models that may answer a request."""
+
+    #: Allowed models, cheapest first.
+    options: tuple[decisions.ModelOption, ...]
+    #: Quality that was promised, 0 where the caller named a model.
+    quality: float
+    #: Whether the caller named a cascade.
+    is_cascade: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Finished:
+    """A billed whole answer."""
+
+    answer: upstream.ChatAnswer
+    model: str
+    version: str
+
+
+class ChatHandler:
+    """Answers `POST /v1/chat/completions`."""
+
+    def __init__(
+        self, parts: _parts.EntryParts, dispatcher: _dispatch.Dispatcher
+    ) -> None:
+        self._parts = parts
+        self._dispatcher = dispatcher
+        self._picker = _versions.VersionPicker(parts)
+
+    def handle(
+        self,
+        request: _requests.CallerRequest,
+        in_force: rules.Rules,
+        is_abandoned: Callable[[], bool],
+    ) -> werkzeug.Response | core.Refusal:
+        """Returns the answer; a stream goes on after this returns."""
+        chat = _work.parse_chat(request.body)
+        if isinstance(chat, core.Refusal):
+            return chat
+        kind = _work.chat_kind(request, chat, in_force)
+        if isinstance(kind, core.Refusal):
+            return kind
+        plan = plan_models(in_force, request.team, chat.requested)
+        if isinstance(plan, core.Refusal):
+            return plan
+        work = _work.chat_work(request, chat, kind)
+        return self._admitted(request, chat, kind, work, plan, is_abandoned)
+
+    def _admitted(
+        self,
+        request: _requests.CallerRequest,
+        chat: _work.Chat,
+        kind: rules.Kind,
+        work: decisions.Work,
+        plan: Plan,
+        is_abandoned: Callable[[], bool],
+    ) -> werkzeug.Response | core.Refusal:
+        made = self._parts.decisions
+        taken = made.team_limiter.take(work.team, work.expected_tokens)
+        if isinstance(taken, core.Refusal):
+            return taken
+        ticket = made.admission.enter(work)
+        if isinstance(ticket, core.Refusal):
+            made.team_limiter.settle(taken, 0)
+            return ticket
+        made.retry_budget.request_started(work)
+        run = _chat_run.ChatRun(
+            self._parts,
+            self._dispatcher,
+            request,
+            chat,
+            kind,
+            work,
+            is_abandoned,
+        )
+
+        def release(outcome: decisions.Outcome) -> None:
+            made.team_limiter.settle(taken, run.tokens)
+            ticket.release(outcome)
+
+        try:
+            if chat.stream and not plan.is_cascade:
+                return self._stream(run, plan, release)
+            finished = self._finish(run, plan)
+        except BaseException:
+            release(decisions.Outcome.FAILED)
+            raise
+        if isinstance(finished, core.Refusal):
+            release(_chat_run.outcome_of(finished))
+            return finished
+        release(decisions.Outcome.COMPLETED)
+        return _whole_response(run, finished)
+
+    def _stream(
+        self,
+        run: _chat_run.ChatRun,
+        plan: Plan,
+        release: Callable[[decisions.Outcome], None],
+    ) -> werkzeug.Response | core.Refusal:
+        model = plan.options[0].name
+        version = self._picker.pick(run.request, run.work, model)
+        opened: upstream.ResumingStream | core.Refusal
+        if isinstance(version, core.Refusal):
+            release(decisions.Outcome.REFUSED)
+            return version
+        opened = run.open(model, version)
+        if isinstance(opened, core.Refusal):
+            release(_chat_run.outcome_of(opened))
+            return opened
+        events = _answer_stream.AnswerStream(
+            run,
+            opened,
+            model,
+            version,
+            release,
+            lambda text: self._sample(run, text, plan.quality),
+        )
+        return _responses.stream_response(
+            events, answer_headers(run, model, version)
+        )
+
+    def _finish(
+        self, run: _chat_run.ChatRun, plan: Plan
+    ) -> Finished | core.Refusal:
+        finished = (
+            self._cascade(run, plan)
+            if plan.is_cascade
+            else self._run_model(run, plan.options[0].name)
+        )
+        if isinstance(finished, core.Refusal):
+            return finished
+        billed = run.bill()
+        if isinstance(billed, core.Refusal):
+            return billed
+        if not plan.is_cascade:
+            self._sample(run, finished.answer.text, plan.quality)
+        return finished
+
+    def _run_model(
+        self, run: _chat_run.ChatRun, model: str
+    ) -> Finished | core.Refusal:
+        version = self._picker.pick(run.request, run.work, model)
+        if isinstance(version, core.Refusal):
+            return dataclasses.replace(version, run=run.record.run)
+        answer = run.whole(model, version)
+        if isinstance(answer, core.Refusal):
+            return answer
+        return Finished(answer, model, version)
+
+    def _cascade(
+        self, run: _chat_run.ChatRun, plan: Plan
+    ) -> Finished | core.Refusal:
+        chooser = self._parts.decisions.model_chooser
+        finished_by_model: dict[str, Finished] = {}
+        attempts: list[decisions.Attempt] = []
+        last: core.Refusal | core.Missing = core.Missing.UNSET
+        step: decisions.TryModel | decisions.Deliver | core.Refusal
+        step = chooser.first(run.work, plan.options, plan.quality)
+        while isinstance(step, decisions.TryModel):
+            finished = self._run_model(run, step.model)
+            rating: float | core.Missing = core.Missing.UNSET
+            if isinstance(finished, core.Refusal):
+                last = finished
+            else:
+                finished_by_model[step.model] = finished
+                rating = self._rate(run, finished, plan.quality)
+            attempts.append(
+                decisions.Attempt(
+                    step.model, rating, step.model in finished_by_model
+                )
+            )
+            if run.remaining_s <= 0 and not finished_by_model:
+                break
+            step = chooser.next(run.work, plan.options, plan.quality, attempts)
+        if isinstance(step, decisions.Deliver):
+            return finished_by_model[step.model]
+        if isinstance(last, core.Refusal):
+            return last
+        assert isinstance(step, core.Refusal)
+        return dataclasses.replace(step, run=run.record.run)
+
+    def _rate(
+        self, run: _chat_run.ChatRun, finished: Finished, quality: float
+    ) -> float | core.Missing:
+        timeout_s = min(_rater.RATE_TIMEOUT_S, run.remaining_s)
+        rating: float | core.Missing = core.Missing.UNSET
+        if timeout_s > 0:
+            rating = self._parts.rater.rate(
+                run.chat.prompt, finished.answer.text, timeout_s
+            )
+        made = self._parts.decisions
+        if not isinstance(rating, core.Missing):
+            made.model_chooser.learn(run.work, finished.model, rating, quality)
+        made.version_judge.observe(run.completed_observation(rating, quality))
+        return rating
+
+    def _sample(
+        self, run: _chat_run.ChatRun, text: str, quality: float
+    ) -> None:
+        observation = run.completed_observation(core.Missing.UNSET, quality)
+        view = self._parts.state.view()
+        standing = _versions.standing_of(
+            view, observation.model, observation.version
+        )
+        in_force = view.rules
+        rollout = (
+            None
+            if isinstance(in_force, core.Missing)
+            else in_force.rollouts_by_model.get(observation.model)
+        )
+        is_new = standing is not decisions.Standing.GOOD or (
+            rollout is not None and rollout.to_version == observation.version
+        )
+        self._parts.ratings.completed(
+            observation, run.chat.prompt, text, is_new
+        )
+
+
+def plan_models(
+    in_force: rules.Rules, team: str, requested: str
+) -> Plan | core.Refusal:
+    """Returns the models that may answer, cheapest first."""
+    cascade = in_force.cascades_by_name.get(requested)
+    names = cascade.models if cascade else (requested,)
+    if not cascade and requested not in in_force.models_by_name:
+        return core.Refusal(
+            core.ErrorKind.UNKNOWN_MODEL,
+            core.RunState.NOT_RUN,
+            f"no model or cascade {requested!r}",
+        )
+    options = tuple(
+        decisions.ModelOption(name, model.cost_per_1k_tokens, model.quality)
+        for name in names
+        if (model := in_force.models_by_name.get(name))
+        and _allows_some_version(in_force, team, name)
+    )
+    if not options:
+        return core.Refusal(
+            core.ErrorKind.NOT_ALLOWED,
+            core.RunState.NOT_RUN,
+            f"team {team} may not use {requested}",
+        )
+    quality = cascade.quality if cascade else options[0].quality
+    return Plan(options, quality, cascade is not None)
+
+
+def answer_headers(
+    run: _chat_run.ChatRun, model: str, version: str
+) -> dict[str, str]:
+    """Returns the headers that tell where an answer comes from."""
+    return {
+        "X-Request-Id": run.request.request_id,
+        "X-Mulberry-Model": model,
+        "X-Mulberry-Version": version,
+    }
+
+
+def _allows_some_version(in_force: rules.Rules, team: str, model: str) -> bool:
+    return any(
+        in_force.allows(team, model, known.version)
+        for known in in_force.versions_by_model.get(model, ())
+    )
+
+
+def _whole_response(
+    run: _chat_run.ChatRun, finished: Finished
+) -> werkzeug.Response:
+    headers = answer_headers(run, finished.model, finished.version)
+    if run.chat.stream:
+        return _responses.stream_response(_events_of(finished.answer), headers)
+    return werkzeug.Response(
+        finished.answer.body,
+        200,
+        headers,
+        content_type=finished.answer.content_type,
+    )
+
+
+def _events_of(answer: upstream.ChatAnswer) -> Iterator[bytes]:
+    """Turns a whole answer into the streaming form."""
+    whole = json.loads(answer.body)
+    base = {
+        key: whole[key] for key in ("id", "created", "model") if key in whole
+    }
+    base["object"] = "chat.completion.chunk"
+    deltas: tuple[tuple[dict[str, str], str | None], ...] = (
+        ({"role": "assistant", "content": answer.text}, None),
+        ({}, answer.finish_reason),
+    )
+    for delta, finish_reason in deltas:
+        choice = {"index": 0, "delta": delta, "finish_reason": finish_reason}
+        event = json.dumps({**base, "choices": [choice]})
+        yield f"data: {event}\n\n".encode()
+    yield b"data: [DONE]\n\n"
--- /dev/null
+++ b/libs/entry/mulberry_entry/_chat_run.py
@@ -0,0 +1,316 @@
+"""One chat request on its way through models, upstreams and the bill."""
+
+import dataclasses
+from collections.abc import Callable, Mapping
+from typing import TypeVar
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+import mulberry_rules as rules
+import mulberry_state as state
+import mulberry_upstream as upstream
+from mulberry_entry import _dispatch, _parts, _requests, _work
+
+T = TypeVar("T")
+
+#: Sends of one request to one model, the first included.
+_MAX_SENDS = 3
+
+#: Bills get at least this long, also when the deadline is near: the answer
+#: is complete and only its bill is missing.
+_MIN_BILL_TIMEOUT_S = 1.0
+_MAX_BILL_TIMEOUT_S = 5.0
+
+#: Failures after which another upstream may do better.
+_RETRYABLE = frozenset(
+    {
+        core.ErrorKind.UPSTREAM_REFUSED,
+        core.ErrorKind.UPSTREAM_FAILED,
+        core.ErrorKind.ANSWER_INCOMPLETE,
+        core.ErrorKind.ANSWER_MISMATCHED,
+    }
+)
+
+_OUTCOME_BY_KIND: Mapping[core.ErrorKind, decisions.Outcome] = {
+    core.ErrorKind.UPSTREAM_REFUSED: decisions.Outcome.REFUSED,
+    core.ErrorKind.UPSTREAM_FAILED: decisions.Outcome.FAILED,
+    core.ErrorKind.ANSWER_INCOMPLETE: decisions.Outcome.TRUNCATED,
+    core.ErrorKind.ANSWER_MISMATCHED: decisions.Outcome.GARBLED,
+    core.ErrorKind.DEADLINE_EXCEEDED: decisions.Outcome.LATE,
+    core.ErrorKind.CALLER_GONE: decisions.Outcome.CANCELED,
+}
+
+#: Failures that may be the loss of the upstream.
+_BROKEN = frozenset(
+    {core.ErrorKind.UPSTREAM_FAILED, core.ErrorKind.ANSWER_INCOMPLETE}
+)
+
+
+def outcome_of(refusal: core.Refusal) -> decisions.Outcome:
+    """Returns how a refused run ended."""
+    return _OUTCOME_BY_KIND.get(refusal.kind, decisions.Outcome.FAILED)
+
+
+@dataclasses.dataclass(frozen=True)
+class Charge:
+    """Tokens of one run that completed."""
+
+    model: str
+    version: str
+    tokens_in: int
+    tokens_out: int
+
+
+class ChatRun:
+    """Sends one chat request and accounts for all of its runs."""
+
+    def __init__(
+        self,
+        parts: _parts.EntryParts,
+        dispatcher: _dispatch.Dispatcher,
+        request: _requests.CallerRequest,
+        chat: _work.Chat,
+        kind: rules.Kind,
+        work: decisions.Work,
+        is_abandoned: Callable[[], bool],
+    ) -> None:
+        self.parts = parts
+        self.request = request
+        self.chat = chat
+        self.kind = kind
+        self.work = work
+        #: All sends of the request; the only source of run states.
+        self.record = upstream.SendRecord()
+        self._dispatcher = dispatcher
+        self._is_abandoned = is_abandoned
+        self._charges: list[Charge] = []
+        self._reservation: _dispatch.Reservation | None = None
+        self._broken = 0
+        self._latency_s: float | core.Missing = core.Missing.UNSET
+
+    @property
+    def remaining_s(self) -> float:
+        """Seconds until the deadline."""
+        return self.work.deadline_at_s - self.parts.clock.now()
+
+    @property
+    def tokens(self) -> int:
+        """Tokens of all completed runs."""
+        return sum(item.tokens_in + item.tokens_out for item in self._charges)
+
+    def whole(
+        self, model: str, version: str
+    ) -> upstream.ChatAnswer | core.Refusal:
+        """Returns a checked whole answer."""
+        answer = self._send(
+            model, version, self.parts.engine.chat, stream=False
+        )
+        if not isinstance(answer, core.Refusal):
+            self.completed(model, version, answer.tokens_in, answer.tokens_out)
+        return answer
+
+    def open(
+        self, model: str, version: str
+    ) -> upstream.ResumingStream | core.Refusal:
+        """Opens a streamed answer that survives cuts."""
+        opened = self._send(
+            model, version, self.parts.engine.open_chat, stream=True
+        )
+        if isinstance(opened, core.Refusal):
+            return opened
+        return upstream.ResumingStream(
+            opened, lambda plan: self._reopen(model, version, plan)
+        )
+
+    def completed(
+        self, model: str, version: str, tokens_in: int, tokens_out: int
+    ) -> None:
+        """Accounts for a run whose answer passed every check.
+
+        The caller observes it with its rating, see `completed_observation`.
+        """
+        self._charges.append(Charge(model, version, tokens_in, tokens_out))
+        if self._reservation is not None:
+            self._latency_s = (
+                self.parts.clock.now() - self._reservation.started_s
+            )
+        self._end(decisions.Outcome.COMPLETED)
+
+    def completed_observation(
+        self, rating: float | core.Missing, quality: float
+    ) -> decisions.Observation:
+        """Returns what the last completed run shows of its version."""
+        last = self._charges[-1]
+        return decisions.Observation(
+            model=last.model,
+            version=last.version,
+            kind=self.kind.name,
+            outcome=decisions.Outcome.COMPLETED,
+            rating=rating,
+            quality=quality,
+            latency_s=self._latency_s,
+        )
+
+    def failed(self, model: str, version: str, refusal: core.Refusal) -> None:
+        """Ends a run that gave no usable answer."""
+        self._observe(model, version, outcome_of(refusal))
+        self._end_failed(refusal)
+
+    def bill(self) -> core.Refusal | core.Missing:
+        """Commits the bill for everything that completed."""
+        last = self._charges[-1]
+        timeout_s = min(
+            _MAX_BILL_TIMEOUT_S, max(_MIN_BILL_TIMEOUT_S, self.remaining_s)
+        )
+        return self.parts.biller.bill(
+            state.Bill(
+                team=self.request.team,
+                key=self.request.key,
+                request_id=self.request.request_id,
+                kind=self.kind.name,
+                model=last.model,
+                version=last.version,
+                tokens_in=sum(item.tokens_in for item in self._charges),
+                tokens_out=sum(item.tokens_out for item in self._charges),
+                cost=sum(self._cost(item) for item in self._charges),
+                body_digest=self.request.body_digest,
+            ),
+            timeout_s,
+        )
+
+    def _cost(self, charge: Charge) -> float:
+        in_force = self.parts.state.view().rules
+        if isinstance(in_force, core.Missing):
+            return 0.0
+        model = in_force.models_by_name.get(charge.model)
+        price = model.cost_per_1k_tokens if model else 0.0
+        return price * (charge.tokens_in + charge.tokens_out) / 1000.0
+
+    def _send(
+        self,
+        model: str,
+        version: str,
+        send: Callable[[upstream.ChatRequest], T | core.Refusal],
+        stream: bool,
+    ) -> T | core.Refusal:
+        exclude: set[str] = set()
+        failure: core.Refusal | core.Missing = core.Missing.UNSET
+        for _ in range(_MAX_SENDS):
+            request = self._reserve(model, version, stream, exclude)
+            if isinstance(request, core.Refusal):
+                return request if isinstance(failure, core.Missing) else failure
+            result = send(request)
+            if not isinstance(result, core.Refusal):
+                return result
+            failure = result
+            exclude.add(request.permit.upstream.name)
+            self.failed(model, version, result)
+            if not self._may_retry(result):
+                break
+        assert isinstance(failure, core.Refusal)
+        return failure
+
+    def _reserve(
+        self, model: str, version: str, stream: bool, exclude: set[str]
+    ) -> upstream.ChatRequest | core.Refusal:
+        held = self._dispatcher.reserve(
+            self.work,
+            _dispatch.Destination(self.request.team, model, version),
+            self.record.run,
+            exclude,
+        )
+        if isinstance(held, core.Refusal):
+            return held
+        self._reservation = held
+        return self._request(held, model, stream)
+
+    def _request(
+        self, held: _dispatch.Reservation, model: str, stream: bool
+    ) -> upstream.ChatRequest:
+        remaining_s = max(0.0, self.remaining_s)
+        return upstream.ChatRequest(
+            permit=held.permit,
+            record=self.record,
+            request_id=self.request.request_id,
+            body=self.chat.body_for(model, stream, self.request.body),
+            bounds=upstream.Bounds(
+                total_s=remaining_s,
+                # A whole answer has no byte before it is complete.
+                first_byte_s=remaining_s,
+                idle_s=remaining_s,
+            ),
+            idempotency_key=""
+            if isinstance(self.request.idempotency_key, core.Missing)
+            else self.request.idempotency_key,
+            priority=self.work.priority,
+            is_abandoned=self._is_abandoned,
+        )
+
+    def _reopen(
+        self, model: str, version: str, plan: upstream.ReopenPlan
+    ) -> upstream.ChatStream | core.Refusal:
+        if not self._may_retry(plan.cause):
+            return plan.cause
+        before = self._reservation
+        if plan.resume and before is not None:
+            held: _dispatch.Reservation | core.Refusal = (
+                self._dispatcher.reserve_same(
+                    before,
+                    _dispatch.Destination(self.request.team, model, version),
+                    self.record.run,
+                )
+            )
+        else:
+            self.failed(model, version, plan.cause)
+            held = self._dispatcher.reserve(
+                self.work,
+                _dispatch.Destination(self.request.team, model, version),
+                self.record.run,
+                {before.chosen.name} if before else (),
+            )
+        if isinstance(held, core.Refusal):
+            return held
+        if plan.resume and before is not None:
+            before.end(decisions.Outcome.TRUNCATED)
+        self._reservation = held
+        self.parts.counters.increment("entry.streams_reopened")
+        return self.parts.engine.open_chat(
+            dataclasses.replace(
+                self._request(held, model, stream=True),
+                resume_from=plan.resume_from,
+                checker=plan.checker,
+            )
+        )
+
+    def _may_retry(self, refusal: core.Refusal) -> bool:
+        return (
+            refusal.kind in _RETRYABLE
+            and self.remaining_s > 0
+            # One content may cost at most two upstreams.
+            and self._broken < 2
+            and self.parts.decisions.retry_budget.try_retry(
+                self.work, refusal.run
+            )
+        )
+
+    def _end_failed(self, refusal: core.Refusal) -> None:
+        held = self._reservation
+        sent = refusal.run is not core.RunState.NOT_RUN
+        if held is not None and sent and refusal.kind in _BROKEN:
+            self._broken += 1
+            self._dispatcher.connection_broke(held)
+            self._reservation = None
+            return
+        self._end(outcome_of(refusal))
+
+    def _end(self, outcome: decisions.Outcome) -> None:
+        if self._reservation is not None:
+            self._reservation.end(outcome)
+            self._reservation = None
+
+    def _observe(
+        self, model: str, version: str, outcome: decisions.Outcome
+    ) -> None:
+        self.parts.decisions.version_judge.observe(
+            decisions.Observation(model, version, self.kind.name, outcome)
+        )
--- /dev/null
+++ b/libs/entry/mulberry_entry/_dispatch.py
@@ -0,0 +1,344 @@
+"""Choosing an upstream and holding a place on it for one send."""
+
+import collections
+import dataclasses
+import socket
+import threading
+import uuid
+from collections.abc import Callable, Collection
+from concurrent import futures
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+import mulberry_membership as membership
+import mulberry_state as state
+import mulberry_upstream as upstream
+from mulberry_entry import _parts
+
+#: How often another choice is made when a place was taken meanwhile.
+_MAX_CHOICES = 4
+
+#: An upstream whose connection broke is asked whether it still listens.
+_PROBE_TIMEOUT_S = 0.25
+
+#: After a broken connection the run counts as in flight for this long: the
+#: announcement of a restarted upstream arrives within it, and the content
+#: then gets its strike.
+_LOSS_NEWS_S = 3.0
+
+_CRASH_RECORD_TIMEOUT_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Destination:
+    """What a request is to be sent to."""
+
+    team: str
+    #: Model name, or service name.
+    model: str
+    #: Empty for a plain service.
+    version: str
+
+
+class Reservation:
+    """A place on one upstream with the permit for one send."""
+
+    def __init__(
+        self,
+        work: decisions.Work,
+        chosen: decisions.UpstreamState,
+        permit: upstream.SendPermit,
+        started_s: float,
+        on_end: Callable[["Reservation", decisions.Outcome], None],
+    ) -> None:
+        self.work = work
+        self.chosen = chosen
+        self.permit = permit
+        self.started_s = started_s
+        self._on_end = on_end
+        self._lock = threading.Lock()
+        self._ended = False
+
+    def end(self, outcome: decisions.Outcome) -> None:
+        """Gives the place back; further calls change nothing."""
+        with self._lock:
+            if self._ended:
+                return
+            self._ended = True
+        self._on_end(self, outcome)
+
+
+class Dispatcher:
+    """Combines directory, decisions and send gate."""
+
+    def __init__(self, parts: _parts.EntryParts) -> None:
+        self._parts = parts
+        self._lock = threading.Lock()
+        self._in_flight: collections.Counter[str] = collections.Counter()
+        self._first_seen: dict[tuple[str, int], float] = {}
+        # Records of crashes wait for a quorum, so they stay off the threads
+        # that deliver timers and soft state.
+        self._background = futures.ThreadPoolExecutor(
+            max_workers=2, thread_name_prefix="crash records"
+        )
+        parts.soft_state.subscribe(
+            membership.RecordKind.UPSTREAM, self._upstream_changed
+        )
+        parts.state.subscribe(
+            lambda view: parts.decisions.crash_guard.strikes_changed(
+                view.strikes_by_digest
+            )
+        )
+
+    def reserve(
+        self,
+        work: decisions.Work,
+        destination: Destination,
+        run: core.RunState,
+        exclude: Collection[str] = (),
+    ) -> Reservation | core.Refusal:
+        """Chooses an upstream and passes the send gate.
+
+        Args:
+            work: The request.
+            destination: Model and version, or service.
+            run: Run state of the request so far, for refusals.
+            exclude: Upstreams that failed the request before; used again
+                only where there is no other.
+        """
+        refusal: core.Refusal | core.Missing = core.Missing.UNSET
+        for _ in range(_MAX_CHOICES):
+            chosen = self._choose(work, destination, exclude)
+            if isinstance(chosen, core.Refusal):
+                return dataclasses.replace(chosen, run=run)
+            permit = self._check(destination, chosen, run)
+            if isinstance(permit, core.Refusal):
+                refusal = permit
+                if permit.kind is not core.ErrorKind.NO_UPSTREAM:
+                    return permit
+                continue
+            if self._parts.decisions.crash_guard.started(work, chosen):
+                return self._start(work, chosen, permit)
+        if isinstance(refusal, core.Refusal):
+            return refusal
+        return core.Refusal(
+            core.ErrorKind.NO_UPSTREAM, run, "no place became free"
+        )
+
+    def reserve_same(
+        self,
+        before: Reservation,
+        destination: Destination,
+        run: core.RunState,
+    ) -> Reservation | core.Refusal:
+        """Holds a place on the upstream of an earlier send, to resume."""
+        known = self._parts.directory.upstreams().get(before.chosen.name)
+        if not known or known.incarnation != before.chosen.incarnation:
+            return core.Refusal(
+                core.ErrorKind.NO_UPSTREAM, run, "the upstream was lost"
+            )
+        permit = self._check(destination, before.chosen, run)
+        if isinstance(permit, core.Refusal):
+            return permit
+        if not self._parts.decisions.crash_guard.started(
+            before.work, before.chosen
+        ):
+            return core.Refusal(
+                core.ErrorKind.NO_UPSTREAM, run, "no place became free"
+            )
+        return self._start(before.work, before.chosen, permit)
+
+    def connection_broke(self, reservation: Reservation) -> None:
+        """Ends a send whose connection broke before the answer was whole.
+
+        If the upstream is lost, the strike of every content that ran on it is
+        recorded before this returns: a retry or a resend by the caller could
+        otherwise overtake it.
+        """
+        chosen = reservation.chosen
+        if not _is_listening(chosen.address):
+            self._upstream_lost(chosen.name, chosen.incarnation)
+            reservation.end(decisions.Outcome.CRASHED)
+            return
+        self._parts.timers.after(
+            _LOSS_NEWS_S,
+            lambda: self._in_background(
+                reservation.end, decisions.Outcome.TRUNCATED
+            ),
+            "in flight after a broken connection",
+        )
+
+    def in_flight(self) -> int:
+        """Returns how many sends are in flight."""
+        with self._lock:
+            return sum(self._in_flight.values())
+
+    def _choose(
+        self,
+        work: decisions.Work,
+        destination: Destination,
+        exclude: Collection[str],
+    ) -> decisions.UpstreamState | core.Refusal:
+        candidates = [
+            self._state_of(known)
+            for known in self._parts.directory.upstreams().values()
+            if _serves(known, destination)
+        ]
+        fresh = [item for item in candidates if item.name not in exclude]
+        allowed = self._parts.decisions.crash_guard.filter(
+            work, fresh or candidates
+        )
+        if isinstance(allowed, core.Refusal):
+            return allowed
+        return self._parts.decisions.upstream_chooser.choose(work, allowed)
+
+    def _state_of(self, known: membership.Upstream) -> decisions.UpstreamState:
+        now_s = self._parts.clock.now()
+        with self._lock:
+            own = self._in_flight[known.name]
+            first_s = self._first_seen.setdefault(
+                (known.name, known.incarnation), now_s
+            )
+        return decisions.UpstreamState(
+            name=known.name,
+            address=known.address,
+            zone=known.zone,
+            incarnation=known.incarnation,
+            serves=frozenset(
+                (served.model, served.version) for served in known.versions
+            ),
+            service=known.service,
+            capacity=known.capacity,
+            running=known.running,
+            queued=known.queued,
+            report_age_s=known.load_age_s,
+            own_in_flight=own,
+            since_start_s=now_s - first_s,
+            leaving=known.state is membership.UpstreamState.LEAVING,
+        )
+
+    def _check(
+        self,
+        destination: Destination,
+        chosen: decisions.UpstreamState,
+        run: core.RunState,
+    ) -> upstream.SendPermit | core.Refusal:
+        known = self._parts.directory.upstreams().get(chosen.name)
+        current = known is not None and known.incarnation == chosen.incarnation
+        target = upstream.UpstreamTarget(
+            name=chosen.name,
+            address=chosen.address,
+            incarnation=chosen.incarnation,
+            leaving=not current or (known is not None and _is_leaving(known)),
+            valid_until_s=core.Missing.UNSET,
+            serves=chosen.serves,
+            service=""
+            if isinstance(chosen.service, core.Missing)
+            else chosen.service,
+        )
+        client = self._parts.state
+        view, lease_s = client.view(), client.lease_remaining_s()
+        if destination.version:
+            return self._parts.gate.check(
+                view,
+                destination.team,
+                destination.model,
+                destination.version,
+                target,
+                lease_s,
+                run,
+            )
+        return self._parts.gate.check_service(
+            view, destination.team, destination.model, target, lease_s, run
+        )
+
+    def _start(
+        self,
+        work: decisions.Work,
+        chosen: decisions.UpstreamState,
+        permit: upstream.SendPermit,
+    ) -> Reservation:
+        with self._lock:
+            self._in_flight[chosen.name] += 1
+        self._parts.decisions.upstream_chooser.started(work, chosen)
+        return Reservation(
+            work, chosen, permit, self._parts.clock.now(), self._ended
+        )
+
+    def _ended(
+        self, reservation: Reservation, outcome: decisions.Outcome
+    ) -> None:
+        chosen = reservation.chosen
+        with self._lock:
+            self._in_flight[chosen.name] -= 1
+        latency_s = self._parts.clock.now() - reservation.started_s
+        made = self._parts.decisions
+        made.upstream_chooser.finished(
+            reservation.work, chosen, outcome, latency_s
+        )
+        cleared = made.crash_guard.finished(reservation.work, chosen, outcome)
+        if cleared:
+            self._parts.state.propose(
+                state.ClearStrikes(uuid.uuid4().hex, cleared),
+                _CRASH_RECORD_TIMEOUT_S,
+            )
+
+    def _upstream_changed(self, record: membership.Record) -> None:
+        """Notices upstreams that vanished or came back without leaving."""
+        name = record.id
+        with self._lock:
+            known = [key for key in self._first_seen if key[0] == name]
+            gone = [
+                key
+                for key in known
+                if record.removed or key[1] < record.incarnation
+            ]
+            for key in gone:
+                del self._first_seen[key]
+        for _, incarnation in gone:
+            self._in_background(self._upstream_lost, name, incarnation)
+
+    def _in_background(
+        self, function: Callable[..., None], *arguments: object
+    ) -> None:
+        self._background.submit(function, *arguments)
+
+    def _upstream_lost(self, name: str, incarnation: int) -> None:
+        report = self._parts.decisions.crash_guard.upstream_lost(
+            name, incarnation
+        )
+        if isinstance(report, core.Missing):
+            return
+        self._parts.counters.increment("entry.upstreams_lost")
+        self._parts.state.propose(
+            state.RecordCrash(
+                uuid.uuid4().hex,
+                report.upstream,
+                report.incarnation,
+                report.digests,
+            ),
+            _CRASH_RECORD_TIMEOUT_S,
+        )
+
+
+def _is_leaving(known: membership.Upstream) -> bool:
+    return known.state is membership.UpstreamState.LEAVING
+
+
+def _serves(known: membership.Upstream, destination: Destination) -> bool:
+    if destination.version:
+        return known.serves(destination.model, destination.version)
+    return known.service == destination.model
+
+
+def _is_listening(address: str) -> bool:
+    host, port = address.split("://")[-1].rsplit(":", 1)
+    try:
+        with socket.create_connection((host, int(port)), _PROBE_TIMEOUT_S):
+            return True
+    except ConnectionRefusedError:
+        return False
+    except OSError:
+        # Unreachable is not proof of a crash: a network fault must not give
+        # strikes to innocent contents.
+        return True
--- /dev/null
+++ b/libs/entry/mulberry_entry/_entry_list.py
@@ -0,0 +1,66 @@
+"""Which entry addresses callers should use."""
+
+import dataclasses
+import json
+import random
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import mulberry_core as core
+
+#: Loads are compared in steps of this size, so that callers spread over
+#: entries that are about equally loaded.
+_LOAD_STEP = 0.2
+
+
+@dataclasses.dataclass(frozen=True)
+class EntryState:
+    """What an entry tells the others about itself."""
+
+    #: HTTP address as `IP:PORT`.
+    address: str
+    zone: str
+    #: A leaving entry is not given to callers any more.
+    leaving: bool
+    #: Share of its streams in use, 0 to 1.
+    load: float
+
+    def encode(self) -> bytes:
+        """Returns the payload of the `entry` soft-state record."""
+        return json.dumps(dataclasses.asdict(self)).encode()
+
+    @classmethod
+    def decode(cls, payload: bytes) -> "EntryState":
+        """Returns the state in a payload that another instance encoded."""
+        return cls(**json.loads(payload))
+
+
+def preferred_entries(
+    entries: Iterable[EntryState], zone: str | core.Missing
+) -> list[EntryState]:
+    """Orders entries: the caller's zone first, then by load.
+
+    Entries that are about equally good come in random order, or all callers
+    would choose the same one until the next report.
+    """
+    return sorted(
+        (entry for entry in entries if not entry.leaving),
+        key=lambda entry: (
+            entry.zone != zone,
+            round(entry.load / _LOAD_STEP),
+            random.random(),
+        ),
+    )
+
+
+def entry_list_body(
+    entries: Iterable[EntryState], zone: str | core.Missing, keep_s: float
+) -> Mapping[str, Any]:
+    """Returns the JSON content of `GET /v1/entries`."""
+    return {
+        "entries": [
+            {"address": entry.address, "zone": entry.zone}
+            for entry in preferred_entries(entries, zone)
+        ],
+        "keep_s": keep_s,
+    }
--- /dev/null
+++ b/libs/entry/mulberry_entry/_rater.py
@@ -0,0 +1,113 @@
+"""The service that rates answers, as the entry uses it."""
+
+import abc
+import json
+import math
+import random
+import uuid
+
+import mulberry_core as core
+import mulberry_membership as membership
+import mulberry_upstream as upstream
+
+#: Name under which the rating service announces itself.
+RATER_SERVICE = "rater"
+
+#: A rating later than this is not waited for, seconds.
+RATE_TIMEOUT_S = 1.0
+
+_MAX_RATING_BYTES = 65_536
+
+
+class Rater(abc.ABC):
+    """Rates answers; slow or absent ratings are reported as unset."""
+
+    @abc.abstractmethod
+    def rate(
+        self, prompt: str, answer: str, timeout_s: float
+    ) -> float | core.Missing:
+        """Returns the probability that the answer is good, 0 to 1."""
+
+
+class ServiceRater(Rater):
+    """Asks a rating service that announced itself like any upstream."""
+
+    def __init__(
+        self,
+        directory: membership.UpstreamDirectory,
+        gate: upstream.SendGate,
+        adapter: upstream.ServiceAdapter,
+        counters: core.Counters,
+    ) -> None:
+        self._directory = directory
+        self._gate = gate
+        self._adapter = adapter
+        self._counters = counters
+
+    def rate(
+        self, prompt: str, answer: str, timeout_s: float
+    ) -> float | core.Missing:
+        """Returns the rating, unset if no service gives one in time."""
+        raters = [
+            known
+            for known in self._directory.upstreams().values()
+            if known.service == RATER_SERVICE
+            and known.state is membership.UpstreamState.READY
+        ]
+        if not raters:
+            self._counters.increment("entry.ratings_missing")
+            return core.Missing.UNSET
+        rating = self._ask(random.choice(raters), prompt, answer, timeout_s)
+        missing = isinstance(rating, core.Missing)
+        self._counters.increment(
+            "entry.ratings_missing" if missing else "entry.ratings"
+        )
+        return rating
+
+    def _ask(
+        self,
+        rater: membership.Upstream,
+        prompt: str,
+        answer: str,
+        timeout_s: float,
+    ) -> float | core.Missing:
+        permit = self._gate.check_platform(
+            upstream.UpstreamTarget(
+                name=rater.name,
+                address=rater.address,
+                incarnation=rater.incarnation,
+                leaving=False,
+                valid_until_s=core.Missing.UNSET,
+                service=RATER_SERVICE,
+            )
+        )
+        if isinstance(permit, core.Refusal):
+            return core.Missing.UNSET
+        answered = self._adapter.call(
+            upstream.ServiceRequest(
+                permit=permit,
+                record=upstream.SendRecord(),
+                request_id=f"rate-{uuid.uuid4().hex}",
+                method="POST",
+                path="/rate",
+                headers=("Content-Type: application/json",),
+                body=json.dumps({"prompt": prompt, "answer": answer}).encode(),
+                idempotent=True,
+                bounds=upstream.Bounds(
+                    total_s=timeout_s, max_bytes=_MAX_RATING_BYTES
+                ),
+            )
+        )
+        if isinstance(answered, core.Refusal) or answered.status != 200:
+            return core.Missing.UNSET
+        return _read_score(answered.body)
+
+
+def _read_score(body: bytes) -> float | core.Missing:
+    try:
+        score = float(json.loads(body)["score"])
+    except (ValueError, TypeError, KeyError):
+        return core.Missing.UNSET
+    if math.isnan(score) or not 0.0 <= score <= 1.0:
+        return core.Missing.UNSET
+    return score
--- /dev/null
+++ b/libs/entry/mulberry_entry/_versions.py
@@ -0,0 +1,107 @@
+"""Which version of a model a request gets."""
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+import mulberry_rules as rules
+import mulberry_state as state
+from mulberry_entry import _parts, _requests
+
+
+class VersionPicker:
+    """Joins rules, verdicts, rollouts and pins into one version."""
+
+    def __init__(self, parts: _parts.EntryParts) -> None:
+        self._parts = parts
+
+    def pick(
+        self,
+        request: _requests.CallerRequest,
+        work: decisions.Work,
+        model: str,
+    ) -> str | core.Refusal:
+        """Returns the version, pinned to the session if there is one."""
+        view = self._parts.state.view()
+        in_force = view.rules
+        if isinstance(in_force, core.Missing):
+            return _refuse(core.ErrorKind.NO_RULES, "no rules are in force")
+        allowed = usable_versions(view, request.team, model)
+        offer = self._offer(view, in_force, model)
+        if isinstance(offer, core.Refusal):
+            return offer
+        session = request.session
+        pinned: str | core.Missing = core.Missing.UNSET
+        if not isinstance(session, core.Missing):
+            pinned = self._parts.pins.known(request.team, session, model)
+        version = self._parts.decisions.version_chooser.choose(
+            work, offer, allowed, pinned
+        )
+        if isinstance(version, core.Refusal) or version == pinned:
+            return version
+        if isinstance(session, core.Missing):
+            return version
+        kept = self._parts.pins.pin(request.team, session, model, version)
+        return kept if kept in allowed else version
+
+    def _offer(
+        self, view: state.View, in_force: rules.Rules, model: str
+    ) -> decisions.VersionOffer | core.Refusal:
+        usual = in_force.default_version(model)
+        if isinstance(usual, core.Missing):
+            return _refuse(
+                core.ErrorKind.VERSION_WITHDRAWN,
+                f"every version of {model} is withdrawn",
+            )
+        rollout = in_force.rollouts_by_model.get(model)
+        if rollout is None:
+            return decisions.VersionOffer(model, usual)
+        target = rollout.to_version
+        judge = self._parts.decisions.version_judge
+        return decisions.VersionOffer(
+            model=model,
+            from_version=usual,
+            to_version=target,
+            share=rollout_share(view, rollout),
+            standing=standing_of(view, model, target),
+            exposed=judge.exposed(model, target),
+            max_exposed=rollout.max_exposed,
+            proven=judge.is_proven(model, target, usual),
+        )
+
+
+def usable_versions(view: state.View, team: str, model: str) -> frozenset[str]:
+    """Returns the versions that may get new work of `team`."""
+    if isinstance(view.rules, core.Missing):
+        return frozenset()
+    in_force = view.rules
+    return frozenset(
+        known.version
+        for known in in_force.versions_by_model.get(model, ())
+        if in_force.allows(team, model, known.version)
+        and not in_force.is_withdrawn(model, known.version)
+        and standing_of(view, model, known.version)
+        is not decisions.Standing.BAD
+    )
+
+
+def standing_of(
+    view: state.View, model: str, version: str
+) -> decisions.Standing:
+    """Returns what is held of a version; good where there is no verdict."""
+    verdict = view.verdicts_by_version.get((model, version))
+    if verdict is None:
+        return decisions.Standing.GOOD
+    return decisions.Standing(verdict.state.value)
+
+
+def rollout_share(view: state.View, rollout: rules.Rollout) -> float:
+    """Returns the share of new sessions that get the new version."""
+    step = view.rollout_steps_by_model.get(rollout.model)
+    if step is None or step.to_version != rollout.to_version:
+        return 0.0
+    if not 0 <= step.step < len(rollout.steps):
+        return 0.0
+    return rollout.steps[step.step]
+
+
+def _refuse(kind: core.ErrorKind, reason: str) -> core.Refusal:
+    return core.Refusal(kind, core.RunState.NOT_RUN, reason)
--- a/libs/upstream/mulberry_upstream/_gate.py
+++ b/libs/upstream/mulberry_upstream/_gate.py
@@ -140,6 +140,19 @@
             return failure.refusal(record_run)
         return self._issue(upstream, service, "", lease_remaining_s)
 
+    def check_platform(
+        self, upstream: UpstreamTarget
+    ) -> SendPermit | core.Refusal:
+        """Checks a call of the router itself to a service of the platform.
+
+        Rating services are not governed by the rules of teams, so only the
+        upstream is checked.
+        """
+        failure = self._check_upstream(upstream)
+        if failure:
+            return failure.refusal(core.RunState.NOT_RUN)
+        return self._issue(upstream, upstream.service, "", PERMIT_VALID_S)
+
     def _current_rules(
         self, view: RulesView, lease_remaining_s: float
     ) -> "rules.Rules | _Failure":
