--- a/libs/rules/mulberry_rules/__init__.py
+++ b/libs/rules/mulberry_rules/__init__.py
@@ -3,6 +3,12 @@
 from mulberry_rules._choices import CHOICES_BY_POLICY
 from mulberry_rules._diff import diff_rules
 from mulberry_rules._errors import RuleError, RuleErrors
+from mulberry_rules._explain import (
+    ExplainStep,
+    Explanation,
+    Situation,
+    explain,
+)
 from mulberry_rules._load_settings import (
     SettingsError,
     SettingsErrors,
@@ -36,6 +42,8 @@
     "CallTarget",
     "Cascade",
     "ChatTarget",
+    "ExplainStep",
+    "Explanation",
     "Kind",
     "Limit",
     "Limits",
@@ -50,11 +58,13 @@
     "Settings",
     "SettingsError",
     "SettingsErrors",
+    "Situation",
     "Team",
     "Timing",
     "Tls",
     "Version",
     "diff_rules",
+    "explain",
     "load_settings",
     "parse_rules",
     "parse_settings",
--- a/libs/rules/mulberry_rules/_checks.py
+++ b/libs/rules/mulberry_rules/_checks.py
@@ -198,13 +198,13 @@
     if rollout.from_version == rollout.to_version:
         yield line.error(
             rollout.to_version,
-            "the roll-out leads to the version it starts from",
+            "the rollout leads to the version it starts from",
             "name another version after `to`, or delete the line",
         )
     if (rollout.model, rollout.from_version) in names.withdrawn:
         yield line.error(
             rollout.from_version,
-            "the roll-out starts from a withdrawn version, so sessions "
+            "the rollout starts from a withdrawn version, so sessions "
             "outside its share would have no version",
             "start it from a live version, or delete the line",
         )
--- a/libs/rules/mulberry_rules/_choices.py
+++ b/libs/rules/mulberry_rules/_choices.py
@@ -6,16 +6,16 @@
 CHOICES_BY_POLICY: Mapping[str, tuple[str, ...]] = {
     "model_chooser": (
         "learned",
-        "always_dearest",
-        "always_cheapest",
-        "fixed_two_step",
+        "dearest",
+        "cheapest",
+        "two_step",
     ),
     "upstream_chooser": (
         "two_choices",
         "round_robin",
         "least_load",
-        "random_two_choices",
+        "two_random",
     ),
     "admission": ("priority", "first_come"),
-    "version_judge": ("sequential", "fixed_percentage"),
+    "version_judge": ("sequential", "none"),
 }
--- a/libs/rules/mulberry_rules/_diff.py
+++ b/libs/rules/mulberry_rules/_diff.py
@@ -111,7 +111,7 @@
 def _rollout_facts(rules: _model.Rules) -> dict[str, _Fact]:
     return {
         name: _Fact(
-            f"Roll-out of {name}",
+            f"Rollout of {name}",
             {
                 "course": f"{rollout.from_version} to {rollout.to_version}",
                 "steps": " ".join(f"{step * 100:g}%" for step in rollout.steps),
--- a/libs/rules/mulberry_rules/_model.py
+++ b/libs/rules/mulberry_rules/_model.py
@@ -94,7 +94,7 @@
     step_s: float
     #: Requests that may meet the new version before it has proved itself.
     max_exposed: int
-    #: A held roll-out stays on its step.
+    #: A held rollout stays on its step.
     held: bool
     line: RuleLine
 
@@ -202,9 +202,9 @@
         )
 
     def default_version(self, model: str) -> str | core.Missing:
-        """Returns the version that new sessions get outside a roll-out.
+        """Returns the version that new sessions get outside a rollout.
 
-        It is the `from` version of a roll-out, otherwise the first version
+        It is the `from` version of a rollout, otherwise the first version
         in the file that is not withdrawn.
         """
         rollout = self.rollouts_by_model.get(model)
