Add membership over gRPC

Instances exchange soft state with the members at ring distances 1, 2, 4, 8 ..., detect failures with suspicion and refutation, and keep records while their owner lives. A fake network and a simulation driven by rounds run the same code without threads.

--- /dev/null
+++ b/libs/membership/mulberry_membership/_codec.py
@@ -0,0 +1,63 @@
+"""Records as the peer protocol carries them."""
+
+import math
+
+import mulberry_core as core
+from mulberry_membership import _records, _store
+from mulberry_wire import peer_pb2
+
+#: Bounds on what one record may carry; others are dropped on arrival.
+MAX_PAYLOAD_BYTES = 32_768
+MAX_NAME_LENGTH = 512
+_MAX_TTL_MS = 2**32 - 1
+
+_WIRE_BY_KIND = {
+    kind: number for number, kind in enumerate(_records.RecordKind, start=1)
+}
+_KIND_BY_WIRE = {number: kind for kind, number in _WIRE_BY_KIND.items()}
+
+
+def to_wire(held: _store.Held, now_s: float, wire: peer_pb2.WireRecord) -> None:
+    """Fills `wire` with a held record."""
+    record = held.record
+    wire.kind = _WIRE_BY_KIND[record.kind]  # type: ignore[assignment]
+    wire.id = record.id
+    wire.owner = record.owner
+    wire.epoch = record.epoch
+    wire.incarnation = record.incarnation
+    wire.sequence = record.sequence
+    wire.payload = record.payload
+    wire.removed = record.removed
+    wire.urgent = record.urgent
+    if not math.isinf(held.expires_s):
+        remaining_ms = int((held.expires_s - now_s) * 1000)
+        wire.ttl_ms = max(1, min(remaining_ms, _MAX_TTL_MS))
+
+
+def from_wire(
+    wire: peer_pb2.WireRecord,
+) -> tuple[_records.Record, float] | core.Missing:
+    """Returns the record and its time to live in seconds.
+
+    Unset where the record is out of bounds or of an unknown kind, which a
+    later version may send.
+    """
+    kind = _KIND_BY_WIRE.get(wire.kind)
+    if kind is None or not wire.id or not wire.owner:
+        return core.Missing.UNSET
+    if max(len(wire.id), len(wire.owner)) > MAX_NAME_LENGTH:
+        return core.Missing.UNSET
+    if len(wire.payload) > MAX_PAYLOAD_BYTES:
+        return core.Missing.UNSET
+    record = _records.Record(
+        kind=kind,
+        id=wire.id,
+        owner=wire.owner,
+        epoch=wire.epoch,
+        incarnation=wire.incarnation,
+        sequence=wire.sequence,
+        payload=wire.payload,
+        removed=wire.removed,
+        urgent=wire.urgent,
+    )
+    return record, wire.ttl_ms / 1000 if wire.ttl_ms else math.inf
--- /dev/null
+++ b/libs/membership/mulberry_membership/_fake_network.py
@@ -0,0 +1,144 @@
+"""A network inside one process with faults, for tests and experiments."""
+
+import dataclasses
+import random
+
+import mulberry_core as core
+from mulberry_membership import _transport
+from mulberry_wire import peer_pb2
+
+
+@dataclasses.dataclass
+class Faults:
+    """Shares of messages that meet a fault, 0 to 1."""
+
+    #: The message is lost; applies to requests and to responses.
+    loss: float = 0.0
+    #: The request arrives only after the sender gave it up.
+    late: float = 0.0
+    #: The request arrives a second time, later.
+    duplicate: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class _LateRequest:
+    due_s: float
+    sender: str
+    receiver: str
+    data: bytes
+
+
+class FakeNetwork:
+    """Connects handlers by address; not for use from several threads."""
+
+    #: Longest time for which a late request is on its way, seconds.
+    MAX_LATE_S = 5.0
+
+    def __init__(self, clock: core.Clock, seed: int = 0) -> None:
+        self._clock = clock
+        self._random = random.Random(seed)
+        self._handlers_by_address: dict[str, _transport.PeerHandler] = {}
+        self._cuts: set[tuple[str, str]] = set()
+        self._late: list[_LateRequest] = []
+        self.faults = Faults()
+
+    def attach(self, address: str, handler: _transport.PeerHandler) -> None:
+        """Makes a handler reachable; replaces one with the same address."""
+        self._handlers_by_address[address] = handler
+
+    def detach(self, address: str) -> None:
+        """Makes an address unreachable, as a crash does."""
+        self._handlers_by_address.pop(address, None)
+
+    def transport(self, address: str) -> "FakeTransport":
+        """Returns the transport of the instance with this address."""
+        return FakeTransport(self, address)
+
+    def cut(self, sender: str, receiver: str) -> None:
+        """Drops all messages in one direction."""
+        self._cuts.add((sender, receiver))
+
+    def cut_between(self, left: list[str], right: list[str]) -> None:
+        """Drops all messages between two groups of addresses."""
+        for first in left:
+            for second in right:
+                self.cut(first, second)
+                self.cut(second, first)
+
+    def heal(self) -> None:
+        """Ends all cuts."""
+        self._cuts.clear()
+
+    def deliver_late(self) -> None:
+        """Delivers the late requests that are due, in random order."""
+        now_s = self._clock.now()
+        due = [item for item in self._late if item.due_s <= now_s]
+        self._late = [item for item in self._late if item.due_s > now_s]
+        self._random.shuffle(due)
+        for item in due:
+            handler = self._handlers_by_address.get(item.receiver)
+            if handler and (item.sender, item.receiver) not in self._cuts:
+                handler.handle_exchange(
+                    peer_pb2.ExchangeRequest.FromString(item.data)
+                )
+
+    def carry(
+        self, sender: str, receiver: str, data: bytes
+    ) -> bytes | core.Refusal:
+        """Carries one request and its response."""
+        handler = self._handlers_by_address.get(receiver)
+        if handler is None or self._is_lost(sender, receiver):
+            return _refusal(receiver)
+        if self._random.random() < self.faults.late:
+            self._send_late(sender, receiver, data)
+            return _refusal(receiver)
+        if self._random.random() < self.faults.duplicate:
+            self._send_late(sender, receiver, data)
+        response = handler.handle_exchange(
+            peer_pb2.ExchangeRequest.FromString(data)
+        )
+        if self._is_lost(receiver, sender):
+            return _refusal(receiver)
+        return bytes(response.SerializeToString())
+
+    def _is_lost(self, sender: str, receiver: str) -> bool:
+        if (sender, receiver) in self._cuts:
+            return True
+        return self._random.random() < self.faults.loss
+
+    def _send_late(self, sender: str, receiver: str, data: bytes) -> None:
+        due_s = self._clock.now() + self._random.uniform(0.0, self.MAX_LATE_S)
+        self._late.append(_LateRequest(due_s, sender, receiver, data))
+
+
+class FakeTransport(_transport.PeerTransport):
+    """The side of one instance of a fake network."""
+
+    def __init__(self, network: FakeNetwork, address: str) -> None:
+        self._network = network
+        self._address = address
+
+    def exchange(
+        self,
+        address: str,
+        request: peer_pb2.ExchangeRequest,
+        timeout_s: float,
+    ) -> peer_pb2.ExchangeResponse | core.Refusal:
+        """Carries the request without waiting."""
+        data = self._network.carry(
+            self._address, address, request.SerializeToString()
+        )
+        if isinstance(data, core.Refusal):
+            return data
+        return peer_pb2.ExchangeResponse.FromString(data)
+
+    def forget(self, address: str) -> None:
+        """Does nothing: there are no connections."""
+
+
+def _refusal(receiver: str) -> core.Refusal:
+    return core.Refusal(
+        core.ErrorKind.UPSTREAM_FAILED,
+        core.RunState.UNKNOWN,
+        f"no response from {receiver}",
+    )
--- /dev/null
+++ b/libs/membership/mulberry_membership/_link.py
@@ -0,0 +1,182 @@
+"""One side of the exchanges with one peer."""
+
+import dataclasses
+import math
+import threading
+
+import mulberry_core as core
+from mulberry_membership import _codec, _records, _store
+from mulberry_wire import peer_pb2
+
+#: Most records in one message. With records of about 150 bytes this is
+#: 150 KB, well under gRPC's limit of 4 MB for a message.
+MAX_RECORDS_PER_MESSAGE = 1_000
+#: A peer that refutes each suspicion of this instance can be reached by
+#: others; suspicions of it become rarer up to this factor.
+MAX_PATIENCE = 8
+
+
+def fill(
+    wires: peer_pb2.ExchangeRequest | peer_pb2.ExchangeResponse,
+    changes: _store.Changes,
+    now_s: float,
+) -> None:
+    """Adds the records that have not expired to a message."""
+    for held in changes.held:
+        if held.expires_s > now_s:
+            _codec.to_wire(held, now_s, wires.records.add())
+
+
+def unpack(
+    wires: peer_pb2.ExchangeRequest | peer_pb2.ExchangeResponse,
+) -> list[tuple[_records.Record, float]]:
+    """Returns the valid records of a message with their times to live."""
+    decoded = (_codec.from_wire(wire) for wire in wires.records)
+    return [item for item in decoded if not isinstance(item, core.Missing)]
+
+
+@dataclasses.dataclass(frozen=True)
+class SentRequest:
+    """A request with what is known once it has succeeded."""
+
+    request: peer_pb2.ExchangeRequest
+    #: The peer then holds all changes up to this one.
+    stamp: int
+    #: Whether there were more records than fit the request.
+    more: bool
+    fetches: int
+    #: Local time at which the exchange began, seconds.
+    at_s: float
+
+
+class PeerLink:
+    """Remembers what a peer has acknowledged and whether it answers.
+
+    Only one thread exchanges; the others read `failing_s` and call `wake`.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        store: _store.RecordStore,
+        clock: core.Clock,
+    ) -> None:
+        """Creates a link that has exchanged nothing yet.
+
+        Args:
+            name: Name of the peer; empty where it is not known yet.
+            address: gRPC address of the peer.
+            store: Records of this instance.
+            clock: Source of local time.
+        """
+        self.name = name
+        self.address = address
+        self._store = store
+        self._clock = clock
+        self._wake = threading.Event()
+        self._closed = threading.Event()
+        self._lock = threading.Lock()
+        self._session = 0
+        self._acknowledged_stamp = 0
+        self._have_stamp = 0
+        #: Until everything was sent or received once, also records that the
+        #: peer itself had sent are included: it may have restarted.
+        self._sends_all = True
+        self._wants_all = True
+        #: Counts calls of `fetch_all_again`, which an exchange that began
+        #: before must not undo.
+        self._fetches = 0
+        self._failing_since_s = math.inf
+        self._patience = 1
+
+    @property
+    def closed(self) -> bool:
+        """Whether the link is no longer used."""
+        return self._closed.is_set()
+
+    def close(self) -> None:
+        """Ends the task of the link."""
+        self._closed.set()
+        self._wake.set()
+
+    def wake(self) -> None:
+        """Makes the task exchange without waiting for its period."""
+        self._wake.set()
+
+    def wait(self, timeout_s: float) -> None:
+        """Waits until the next exchange is due."""
+        self._wake.wait(timeout_s)
+        self._wake.clear()
+
+    def fetch_all_again(self) -> None:
+        """Asks the peer for everything: this instance dropped records."""
+        with self._lock:
+            self._have_stamp = 0
+            self._wants_all = True
+            self._fetches += 1
+
+    def failing_s(self) -> float:
+        """Returns for how long exchanges have failed, 0 if they succeed."""
+        with self._lock:
+            if math.isinf(self._failing_since_s):
+                return 0.0
+            return self._clock.now() - self._failing_since_s
+
+    def should_suspect(self, suspect_after_s: float) -> bool:
+        """Whether the peer has failed for so long that it is suspected."""
+        with self._lock:
+            bound_s = suspect_after_s * self._patience
+            return self._clock.now() - self._failing_since_s >= bound_s
+
+    def begin_patience(self) -> None:
+        """Starts the wait for the next suspicion of the same peer."""
+        with self._lock:
+            self._failing_since_s = self._clock.now()
+            self._patience = min(2 * self._patience, MAX_PATIENCE)
+
+    def request(self, sender: str) -> SentRequest:
+        """Returns the next request with what its success will prove."""
+        with self._lock:
+            changes = self._store.changes_since(
+                self._acknowledged_stamp,
+                "" if self._sends_all else self.name,
+                MAX_RECORDS_PER_MESSAGE,
+            )
+            request = peer_pb2.ExchangeRequest(
+                sender=sender,
+                receiver_session=self._session,
+                have_stamp=self._have_stamp,
+                full=self._wants_all,
+            )
+            fetches = self._fetches
+        fill(request, changes, self._clock.now())
+        return SentRequest(
+            request, changes.stamp, changes.more, fetches, self._clock.now()
+        )
+
+    def succeeded(
+        self, response: peer_pb2.ExchangeResponse, sent: SentRequest
+    ) -> None:
+        """Notes what both sides hold; the records must be merged before."""
+        with self._lock:
+            lost_state = self._session not in (0, response.session)
+            self._acknowledged_stamp = 0 if lost_state else sent.stamp
+            self._sends_all = lost_state or (self._sends_all and sent.more)
+            self._session = response.session
+            if sent.fetches == self._fetches:
+                self._have_stamp = response.stamp
+                self._wants_all = response.more and self._wants_all
+            self._failing_since_s = math.inf
+            self._patience = 1
+        if response.more or sent.more or lost_state:
+            self.wake()
+
+    def failed(self, sent: SentRequest) -> None:
+        """Notes a failed exchange.
+
+        Time counts from the first failure, not from the last success: a
+        process that was suspended must not suspect its peers on waking.
+        """
+        with self._lock:
+            self._failing_since_s = min(self._failing_since_s, sent.at_s)
--- /dev/null
+++ b/libs/membership/mulberry_membership/_membership.py
@@ -0,0 +1,534 @@
+"""Membership over a transport: the soft state of a real deployment."""
+
+import collections
+import secrets
+import threading
+from collections.abc import Callable, Mapping
+
+from absl import logging
+from google.protobuf import message
+
+import mulberry_core as core
+from mulberry_membership import (
+    _link,
+    _local,
+    _member_table,
+    _members,
+    _peers,
+    _records,
+    _soft_state,
+    _store,
+    _transport,
+)
+from mulberry_wire import peer_pb2
+
+#: Period of `tick`, seconds.
+TICK_PERIOD_S = 0.1
+#: Suspicions outlive the death that follows from them.
+SUSPICION_TTL_S = _member_table.FORGET_AFTER_S
+#: Between searches for records of owners that left, seconds.
+PURGE_PERIOD_S = 10.0
+#: Names of forgotten members that are remembered.
+MAX_FORGOTTEN = 10_000
+
+_MEMBER = _records.RecordKind.MEMBER
+_SUSPICION = _records.RecordKind.SUSPICION
+_Order = tuple[int, int]
+
+
+class Membership(_soft_state.SoftState, _transport.PeerHandler):
+    """Finds the other instances and exchanges records with them.
+
+    `start` runs the exchanges on threads; `run_once` drives them without.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        zone: str,
+        region: str,
+        seeds: tuple[str, ...],
+        transport: _transport.PeerTransport,
+        clock: core.Clock,
+        counters: core.Counters,
+        timing: _peers.Timing = _peers.DEFAULT_TIMING,
+    ) -> None:
+        """Creates the membership of one instance, not joined yet.
+
+        Args:
+            name: Unique among the instances.
+            address: gRPC address at which the others reach this instance.
+            zone: Availability zone.
+            region: Region.
+            seeds: gRPC addresses of instances to join by; may include the
+                own address.
+            transport: Carries the exchanges.
+            clock: Source of time.
+            counters: Receives `membership.*`.
+            timing: Periods and bounds.
+        """
+        self._name = name
+        self._payload = peer_pb2.MemberPayload(
+            address=address, zone=zone, region=region
+        ).SerializeToString()
+        self._clock = clock
+        self._counters = counters
+        self._timing = timing
+        self._lock = threading.RLock()
+        # Milliseconds, so that a restart within a second gets a higher one.
+        self._epoch = max(1, int(clock.wall() * 1000))
+        self._incarnation = self._epoch
+        self._sequence = 0
+        self._session = secrets.randbits(63) + 1
+        #: The record of each forgotten member.
+        self._forgotten_by_name: collections.OrderedDict[
+            str, _records.Record
+        ] = collections.OrderedDict()
+        self._member_callbacks: list[Callable[[_members.Member], None]] = []
+        self._leaving = False
+        self._purged_s = clock.now()
+        self._subscription: core.Subscription | core.Missing = (
+            core.Missing.UNSET
+        )
+        self._table = _member_table.MemberTable(clock, timing.dead_after_s)
+        self._store = _store.RecordStore(clock, self._table.vouches_for)
+        self._store.subscribe(_MEMBER, self._on_member)
+        self._store.subscribe(_SUSPICION, self._on_suspicion)
+        self._peers = _peers.Peers(
+            name,
+            address,
+            seeds,
+            self._store,
+            transport,
+            clock,
+            counters,
+            timing,
+            self._take,
+            self._suspect,
+        )
+        self._publish_self()
+
+    @property
+    def owner(self) -> str:
+        """Name of this instance."""
+        return self._name
+
+    @property
+    def incarnation(self) -> int:
+        """Present incarnation of this instance."""
+        with self._lock:
+            return self._incarnation
+
+    def start(self, timers: core.TimerService) -> None:
+        """Starts to exchange; subscribes `tick` at the timer service."""
+        self._subscription = timers.every(
+            TICK_PERIOD_S, self.tick, "membership"
+        )
+        self._peers.start()
+
+    def leave(self) -> None:
+        """Tells the others that this instance stops as planned."""
+        with self._lock:
+            self._leaving = True
+            record = self._own_record(_MEMBER, self._name, b"", True, True)
+        self._store.merge(record)
+        self._peers.run_once()
+
+    def stop(self) -> None:
+        """Ends the exchanges; without `leave` the others find it dead."""
+        if not isinstance(self._subscription, core.Missing):
+            self._subscription.cancel()
+        self._peers.stop()
+
+    def members(self) -> Mapping[str, _members.Member]:
+        """Returns the members by name, dead ones for a while too."""
+        return self._table.members()
+
+    def subscribe_members(
+        self, callback: Callable[[_members.Member], None]
+    ) -> None:
+        """Calls back with each member whose state or record changed."""
+        with self._lock:
+            self._member_callbacks.append(callback)
+
+    def publish(
+        self,
+        kind: _records.RecordKind,
+        id: str,
+        payload: bytes,
+        ttl_s: float | core.Missing = core.Missing.UNLIMITED,
+        urgent: bool = False,
+    ) -> _records.Record:
+        """Publishes this instance's own record."""
+        with self._lock:
+            record = self._own_record(kind, id, payload, False, urgent)
+        self._merge_own(record, _local.seconds(ttl_s))
+        return record
+
+    def put(
+        self,
+        kind: _records.RecordKind,
+        id: str,
+        incarnation: int,
+        sequence: int,
+        payload: bytes,
+        ttl_s: float | core.Missing = core.Missing.UNLIMITED,
+        removed: bool = False,
+        urgent: bool = False,
+    ) -> bool:
+        """Publishes a record that something else orders."""
+        with self._lock:
+            record = _records.Record(
+                kind=kind,
+                id=id,
+                owner=self._name,
+                epoch=self._epoch,
+                incarnation=incarnation,
+                sequence=sequence,
+                payload=payload,
+                removed=removed,
+                urgent=urgent,
+            )
+        return self._merge_own(record, _local.seconds(ttl_s))
+
+    def remove(
+        self, kind: _records.RecordKind, id: str, urgent: bool = True
+    ) -> None:
+        """Removes a record that this instance published."""
+        held = self._store.latest((kind, id))
+        if isinstance(held, core.Missing) or held.owner != self._name:
+            return
+        self.put(
+            kind,
+            id,
+            held.incarnation,
+            held.sequence,
+            b"",
+            removed=True,
+            urgent=urgent,
+        )
+
+    def records(
+        self, kind: _records.RecordKind
+    ) -> Mapping[str, _records.Record]:
+        """Returns the live records of a kind by id."""
+        return self._store.records(kind)
+
+    def latest(
+        self, kind: _records.RecordKind, id: str
+    ) -> _records.Record | core.Missing:
+        """Returns the newest record held of an id, also if it is removed."""
+        return self._store.latest((kind, id))
+
+    def age_s(self, kind: _records.RecordKind, id: str) -> float:
+        """Returns the seconds since the newest record arrived here."""
+        return self._store.age_s((kind, id))
+
+    def doubt_s(self, owner: str) -> float:
+        """Returns for how long the records of an owner may be outdated."""
+        if owner == self._name:
+            return 0.0
+        suspected_s = self._table.suspected_s(owner)
+        if suspected_s > 0.0:
+            return suspected_s + self._timing.suspect_after_s
+        return self._peers.isolated_s()
+
+    def subscribe(
+        self, kind: _records.RecordKind, callback: _soft_state.Callback
+    ) -> None:
+        """Calls back with each change of a record of this kind."""
+        self._store.subscribe(kind, callback)
+
+    def handle_exchange(
+        self, request: peer_pb2.ExchangeRequest
+    ) -> peer_pb2.ExchangeResponse:
+        """Merges the records of a peer and returns those it lacks."""
+        self._peers.note_contact()
+        self._take(_link.unpack(request), request.sender)
+        with self._lock:
+            session = self._session
+        in_step = request.receiver_session == session
+        changes = self._store.changes_since(
+            request.have_stamp if in_step else 0,
+            request.sender if in_step and not request.full else "",
+            _link.MAX_RECORDS_PER_MESSAGE,
+        )
+        response = peer_pb2.ExchangeResponse(
+            session=session, stamp=changes.stamp, more=changes.more
+        )
+        _link.fill(response, changes, self._clock.now())
+        self._counters.increment("membership.bytes_in", request.ByteSize())
+        self._counters.increment("membership.bytes_out", response.ByteSize())
+        return response
+
+    def run_once(self) -> None:
+        """Exchanges once with each peer, then applies what time brings."""
+        self._peers.run_once()
+        self.tick()
+
+    def tick(self) -> None:
+        """Expires records, and declares members dead or forgets them."""
+        self._store.expire()
+        changes = self._table.tick()
+        for name in changes.died:
+            logging.info("member %s is dead: it refuted no suspicion", name)
+            self._counters.increment("membership.deaths")
+            self._store.reassess(name)
+            self._tell_members(name)
+        if changes.orphans_ended:
+            self._store.purge(lambda held: self._table.is_orphan(held.record))
+        for name in changes.forgotten:
+            self._forget(name)
+        if changes.died or changes.forgotten:
+            self._rebuild()
+        self._purge_ownerless()
+
+    def _take(
+        self, received: list[tuple[_records.Record, float]], source: str
+    ) -> None:
+        """Merges what a peer has sent."""
+        urgent = False
+        for record, ttl_s in received:
+            if self._is_forgotten(record):
+                self._publish_suspicion(record.id, record.incarnation)
+                continue
+            if record.owner == self._name and self._is_of_earlier_life(record):
+                self._begin_new_epoch(record)
+            if self._store.merge(record, ttl_s, source):
+                urgent = urgent or record.urgent
+        if urgent:
+            self._peers.wake(except_name=source)
+
+    def _is_forgotten(self, record: _records.Record) -> bool:
+        """Whether the record is that of a member that died and was forgotten.
+
+        An instance that has not forgotten it yet may send it again; taken as
+        a new member it would return everywhere, again and again. If it does
+        live, it refutes the suspicion.
+        """
+        if record.kind is not _MEMBER or record.removed:
+            return False
+        with self._lock:
+            forgotten = self._forgotten_by_name.get(record.id)
+        return forgotten is not None and forgotten.order >= record.order
+
+    def _is_of_earlier_life(self, record: _records.Record) -> bool:
+        """Whether an earlier process of this instance made the record.
+
+        It had a clock ahead of ours, or the clock was set back since: its
+        records would hide ours.
+        """
+        if record.removed and record.kind is not _MEMBER:
+            return False
+        held = self._store.latest(record.key)
+        is_held = not isinstance(held, core.Missing)
+        if is_held and held.order >= record.order:  # type: ignore[union-attr]
+            return False
+        with self._lock:
+            if record.epoch >= self._epoch:
+                return True
+        return is_held and record.kind not in _records.ORDERED_BY_OTHERS
+
+    def _begin_new_epoch(self, record: _records.Record) -> None:
+        with self._lock:
+            old_epoch = self._epoch
+            highest = max(record.epoch, self._incarnation)
+            if record.kind not in _records.ORDERED_BY_OTHERS:
+                highest = max(highest, record.incarnation)
+            self._epoch = self._incarnation = highest + 1
+            logging.info(
+                "an earlier process of %s had epoch %d: raised to %d",
+                self._name,
+                record.epoch,
+                self._epoch,
+            )
+        self._counters.increment("membership.epochs_raised")
+        self._publish_self()
+        self._store.renew(self._name, old_epoch, highest + 1)
+
+    def _publish_self(self) -> None:
+        with self._lock:
+            record = self._own_record(
+                _MEMBER, self._name, self._payload, self._leaving, True
+            )
+        self._store.merge(record)
+
+    def _own_record(
+        self,
+        kind: _records.RecordKind,
+        id: str,
+        payload: bytes,
+        removed: bool,
+        urgent: bool,
+    ) -> _records.Record:
+        self._sequence += 1
+        return _records.Record(
+            kind=kind,
+            id=id,
+            owner=self._name,
+            epoch=self._epoch,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            payload=payload,
+            removed=removed,
+            urgent=urgent,
+        )
+
+    def _merge_own(self, record: _records.Record, ttl_s: float) -> bool:
+        # Not under the lock: callbacks may take locks of their callers.
+        if not self._store.merge(record, ttl_s):
+            return False
+        with self._lock:
+            epoch = self._epoch
+        if record.epoch != epoch:
+            # The epoch was raised since the record was made.
+            self._store.renew(self._name, record.epoch, epoch)
+        if record.urgent:
+            self._peers.wake()
+        return True
+
+    def _on_member(self, record: _records.Record) -> None:
+        order = (record.incarnation, record.sequence)
+        if record.removed:
+            self._on_left(record, order)
+            return
+        payload = peer_pb2.MemberPayload()
+        try:
+            payload.ParseFromString(record.payload)
+        except message.DecodeError:
+            self._counters.increment("membership.invalid_records")
+            return
+        member = _members.Member(
+            name=record.id,
+            address=payload.address,
+            zone=payload.zone,
+            region=payload.region,
+            incarnation=record.incarnation,
+            epoch=record.epoch,
+            state=_members.MemberState.ALIVE,
+        )
+        if self._table.update(member, order):
+            self._after_update(member)
+
+    def _after_update(self, member: _members.Member) -> None:
+        suspicion = self._store.latest((_SUSPICION, member.name))
+        if not isinstance(suspicion, core.Missing) and not suspicion.removed:
+            self._table.suspect(member.name, suspicion.incarnation)
+        self._fetch_if_forgotten(member)
+        self._store.reassess(member.name)
+        self._rebuild()
+        self._tell_members(member.name)
+
+    def _on_left(self, record: _records.Record, order: _Order) -> None:
+        if record.id == self._name or not self._table.remove(record.id, order):
+            return
+        logging.info("member %s has left", record.id)
+        self._store.reassess(record.id)
+        self._rebuild()
+
+    def _fetch_if_forgotten(self, member: _members.Member) -> None:
+        """Gets the records again that were dropped with a dead member.
+
+        Peers have them as acknowledged and would not send them again.
+        """
+        with self._lock:
+            forgotten = self._forgotten_by_name.pop(member.name, None)
+            if forgotten is None or forgotten.epoch != member.epoch:
+                return
+            self._session = secrets.randbits(63) + 1
+        self._peers.fetch_all_again()
+
+    def _on_suspicion(self, record: _records.Record) -> None:
+        if record.removed:
+            return
+        if record.id == self._name:
+            self._refute(record.incarnation)
+        elif self._table.suspect(record.id, record.incarnation):
+            logging.info(
+                "member %s is suspected by %s", record.id, record.owner
+            )
+            self._counters.increment("membership.suspicions")
+            self._tell_members(record.id)
+
+    def _refute(self, incarnation: int) -> None:
+        with self._lock:
+            if incarnation < self._incarnation:
+                return
+            self._incarnation = incarnation + 1
+        self._counters.increment("membership.refutations")
+        self._publish_self()
+        self._peers.wake()
+
+    def _suspect(self, name: str) -> None:
+        """Publishes that exchanges with a member fail."""
+        member = self._table.get(name)
+        if (
+            isinstance(member, core.Missing)
+            or member.state is not _members.MemberState.ALIVE
+        ):
+            return
+        self._publish_suspicion(name, member.incarnation)
+
+    def _publish_suspicion(self, name: str, incarnation: int) -> None:
+        held = self._store.latest((_SUSPICION, name))
+        sequence = 1
+        if (
+            not isinstance(held, core.Missing)
+            and held.incarnation == incarnation
+        ):
+            if not held.removed:
+                return
+            # An earlier suspicion expired: the new one must be newer.
+            sequence = held.sequence + 1
+        payload = peer_pb2.SuspicionPayload(accuser=self._name)
+        self.put(
+            _SUSPICION,
+            name,
+            incarnation,
+            sequence,
+            payload.SerializeToString(),
+            ttl_s=SUSPICION_TTL_S,
+            urgent=True,
+        )
+
+    def _purge_ownerless(self) -> None:
+        """Drops records of owners that left and did not return."""
+        now_s = self._clock.now()
+        with self._lock:
+            if now_s - self._purged_s < PURGE_PERIOD_S:
+                return
+            self._purged_s = now_s
+        known = self._table.members()
+        oldest_s = now_s - _member_table.FORGET_AFTER_S
+        self._store.purge(
+            lambda held: (
+                held.record.owner not in known
+                and held.since_s < oldest_s
+                and held.record.kind not in (_MEMBER, _SUSPICION)
+            )
+        )
+
+    def _forget(self, name: str) -> None:
+        member = self._store.latest((_MEMBER, name))
+        with self._lock:
+            if not isinstance(member, core.Missing):
+                self._forgotten_by_name[name] = member
+            while len(self._forgotten_by_name) > MAX_FORGOTTEN:
+                self._forgotten_by_name.popitem(last=False)
+        self._store.purge(
+            lambda held: (
+                held.record.owner == name and held.record.kind is not _SUSPICION
+            )
+        )
+
+    def _rebuild(self) -> None:
+        self._peers.rebuild(self._table.members)
+
+    def _tell_members(self, name: str) -> None:
+        member = self._table.get(name)
+        with self._lock:
+            callbacks = tuple(self._member_callbacks)
+        if not isinstance(member, core.Missing):
+            for callback in callbacks:
+                callback(member)
--- /dev/null
+++ b/libs/membership/mulberry_membership/_peers.py
@@ -0,0 +1,271 @@
+"""The peers of an instance: links along the ring, and probes of the rest."""
+
+import dataclasses
+import itertools
+import threading
+from collections.abc import Callable, Mapping
+
+import mulberry_core as core
+from mulberry_membership import (
+    _link,
+    _members,
+    _records,
+    _ring,
+    _store,
+    _transport,
+)
+
+#: Shortest time between the begins of two exchanges with one peer, seconds;
+#: several urgent changes shortly after each other go into one message.
+MIN_GAP_S = 0.02
+#: Seconds between probes of addresses that are not known as living members.
+PROBE_PERIOD_S = 1.0
+#: Links at the design scale of 330 instances: 9, and the probe.
+MAX_TASKS = 40
+
+#: Takes the records of a response and the name of the peer.
+OnRecords = Callable[[list[tuple[_records.Record, float]], str], None]
+
+
+@dataclasses.dataclass(frozen=True)
+class Timing:
+    """Periods and bounds, in seconds."""
+
+    #: Between exchanges with one peer.
+    exchange_period_s: float = 0.25
+    #: Exchanges that fail for this long lead to a suspicion.
+    suspect_after_s: float = 1.0
+    #: Suspected without refutation until a member is dead.
+    dead_after_s: float = 3.0
+
+    @property
+    def exchange_timeout_s(self) -> float:
+        """Longest wait for a response; two fit the time to a suspicion."""
+        return self.suspect_after_s / 2
+
+
+DEFAULT_TIMING = Timing()
+
+
+class Peers:
+    """Runs the exchanges; one task per peer and one for probes."""
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        seeds: tuple[str, ...],
+        store: _store.RecordStore,
+        transport: _transport.PeerTransport,
+        clock: core.Clock,
+        counters: core.Counters,
+        timing: Timing,
+        on_records: OnRecords,
+        on_suspect: Callable[[str], None],
+    ) -> None:
+        """Creates the peers without any link.
+
+        Args:
+            name: Name of this instance.
+            address: gRPC address of this instance.
+            seeds: Addresses to join by.
+            store: Records of this instance.
+            transport: Carries the exchanges.
+            clock: Source of local time.
+            counters: Receives `membership.*`.
+            timing: Periods and bounds.
+            on_records: Called with what a peer has sent.
+            on_suspect: Called with the name of a peer that fails.
+        """
+        self._name = name
+        self._address = address
+        self._seeds = tuple(seed for seed in seeds if seed != address)
+        self._store = store
+        self._transport = transport
+        self._clock = clock
+        self._counters = counters
+        self._timing = timing
+        self._on_records = on_records
+        self._on_suspect = on_suspect
+        self._lock = threading.Lock()
+        self._links_by_name: dict[str, _link.PeerLink] = {}
+        self._probe_addresses: tuple[str, ...] = self._seeds
+        self._probe_turn = itertools.count()
+        self._pool: core.TaskPool | core.Missing = core.Missing.UNSET
+        self._last_contact_s = clock.now()
+
+    def start(self) -> None:
+        """Starts the tasks."""
+        with self._lock:
+            self._pool = core.TaskPool(f"peers-{self._name}", MAX_TASKS)
+            self._pool.spawn("probe", self._run_probes)
+            for link in self._links_by_name.values():
+                self._spawn(link)
+
+    def stop(self) -> None:
+        """Ends all tasks and waits for them."""
+        with self._lock:
+            pool = self._pool
+            self._pool = core.Missing.UNSET
+            for link in self._links_by_name.values():
+                link.close()
+            self._links_by_name.clear()
+        if not isinstance(pool, core.Missing):
+            pool.stop()
+
+    def rebuild(
+        self, get_members: Callable[[], Mapping[str, _members.Member]]
+    ) -> None:
+        """Adapts links and probes to the members.
+
+        Args:
+            get_members: Called with the lock held, so that of two threads
+                the later one also uses the later members.
+        """
+        with self._lock:
+            members = get_members()
+            living = {
+                name: member
+                for name, member in members.items()
+                if member.state is not _members.MemberState.DEAD
+            }
+            wanted = {
+                name: living[name].address
+                for name in _ring.ring_peers(self._name, living)
+            }
+            in_use = self._set_probes(members, living)
+            closed = self._close_unwanted(wanted)
+            self._add_missing(wanted)
+        for link in closed:
+            if link.address not in in_use:
+                self._transport.forget(link.address)
+
+    def wake(self, except_name: str = "") -> None:
+        """Makes all links exchange now, except the one with the source."""
+        for link in self._links():
+            if link.name != except_name:
+                link.wake()
+
+    def fetch_all_again(self) -> None:
+        """Asks all peers for everything."""
+        for link in self._links():
+            link.fetch_all_again()
+
+    def note_contact(self) -> None:
+        """Notes that a peer has reached this instance."""
+        self._last_contact_s = self._clock.now()
+
+    def isolated_s(self) -> float:
+        """Returns for how long all exchanges failed, 0 if one succeeds."""
+        failing_s = [link.failing_s() for link in self._links()]
+        if not failing_s:
+            return 0.0
+        silent_s = self._clock.now() - self._last_contact_s
+        return min(*failing_s, silent_s)
+
+    def run_once(self) -> None:
+        """Exchanges once with each peer and probes once."""
+        for link in self._links():
+            self.exchange(link)
+        self.probe()
+
+    def exchange(self, link: _link.PeerLink) -> bool:
+        """Exchanges once over a link; returns whether it succeeded."""
+        sent = link.request(self._name)
+        response = self._transport.exchange(
+            link.address, sent.request, self._timing.exchange_timeout_s
+        )
+        self._counters.increment("membership.exchanges")
+        self._counters.increment(
+            "membership.bytes_out", sent.request.ByteSize()
+        )
+        if isinstance(response, core.Refusal):
+            self._counters.increment("membership.exchange_failures")
+            link.failed(sent)
+            self._suspect_if_due(link)
+            return False
+        self._counters.increment("membership.bytes_in", response.ByteSize())
+        self.note_contact()
+        self._on_records(_link.unpack(response), link.name)
+        link.succeeded(response, sent)
+        return True
+
+    def probe(self) -> bool:
+        """Exchanges with one address that is not a living member.
+
+        Joins at the start, and ends a partition whose sides have declared
+        each other dead.
+
+        Returns:
+            Whether there was an address to probe.
+        """
+        addresses = self._probe_addresses
+        if not addresses:
+            return False
+        address = addresses[next(self._probe_turn) % len(addresses)]
+        link = _link.PeerLink("", address, self._store, self._clock)
+        self.exchange(link)
+        return True
+
+    def _links(self) -> list[_link.PeerLink]:
+        with self._lock:
+            return list(self._links_by_name.values())
+
+    def _close_unwanted(
+        self, wanted: Mapping[str, str]
+    ) -> list[_link.PeerLink]:
+        closed = [
+            link
+            for name, link in self._links_by_name.items()
+            if wanted.get(name) != link.address
+        ]
+        for link in closed:
+            del self._links_by_name[link.name]
+            link.close()
+        return closed
+
+    def _add_missing(self, wanted: Mapping[str, str]) -> None:
+        for name, address in wanted.items():
+            if name not in self._links_by_name:
+                link = _link.PeerLink(name, address, self._store, self._clock)
+                self._links_by_name[name] = link
+                self._spawn(link)
+
+    def _set_probes(
+        self,
+        members: Mapping[str, _members.Member],
+        living: Mapping[str, _members.Member],
+    ) -> set[str]:
+        """Chooses the addresses to probe; returns all that are of use."""
+        known = {member.address for member in living.values()}
+        known.add(self._address)
+        all_addresses = {member.address for member in members.values()}
+        all_addresses.update(self._seeds)
+        self._probe_addresses = tuple(sorted(all_addresses - known))
+        return all_addresses
+
+    def _suspect_if_due(self, link: _link.PeerLink) -> None:
+        if link.name and link.should_suspect(self._timing.suspect_after_s):
+            link.begin_patience()
+            self._on_suspect(link.name)
+
+    def _spawn(self, link: _link.PeerLink) -> None:
+        if not isinstance(self._pool, core.Missing):
+            self._pool.spawn(
+                f"exchange with {link.name}",
+                lambda stop: self._run_link(link, stop),
+            )
+
+    def _run_link(self, link: _link.PeerLink, stop: threading.Event) -> None:
+        while not link.closed and not stop.is_set():
+            self.exchange(link)
+            stop.wait(MIN_GAP_S)
+            link.wait(self._timing.exchange_period_s - MIN_GAP_S)
+
+    def _run_probes(self, stop: threading.Event) -> None:
+        while not stop.is_set():
+            probed = self.probe()
+            alone = probed and not self._links()
+            stop.wait(
+                self._timing.exchange_period_s if alone else PROBE_PERIOD_S
+            )
--- a/libs/membership/mulberry_membership/_records.py
+++ b/libs/membership/mulberry_membership/_records.py
@@ -17,6 +17,10 @@
     SUSPICION = "suspicion"
 
 
+#: Kinds whose (incarnation, sequence) is not counted by the owner.
+ORDERED_BY_OTHERS = frozenset({RecordKind.UPSTREAM, RecordKind.SUSPICION})
+
+
 @dataclasses.dataclass(frozen=True)
 class Record:
     """One published fact; ids are unique within a kind."""
--- /dev/null
+++ b/libs/membership/mulberry_membership/_simulation.py
@@ -0,0 +1,106 @@
+"""Many instances in one process over a fake network, driven by rounds."""
+
+import random
+
+import mulberry_core as core
+from mulberry_membership import _fake_network, _members, _membership, _peers
+
+
+class Simulation:
+    """Instances named `i0`, `i1` ... that exchange once in each round.
+
+    The order of the instances within a round is random: real instances do
+    not exchange in step.
+    """
+
+    def __init__(
+        self,
+        count: int,
+        seed: int = 0,
+        timing: _peers.Timing = _peers.DEFAULT_TIMING,
+        seeds: int = 2,
+    ) -> None:
+        """Creates instances that have not met yet.
+
+        Args:
+            count: Number of instances.
+            seed: Of the order of exchanges and of the network's faults.
+            timing: Periods and bounds; a round takes the exchange period.
+            seeds: How many instances the others join by.
+        """
+        self.clock = core.ManualClock(1_000.0)
+        self.network = _fake_network.FakeNetwork(self.clock, seed)
+        self.counters = core.MemoryCounters()
+        self.by_name: dict[str, _membership.Membership] = {}
+        self._timing = timing
+        self._random = random.Random(seed)
+        self._seeds = tuple(f"address-i{index}" for index in range(seeds))
+        for index in range(count):
+            self.start(f"i{index}")
+
+    def start(self, name: str, wall_offset_s: float = 0.0) -> None:
+        """Starts an instance, or restarts one that was stopped.
+
+        Args:
+            name: Name of the instance.
+            wall_offset_s: Error of the time of day at its start, seconds.
+        """
+        wall_s = self.clock.wall()
+        self.clock.set_wall(wall_s + wall_offset_s)
+        instance = _membership.Membership(
+            name=name,
+            address=f"address-{name}",
+            zone=f"zone-{len(self.by_name) % 3}",
+            region="region",
+            seeds=self._seeds,
+            transport=self.network.transport(f"address-{name}"),
+            clock=self.clock,
+            counters=self.counters,
+            timing=self._timing,
+        )
+        self.clock.set_wall(wall_s)
+        self.by_name[name] = instance
+        self.network.attach(f"address-{name}", instance)
+
+    def crash(self, name: str) -> None:
+        """Stops an instance without notice."""
+        self.network.detach(f"address-{name}")
+        del self.by_name[name]
+
+    def cut_between(self, left: list[str], right: list[str]) -> None:
+        """Drops all messages between two groups of instances."""
+        self.network.cut_between(
+            [f"address-{name}" for name in left],
+            [f"address-{name}" for name in right],
+        )
+
+    def round(self) -> None:
+        """Lets one exchange period pass."""
+        self.clock.advance(self._timing.exchange_period_s)
+        self.network.deliver_late()
+        names = list(self.by_name)
+        self._random.shuffle(names)
+        for name in names:
+            self.by_name[name].run_once()
+
+    def rounds(self, count: int) -> None:
+        """Lets several exchange periods pass."""
+        for _ in range(count):
+            self.round()
+
+    def seconds(self, seconds: float) -> None:
+        """Lets as many rounds pass as fit the time."""
+        self.rounds(round(seconds / self._timing.exchange_period_s))
+
+    def living(self, name: str) -> set[str]:
+        """Returns the members that an instance holds alive."""
+        return {
+            member.name
+            for member in self.by_name[name].members().values()
+            if member.state is _members.MemberState.ALIVE
+        }
+
+    def has_converged(self) -> bool:
+        """Whether each instance holds exactly the running ones alive."""
+        running = set(self.by_name)
+        return all(self.living(name) == running for name in running)
--- a/libs/membership/mulberry_membership/_store.py
+++ b/libs/membership/mulberry_membership/_store.py
@@ -34,6 +34,17 @@
     visible: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class Changes:
+    """Changes of a store, oldest first."""
+
+    held: tuple[Held, ...]
+    #: A reader that takes these holds all changes up to this one.
+    stamp: int
+    #: Whether there are more than the limit.
+    more: bool
+
+
 class RecordStore:
     """Thread-safe; merging is commutative, associative and idempotent."""
 
@@ -113,10 +124,16 @@
             held = self._held_by_key.get(key)
             return self._clock.now() - held.since_s if held else math.inf
 
-    def changes_since(self, stamp: int, exclude_source: str) -> list[Held]:
+    def changes_since(
+        self, stamp: int, exclude_source: str, limit: int
+    ) -> Changes:
         """Returns what changed after `stamp`, oldest first.
 
-        What `exclude_source` itself sent is left out.
+        Args:
+            stamp: Of the newest change that the reader holds.
+            exclude_source: Records that this peer sent are left out; empty
+                for all records.
+            limit: Most records returned.
         """
         with self._lock:
             newer = []
@@ -125,8 +142,11 @@
                     break
                 if held.source != exclude_source or not exclude_source:
                     newer.append(dataclasses.replace(held))
+            upto = self._stamp
         newer.reverse()
-        return newer
+        if len(newer) <= limit:
+            return Changes(tuple(newer), upto, False)
+        return Changes(tuple(newer[:limit]), newer[limit - 1].stamp, True)
 
     def expire(self) -> None:
         """Removes what has expired.
@@ -159,13 +179,11 @@
         for record, visible in changed:
             self._notify(dataclasses.replace(record, removed=not visible))
 
-    def purge(self, should_drop: Callable[[_records.Record], bool]) -> int:
+    def purge(self, should_drop: Callable[[Held], bool]) -> int:
         """Drops records without trace; returns how many."""
         with self._lock:
             dropped = [
-                held
-                for held in self._held_by_key.values()
-                if should_drop(held.record)
+                held for held in self._held_by_key.values() if should_drop(held)
             ]
             for held in dropped:
                 del self._held_by_key[held.record.key]
@@ -174,6 +192,29 @@
                 self._notify(dataclasses.replace(held.record, removed=True))
         return len(dropped)
 
+    def renew(self, owner: str, old_epoch: int, new_epoch: int) -> None:
+        """Publishes the records of one epoch of an owner in a new one.
+
+        Args:
+            owner: Whose records are renewed; the member record is not.
+            old_epoch: Records of other epochs stay as they are.
+            new_epoch: Also the least incarnation of records that the owner
+                itself orders.
+        """
+        now_s = self._clock.now()
+        with self._lock:
+            held_before = [
+                held
+                for held in self._owned_by(owner)
+                if held.record.epoch == old_epoch
+                and held.record.kind is not _records.RecordKind.MEMBER
+            ]
+            renewed = [
+                (_renewed(held.record, new_epoch), held) for held in held_before
+            ]
+        for record, held in renewed:
+            self.merge(record, held.expires_s - now_s)
+
     def subscribe(
         self, kind: _records.RecordKind, callback: _soft_state.Callback
     ) -> None:
@@ -226,3 +267,9 @@
             callbacks = tuple(self._callbacks[record.kind])
         for callback in callbacks:
             callback(record)
+
+
+def _renewed(record: _records.Record, epoch: int) -> _records.Record:
+    if record.kind in _records.ORDERED_BY_OTHERS:
+        return dataclasses.replace(record, epoch=epoch)
+    return dataclasses.replace(record, epoch=epoch, incarnation=epoch)
