Add the daemon's sharing, rollout control and drain

Each instance publishes its load, demand and evidence once a second where they changed, and takes over those of the others. Verdicts and rollout steps name their predecessor, so that concurrent proposals change nothing twice.

--- /dev/null
+++ b/libs/daemon/mulberry_daemon/_rollouts.py
@@ -0,0 +1,166 @@
+"""Verdicts on versions and steps of rollouts, proposed to the log."""
+
+import threading
+import uuid
+from collections.abc import Callable
+
+from absl import logging
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+import mulberry_entry as entry
+import mulberry_rules as rules
+import mulberry_state as state
+
+_PERIOD_S = 0.5
+_PROPOSE_TIMEOUT_S = 2.0
+
+
+class RolloutController:
+    """Turns evidence into recorded verdicts and rollout steps.
+
+    Every instance may run it: a proposal names the verdict or step that it
+    follows, so only the first one changes anything. Rollout steps are left
+    to one instance to save proposals.
+    """
+
+    def __init__(
+        self,
+        client: state.StateClient,
+        made: entry.DecisionSet,
+        advancer: decisions.RolloutAdvancer,
+        clock: core.Clock,
+        advances_rollouts: Callable[[], bool],
+    ) -> None:
+        self._client = client
+        self._made = made
+        self._advancer = advancer
+        self._clock = clock
+        self._advances_rollouts = advances_rollouts
+        self._due = threading.Event()
+        client.subscribe(self._view_changed)
+        self._view_changed(client.view())
+
+    def start(self, timers: core.TimerService, tasks: core.TaskPool) -> None:
+        """Looks at the evidence twice a second."""
+        timers.every(_PERIOD_S, self._due.set, "rollouts")
+        tasks.spawn("rollouts", self._run)
+
+    def run_once(self) -> None:
+        """Proposes what the evidence supports now."""
+        if self._client.lease_remaining_s() <= 0:
+            return
+        for proposal in self._made.version_judge.proposals():
+            self._propose_verdict(proposal)
+        if self._advances_rollouts():
+            self._advance_rollouts(self._client.view())
+
+    def _run(self, stop: threading.Event) -> None:
+        while not stop.is_set():
+            if self._due.wait(_PERIOD_S):
+                self._due.clear()
+                self.run_once()
+
+    def _view_changed(self, view: state.View) -> None:
+        for (model, version), verdict in view.verdicts_by_version.items():
+            self._made.version_judge.verdict_recorded(
+                model,
+                version,
+                verdict.number,
+                decisions.Standing(verdict.state.value),
+            )
+        if isinstance(view.rules, rules.Rules):
+            self._made.team_limiter.set_limits(
+                {
+                    team: decisions.TeamLimit(
+                        limit.requests_per_s, limit.tokens_per_s
+                    )
+                    for team, limit in view.rules.limits_by_team.items()
+                }
+            )
+
+    def _propose_verdict(self, proposal: decisions.Proposal) -> None:
+        result = self._client.propose(
+            state.RecordVerdict(
+                uuid.uuid4().hex,
+                proposal.model,
+                proposal.version,
+                state.VerdictState(proposal.standing.value),
+                proposal.reason,
+                proposal.evidence,
+                proposal.after_number,
+            ),
+            _PROPOSE_TIMEOUT_S,
+        )
+        if isinstance(result, state.VerdictRecorded):
+            logging.info(
+                "version %s %s is held %s: %s",
+                proposal.model,
+                proposal.version,
+                proposal.standing.value,
+                proposal.reason,
+            )
+
+    def _advance_rollouts(self, view: state.View) -> None:
+        if isinstance(view.rules, core.Missing):
+            return
+        for rollout in view.rules.rollouts_by_model.values():
+            self._advance(view, view.rules, rollout)
+
+    def _advance(
+        self, view: state.View, in_force: rules.Rules, rollout: rules.Rollout
+    ) -> None:
+        if in_force.is_withdrawn(rollout.model, rollout.to_version):
+            return
+        current = _rollout_state(
+            view, rollout, self._made.version_judge, self._clock
+        )
+        advice = self._advancer.advise(current)
+        if advice.move is decisions.Move.HOLD:
+            return
+        result = self._client.propose(
+            state.AdvanceRollout(
+                uuid.uuid4().hex,
+                rollout.model,
+                rollout.to_version,
+                advice.step,
+                current.step,
+                advice.reason,
+            ),
+            _PROPOSE_TIMEOUT_S,
+        )
+        if isinstance(result, state.RolloutAdvanced):
+            logging.info(
+                "rollout of %s %s is on step %d: %s",
+                rollout.model,
+                rollout.to_version,
+                advice.step,
+                advice.reason,
+            )
+
+
+def _rollout_state(
+    view: state.View,
+    rollout: rules.Rollout,
+    judge: decisions.VersionJudge,
+    clock: core.Clock,
+) -> decisions.RolloutState:
+    recorded = view.rollout_steps_by_model.get(rollout.model)
+    begun = recorded is not None and recorded.to_version == rollout.to_version
+    verdict = view.verdicts_by_version.get((rollout.model, rollout.to_version))
+    return decisions.RolloutState(
+        model=rollout.model,
+        to_version=rollout.to_version,
+        step=recorded.step if begun and recorded else state.NO_STEP,
+        steps=rollout.steps,
+        on_step_s=clock.wall() - recorded.since_s if begun and recorded else 0,
+        step_s=rollout.step_s,
+        held=rollout.held,
+        standing=decisions.Standing(verdict.state.value)
+        if verdict
+        else decisions.Standing.GOOD,
+        exposed=judge.exposed(rollout.model, rollout.to_version),
+        proven=judge.is_proven(
+            rollout.model, rollout.to_version, rollout.from_version
+        ),
+    )
--- /dev/null
+++ b/libs/daemon/mulberry_daemon/_sharing.py
@@ -0,0 +1,172 @@
+"""What instances tell each other about load, demand and evidence."""
+
+import dataclasses
+import json
+import math
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+import mulberry_entry as entry
+import mulberry_membership as membership
+
+_PERIOD_S = 1.0
+
+#: Parts of an upstream's capacity that an entry uses beyond its share while
+#: the others report that they leave it unused.
+_MIN_PLACES = 2
+
+
+class Sharing:
+    """Publishes this entry's figures and takes over those of the others."""
+
+    def __init__(self, parts: entry.EntryParts, address: str) -> None:
+        self._parts = parts
+        self._address = address
+        self._leaving = False
+        self._published: dict[membership.RecordKind, bytes] = {}
+
+    def start(self, timers: core.TimerService) -> None:
+        """Publishes now and then once a second."""
+        self.publish()
+        timers.every(_PERIOD_S, self.publish, "sharing")
+
+    def leave(self) -> None:
+        """Takes this entry off the list that callers get."""
+        self._leaving = True
+        self._publish_entry()
+
+    def publish(self) -> None:
+        """Publishes what changed and merges what the others published."""
+        self._publish_entry()
+        made = self._parts.decisions
+        self._publish(
+            membership.RecordKind.DEMAND, _encode_demand(made.team_limiter)
+        )
+        self._publish(
+            membership.RecordKind.EVIDENCE,
+            _encode_evidence(made.version_judge, made.model_chooser),
+        )
+        self._merge()
+        made.admission.set_capacity(self._places())
+
+    def _publish_entry(self) -> None:
+        admission = self._parts.decisions.admission
+        limits = self._parts.limits
+        state = entry.EntryState(
+            address=self._address,
+            zone=self._parts.zone,
+            leaving=self._leaving,
+            load=round(admission.running() / limits.max_streams, 1),
+            running=admission.running(),
+        )
+        self._publish(
+            membership.RecordKind.ENTRY, state.encode(), self._leaving
+        )
+
+    def _publish(
+        self,
+        kind: membership.RecordKind,
+        payload: bytes,
+        urgent: bool = False,
+    ) -> None:
+        if self._published.get(kind) == payload:
+            return
+        self._published[kind] = payload
+        self._parts.soft_state.publish(
+            kind, self._parts.instance, payload, urgent=urgent
+        )
+
+    def _merge(self) -> None:
+        made = self._parts.decisions
+        made.team_limiter.merge(
+            {
+                record.id: _decode_demand(record.payload)
+                for record in self._others(membership.RecordKind.DEMAND)
+            }
+        )
+        for record in self._others(membership.RecordKind.EVIDENCE):
+            evidence, ratings = _decode_evidence(record.payload)
+            made.version_judge.merge(record.id, evidence)
+            made.model_chooser.merge(record.id, ratings)
+
+    def _others(
+        self, kind: membership.RecordKind
+    ) -> Iterable[membership.Record]:
+        records = self._parts.soft_state.records(kind)
+        return [
+            record
+            for name, record in records.items()
+            if name != self._parts.instance
+        ]
+
+    def _places(self) -> int:
+        """Returns how many requests this entry may run at once.
+
+        It is what the other entries leave of the upstreams' capacity, and at
+        least an equal share of it, so that queues form at the entries, where
+        priorities hold, and not at the upstreams.
+        """
+        capacity = sum(
+            known.capacity
+            for known in self._parts.directory.upstreams().values()
+            if known.state is membership.UpstreamState.READY
+        )
+        others = [
+            entry.EntryState.decode(record.payload)
+            for record in self._others(membership.RecordKind.ENTRY)
+        ]
+        share = math.ceil(capacity / (len(others) + 1))
+        unused = capacity - sum(other.running for other in others)
+        wanted = max(_MIN_PLACES, share, unused)
+        return min(self._parts.limits.max_streams, wanted)
+
+
+def _encode_demand(limiter: decisions.TeamLimiter) -> bytes:
+    return json.dumps(
+        {
+            team: [round(demand.requests_per_s, 1), round(demand.tokens_per_s)]
+            for team, demand in limiter.demand().items()
+        }
+    ).encode()
+
+
+def _decode_demand(payload: bytes) -> Mapping[str, decisions.Demand]:
+    return {
+        team: decisions.Demand(requests_per_s, tokens_per_s)
+        for team, (requests_per_s, tokens_per_s) in json.loads(payload).items()
+    }
+
+
+def _encode_evidence(
+    judge: decisions.VersionJudge, chooser: decisions.ModelChooser
+) -> bytes:
+    return json.dumps(
+        {
+            "evidence": _rows(judge.export()),
+            "ratings": _rows(chooser.export()),
+        }
+    ).encode()
+
+
+def _decode_evidence(
+    payload: bytes,
+) -> tuple[decisions.Evidence, decisions.RatingExport]:
+    content = json.loads(payload)
+    evidence = {
+        decisions.EvidenceKey(*key): decisions.EvidenceCounts(*counts)
+        for key, counts in content["evidence"]
+    }
+    ratings = {
+        decisions.RatingKey(*key): decisions.RatingCounts(*counts)
+        for key, counts in content["ratings"]
+    }
+    return evidence, ratings
+
+
+def _rows(counts_by_key: Mapping[Any, Any]) -> list[Any]:
+    return [
+        [dataclasses.astuple(key), dataclasses.astuple(counts)]
+        for key, counts in counts_by_key.items()
+    ]
--- a/libs/entry/mulberry_entry/_entry_list.py
+++ b/libs/entry/mulberry_entry/_entry_list.py
@@ -24,6 +24,8 @@
     leaving: bool
     #: Share of its streams in use, 0 to 1.
     load: float
+    #: Requests that run through it now.
+    running: int = 0
 
     def encode(self) -> bytes:
         """Returns the payload of the `entry` soft-state record."""
