Add the log on disk

Each batch of records is one checksummed frame and is synced before the next one is written, so only the last frame of a segment can be torn: it is cut. An invalid frame with a valid one after it is damage, and the log is refused. Checksums of record frames start from a value made of the folder's identity, because a caller's body could otherwise hold a valid frame. After any failed operation the files are not used again: a retried sync may report success for pages that the kernel has dropped.

What cannot be told apart: damage to the very last synced frame looks like a torn tail.

--- /dev/null
+++ b/libs/state/mulberry_state/_disk.py
@@ -0,0 +1,182 @@
+"""The files of a data folder, behind an interface that tests replace."""
+
+import abc
+import errno
+import fcntl
+import os
+import pathlib
+
+_TEMPORARY = ".new"
+_LOCK = "lock"
+
+#: Sentences for the faults that an operator can do something about.
+_SENTENCE_BY_ERRNO = {
+    errno.ENOSPC: "the disk is full",
+    errno.EDQUOT: "the disk quota is used up",
+    errno.EROFS: "the data folder is read-only",
+    errno.EACCES: "the data folder may not be written",
+    errno.EPERM: "the data folder may not be written",
+    errno.EIO: "the disk reports an input/output error",
+}
+
+
+class StorageError(Exception):
+    """The data folder cannot be used; nothing more is acknowledged."""
+
+
+def storage_error(action: str, error: OSError) -> StorageError:
+    """Returns the error of a failed file operation in plain words."""
+    code = error.errno or 0
+    why = _SENTENCE_BY_ERRNO.get(code, error.strerror or str(error))
+    return StorageError(f"cannot {action}: {why} (errno {code})")
+
+
+class AppendFile(abc.ABC):
+    """A file that is only added to; what was not synced may be lost."""
+
+    @abc.abstractmethod
+    def write(self, data: bytes) -> None:
+        """Adds all of `data` at the end; raises OSError."""
+
+    @abc.abstractmethod
+    def sync(self) -> None:
+        """Returns once all data is on the disk; raises OSError."""
+
+    @abc.abstractmethod
+    def truncate(self, size: int) -> None:
+        """Cuts the file to `size` bytes; raises OSError."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Closes the file."""
+
+
+class Disk(abc.ABC):
+    """The files of one data folder; all methods raise OSError."""
+
+    @abc.abstractmethod
+    def names(self) -> tuple[str, ...]:
+        """Returns the names of the files, sorted."""
+
+    @abc.abstractmethod
+    def read(self, name: str) -> bytes:
+        """Returns the whole content of a file."""
+
+    @abc.abstractmethod
+    def append(self, name: str) -> AppendFile:
+        """Opens a file for appending, creating it if need be."""
+
+    @abc.abstractmethod
+    def rename(self, old: str, new: str) -> None:
+        """Gives a file another name, replacing the file of that name."""
+
+    @abc.abstractmethod
+    def remove(self, name: str) -> None:
+        """Removes a file."""
+
+    @abc.abstractmethod
+    def sync_folder(self) -> None:
+        """Returns once new, renamed and removed names are on the disk."""
+
+    def close(self) -> None:  # noqa: B027 (most implementations hold nothing)
+        """Gives the folder up."""
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Replaces a file so that a crash leaves the old or the new one."""
+        temporary = name + _TEMPORARY
+        if temporary in self.names():
+            self.remove(temporary)
+        file = self.append(temporary)
+        try:
+            file.write(data)
+            file.sync()
+        finally:
+            file.close()
+        self.rename(temporary, name)
+        self.sync_folder()
+
+
+class _OsFile(AppendFile):
+    def __init__(self, path: pathlib.Path) -> None:
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC
+        self._descriptor = os.open(path, flags, 0o600)
+
+    def write(self, data: bytes) -> None:
+        left = memoryview(data)
+        while left:
+            left = left[os.write(self._descriptor, left) :]
+
+    def sync(self) -> None:
+        os.fdatasync(self._descriptor)
+
+    def truncate(self, size: int) -> None:
+        os.ftruncate(self._descriptor, size)
+
+    def close(self) -> None:
+        os.close(self._descriptor)
+
+
+class OsDisk(Disk):
+    """A folder of the operating system, locked against a second process."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        """Creates the folder if need be and locks it.
+
+        Raises:
+            StorageError: The folder cannot be created, or is in use.
+        """
+        self._folder = folder
+        try:
+            created = not folder.exists()
+            folder.mkdir(parents=True, exist_ok=True)
+            if created:
+                _sync_path(folder.parent)
+            flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
+            self._lock = os.open(folder / _LOCK, flags, 0o600)
+        except OSError as error:
+            raise storage_error(f"open {folder}", error) from error
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            os.close(self._lock)
+            raise StorageError(
+                f"{folder} is in use by another process"
+            ) from error
+
+    def names(self) -> tuple[str, ...]:
+        """Returns the names of the files, sorted."""
+        return tuple(
+            sorted(name for name in os.listdir(self._folder) if name != _LOCK)
+        )
+
+    def read(self, name: str) -> bytes:
+        """Returns the whole content of a file."""
+        return (self._folder / name).read_bytes()
+
+    def append(self, name: str) -> AppendFile:
+        """Opens a file for appending, creating it if need be."""
+        return _OsFile(self._folder / name)
+
+    def rename(self, old: str, new: str) -> None:
+        """Gives a file another name."""
+        os.replace(self._folder / old, self._folder / new)
+
+    def remove(self, name: str) -> None:
+        """Removes a file."""
+        os.remove(self._folder / name)
+
+    def sync_folder(self) -> None:
+        """Syncs the names of the folder."""
+        _sync_path(self._folder)
+
+    def close(self) -> None:
+        """Unlocks the folder."""
+        os.close(self._lock)
+
+
+def _sync_path(folder: pathlib.Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- /dev/null
+++ b/libs/state/mulberry_state/_frames.py
@@ -0,0 +1,108 @@
+"""Frames: how files of the data folder are divided and checked.
+
+A frame is a header of four big-endian 32-bit words (mark, length of the
+payload, checksum of the payload, checksum of the first three words) and the
+payload. Each frame is synced before the next one is written, so only the last
+frame of a file can be torn.
+"""
+
+import dataclasses
+import struct
+import zlib
+
+from mulberry_state import _disk
+
+_MARK = b"MbL1"
+_HEADER = struct.Struct(">4sIII")
+
+
+@dataclasses.dataclass(frozen=True)
+class Frames:
+    """The valid frames of a file."""
+
+    payloads: tuple[bytes, ...]
+    #: Bytes that they take; the file is longer if its tail is torn.
+    size: int
+
+
+def seed_of(identity: str, name: str) -> int:
+    """Returns the start value of the checksums of one file.
+
+    Payloads hold what callers sent. Without a value that callers do not know,
+    a body could hold a valid frame, and a torn tail would look like damage.
+    """
+    return zlib.crc32(f"{identity}/{name}".encode())
+
+
+def frame(payload: bytes, seed: int = 0) -> bytes:
+    """Returns the frame of a payload."""
+    words = _MARK + struct.pack(">II", len(payload), zlib.crc32(payload))
+    return words + struct.pack(">I", zlib.crc32(words, seed)) + payload
+
+
+def read_frames(name: str, data: bytes, start: int, seed: int) -> Frames:
+    """Reads the frames of a file from byte `start` up to a torn tail.
+
+    Raises:
+        StorageError: An invalid frame has a valid one after it, so it is no
+            torn tail but damage to what was synced.
+    """
+    payloads = []
+    offset = start
+    while offset < len(data):
+        payload = _payload_at(data, offset, seed)
+        if payload is None:
+            _reject_damage(name, data, offset, seed)
+            break
+        payloads.append(payload)
+        offset += _HEADER.size + len(payload)
+    return Frames(tuple(payloads), offset)
+
+
+def read_first(data: bytes) -> bytes | None:
+    """Returns the payload of the first frame, which has no seed, if whole."""
+    return _payload_at(data, 0, 0)
+
+
+def frame_size(payload: bytes) -> int:
+    """Returns the bytes that a frame with this payload takes."""
+    return _HEADER.size + len(payload)
+
+
+def read_single(name: str, data: bytes) -> bytes:
+    """Returns the payload of a file that is exactly one frame.
+
+    Raises:
+        StorageError: The file is anything else; it was synced before it got
+            its name, so it cannot be torn.
+    """
+    payload = _payload_at(data, 0, 0)
+    if payload is None or len(data) != _HEADER.size + len(payload):
+        raise _disk.StorageError(f"file {name} is damaged")
+    return payload
+
+
+def _payload_at(data: bytes, offset: int, seed: int) -> bytes | None:
+    if offset + _HEADER.size > len(data):
+        return None
+    mark, length, payload_sum, words_sum = _HEADER.unpack_from(data, offset)
+    start = offset + _HEADER.size
+    if (
+        mark != _MARK
+        or zlib.crc32(data[offset : start - 4], seed) != words_sum
+        or start + length > len(data)
+    ):
+        return None
+    payload = data[start : start + length]
+    return payload if zlib.crc32(payload) == payload_sum else None
+
+
+def _reject_damage(name: str, data: bytes, offset: int, seed: int) -> None:
+    later = data.find(_MARK, offset + 1)
+    while later >= 0:
+        if _payload_at(data, later, seed) is not None:
+            raise _disk.StorageError(
+                f"file {name} is damaged at byte {offset}: a valid frame "
+                f"follows at byte {later}"
+            )
+        later = data.find(_MARK, later + 1)
--- /dev/null
+++ b/libs/state/mulberry_state/_log_files.py
@@ -0,0 +1,309 @@
+"""The files of a voter: identity, vote, snapshot and log segments."""
+
+import dataclasses
+import itertools
+import uuid
+from collections.abc import Iterable
+
+from google.protobuf import message
+
+from mulberry_state import _disk, _frames
+from mulberry_wire import log_pb2
+
+#: Version of the format of all files of the data folder.
+LOG_FORMAT = 1
+
+#: A segment that is longer is followed by a new one, bytes.
+SEGMENT_BYTES = 4 << 20
+
+_IDENTITY = "identity"
+_VOTE = "vote"
+_SEGMENT = "log-"
+_SNAPSHOT = "snapshot-"
+
+
+@dataclasses.dataclass(frozen=True)
+class Batch:
+    """Records that follow each other and are written together."""
+
+    records: tuple[log_pb2.LogRecord, ...]
+    #: Term of the record before the first one.
+    prev_term: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Segment:
+    """One log file and its valid records."""
+
+    name: str
+    #: Index of the first record that it may hold.
+    first_index: int
+    #: Term of the record before it.
+    prev_term: int
+    records: tuple[log_pb2.LogRecord, ...]
+
+
+class LogFiles:
+    """Reads and writes the files; any fault ends their use for good.
+
+    After a failed sync the kernel may have dropped the written pages and
+    report success the next time, so a retry would acknowledge lost data.
+    """
+
+    def __init__(self, disk: _disk.Disk, name: str) -> None:
+        """Opens the folder, creating its identity if it is empty.
+
+        Raises:
+            StorageError: The folder cannot be used.
+        """
+        self._disk = disk
+        #: Why the folder is no longer used, empty while it is.
+        self.failure = ""
+        self._file: _disk.AppendFile | None = None
+        self._file_seed = 0
+        self._file_size = 0
+        self._first_by_segment: dict[str, int] = {}
+        self._sequence = 0
+        self.identity = self._open_identity(name)
+
+    def load_vote(self) -> log_pb2.LogVote:
+        """Returns term and vote, those of term 0 if none were saved."""
+        vote = log_pb2.LogVote(format=LOG_FORMAT)
+        if _VOTE in self._disk.names():
+            self._parse(_VOTE, vote)
+        return vote
+
+    def save_vote(self, term: int, voted_for: str) -> None:
+        """Returns once term and vote are synced."""
+        vote = log_pb2.LogVote(
+            format=LOG_FORMAT, term=term, voted_for=voted_for
+        )
+        self._replace(_VOTE, vote, "save the vote")
+
+    def load_snapshot(self) -> log_pb2.LogSnapshot:
+        """Returns the newest snapshot, an empty one at index 0 if none."""
+        snapshot = log_pb2.LogSnapshot(format=LOG_FORMAT)
+        names = self._names(_SNAPSHOT)
+        if names:
+            self._parse(names[-1], snapshot)
+        return snapshot
+
+    def read_snapshot(self) -> bytes:
+        """Returns the newest snapshot serialized, for another voter."""
+        name = self._names(_SNAPSHOT)[-1]
+        try:
+            return _frames.read_single(name, self._disk.read(name))
+        except OSError as error:
+            raise self._fail("read the snapshot", error) from error
+
+    def save_snapshot(self, snapshot: log_pb2.LogSnapshot) -> None:
+        """Returns once the snapshot is synced; older ones are removed."""
+        name = f"{_SNAPSHOT}{snapshot.index:020d}"
+        self._replace(name, snapshot, "save a snapshot")
+        self._remove(old for old in self._names(_SNAPSHOT) if old < name)
+
+    def load_segments(self) -> tuple[Segment, ...]:
+        """Reads all segments and cuts the torn tail of the last one.
+
+        Raises:
+            StorageError: A segment is damaged, or is of another folder.
+        """
+        names = self._names(_SEGMENT)
+        segments = []
+        for name in names:
+            segment = self._load_segment(name, last=name == names[-1])
+            if segment is not None:
+                segments.append(segment)
+                self._first_by_segment[name] = segment.first_index
+        return tuple(segments)
+
+    def write(self, batch: Batch) -> int:
+        """Appends records as one frame and returns its bytes once synced."""
+        self._require_usable()
+        if self._file is None or self._file_size > SEGMENT_BYTES:
+            self.start_segment(batch.records[0].index, batch.prev_term)
+        payload = log_pb2.LogBatch(records=batch.records).SerializeToString()
+        data = _frames.frame(payload, self._file_seed)
+        assert self._file is not None
+        try:
+            self._file.write(data)
+            self._file.sync()
+        except OSError as error:
+            raise self._fail("append to the log", error) from error
+        self._file_size += len(data)
+        return len(data)
+
+    def start_segment(self, first_index: int, prev_term: int) -> None:
+        """Directs further records to a new segment."""
+        self._require_usable()
+        self._close_segment()
+        self._sequence += 1
+        name = f"{_SEGMENT}{self._sequence:012d}"
+        header = log_pb2.LogHeader(
+            format=LOG_FORMAT,
+            identity=self.identity,
+            first_index=first_index,
+            prev_term=prev_term,
+        )
+        data = _frames.frame(header.SerializeToString())
+        try:
+            self._file = self._disk.append(name)
+            self._file.write(data)
+            self._file.sync()
+            self._disk.sync_folder()
+        except OSError as error:
+            raise self._fail("start a log segment", error) from error
+        self._file_seed = _frames.seed_of(self.identity, name)
+        self._file_size = len(data)
+        self._first_by_segment[name] = first_index
+
+    def drop_segments(self, index: int) -> None:
+        """Removes segments that hold nothing after record `index`."""
+        names = sorted(self._first_by_segment)
+        old = [
+            name
+            for name, following in itertools.pairwise(names)
+            if self._first_by_segment[following] <= index + 1
+        ]
+        # Oldest first: what is left after a crash is still without a gap.
+        self._remove(old)
+        for name in old:
+            del self._first_by_segment[name]
+
+    def close(self) -> None:
+        """Closes the files and gives the folder up."""
+        self._close_segment()
+        self._disk.close()
+
+    def _open_identity(self, name: str) -> str:
+        try:
+            names = self._disk.names()
+            for old in names:
+                if old.endswith(".new"):
+                    self._disk.remove(old)
+        except OSError as error:
+            raise self._fail("read the data folder", error) from error
+        stamp = log_pb2.LogIdentity()
+        if _IDENTITY in names:
+            self._parse(_IDENTITY, stamp)
+            if stamp.name != name:
+                raise _disk.StorageError(
+                    f"the data folder belongs to instance {stamp.name}, "
+                    f"not to {name}"
+                )
+            return stamp.identity
+        if any(not old.endswith(".new") for old in names):
+            raise _disk.StorageError(
+                "the data folder holds files but no identity"
+            )
+        stamp.format = LOG_FORMAT
+        stamp.name = name
+        stamp.identity = uuid.uuid4().hex
+        self._replace(_IDENTITY, stamp, "stamp the data folder")
+        return stamp.identity
+
+    def _load_segment(self, name: str, last: bool) -> Segment | None:
+        self._sequence = int(name.removeprefix(_SEGMENT))
+        data = self._read(name)
+        header_data = _frames.read_first(data)
+        if header_data is None:
+            if not last:
+                raise _disk.StorageError(f"file {name} is damaged at byte 0")
+            self._require_no_frames(name, data)
+            self._remove([name])
+            return None
+        header = log_pb2.LogHeader()
+        self._check(name, header_data, header)
+        if header.identity != self.identity:
+            raise _disk.StorageError(
+                f"file {name} belongs to another data folder"
+            )
+        seed = _frames.seed_of(self.identity, name)
+        start = _frames.frame_size(header_data)
+        frames = _frames.read_frames(name, data, start, seed)
+        if frames.size < len(data):
+            self._cut(name, frames.size, last)
+        records: list[log_pb2.LogRecord] = []
+        for payload in frames.payloads:
+            records.extend(log_pb2.LogBatch.FromString(payload).records)
+        return Segment(
+            name, header.first_index, header.prev_term, tuple(records)
+        )
+
+    def _require_no_frames(self, name: str, data: bytes) -> None:
+        """Rejects a damaged header: records after it would be lost."""
+        seed = _frames.seed_of(self.identity, name)
+        _frames.read_frames(name, data, 0, seed)
+
+    def _cut(self, name: str, size: int, last: bool) -> None:
+        if not last:
+            raise _disk.StorageError(f"file {name} is damaged at byte {size}")
+        try:
+            file = self._disk.append(name)
+            try:
+                file.truncate(size)
+                file.sync()
+            finally:
+                file.close()
+        except OSError as error:
+            raise self._fail("cut a torn record", error) from error
+
+    def _names(self, prefix: str) -> list[str]:
+        return [
+            name
+            for name in self._disk.names()
+            if name.startswith(prefix) and not name.endswith(".new")
+        ]
+
+    def _read(self, name: str) -> bytes:
+        try:
+            return self._disk.read(name)
+        except OSError as error:
+            raise self._fail(f"read {name}", error) from error
+
+    def _parse(self, name: str, target: message.Message) -> None:
+        payload = _frames.read_single(name, self._read(name))
+        self._check(name, payload, target)
+
+    def _check(self, name: str, data: bytes, target: message.Message) -> None:
+        try:
+            target.ParseFromString(data)
+        except message.DecodeError as error:
+            raise _disk.StorageError(f"file {name} is malformed") from error
+        found = getattr(target, "format", 0)
+        if found != LOG_FORMAT:
+            raise _disk.StorageError(
+                f"file {name} has format {found}, this version reads "
+                f"{LOG_FORMAT}"
+            )
+
+    def _replace(self, name: str, content: message.Message, what: str) -> None:
+        self._require_usable()
+        try:
+            data = _frames.frame(content.SerializeToString())
+            self._disk.replace(name, data)
+        except OSError as error:
+            raise self._fail(what, error) from error
+
+    def _remove(self, names: Iterable[str]) -> None:
+        self._require_usable()
+        try:
+            for name in names:
+                self._disk.remove(name)
+            self._disk.sync_folder()
+        except OSError as error:
+            raise self._fail("remove old files", error) from error
+
+    def _close_segment(self) -> None:
+        if self._file is not None:
+            self._file.close()
+            self._file = None
+
+    def _require_usable(self) -> None:
+        if self.failure:
+            raise _disk.StorageError(self.failure)
+
+    def _fail(self, what: str, error: OSError) -> _disk.StorageError:
+        problem = _disk.storage_error(what, error)
+        self.failure = str(problem)
+        return problem
--- /dev/null
+++ b/libs/state/mulberry_state/_memory_disk.py
@@ -0,0 +1,146 @@
+"""A data folder in memory that loses what was not synced."""
+
+import random
+import threading
+
+from mulberry_state import _disk
+
+
+class MemoryDisk(_disk.Disk):
+    """Keeps two pictures: what processes see, and what survives a crash.
+
+    Every operation that changes something counts as one step; `fail_at`
+    makes a step raise, so that tests can stop a process at each of them.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.RLock()
+        self._data_by_name: dict[str, bytearray] = {}
+        self._synced_by_id: dict[int, bytes] = {}
+        self._durable_names: dict[str, bytearray] = {}
+        #: Steps done so far.
+        self.steps = 0
+        #: Step at which the disk starts to fail; negative for never.
+        self.fail_at = -1
+        #: What a failing step raises.
+        self.error = OSError(5, "injected fault")
+        #: Names of the steps, for messages of tests.
+        self.trace: list[str] = []
+
+    def names(self) -> tuple[str, ...]:
+        """Returns the names of the files, sorted."""
+        with self._lock:
+            return tuple(sorted(self._data_by_name))
+
+    def read(self, name: str) -> bytes:
+        """Returns the whole content of a file."""
+        with self._lock:
+            return bytes(self._data_by_name[name])
+
+    def append(self, name: str) -> _disk.AppendFile:
+        """Opens a file for appending, creating it if need be."""
+        with self._lock:
+            if name not in self._data_by_name:
+                self.step(f"create {name}")
+                content = bytearray()
+                self._data_by_name[name] = content
+                self._synced_by_id[id(content)] = b""
+            return _MemoryFile(self, name, self._data_by_name[name])
+
+    def rename(self, old: str, new: str) -> None:
+        """Gives a file another name."""
+        with self._lock:
+            self.step(f"rename {old}")
+            self._data_by_name[new] = self._data_by_name.pop(old)
+
+    def remove(self, name: str) -> None:
+        """Removes a file."""
+        with self._lock:
+            self.step(f"remove {name}")
+            del self._data_by_name[name]
+
+    def sync_folder(self) -> None:
+        """Makes the present names survive a crash."""
+        with self._lock:
+            self.step("sync folder")
+            self._durable_names = dict(self._data_by_name)
+
+    def step(self, what: str) -> None:
+        """Counts a step, and raises if the disk is to fail by now."""
+        self.steps += 1
+        self.trace.append(what)
+        if 0 <= self.fail_at < self.steps:
+            raise self.error
+
+    def write(self, content: bytearray, data: bytes, name: str) -> None:
+        """Adds to a file; a failing write leaves a part of the data."""
+        with self._lock:
+            try:
+                self.step(f"write {name}")
+            except OSError:
+                content += data[: len(data) // 2]
+                raise
+            content += data
+
+    def sync(self, content: bytearray, name: str) -> None:
+        """Makes the content of a file survive a crash."""
+        with self._lock:
+            self.step(f"sync {name}")
+            self._synced_by_id[id(content)] = bytes(content)
+
+    def truncate(self, content: bytearray, size: int, name: str) -> None:
+        """Cuts a file."""
+        with self._lock:
+            self.step(f"truncate {name}")
+            del content[size:]
+
+    def after_crash(self, rng: random.Random) -> "MemoryDisk":
+        """Returns the folder as a process finds it after a power loss.
+
+        Names may be those of the last folder sync or the present ones, and of
+        what was not synced any first part may be there.
+        """
+        with self._lock:
+            newest = rng.random() < 0.5
+            names = self._data_by_name if newest else self._durable_names
+            copy = MemoryDisk()
+            for name, content in names.items():
+                copy.put(name, self._surviving(content, rng))
+            return copy
+
+    def put(self, name: str, data: bytes) -> None:
+        """Places a synced file, for example one that a test has damaged."""
+        content = bytearray(data)
+        self._data_by_name[name] = content
+        self._synced_by_id[id(content)] = bytes(data)
+        self._durable_names[name] = content
+
+    def _surviving(self, content: bytearray, rng: random.Random) -> bytes:
+        synced = self._synced_by_id.get(id(content), b"")
+        if len(content) < len(synced):
+            return rng.choice((synced, bytes(content)))
+        rest = content[len(synced) :]
+        kept = bytearray(rest[: rng.randint(0, len(rest))])
+        if kept and rng.random() < 0.3:
+            # A later page may reach the disk before an earlier one.
+            kept[: len(kept) // 2] = bytes(len(kept) // 2)
+        return synced + bytes(kept)
+
+
+class _MemoryFile(_disk.AppendFile):
+    def __init__(self, disk: MemoryDisk, name: str, content: bytearray) -> None:
+        self._disk = disk
+        self._name = name
+        self._content = content
+
+    def write(self, data: bytes) -> None:
+        self._disk.write(self._content, data, self._name)
+
+    def sync(self) -> None:
+        self._disk.sync(self._content, self._name)
+
+    def truncate(self, size: int) -> None:
+        self._disk.truncate(self._content, size, self._name)
+
+    def close(self) -> None:
+        pass
