--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -12,6 +12,9 @@
     CrashReport,
     NoCrashGuard,
 )
+from mulberry_decisions._error_threshold import (
+    ErrorThreshold,
+)
 from mulberry_decisions._hedging import (
     FixedDelayHedging,
     HedgePolicy,
@@ -22,11 +25,15 @@
     Evidence,
     EvidenceCounts,
     EvidenceKey,
+    EvidenceSeries,
     NoJudge,
     Observation,
     Proposal,
     VersionJudge,
 )
+from mulberry_decisions._learned_models import (
+    LearnedCascade,
+)
 from mulberry_decisions._limits import (
     Demand,
     EqualShares,
@@ -45,9 +52,15 @@
     RatingKey,
     TryModel,
 )
+from mulberry_decisions._paying_hedges import (
+    PayingHedges,
+)
 from mulberry_decisions._priority_admission import (
     PriorityAdmission,
 )
+from mulberry_decisions._proven_steps import (
+    ProvenSteps,
+)
 from mulberry_decisions._retries import (
     NoRetries,
     RetryBudget,
@@ -61,12 +74,22 @@
     RolloutState,
     TimedSteps,
 )
+from mulberry_decisions._sequential_judge import (
+    SequentialJudge,
+)
+from mulberry_decisions._session_versions import (
+    SessionShare,
+)
 from mulberry_decisions._shared_limits import (
     SharedLimiter,
 )
 from mulberry_decisions._shared_retries import (
     ShareRetryBudget,
 )
+from mulberry_decisions._strikes import (
+    MAX_STRIKES,
+    StrikeGuard,
+)
 from mulberry_decisions._table import (
     ADMISSIONS,
     CRASH_GUARDS,
@@ -79,6 +102,9 @@
     VERSION_CHOOSERS,
     VERSION_JUDGES,
 )
+from mulberry_decisions._two_choices import (
+    TwoChoices,
+)
 from mulberry_decisions._upstreams import (
     CacheEvent,
     LeastReportedLoad,
@@ -104,6 +130,7 @@
     "CRASH_GUARDS",
     "FAILURES",
     "HEDGE_POLICIES",
+    "MAX_STRIKES",
     "MODEL_CHOOSERS",
     "NO_STEP",
     "RETRY_BUDGETS",
@@ -121,14 +148,17 @@
     "Deliver",
     "Demand",
     "EqualShares",
+    "ErrorThreshold",
     "Evidence",
     "EvidenceCounts",
     "EvidenceKey",
+    "EvidenceSeries",
     "FirstCome",
     "FixedDelayHedging",
     "FixedOrder",
     "FixedShare",
     "HedgePolicy",
+    "LearnedCascade",
     "LeastReportedLoad",
     "ModelChooser",
     "ModelOption",
@@ -139,8 +169,10 @@
     "NoRetries",
     "Observation",
     "Outcome",
+    "PayingHedges",
     "PriorityAdmission",
     "Proposal",
+    "ProvenSteps",
     "QueuePlace",
     "RatingCounts",
     "RatingExport",
@@ -150,16 +182,20 @@
     "RolloutAdvice",
     "RolloutState",
     "RoundRobin",
+    "SequentialJudge",
+    "SessionShare",
     "ShareRetryBudget",
     "SharedLimiter",
     "StableVersion",
     "Standing",
+    "StrikeGuard",
     "Taken",
     "TeamLimit",
     "TeamLimiter",
     "Ticket",
     "TimedSteps",
     "TryModel",
+    "TwoChoices",
     "TwoRandomChoices",
     "UnlimitedRetries",
     "UpstreamChooser",
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/_evidence.py
@@ -0,0 +1,195 @@
+"""Counts of runs by version, over time and over instances."""
+
+import dataclasses
+
+import mulberry_core as core
+from mulberry_decisions import _judge, _work
+
+#: Length of a time span, seconds.
+SPAN_S = 10.0
+#: Newest spans whose starts are all kept; of older ones the number halves
+#: with each doubling of the age.
+_NEWEST_KEPT = 6
+#: Gain of the running estimate of the ninetieth percentile.
+_QUANTILE_GAIN = 0.02
+_QUANTILE = 0.9
+#: Runs before the latency estimate is used.
+_FEWEST_TIMED = 20
+
+_EMPTY = _judge.EvidenceCounts()
+
+
+def add(
+    left: _judge.EvidenceCounts, right: _judge.EvidenceCounts, sign: int = 1
+) -> _judge.EvidenceCounts:
+    """Returns `left` plus `sign` times `right`."""
+    return _judge.EvidenceCounts(
+        left.runs + sign * right.runs,
+        left.failed + sign * right.failed,
+        left.rated + sign * right.rated,
+        left.rated_low + sign * right.rated_low,
+        left.timed + sign * right.timed,
+        left.slow + sign * right.slow,
+    )
+
+
+@dataclasses.dataclass
+class _Latency:
+    """Running estimate of a high percentile of one kind's latency."""
+
+    value_s: float = 0.0
+    seen: int = 0
+
+    def is_slow(self, latency_s: float) -> bool | core.Missing:
+        """Compares with the estimate, then updates it."""
+        self.seen += 1
+        if self.seen == 1:
+            self.value_s = latency_s
+        slow = latency_s > self.value_s
+        # Larger steps first, so that the estimate is near before it counts.
+        gain = max(_QUANTILE_GAIN, 1.0 / self.seen)
+        step = gain * max(self.value_s, 1e-3)
+        self.value_s += step * (_QUANTILE if slow else _QUANTILE - 1.0)
+        return slow if self.seen > _FEWEST_TIMED else core.Missing.UNSET
+
+
+class OwnEvidence:
+    """Counts of this instance. Not thread-safe."""
+
+    def __init__(self) -> None:
+        self._now: dict[_judge.EvidenceKey, _judge.EvidenceCounts] = {}
+        self._before: dict[
+            _judge.EvidenceKey, dict[int, _judge.EvidenceCounts]
+        ] = {}
+        self._latencies: dict[tuple[str, str], _Latency] = {}
+
+    def observe(
+        self, observation: _judge.Observation, epoch: int, span: int
+    ) -> None:
+        """Counts one run."""
+        key = _judge.EvidenceKey(
+            observation.model, observation.version, observation.kind, epoch
+        )
+        counts = self._now.get(key, _EMPTY)
+        before = self._before.setdefault(key, {})
+        if span not in before:
+            before[span] = counts
+            self._thin(before, span)
+        self._now[key] = add(counts, self._one(observation))
+
+    def export(self) -> _judge.Evidence:
+        """Returns an immutable copy of the counts."""
+        return {
+            key: _judge.EvidenceSeries(counts, dict(self._before[key]))
+            for key, counts in self._now.items()
+        }
+
+    def forget(self, model: str, version: str, epoch: int) -> None:
+        """Drops evidence on a version from before an epoch."""
+        for key in list(self._now):
+            if (key.model, key.version) == (model, version) and (
+                key.epoch < epoch
+            ):
+                del self._now[key]
+                del self._before[key]
+
+    def _one(self, observation: _judge.Observation) -> _judge.EvidenceCounts:
+        rating = observation.rating
+        rated = not isinstance(rating, core.Missing)
+        low = (
+            not isinstance(rating, core.Missing)
+            and rating < observation.quality
+        )
+        timed = slow = False
+        latency_s = observation.latency_s
+        completed = observation.outcome is _work.Outcome.COMPLETED
+        if completed and not isinstance(latency_s, core.Missing):
+            latency = self._latencies.setdefault(
+                (observation.model, observation.kind), _Latency()
+            )
+            verdict = latency.is_slow(latency_s)
+            timed = not isinstance(verdict, core.Missing)
+            slow = verdict is True
+        failed = observation.outcome in _judge.FAILURES
+        return _judge.EvidenceCounts(
+            1, int(failed), int(rated), int(low), int(timed), int(slow)
+        )
+
+    def _thin(
+        self, before: dict[int, _judge.EvidenceCounts], newest: int
+    ) -> None:
+        """Keeps the newest starts and one for each doubling of the age.
+
+        What is kept depends on time only. Choosing by outcome would break
+        the bound on false alarms.
+        """
+        kept_class: set[int] = set()
+        for span in sorted(before)[:-_NEWEST_KEPT]:
+            age_class = (newest - span).bit_length()
+            if age_class in kept_class:
+                del before[span]
+            kept_class.add(age_class)
+
+
+class AllEvidence:
+    """Evidence of all instances by name. Not thread-safe."""
+
+    def __init__(self) -> None:
+        self._by_instance: dict[
+            str, dict[_judge.EvidenceKey, _judge.EvidenceSeries]
+        ] = {}
+
+    def merge(self, instance: str, evidence: _judge.Evidence) -> None:
+        """Keeps, for each key, the series with more runs."""
+        known = self._by_instance.setdefault(instance, {})
+        for key, series in evidence.items():
+            old = known.get(key)
+            if old is None or old.now.runs <= series.now.runs:
+                known[key] = series
+
+    def forget(self, model: str, version: str, epoch: int) -> None:
+        """Drops evidence on a version from before an epoch."""
+        for known in self._by_instance.values():
+            for key in list(known):
+                if (key.model, key.version) == (model, version) and (
+                    key.epoch < epoch
+                ):
+                    del known[key]
+
+    def all_keys(self) -> set[_judge.EvidenceKey]:
+        """Returns all keys with evidence."""
+        return {key for known in self._by_instance.values() for key in known}
+
+    def starts(self, key: _judge.EvidenceKey) -> list[int]:
+        """Returns the spans from which evidence can be counted."""
+        return sorted(
+            {
+                span
+                for series in self._series(key)
+                for span in series.before_by_span
+            }
+        )
+
+    def total(self, key: _judge.EvidenceKey) -> _judge.EvidenceCounts:
+        """Returns the counts of the whole epoch."""
+        total = _EMPTY
+        for series in self._series(key):
+            total = add(total, series.now)
+        return total
+
+    def since(
+        self, key: _judge.EvidenceKey, span: int
+    ) -> _judge.EvidenceCounts:
+        """Returns the counts from the start of a span to now."""
+        total = _EMPTY
+        for series in self._series(key):
+            later = [start for start in series.before_by_span if start >= span]
+            if later:
+                before = series.before_by_span[min(later)]
+                total = add(total, add(series.now, before, -1))
+        return total
+
+    def _series(self, key: _judge.EvidenceKey) -> list[_judge.EvidenceSeries]:
+        return [
+            known[key] for known in self._by_instance.values() if key in known
+        ]
--- a/libs/decisions/mulberry_decisions/_judge.py
+++ b/libs/decisions/mulberry_decisions/_judge.py
@@ -34,6 +34,9 @@
     quality: float = 0.0
     #: Seconds to the whole answer.
     latency_s: float | core.Missing = core.Missing.UNSET
+    #: Number of the last verdict on the version when the request was sent;
+    #: unset for the current one.
+    epoch: int | core.Missing = core.Missing.UNSET
 
 
 @dataclasses.dataclass(frozen=True)
@@ -43,15 +46,13 @@
     model: str
     version: str
     kind: str
-    #: Number of the last verdict on the version when the run was observed.
+    #: Number of the last verdict on the version when the run was sent.
     epoch: int
-    #: Number of the time span, by the time of day.
-    span: int
 
 
 @dataclasses.dataclass(frozen=True)
 class EvidenceCounts:
-    """Counts of runs; never decrease for one instance and key."""
+    """Counts of runs since the start of the epoch."""
 
     runs: int = 0
     #: Errors, truncated and garbled answers and missed deadlines.
@@ -61,12 +62,22 @@
     rated_low: int = 0
     #: Completed runs with a latency.
     timed: int = 0
-    #: Completed runs above the model's usual latency.
+    #: Completed runs slower than nine tenths of the model's runs.
     slow: int = 0
 
 
-#: Counts of one instance, published to the others.
-Evidence = Mapping[EvidenceKey, EvidenceCounts]
+@dataclasses.dataclass(frozen=True)
+class EvidenceSeries:
+    """Counts of one instance now and at earlier times."""
+
+    now: EvidenceCounts
+    #: Counts before the first run in a time span, by number of the span.
+    #: Spans divide the time of day and are the same for all instances.
+    before_by_span: Mapping[int, EvidenceCounts]
+
+
+#: Evidence of one instance, published to the others.
+Evidence = Mapping[EvidenceKey, EvidenceSeries]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,8 +109,9 @@
     def merge(self, instance: str, evidence: Evidence) -> None:
         """Replaces what is known of another instance's counts.
 
-        Messages may arrive late, twice or out of order: for each key the
-        larger count holds.
+        Messages may arrive late, twice or out of order: counts of one
+        instance never decrease, so for each key the one with more runs
+        holds. `instance` therefore names one life of an instance.
         """
 
     @abc.abstractmethod
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/_learned_models.py
@@ -0,0 +1,306 @@
+"""Cascade that learns from ratings which model to start with."""
+
+import collections
+import dataclasses
+import math
+import random
+import threading
+from collections.abc import Mapping, Sequence
+
+import mulberry_core as core
+from mulberry_decisions import _models, _rater, _work
+
+#: Weight of the quality in the rules, in ratings.
+_PRIOR_WEIGHT = 4.0
+#: Weight of all teams' ratings of a kind for one team, in ratings.
+_KIND_WEIGHT = 10.0
+#: Own counts are halved above this number, so that old ratings fade.
+_MAX_COUNT = 400.0
+#: Standard deviations below the mean for the lower bound (one-sided 95%).
+_LOWER_DEVIATIONS = 1.645
+#: Cost of an answer below the target, in costs of the dearest model. Two
+#: makes running the dearest model worth while when it helps half the time.
+_MISS_COST = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class _Belief:
+    """Beta distribution of the share of answers that meet the target."""
+
+    met: float
+    missed: float
+
+    @property
+    def mean(self) -> float:
+        return self.met / (self.met + self.missed)
+
+    @property
+    def lower(self) -> float:
+        total = self.met + self.missed
+        variance = self.mean * (1.0 - self.mean) / (total + 1.0)
+        return self.mean - _LOWER_DEVIATIONS * math.sqrt(variance)
+
+
+class LearnedCascade(_models.ModelChooser):
+    """Starts where the expected cost to a good answer is lowest.
+
+    Beliefs are drawn from their distributions (Thompson sampling), so that a
+    model is tried as often as it may still be the best one.
+    """
+
+    def __init__(self, clock: core.Clock, seed: int | None = None) -> None:
+        self._clock = clock
+        self._random = random.Random(seed)
+        self._lock = threading.Lock()
+        self._own: dict[_models.RatingKey, _models.RatingCounts] = {}
+        self._others: dict[str, _models.RatingExport] = {}
+        #: Sums over instances, by key and by kind over all teams.
+        self._totals: dict[_models.RatingKey, _models.RatingCounts] = {}
+        self._rater = _rater.RaterHealth()
+        #: Ratings that a suspicion would take back, newest last.
+        self._learned: collections.deque[tuple[_models.RatingKey, bool]] = (
+            collections.deque(maxlen=_rater.WINDOW)
+        )
+
+    def first(
+        self,
+        work: _work.Work,
+        allowed: Sequence[_models.ModelOption],
+        quality: float,
+    ) -> _models.TryModel | core.Refusal:
+        """Chooses the model with the lowest expected cost of a good answer."""
+        if not allowed:
+            return _models.no_model()
+        with self._lock:
+            now_s = self._clock.now()
+            if not self._can_rate(now_s):
+                option = self._trusted(work, allowed, quality)
+                return _models.TryModel(option.name, "no usable ratings")
+            left_s = work.deadline_at_s - now_s
+            draws = self._draw(work, allowed)
+            _, best = self._plan(work, allowed, "", left_s, draws)
+        if best is None:
+            best = min(allowed, key=lambda option: option.expected_latency_s)
+            return _models.TryModel(best.name, "fastest; deadline is close")
+        return _models.TryModel(best.name, "lowest expected cost")
+
+    def next(
+        self,
+        work: _work.Work,
+        allowed: Sequence[_models.ModelOption],
+        quality: float,
+        attempts: Sequence[_models.Attempt],
+    ) -> _models.TryModel | _models.Deliver | core.Refusal:
+        """Delivers an answer that meets the target, else continues."""
+        last = attempts[-1]
+        if last.has_answer and self._is_enough(work, allowed, quality, last):
+            return _models.Deliver(last.model, "meets the target")
+        tried = {attempt.model for attempt in attempts}
+        left_s = work.deadline_at_s - self._clock.now()
+        left = [
+            option
+            for option in _after(allowed, last.model)
+            if option.name not in tried and option.expected_latency_s <= left_s
+        ]
+        best = _models.deliver_best(attempts)
+        if not left:
+            return best
+        with self._lock:
+            if isinstance(last.rating, core.Missing) and last.has_answer:
+                option = self._trusted(work, left, quality)
+                return _models.TryModel(option.name, "answer is not rated")
+            draws = self._draw(work, left)
+            _, planned = self._plan(work, left, last.model, left_s, draws)
+        option = planned or left[-1]
+        return _models.TryModel(option.name, "rating is below the target")
+
+    def learn(
+        self,
+        work: _work.Work,
+        model: str,
+        rating: float | core.Missing,
+        quality: float,
+        after: str = "",
+    ) -> None:
+        """Counts the rating unless the rater is suspected."""
+        with self._lock:
+            if isinstance(rating, core.Missing):
+                self._rater.missing()
+                return
+            key = _models.RatingKey(work.team, work.kind, model, after)
+            met = rating >= quality
+            expected = self._belief(key, 0.5).mean
+            self._rater.rated(model, rating, met, expected)
+            self._count(key, met)
+            if self._rater.is_suspect(self._clock.now()):
+                self._unlearn()
+
+    def export(self) -> _models.RatingExport:
+        """Returns the counts of this instance."""
+        with self._lock:
+            return dict(self._own)
+
+    def merge(self, instance: str, counts: _models.RatingExport) -> None:
+        """Replaces the counts of another instance."""
+        with self._lock:
+            self._add_all(self._others.get(instance, {}), -1.0)
+            self._others[instance] = dict(counts)
+            self._add_all(counts, 1.0)
+
+    def _can_rate(self, now_s: float) -> bool:
+        if self._rater.is_away() or self._rater.is_suspect(now_s):
+            return self._rater.may_probe(now_s)
+        return True
+
+    def _is_enough(
+        self,
+        work: _work.Work,
+        allowed: Sequence[_models.ModelOption],
+        quality: float,
+        last: _models.Attempt,
+    ) -> bool:
+        if not allowed:
+            return True
+        with self._lock:
+            suspect = self._rater.is_suspect(self._clock.now())
+            if not isinstance(last.rating, core.Missing) and not suspect:
+                return last.rating >= quality
+            # Without a usable rating the model itself must be good enough.
+            trusted = self._trusted(work, allowed, quality)
+            names = [option.name for option in allowed]
+            if last.model not in names:
+                return True
+            return names.index(last.model) >= names.index(trusted.name)
+
+    def _trusted(
+        self,
+        work: _work.Work,
+        allowed: Sequence[_models.ModelOption],
+        quality: float,
+    ) -> _models.ModelOption:
+        """The cheapest model whose lower bound meets the target.
+
+        Without one, the most expensive model.
+        """
+        for option in allowed:
+            key = _models.RatingKey(work.team, work.kind, option.name)
+            if self._belief(key, option.quality).lower >= quality:
+                return option
+        return allowed[-1]
+
+    def _plan(
+        self,
+        work: _work.Work,
+        left: Sequence[_models.ModelOption],
+        after: str,
+        left_s: float,
+        draws: Mapping[str, float],
+    ) -> tuple[float, _models.ModelOption | None]:
+        """Returns the lowest expected cost and the model to run next."""
+        if not left:
+            return 0.0, None
+        miss = _MISS_COST * left[-1].cost_per_1k_tokens
+        best_cost, best = miss, None
+        for index, option in enumerate(left):
+            if option.expected_latency_s > left_s:
+                continue
+            key = _models.RatingKey(work.team, work.kind, option.name, after)
+            belief = self._belief(key, option.quality)
+            share = min(1.0, max(0.0, belief.mean + draws[option.name]))
+            rest, _ = self._plan(
+                work,
+                left[index + 1 :],
+                option.name,
+                left_s - option.expected_latency_s,
+                draws,
+            )
+            if index + 1 == len(left):
+                rest = miss
+            cost = option.cost_per_1k_tokens + (1.0 - share) * rest
+            if best is None or cost < best_cost:
+                best_cost, best = cost, option
+        return best_cost, best
+
+    def _draw(
+        self, work: _work.Work, options: Sequence[_models.ModelOption]
+    ) -> dict[str, float]:
+        """Draws for each model how far its share is from the mean.
+
+        One draw serves all places of a model in the plans; otherwise plans
+        that differ only in their first step would be told apart by noise.
+        """
+        draws = {}
+        for option in options:
+            key = _models.RatingKey(work.team, work.kind, option.name)
+            belief = self._belief(key, option.quality)
+            drawn = self._random.betavariate(belief.met, belief.missed)
+            draws[option.name] = drawn - belief.mean
+        return draws
+
+    def _belief(self, key: _models.RatingKey, quality: float) -> _Belief:
+        """Combines the rules' quality, the kind's and the team's ratings.
+
+        What is not known yet after another model's failure is taken from
+        first answers.
+        """
+        if key.after:
+            first = dataclasses.replace(key, after="")
+            quality = self._belief(first, quality).mean
+        kind = self._totals.get(_kind_key(key), _models.RatingCounts())
+        met = _PRIOR_WEIGHT * quality + kind.met
+        missed = _PRIOR_WEIGHT * (1.0 - quality) + kind.missed
+        weight = min(1.0, _KIND_WEIGHT / (met + missed))
+        own = self._totals.get(key, _models.RatingCounts())
+        return _Belief(
+            max(0.05, weight * met + own.met),
+            max(0.05, weight * missed + own.missed),
+        )
+
+    def _unlearn(self) -> None:
+        """Takes back the ratings that led to the suspicion."""
+        while self._learned:
+            key, met = self._learned.pop()
+            old = self._own.get(key, _models.RatingCounts())
+            new = _models.RatingCounts(
+                max(0.0, old.met - met), max(0.0, old.missed - (not met))
+            )
+            self._add_all({key: old}, -1.0)
+            self._own[key] = new
+            self._add_all({key: new}, 1.0)
+
+    def _count(self, key: _models.RatingKey, met: bool) -> None:
+        self._learned.append((key, met))
+        old = self._own.get(key, _models.RatingCounts())
+        new = _models.RatingCounts(old.met + met, old.missed + (not met))
+        if new.met + new.missed > _MAX_COUNT:
+            new = _models.RatingCounts(new.met / 2, new.missed / 2)
+        self._add_all({key: old}, -1.0)
+        self._own[key] = new
+        self._add_all({key: new}, 1.0)
+
+    def _add_all(
+        self,
+        counts: Mapping[_models.RatingKey, _models.RatingCounts],
+        sign: float,
+    ) -> None:
+        for key, count in counts.items():
+            for total_key in (key, _kind_key(key)):
+                old = self._totals.get(total_key, _models.RatingCounts())
+                self._totals[total_key] = _models.RatingCounts(
+                    max(0.0, old.met + sign * count.met),
+                    max(0.0, old.missed + sign * count.missed),
+                )
+
+
+def _kind_key(key: _models.RatingKey) -> _models.RatingKey:
+    """Returns the key for all teams; team names are never empty."""
+    return dataclasses.replace(key, team="")
+
+
+def _after(
+    allowed: Sequence[_models.ModelOption], model: str
+) -> list[_models.ModelOption]:
+    """Returns the models dearer than `model`, all if it is not allowed."""
+    names = [option.name for option in allowed]
+    start = names.index(model) + 1 if model in names else 0
+    return list(allowed[start:])
--- a/libs/decisions/mulberry_decisions/_models.py
+++ b/libs/decisions/mulberry_decisions/_models.py
@@ -65,6 +65,9 @@
     team: str
     kind: str
     model: str
+    #: Model whose answer had been rated too low before, empty for none. An
+    #: answer that follows a failure is to a harder question.
+    after: str = ""
 
 
 #: Counts of one instance, published to the others.
@@ -117,9 +120,22 @@
         """
 
     def learn(  # noqa: B027 - an optional hook
-        self, work: _work.Work, model: str, rating: float, quality: float
+        self,
+        work: _work.Work,
+        model: str,
+        rating: float | core.Missing,
+        quality: float,
+        after: str = "",
     ) -> None:
-        """Takes the rating of an answer, 0 to 1."""
+        """Takes the rating of an answer.
+
+        Args:
+            work: The request.
+            model: Model that answered.
+            rating: Rating, 0 to 1; unset if the rater failed or was late.
+            quality: Quality target of the cascade.
+            after: Model whose answer was rated too low before, or empty.
+        """
 
     def export(self) -> RatingExport:
         """Returns the counts of this instance for the others."""
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/_prefix_index.py
@@ -0,0 +1,105 @@
+"""Which upstream is believed to hold which prompt prefixes."""
+
+import collections
+from collections.abc import Sequence
+
+from mulberry_decisions import _upstreams
+
+#: Prefix digests remembered for each upstream; the least recent are dropped.
+_MAX_DIGESTS = 4096
+#: Trust in what was known before a gap in the events, because the lost ones
+#: may have dropped it.
+_TRUST_AFTER_GAP = 0.5
+
+
+class _Cache:
+    def __init__(self, incarnation: int) -> None:
+        self.incarnation = incarnation
+        self.sequence = -1
+        #: Counts the gaps seen so far.
+        self.gaps = 0
+        #: Number of gaps before each digest was last seen, oldest first.
+        self.digests: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+
+
+class PrefixIndex:
+    """Caches of all upstreams, from events and from own requests.
+
+    Not thread-safe; the owner holds its lock.
+    """
+
+    def __init__(self) -> None:
+        self._caches: dict[str, _Cache] = {}
+        self._holders: dict[str, set[str]] = {}
+
+    def holders(self, digest: str) -> set[str]:
+        """Returns names of upstreams believed to hold the prefix."""
+        return self._holders.get(digest, set())
+
+    def share_held(
+        self, upstream: str, incarnation: int, prefixes: Sequence[str]
+    ) -> float:
+        """Returns the expected share of the prompt that is cached, 0 to 1."""
+        cache = self._caches.get(upstream)
+        if cache is None or cache.incarnation != incarnation:
+            return 0.0
+        for index in range(len(prefixes) - 1, -1, -1):
+            gaps = cache.digests.get(prefixes[index])
+            if gaps is not None:
+                trust = _TRUST_AFTER_GAP ** (cache.gaps - gaps)
+                return trust * (index + 1) / len(prefixes)
+        return 0.0
+
+    def ran(
+        self, upstream: str, incarnation: int, prefixes: Sequence[str]
+    ) -> None:
+        """Notes that a request with these prefixes was sent there."""
+        cache = self._cache(upstream, incarnation)
+        if cache.incarnation == incarnation:
+            self._store(upstream, cache, prefixes)
+
+    def apply(self, event: _upstreams.CacheEvent) -> None:
+        """Takes an event, which may be late or follow lost ones."""
+        cache = self._cache(event.upstream, event.incarnation)
+        is_late = event.sequence <= cache.sequence
+        if cache.incarnation != event.incarnation or is_late:
+            return
+        if cache.sequence >= 0 and event.sequence > cache.sequence + 1:
+            cache.gaps += 1
+        cache.sequence = event.sequence
+        if event.cleared:
+            self._drop(event.upstream, cache, tuple(cache.digests))
+        self._drop(event.upstream, cache, event.dropped)
+        self._store(event.upstream, cache, event.stored)
+
+    def _cache(self, upstream: str, incarnation: int) -> _Cache:
+        """Returns the cache; a newer incarnation starts empty."""
+        cache = self._caches.get(upstream)
+        if cache is None or cache.incarnation < incarnation:
+            if cache is not None:
+                self._drop(upstream, cache, tuple(cache.digests))
+            cache = self._caches[upstream] = _Cache(incarnation)
+        return cache
+
+    def _store(
+        self, upstream: str, cache: _Cache, digests: Sequence[str]
+    ) -> None:
+        for digest in digests:
+            cache.digests[digest] = cache.gaps
+            cache.digests.move_to_end(digest)
+            self._holders.setdefault(digest, set()).add(upstream)
+        while len(cache.digests) > _MAX_DIGESTS:
+            self._drop(upstream, cache, (next(iter(cache.digests)),))
+
+    def _drop(
+        self, upstream: str, cache: _Cache, digests: Sequence[str]
+    ) -> None:
+        for digest in digests:
+            if cache.digests.pop(digest, None) is None:
+                continue
+            holders = self._holders[digest]
+            holders.discard(upstream)
+            if not holders:
+                del self._holders[digest]
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/_proven_steps.py
@@ -0,0 +1,52 @@
+"""Rollout steps that need evidence."""
+
+from mulberry_decisions import _rollout, _versions
+
+
+class ProvenSteps(_rollout.RolloutAdvancer):
+    """Steps forward on time and evidence, goes back on a verdict."""
+
+    def advise(self, state: _rollout.RolloutState) -> _rollout.RolloutAdvice:
+        """Looks at the standing first, then at hold, time and evidence."""
+        if state.standing is _versions.Standing.BAD:
+            return _back(state, _rollout.NO_STEP, "version held to be bad")
+        if state.standing is _versions.Standing.PROBATION and state.step != 0:
+            return _rollout.RolloutAdvice(
+                _rollout.Move.BACK if state.step > 0 else _rollout.Move.FORWARD,
+                0,
+                "probation begins on the first step",
+            )
+        reason = _why_hold(state)
+        if reason:
+            return _rollout.RolloutAdvice(
+                _rollout.Move.HOLD, state.step, reason
+            )
+        return _rollout.RolloutAdvice(
+            _rollout.Move.FORWARD,
+            state.step + 1,
+            "first step" if state.step < 0 else "as good as the old version",
+        )
+
+
+def _back(
+    state: _rollout.RolloutState, step: int, reason: str
+) -> _rollout.RolloutAdvice:
+    move = _rollout.Move.HOLD if state.step == step else _rollout.Move.BACK
+    return _rollout.RolloutAdvice(move, step, reason)
+
+
+def _why_hold(state: _rollout.RolloutState) -> str:
+    """Returns why the rollout stays on its step, empty if it may go on."""
+    if state.held:
+        return "held by the rules"
+    if state.step + 1 >= len(state.steps):
+        return "on the last step"
+    if state.step == _rollout.NO_STEP:
+        return ""
+    if state.standing is _versions.Standing.PROBATION:
+        return "on probation"
+    if not state.proven:
+        return f"{state.exposed} requests do not prove the version yet"
+    if state.on_step_s < state.step_s:
+        return "step time has not passed"
+    return ""
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/_sequential_judge.py
@@ -0,0 +1,351 @@
+"""Verdicts from sequential tests on the evidence of all instances."""
+
+import dataclasses
+import threading
+
+import mulberry_core as core
+from mulberry_decisions import (
+    _evidence,
+    _judge,
+    _verdict_tests,
+    _versions,
+)
+
+#: Log of the evidence for a verdict: at most one false alarm of one test in
+#: 100,000 starts, that is time spans of 10 s with runs.
+_ALARM_LOG_EVIDENCE = 11.5
+#: The same on probation, where a fault was seen before: one in 1,000.
+_PROBATION_LOG_EVIDENCE = 6.9
+#: Log of the evidence at which another model counts as worse as well.
+_COMPANION_LOG_EVIDENCE = 4.6
+#: Time from a verdict to the first probation, doubled with each relapse.
+_FIRST_PROBATION_AFTER_S = 900.0
+_LONGEST_PROBATION_AFTER_S = 14_400.0
+
+_Name = tuple[str, str]
+
+
+@dataclasses.dataclass(frozen=True)
+class _Recorded:
+    """The last recorded verdict on a version."""
+
+    number: int = 0
+    standing: _versions.Standing = _versions.Standing.GOOD
+    #: When this instance learned of it, seconds.
+    since_s: float = 0.0
+    #: How often it was held to be bad since it was last good.
+    relapses: int = 0
+
+
+_NO_VERDICT = _Recorded()
+
+
+class SequentialJudge(_judge.VersionJudge):
+    """Compares each version with others of its model at the same time.
+
+    A version that runs alone is compared with its own past. It gets a
+    verdict only if another version or model runs at the same time and is
+    not worse as well; otherwise the rater or the work may have changed.
+    """
+
+    def __init__(self, clock: core.Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._own = _evidence.OwnEvidence()
+        self._all = _evidence.AllEvidence()
+        self._recorded: dict[_Name, _Recorded] = {}
+
+    def observe(self, observation: _judge.Observation) -> None:
+        """Counts one run under the epoch in which it was sent."""
+        with self._lock:
+            name = (observation.model, observation.version)
+            current = self._recorded.get(name, _NO_VERDICT).number
+            epoch = observation.epoch
+            if isinstance(epoch, core.Missing):
+                epoch = current
+            if epoch < current:
+                return
+            span = int(self._clock.wall() / _evidence.SPAN_S)
+            self._own.observe(observation, epoch, span)
+
+    def export(self) -> _judge.Evidence:
+        """Returns the counts of this instance."""
+        with self._lock:
+            return self._own.export()
+
+    def merge(self, instance: str, evidence: _judge.Evidence) -> None:
+        """Takes the counts of another instance."""
+        with self._lock:
+            self._all.merge(instance, evidence)
+
+    def verdict_recorded(
+        self,
+        model: str,
+        version: str,
+        number: int,
+        standing: _versions.Standing,
+    ) -> None:
+        """Starts a new epoch; evidence from before it no longer counts."""
+        with self._lock:
+            name = (model, version)
+            old = self._recorded.get(name, _NO_VERDICT)
+            if number <= old.number:
+                return
+            relapses = old.relapses
+            if standing is _versions.Standing.BAD:
+                relapses += 1
+            elif standing is _versions.Standing.GOOD:
+                relapses = 0
+            self._recorded[name] = _Recorded(
+                number, standing, self._clock.now(), relapses
+            )
+            self._own.forget(model, version, number)
+            self._all.forget(model, version, number)
+
+    def proposals(self) -> tuple[_judge.Proposal, ...]:
+        """Returns the verdicts that the evidence supports now."""
+        with self._lock:
+            self._take_own()
+            names = {(key.model, key.version) for key in self._all.all_keys()}
+            names |= set(self._recorded)
+            found = [self._propose(name) for name in sorted(names)]
+        return tuple(
+            proposal
+            for proposal in found
+            if not isinstance(proposal, core.Missing)
+        )
+
+    def exposed(self, model: str, version: str) -> int:
+        """Returns the runs since the last verdict, over all instances."""
+        with self._lock:
+            self._take_own()
+            return self._runs((model, version))
+
+    def is_proven(self, model: str, version: str, reference: str) -> bool:
+        """Whether the evidence excludes that it is much worse."""
+        with self._lock:
+            self._take_own()
+            return self._is_proven((model, version), (model, reference))
+
+    def _take_own(self) -> None:
+        self._all.merge("", self._own.export())
+
+    def _propose(self, name: _Name) -> _judge.Proposal | core.Missing:
+        recorded = self._recorded.get(name, _NO_VERDICT)
+        if recorded.standing is _versions.Standing.BAD:
+            return self._propose_probation(name, recorded)
+        threshold = (
+            _PROBATION_LOG_EVIDENCE
+            if recorded.standing is _versions.Standing.PROBATION
+            else _ALARM_LOG_EVIDENCE
+        )
+        finding = self._worst(name)
+        if finding.log_evidence >= threshold:
+            return _proposal(
+                name,
+                recorded,
+                _versions.Standing.BAD,
+                f"worse in {finding.signal.name.lower()}",
+                finding.sentence(),
+            )
+        if recorded.standing is _versions.Standing.PROBATION and any(
+            self._is_proven(name, other) for other in self._siblings(name)
+        ):
+            return _proposal(
+                name,
+                recorded,
+                _versions.Standing.GOOD,
+                "as good as the other versions on probation",
+                f"{self._runs(name)} runs on probation",
+            )
+        return core.Missing.UNSET
+
+    def _propose_probation(
+        self, name: _Name, recorded: _Recorded
+    ) -> _judge.Proposal | core.Missing:
+        wait_s = min(
+            _LONGEST_PROBATION_AFTER_S,
+            _FIRST_PROBATION_AFTER_S * 2.0 ** (recorded.relapses - 1),
+        )
+        if self._clock.now() - recorded.since_s < wait_s:
+            return core.Missing.UNSET
+        return _proposal(
+            name,
+            recorded,
+            _versions.Standing.PROBATION,
+            f"{wait_s:.0f} s without work since the last verdict",
+            "none yet",
+        )
+
+    def _worst(self, name: _Name) -> _verdict_tests.Finding:
+        """Returns the strongest evidence against the version."""
+        siblings = self._established(name)
+        concurrent = [
+            finding
+            for signal in _verdict_tests.Signal
+            for finding in self._against_siblings(name, siblings, signal)
+        ]
+        concurrent.append(self._against_past(name))
+        return max(concurrent, key=lambda finding: finding.log_evidence)
+
+    def _against_siblings(
+        self,
+        name: _Name,
+        siblings: list[_Name],
+        signal: _verdict_tests.Signal,
+    ) -> list[_verdict_tests.Finding]:
+        """Tests each kind, and all kinds together."""
+        keys = self._keys(name)
+        findings = []
+        pooled: dict[int, list[_verdict_tests.Comparison]] = {}
+        for key in keys:
+            others = self._reference_keys(siblings, key.kind)
+            comparisons = []
+            history = self._total(others)
+            for start in self._all.starts(key):
+                comparison = _verdict_tests.Comparison(
+                    self._all.since(key, start),
+                    self._since(others, start),
+                    history,
+                )
+                comparisons.append(comparison)
+                pooled.setdefault(start, []).append(comparison)
+            findings.append(_verdict_tests.worse(signal, key.kind, comparisons))
+        together = [
+            _verdict_tests.pool(signal, each) for each in pooled.values()
+        ]
+        findings.append(_verdict_tests.worse(signal, "", together))
+        return findings
+
+    def _against_past(self, name: _Name) -> _verdict_tests.Finding:
+        """Compares a version that runs alone with its own past."""
+        nothing = _verdict_tests.worse(_verdict_tests.Signal.ERRORS, "", [])
+        findings = [
+            self._change(key, signal)
+            for key in self._keys(name)
+            for signal in _verdict_tests.Signal
+        ]
+        best = max(
+            findings, key=lambda finding: finding.log_evidence, default=nothing
+        )
+        if best.log_evidence < _PROBATION_LOG_EVIDENCE:
+            return best
+        # All models worse at once points to the rater or to the work.
+        return best if self._has_sound_companion(name) else nothing
+
+    def _change(
+        self, key: _judge.EvidenceKey, signal: _verdict_tests.Signal
+    ) -> _verdict_tests.Finding:
+        total = self._all.total(key)
+        comparisons = []
+        for start in self._all.starts(key):
+            recent = self._all.since(key, start)
+            past = _evidence.add(total, recent, -1)
+            comparisons.append(_verdict_tests.Comparison(recent, past, past))
+        return _verdict_tests.worse(signal, key.kind, comparisons)
+
+    def _has_sound_companion(self, name: _Name) -> bool:
+        """Whether something else has recent runs and is not worse."""
+        for key in self._all.all_keys():
+            other = (key.model, key.version)
+            if other == name or not self._is_current(key):
+                continue
+            changes = [
+                self._change(key, signal) for signal in _verdict_tests.Signal
+            ]
+            tested = max(change.total for change in changes)
+            worst = max(change.log_evidence for change in changes)
+            if tested > 0 and worst < _COMPANION_LOG_EVIDENCE:
+                return True
+        return False
+
+    def _is_proven(self, name: _Name, reference: _Name) -> bool:
+        others = self._counts(reference)
+        return _verdict_tests.is_proven(
+            [
+                _verdict_tests.Comparison(counts, others[kind], others[kind])
+                for kind, counts in self._counts(name).items()
+                if kind in others
+            ]
+        )
+
+    def _established(self, name: _Name) -> list[_Name]:
+        """Returns siblings with more runs.
+
+        The old version is not compared with the new one: it would be held
+        to be bad when the new one is better.
+        """
+        own = self._runs(name)
+        return [
+            other for other in self._siblings(name) if self._runs(other) >= own
+        ]
+
+    def _runs(self, name: _Name) -> int:
+        return sum(each.runs for each in self._counts(name).values())
+
+    def _siblings(self, name: _Name) -> list[_Name]:
+        """Returns other versions of the model that are held to be good."""
+        names = {
+            (key.model, key.version)
+            for key in self._all.all_keys()
+            if key.model == name[0] and key.version != name[1]
+        }
+        return [
+            other
+            for other in sorted(names)
+            if self._recorded.get(other, _NO_VERDICT).standing
+            is _versions.Standing.GOOD
+        ]
+
+    def _keys(self, name: _Name) -> list[_judge.EvidenceKey]:
+        return sorted(
+            (
+                key
+                for key in self._all.all_keys()
+                if (key.model, key.version) == name and self._is_current(key)
+            ),
+            key=lambda key: key.kind,
+        )
+
+    def _reference_keys(
+        self, siblings: list[_Name], kind: str
+    ) -> list[_judge.EvidenceKey]:
+        return [
+            key
+            for sibling in siblings
+            for key in self._keys(sibling)
+            if key.kind == kind
+        ]
+
+    def _since(
+        self, keys: list[_judge.EvidenceKey], start: int
+    ) -> _judge.EvidenceCounts:
+        total = _judge.EvidenceCounts()
+        for key in keys:
+            total = _evidence.add(total, self._all.since(key, start))
+        return total
+
+    def _total(self, keys: list[_judge.EvidenceKey]) -> _judge.EvidenceCounts:
+        total = _judge.EvidenceCounts()
+        for key in keys:
+            total = _evidence.add(total, self._all.total(key))
+        return total
+
+    def _counts(self, name: _Name) -> dict[str, _judge.EvidenceCounts]:
+        return {key.kind: self._all.total(key) for key in self._keys(name)}
+
+    def _is_current(self, key: _judge.EvidenceKey) -> bool:
+        name = (key.model, key.version)
+        return key.epoch == self._recorded.get(name, _NO_VERDICT).number
+
+
+def _proposal(
+    name: _Name,
+    recorded: _Recorded,
+    standing: _versions.Standing,
+    reason: str,
+    evidence: str,
+) -> _judge.Proposal:
+    return _judge.Proposal(
+        name[0], name[1], standing, reason, evidence, recorded.number
+    )
--- a/libs/decisions/mulberry_decisions/_table.py
+++ b/libs/decisions/mulberry_decisions/_table.py
@@ -6,42 +6,59 @@
 from mulberry_decisions import (
     _admission,
     _crashes,
+    _error_threshold,
     _hedging,
     _judge,
+    _learned_models,
     _limits,
     _models,
+    _paying_hedges,
     _priority_admission,
+    _proven_steps,
     _retries,
     _rollout,
+    _sequential_judge,
+    _session_versions,
     _shared_limits,
     _shared_retries,
+    _strikes,
+    _two_choices,
     _upstreams,
     _versions,
 )
 
-UPSTREAM_CHOOSERS: Mapping[str, Callable[[], _upstreams.UpstreamChooser]] = {
-    "round_robin": _upstreams.RoundRobin,
-    "least_load": _upstreams.LeastReportedLoad,
-    "two_random": _upstreams.TwoRandomChoices,
+#: Arguments: clock, zone of the entry.
+UPSTREAM_CHOOSERS: Mapping[
+    str, Callable[[core.Clock, str], _upstreams.UpstreamChooser]
+] = {
+    "round_robin": lambda clock, zone: _upstreams.RoundRobin(),
+    "least_load": lambda clock, zone: _upstreams.LeastReportedLoad(),
+    "two_random": lambda clock, zone: _upstreams.TwoRandomChoices(),
+    "two_choices": _two_choices.TwoChoices,
 }
 
-MODEL_CHOOSERS: Mapping[str, Callable[[], _models.ModelChooser]] = {
-    "cheapest": lambda: _models.FixedOrder((0,)),
-    "dearest": lambda: _models.FixedOrder((-1,)),
-    "two_step": lambda: _models.FixedOrder((0, -1)),
+MODEL_CHOOSERS: Mapping[str, Callable[[core.Clock], _models.ModelChooser]] = {
+    "cheapest": lambda clock: _models.FixedOrder((0,)),
+    "dearest": lambda clock: _models.FixedOrder((-1,)),
+    "two_step": lambda clock: _models.FixedOrder((0, -1)),
+    "learned": _learned_models.LearnedCascade,
 }
 
 VERSION_CHOOSERS: Mapping[str, Callable[[], _versions.VersionChooser]] = {
     "stable": _versions.StableVersion,
     "fixed_share": _versions.FixedShare,
+    "session_share": _session_versions.SessionShare,
 }
 
 VERSION_JUDGES: Mapping[str, Callable[[core.Clock], _judge.VersionJudge]] = {
     "none": lambda clock: _judge.NoJudge(),
+    "error_threshold": lambda clock: _error_threshold.ErrorThreshold(),
+    "sequential": _sequential_judge.SequentialJudge,
 }
 
 ROLLOUT_ADVANCERS: Mapping[str, Callable[[], _rollout.RolloutAdvancer]] = {
     "timed": _rollout.TimedSteps,
+    "proven": _proven_steps.ProvenSteps,
 }
 
 #: Arguments: clock, places, longest queue.
@@ -66,8 +83,10 @@
 HEDGE_POLICIES: Mapping[str, Callable[[], _hedging.HedgePolicy]] = {
     "none": _hedging.NoHedging,
     "fixed_delay": _hedging.FixedDelayHedging,
+    "paying": _paying_hedges.PayingHedges,
 }
 
-CRASH_GUARDS: Mapping[str, Callable[[], _crashes.CrashGuard]] = {
-    "none": _crashes.NoCrashGuard,
+CRASH_GUARDS: Mapping[str, Callable[[core.Clock], _crashes.CrashGuard]] = {
+    "none": lambda clock: _crashes.NoCrashGuard(),
+    "strikes": _strikes.StrikeGuard,
 }
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/_two_choices.py
@@ -0,0 +1,183 @@
+"""Upstream choice from two samples, corrected for stale reports."""
+
+import collections
+import dataclasses
+import math
+import random
+import threading
+from collections.abc import Sequence
+
+import mulberry_core as core
+from mulberry_decisions import _prefix_index, _upstreams, _work
+
+#: Load, as a share of capacity, that another zone must be below.
+_ZONE_COST = 0.05
+#: Load that a completely cached prompt is worth.
+_AFFINITY = 0.5
+#: Time until an upstream that has just started gets its full share, seconds.
+_SLOW_START_S = 20.0
+#: Share that it gets at its start.
+_SLOW_START_SHARE = 0.2
+#: Time over which failures are forgotten, seconds.
+_FAILURE_WINDOW_S = 10.0
+#: Load that one recent failure counts for. An upstream that fails at once
+#: always reports little load and would otherwise attract all requests.
+_FAILURE_COST = 0.5
+#: Starts and ends kept for each upstream.
+_MAX_CHANGES = 512
+
+_FAILURES = frozenset(
+    {
+        _work.Outcome.FAILED,
+        _work.Outcome.TRUNCATED,
+        _work.Outcome.GARBLED,
+        _work.Outcome.CRASHED,
+        _work.Outcome.REFUSED,
+    }
+)
+
+
+@dataclasses.dataclass
+class _Feedback:
+    #: Own starts (+1) and ends (-1) with their times, oldest first.
+    changes: collections.deque[tuple[float, int]] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=_MAX_CHANGES)
+    )
+    failures: float = 0.0
+    failed_at_s: float = 0.0
+
+
+class TwoChoices(_upstreams.UpstreamChooser):
+    """Takes the better of two random upstreams and one with the prefix.
+
+    The load is the reported one plus what this entry has started and ended
+    since the report. Choosing among few random upstreams keeps entries that
+    decide on the same report from all sending to the same place.
+    """
+
+    def __init__(
+        self,
+        clock: core.Clock,
+        zone: str | core.Missing = core.Missing.UNSET,
+        seed: int | None = None,
+    ) -> None:
+        self._clock = clock
+        self._zone = zone
+        self._random = random.Random(seed)
+        self._lock = threading.Lock()
+        self._feedback: dict[str, _Feedback] = {}
+        self._prefixes = _prefix_index.PrefixIndex()
+
+    def started(
+        self, work: _work.Work, upstream: _upstreams.UpstreamState
+    ) -> None:
+        """Counts the request on top of the next reports."""
+        with self._lock:
+            feedback = self._feedback.setdefault(upstream.name, _Feedback())
+            feedback.changes.append((self._clock.now(), 1))
+            self._prefixes.ran(
+                upstream.name, upstream.incarnation, work.prefixes
+            )
+
+    def finished(
+        self,
+        work: _work.Work,
+        upstream: _upstreams.UpstreamState,
+        outcome: _work.Outcome,
+        latency_s: float,
+    ) -> None:
+        """Takes the request off and counts failures."""
+        with self._lock:
+            now_s = self._clock.now()
+            feedback = self._feedback.setdefault(upstream.name, _Feedback())
+            feedback.changes.append((now_s, -1))
+            if outcome in _FAILURES:
+                feedback.failures = self._failures(feedback, now_s) + 1.0
+                feedback.failed_at_s = now_s
+
+    def cache_changed(self, event: _upstreams.CacheEvent) -> None:
+        """Takes an event of an upstream's prefix cache."""
+        with self._lock:
+            self._prefixes.apply(event)
+
+    def _choose(
+        self, work: _work.Work, usable: Sequence[_upstreams.UpstreamState]
+    ) -> _upstreams.UpstreamState:
+        with self._lock:
+            now_s = self._clock.now()
+            sampled = self._sample(usable) + self._holders(work, usable)
+            return min(
+                sampled, key=lambda state: self._cost(work, state, now_s)
+            )
+
+    def _sample(
+        self, usable: Sequence[_upstreams.UpstreamState]
+    ) -> list[_upstreams.UpstreamState]:
+        """Draws two upstreams in proportion to their effective capacity."""
+        if len(usable) <= 2:
+            return list(usable)
+        weights = [_capacity(state) for state in usable]
+        first = self._random.choices(range(len(usable)), weights)[0]
+        weights[first] = 0.0
+        second = self._random.choices(range(len(usable)), weights)[0]
+        return [usable[first], usable[second]]
+
+    def _holders(
+        self, work: _work.Work, usable: Sequence[_upstreams.UpstreamState]
+    ) -> list[_upstreams.UpstreamState]:
+        """Returns a random usable holder of the longest known prefix."""
+        for digest in reversed(work.prefixes):
+            names = self._prefixes.holders(digest)
+            holders = [state for state in usable if state.name in names]
+            if holders:
+                return [self._random.choice(holders)]
+        return []
+
+    def _cost(
+        self,
+        work: _work.Work,
+        state: _upstreams.UpstreamState,
+        now_s: float,
+    ) -> float:
+        feedback = self._feedback.get(state.name)
+        own = 0
+        failures = 0.0
+        if feedback is not None:
+            reported_at_s = now_s - state.report_age_s
+            own = _net_changes(feedback, reported_at_s)
+            failures = self._failures(feedback, now_s)
+        load = max(0, state.running + state.queued + own) / _capacity(state)
+        zone = (
+            _ZONE_COST
+            if self._zone
+            not in (
+                core.Missing.UNSET,
+                state.zone,
+            )
+            else 0.0
+        )
+        held = self._prefixes.share_held(
+            state.name, state.incarnation, work.prefixes
+        )
+        return load + zone + failures * _FAILURE_COST - held * _AFFINITY
+
+    def _failures(self, feedback: _Feedback, now_s: float) -> float:
+        since_s = now_s - feedback.failed_at_s
+        return feedback.failures * math.exp(-since_s / _FAILURE_WINDOW_S)
+
+
+def _capacity(state: _upstreams.UpstreamState) -> float:
+    """Returns the capacity, reduced while the upstream warms up."""
+    warm = min(1.0, state.since_start_s / _SLOW_START_S)
+    share = _SLOW_START_SHARE + (1.0 - _SLOW_START_SHARE) * warm
+    return max(1, state.capacity) * share
+
+
+def _net_changes(feedback: _Feedback, reported_at_s: float) -> int:
+    """Returns own starts minus own ends since the report."""
+    net = 0
+    for changed_at_s, change in reversed(feedback.changes):
+        if changed_at_s <= reported_at_s:
+            break
+        net += change
+    return net
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/tests/test_judge.py
@@ -0,0 +1,276 @@
+"""Tests of verdicts, rollout steps, crash strikes and hedging."""
+
+import dataclasses
+import itertools
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+
+_RUNS = 600
+
+
+def _season(
+    judge: decisions.VersionJudge,
+    clock: core.ManualClock,
+    shares_by_version: dict[tuple[str, str, str], float],
+    runs: int = _RUNS,
+    seed: int = 1,
+) -> None:
+    """Observes runs; the share of failures is by (model, version, kind)."""
+    draw = random.Random(seed)
+    for _ in range(runs):
+        clock.advance(0.25)
+        for (model, version, kind), share in shares_by_version.items():
+            outcome = (
+                decisions.Outcome.FAILED
+                if draw.random() < share
+                else decisions.Outcome.COMPLETED
+            )
+            judge.observe(decisions.Observation(model, version, kind, outcome))
+
+
+def _bad(judge: decisions.VersionJudge) -> set[tuple[str, str]]:
+    return {
+        (proposal.model, proposal.version)
+        for proposal in judge.proposals()
+        if proposal.standing is decisions.Standing.BAD
+    }
+
+
+_SOUND = {("m", "old", "a"): 0.05, ("m", "old", "b"): 0.05}
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "expected"),
+    [
+        pytest.param({}, {("m", "new", "a"): 0.05}, set(), id="sound"),
+        pytest.param(
+            {}, {("m", "new", "a"): 0.5}, {("m", "new")}, id="bad from start"
+        ),
+        pytest.param(
+            {("m", "new", "a"): 0.05, ("m", "new", "b"): 0.05},
+            {("m", "new", "a"): 0.05, ("m", "new", "b"): 0.6},
+            {("m", "new")},
+            id="one kind only",
+        ),
+        pytest.param(
+            {("n", "only", "a"): 0.05},
+            {("n", "only", "a"): 0.5},
+            {("n", "only")},
+            id="alone, against its past",
+        ),
+        pytest.param(
+            {("m", "new", "a"): 0.05, ("n", "only", "a"): 0.05},
+            {
+                ("m", "new", "a"): 0.5,
+                ("m", "old", "a"): 0.5,
+                ("m", "old", "b"): 0.5,
+                ("n", "only", "a"): 0.5,
+            },
+            set(),
+            id="all at once",
+        ),
+        pytest.param(
+            {("m", "new", "a"): 0.0},
+            {("m", "new", "a"): 0.0, ("m", "old", "a"): 0.05},
+            set(),
+            id="new one is better",
+        ),
+    ],
+)
+def test_verdicts(
+    before: dict[tuple[str, str, str], float],
+    after: dict[tuple[str, str, str], float],
+    expected: set[tuple[str, str]],
+) -> None:
+    """Guards against missed bad versions and against false verdicts."""
+    clock = core.ManualClock()
+    judge = decisions.SequentialJudge(clock)
+    _season(judge, clock, {**_SOUND, **before})
+    assert _bad(judge) == set()
+    _season(judge, clock, {**_SOUND, **before, **after})
+    assert _bad(judge) == expected
+
+
+def test_evidence_of_all_entries_counts_together() -> None:
+    """Guards against entries that each wait for their own evidence."""
+    clock = core.ManualClock()
+    judges = [decisions.SequentialJudge(clock) for _ in range(4)]
+    for seed, judge in enumerate(judges):
+        _season(judge, clock, {("m", "old", "a"): 0.05}, runs=200, seed=seed)
+    shares = {("m", "old", "a"): 0.05, ("m", "new", "a"): 0.45}
+    for seed, judge in enumerate(judges):
+        _season(judge, clock, shares, runs=12, seed=seed)
+    assert all(not _bad(judge) for judge in judges)
+    for index, judge in enumerate(judges[1:]):
+        judges[0].merge(f"entry-{index}", judge.export())
+    assert _bad(judges[0]) == {("m", "new")}
+    assert judges[0].exposed("m", "new") == 48
+
+
+def test_a_late_message_does_not_undo_a_verdict() -> None:
+    """Guards against old evidence that counts again after probation."""
+    clock = core.ManualClock()
+    judge, other = (decisions.SequentialJudge(clock) for _ in range(2))
+    shares = {("m", "old", "a"): 0.05, ("m", "new", "a"): 0.6}
+    _season(other, clock, shares, runs=100)
+    late = other.export()
+    judge.merge("other", late)
+    assert _bad(judge) == {("m", "new")}
+    judge.verdict_recorded("m", "new", 1, decisions.Standing.BAD)
+    judge.merge("other", late)
+    judge.verdict_recorded("m", "new", 0, decisions.Standing.GOOD)
+    assert judge.proposals() == ()
+    clock.advance(901.0)
+    (probation,) = judge.proposals()
+    assert probation.standing is decisions.Standing.PROBATION
+    assert probation.after_number == 1
+    judge.verdict_recorded("m", "new", 2, decisions.Standing.PROBATION)
+    judge.merge("other", late)
+    assert judge.exposed("m", "new") == 0
+    _season(judge, clock, {**shares, ("m", "new", "a"): 0.05}, runs=60)
+    (good,) = judge.proposals()
+    assert good.standing is decisions.Standing.GOOD
+
+
+_STATE = decisions.RolloutState(
+    "m", "new", 0, (0.01, 0.25, 1.0), 60.0, 60.0, False, decisions.Standing.GOOD
+)
+
+
+@pytest.mark.parametrize(
+    ("changes", "move", "step"),
+    [
+        ({"step": -1}, decisions.Move.FORWARD, 0),
+        ({}, decisions.Move.HOLD, 0),
+        ({"proven": True}, decisions.Move.FORWARD, 1),
+        ({"proven": True, "on_step_s": 1.0}, decisions.Move.HOLD, 0),
+        ({"proven": True, "held": True}, decisions.Move.HOLD, 0),
+        ({"proven": True, "step": 2}, decisions.Move.HOLD, 2),
+        (
+            {"standing": decisions.Standing.BAD, "held": True},
+            decisions.Move.BACK,
+            -1,
+        ),
+        (
+            {"standing": decisions.Standing.PROBATION, "step": -1},
+            decisions.Move.FORWARD,
+            0,
+        ),
+    ],
+)
+def test_rollout_steps(
+    changes: dict[str, object], move: decisions.Move, step: int
+) -> None:
+    """Guards against steps without evidence and past a hold."""
+    state = dataclasses.replace(_STATE, **changes)  # type: ignore[arg-type]
+    advice = decisions.ProvenSteps().advise(state)
+    assert (advice.move, advice.step) == (move, step)
+
+
+_UPSTREAMS = tuple(
+    decisions.UpstreamState(f"u{index}", f"{index}:1", "z", 1)
+    for index in range(5)
+)
+
+
+def _content(digest: str) -> decisions.Work:
+    return decisions.Work("a", "k", 2, 100.0, content=digest)
+
+
+@hypothesis.given(
+    steps=strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 1),
+            strategies.integers(0, 4),
+            strategies.sampled_from(["bad", "x", "y", "z"]),
+        ),
+        max_size=40,
+    )
+)
+def test_a_content_loses_at_most_two_upstreams(
+    steps: list[tuple[int, int, str]],
+) -> None:
+    """Guards against a resent request that takes down the whole pool.
+
+    `bad` crashes each upstream at once; two entries share the strikes.
+    """
+    clock = core.ManualClock()
+    guards = [decisions.StrikeGuard(clock) for _ in range(2)]
+    strikes: dict[str, int] = {}
+    lost: set[str] = set()
+    runs: list[tuple[int, decisions.Work, decisions.UpstreamState]] = []
+    for entry, pick, digest in steps:
+        guard = guards[entry]
+        alive = [one for one in _UPSTREAMS if one.name not in lost]
+        usable = guard.filter(_content(digest), alive)
+        if isinstance(usable, core.Refusal) or not usable:
+            continue
+        chosen = usable[pick % len(usable)]
+        if not guard.started(_content(digest), chosen):
+            continue
+        runs.append((entry, _content(digest), chosen))
+        if digest != "bad":
+            continue
+        lost.add(chosen.name)
+        for one in guards:
+            report = one.upstream_lost(chosen.name, 1)
+            if isinstance(report, decisions.CrashReport):
+                for each in report.digests:
+                    strikes[each] = strikes.get(each, 0) + 1
+        for one in guards:
+            one.strikes_changed(strikes)
+        runs = [run for run in runs if run[2] != chosen]
+    assert len(lost) <= 2
+    for entry, work, upstream in runs:
+        cleared = guards[entry].finished(
+            work, upstream, decisions.Outcome.COMPLETED
+        )
+        assert set(cleared) <= {digest for digest in strikes if digest != "bad"}
+    if len(lost) == 2:
+        blocked = guards[0].filter(_content("bad"), _UPSTREAMS)
+        assert isinstance(blocked, core.Refusal)
+        assert blocked.kind is core.ErrorKind.CONTENT_BLOCKED
+
+
+@hypothesis.given(
+    digests=strategies.sets(strategies.text(min_size=1), max_size=12)
+)
+def test_contents_with_a_strike_never_share_an_upstream(
+    digests: set[str],
+) -> None:
+    """Guards against an innocent request that gets its second strike."""
+    guard = decisions.StrikeGuard(core.ManualClock())
+    guard.strikes_changed(dict.fromkeys(digests, 1))
+    places = [
+        usable[0].name
+        for usable in (
+            guard.filter(_content(digest), _UPSTREAMS) for digest in digests
+        )
+        if isinstance(usable, tuple)
+    ]
+    assert len(set(places)) == len(places) == min(5, len(digests))
+
+
+@pytest.mark.parametrize("name", sorted(decisions.HEDGE_POLICIES))
+@pytest.mark.parametrize(
+    ("idempotent", "call"), list(itertools.product([True, False], repeat=2))
+)
+def test_only_lookups_are_hedged(
+    name: str, idempotent: bool, call: bool
+) -> None:
+    """Guards against a deposit or a chat that is sent twice."""
+    policy = decisions.HEDGE_POLICIES[name]()
+    work = dataclasses.replace(
+        _content("c"), is_idempotent=idempotent, is_call=call
+    )
+    for index in range(200):
+        policy.finished(work, 1.0 if index % 20 == 0 else 0.01, False, False)
+    delay_s = policy.delay_s(work)
+    expected = idempotent and call and name != "none"
+    assert isinstance(delay_s, float) == expected
