--- a/libs/daemon/mulberry_daemon/_decision_set.py
+++ b/libs/daemon/mulberry_daemon/_decision_set.py
@@ -11,18 +11,17 @@
 ) -> entry.DecisionSet:
     """Returns the implementations named in the settings."""
     policy, limits = settings.policy, settings.limits
+    choose_upstream = decisions.UPSTREAM_CHOOSERS[policy.upstream_chooser]
     return entry.DecisionSet(
-        model_chooser=decisions.MODEL_CHOOSERS[policy.model_chooser](),
-        version_chooser=decisions.VERSION_CHOOSERS["sessions"](),
+        model_chooser=decisions.MODEL_CHOOSERS[policy.model_chooser](clock),
+        version_chooser=decisions.VERSION_CHOOSERS["session_share"](),
         version_judge=decisions.VERSION_JUDGES[policy.version_judge](clock),
-        upstream_chooser=decisions.UPSTREAM_CHOOSERS[
-            policy.upstream_chooser
-        ](),
+        upstream_chooser=choose_upstream(clock, settings.zone),
         admission=decisions.ADMISSIONS[policy.admission](
             clock, limits.max_streams, limits.max_queue
         ),
-        team_limiter=decisions.TEAM_LIMITERS["demand_shares"](clock),
-        retry_budget=decisions.RETRY_BUDGETS["shared"](clock),
+        team_limiter=decisions.TEAM_LIMITERS["shared"](clock),
+        retry_budget=decisions.RETRY_BUDGETS["share"](clock),
         hedge_policy=decisions.HEDGE_POLICIES["none"](),
-        crash_guard=decisions.CRASH_GUARDS["none"](),
+        crash_guard=decisions.CRASH_GUARDS["strikes"](clock),
     )
--- /dev/null
+++ b/libs/daemon/mulberry_daemon/_main.py
@@ -0,0 +1,50 @@
+"""The daemon `mulberrystaged`."""
+
+import signal
+import sys
+import threading
+
+from absl import app, flags, logging
+
+import mulberry_rules as rules
+from mulberry_daemon import _instance
+
+_SETTINGS = flags.DEFINE_string(
+    "settings", None, "Settings file of this instance, JSON with comments."
+)
+
+#: The interpreter's default of 5 ms would add that much between tokens
+#: whenever another thread is busy.
+_THREAD_SWITCH_S = 0.0005
+
+
+def main() -> None:
+    """Runs the daemon until SIGTERM or SIGINT."""
+    flags.mark_flag_as_required(_SETTINGS.name)  # type: ignore[no-untyped-call]
+    app.run(_run)
+
+
+def _run(arguments: list[str]) -> None:
+    del arguments
+    logging.set_verbosity(logging.INFO)
+    logging.use_absl_handler()
+    settings = rules.load_settings(_SETTINGS.value or "")
+    if isinstance(settings, rules.SettingsErrors):
+        for error in settings.errors:
+            print(error, file=sys.stderr)
+        sys.exit(2)
+    sys.setswitchinterval(_THREAD_SWITCH_S)
+    stopping, forced = threading.Event(), threading.Event()
+
+    def on_signal(number: int, frame: object) -> None:
+        # A second signal ends the drain at once.
+        (forced if stopping.is_set() else stopping).set()
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    instance = _instance.Instance(settings)
+    instance.start()
+    logging.info("instance %s serves", settings.name)
+    stopping.wait()
+    instance.stop(forced)
+    logging.info("instance %s stopped", settings.name)
--- a/libs/daemon/mulberry_daemon/_sharing.py
+++ b/libs/daemon/mulberry_daemon/_sharing.py
@@ -4,7 +4,6 @@
 import json
 import math
 from collections.abc import Iterable, Mapping
-from typing import Any
 
 import mulberry_core as core
 import mulberry_decisions as decisions
@@ -142,12 +141,22 @@
 def _encode_evidence(
     judge: decisions.VersionJudge, chooser: decisions.ModelChooser
 ) -> bytes:
-    return json.dumps(
-        {
-            "evidence": _rows(judge.export()),
-            "ratings": _rows(chooser.export()),
-        }
-    ).encode()
+    evidence = [
+        [
+            dataclasses.astuple(key),
+            dataclasses.astuple(series.now),
+            [
+                [span, dataclasses.astuple(counts)]
+                for span, counts in series.before_by_span.items()
+            ],
+        ]
+        for key, series in judge.export().items()
+    ]
+    ratings = [
+        [dataclasses.astuple(key), dataclasses.astuple(counts)]
+        for key, counts in chooser.export().items()
+    ]
+    return json.dumps({"evidence": evidence, "ratings": ratings}).encode()
 
 
 def _decode_evidence(
@@ -155,18 +164,17 @@
 ) -> tuple[decisions.Evidence, decisions.RatingExport]:
     content = json.loads(payload)
     evidence = {
-        decisions.EvidenceKey(*key): decisions.EvidenceCounts(*counts)
-        for key, counts in content["evidence"]
+        decisions.EvidenceKey(*key): decisions.EvidenceSeries(
+            decisions.EvidenceCounts(*now),
+            {
+                span: decisions.EvidenceCounts(*counts)
+                for span, counts in before
+            },
+        )
+        for key, now, before in content["evidence"]
     }
     ratings = {
         decisions.RatingKey(*key): decisions.RatingCounts(*counts)
         for key, counts in content["ratings"]
     }
     return evidence, ratings
-
-
-def _rows(counts_by_key: Mapping[Any, Any]) -> list[Any]:
-    return [
-        [dataclasses.astuple(key), dataclasses.astuple(counts)]
-        for key, counts in counts_by_key.items()
-    ]
