--- a/libs/rules/mulberry_rules/__init__.py
+++ b/libs/rules/mulberry_rules/__init__.py
@@ -32,6 +32,12 @@
     Version,
 )
 from mulberry_rules._parse import EMPTY_RULES, parse_rules
+from mulberry_rules._rebase import (
+    edited_from,
+    rebase,
+    same_content,
+    with_edited_from,
+)
 from mulberry_rules._settings import Limits, Policy, Settings, Timing, Tls
 
 __all__ = [
@@ -64,8 +70,12 @@
     "Tls",
     "Version",
     "diff_rules",
+    "edited_from",
     "explain",
     "load_settings",
     "parse_rules",
     "parse_settings",
+    "rebase",
+    "same_content",
+    "with_edited_from",
 ]
--- a/libs/rules/mulberry_rules/_diff.py
+++ b/libs/rules/mulberry_rules/_diff.py
@@ -43,7 +43,7 @@
             yield f"{fact.subject} is removed."
     for key, fact in new.items():
         if key not in old:
-            yield f"{fact.subject} is added: {_listed(fact)}{_by(fact.line)}."
+            yield f"{fact.subject} is added{_listed(fact)}{_by(fact.line)}."
             continue
         before = old[key].value_by_property
         for name, value in fact.value_by_property.items():
@@ -56,7 +56,8 @@
 
 def _listed(fact: _Fact) -> str:
     values = fact.value_by_property
-    return ", ".join(f"{name} {value}" for name, value in values.items())
+    listed = ", ".join(f"{name} {value}" for name, value in values.items())
+    return f": {listed}" if listed else ""
 
 
 def _by(line: _model.RuleLine) -> str:
@@ -127,7 +128,7 @@
 
 def _service_facts(rules: _model.Rules) -> dict[str, _Fact]:
     return {
-        name: _Fact(f"Service {name}", {"name": name}, service.line)
+        name: _Fact(f"Service {name}", {}, service.line)
         for name, service in rules.services_by_name.items()
     }
 
--- /dev/null
+++ b/libs/rules/mulberry_rules/_rebase.py
@@ -0,0 +1,95 @@
+"""The number that a rule file was edited from, and when it may be renewed."""
+
+import itertools
+import re
+from collections.abc import Callable
+
+import mulberry_core as core
+
+_BASE_LINE = re.compile(r"^([ \t]*edited-from[ \t]+)([0-9]{1,9})\b", re.M)
+#: Kinds and versions are tried in the order of the file.
+_ORDERED_KEYWORDS = ("kind", "version", "withdraw")
+#: Accepted files that are compared at most; a file that is further behind
+#: must be edited anew.
+_MAX_STEPS = 64
+
+
+def edited_from(text: str) -> int | core.Missing:
+    """Returns the number in the `edited-from` line, unset without one."""
+    match = _BASE_LINE.search(text)
+    return int(match.group(2)) if match else core.Missing.UNSET
+
+
+def with_edited_from(text: str, number: int) -> str:
+    """Returns the text with `number` in its `edited-from` line."""
+    if _BASE_LINE.search(text):
+        return _BASE_LINE.sub(rf"\g<1>{number}", text, count=1)
+    return f"edited-from {number}\n{text}"
+
+
+def same_content(one: str, other: str) -> bool:
+    """Whether two files differ at most in `edited-from` and white space."""
+    return _lines(one) == _lines(other)
+
+
+def rebase(
+    text: str,
+    in_force: int,
+    accepted_text: Callable[[int], str | core.Missing],
+) -> str:
+    """Renews the number of a file that lacks none of the later changes.
+
+    After a file was accepted, the number inside it is outdated, and the next
+    edit would be a conflict with the operator's own change. The number is
+    renewed only if each line that any later file added or removed stands in
+    `text` just as it does in the rules in force. A copy that was edited
+    without knowing of a change thus stays a conflict and undoes nothing.
+
+    Args:
+        text: The file.
+        in_force: Number of the rules in force.
+        accepted_text: Returns an accepted file by its number.
+
+    Returns:
+        The text, with `in_force` as its number where that is safe.
+    """
+    base = edited_from(text)
+    if isinstance(base, core.Missing) or not 0 < in_force - base <= _MAX_STEPS:
+        return text
+    history = []
+    for number in range(base, in_force + 1):
+        # Nothing is in force before the first file, so its number 0 is empty.
+        accepted = accepted_text(number) if number else ""
+        if isinstance(accepted, core.Missing):
+            return text
+        history.append(_lines(accepted))
+    if _keeps_changes(_lines(text), history):
+        return with_edited_from(text, in_force)
+    return text
+
+
+def _keeps_changes(new: list[str], history: list[list[str]]) -> bool:
+    touched: set[str] = set()
+    for before, after in itertools.pairwise(history):
+        touched |= set(before) ^ set(after)
+    newest = history[-1]
+    if touched & set(new) != touched & set(newest):
+        return False
+    kept = set(new) & set(newest)
+    return _ordered(new, kept) == _ordered(newest, kept)
+
+
+def _ordered(lines: list[str], kept: set[str]) -> list[str]:
+    return [
+        line
+        for line in lines
+        if line in kept and line.startswith(_ORDERED_KEYWORDS)
+    ]
+
+
+def _lines(text: str) -> list[str]:
+    """Returns the lines without `edited-from`, with single spaces."""
+    lines = [" ".join(line.split()) for line in text.split("\n")]
+    return [
+        line for line in lines if line and not line.startswith("edited-from ")
+    ]
