Add the demo

Seven steps over six instances of three zones: chat, calls, refusals, sessions, withdrawal under load, graceful stop, bills.

--- /dev/null
+++ b/libs/experiments/mulberry_experiments/_demo.py
@@ -0,0 +1,402 @@
+"""The demo: the main work of the product, step by step, with its checks."""
+
+import argparse
+import collections
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import urllib.request
+from collections.abc import Callable, Sequence
+from concurrent import futures
+
+from mulberry_experiments import _deployment, _entry_client
+
+_ROOT = pathlib.Path(__file__).parents[3]
+
+_SHAPE = _deployment.Shape(
+    region="altaverapaz",
+    zones=("coban-a", "coban-b", "carcha-c"),
+    instances_per_zone=2,
+    rule_file=_ROOT / "examples" / "colmenas.rules",
+    engines=(
+        "cedro-chico@2026-01",
+        "cedro-chico@2026-01",
+        "cedro-grande@2026-02",
+        "cedro-grande@2026-02",
+        "cedro-grande@2026-03",
+        "cedro-grande@2026-03",
+    ),
+    service="taller-app",
+    service_workers=3,
+    engine_options=("--tokens-per-s=60",),
+)
+
+#: The bound of the product for rules in force; the demo waits no longer.
+_IN_FORCE_S = 12.0
+
+_TEAM = "cooperativas"
+
+
+class Demo:
+    """Runs the steps against a deployment and collects what failed."""
+
+    def __init__(self, deployment: _deployment.Deployment) -> None:
+        self._deployment = deployment
+        self._client = _entry_client.EntryClient(f"demo-key-{_TEAM}")
+        self._failures: list[str] = []
+        self._answered: collections.Counter[str] = collections.Counter()
+
+    def run(self) -> list[str]:
+        """Runs every step; returns the checks that failed."""
+        steps: Sequence[tuple[str, Callable[[], None]]] = (
+            ("Chat, whole, streamed and as a cascade", self._chat),
+            ("Lookups and a deposit that is sent twice", self._calls),
+            ("Refusals are truthful", self._refusals),
+            ("A session keeps its version", self._sessions),
+            ("A version is withdrawn while requests run", self._withdrawal),
+            ("An instance stops gracefully under load", self._graceful_stop),
+            ("Every answered request is billed once", self._bills),
+        )
+        for number, (title, step) in enumerate(steps, start=1):
+            print(f"{number}. {title}")
+            step()
+        return self._failures
+
+    def _check(self, passed: bool, shown: str) -> None:
+        print(f"   {'ok  ' if passed else 'FAIL'} {shown}")
+        if not passed:
+            self._failures.append(shown)
+
+    def _entry(self, index: int = 0) -> str:
+        entries = self._deployment.entries
+        return entries[index % len(entries)]
+
+    def _chat(self) -> None:
+        for model, prompt, stream, kind in (
+            ("cedro-grande", "a quote for two cedar stands", False, "quote"),
+            ("cedro-grande", "a quote for a long bench", True, "quote"),
+            ("planes", "a stand plan for a new apiary", False, "stand-plan"),
+            ("planes", "a stand plan on a slope", True, "stand-plan"),
+        ):
+            began_s = time.monotonic()
+            reply = self._chat_once(self._entry(), model, prompt, stream)
+            self._check(
+                reply.is_answer,
+                f"{kind}{' (stream)' if stream else ''}: {reply.status} from "
+                f"{reply.header_by_name.get('x-mulberry-model')} "
+                f"{reply.header_by_name.get('x-mulberry-version')}, "
+                f"{len(reply.text.split())} words in "
+                f"{time.monotonic() - began_s:.2f} s",
+            )
+
+    def _calls(self) -> None:
+        for path in ("stock/cedar-board", "orders/17"):
+            reply = self._call("GET", path)
+            self._check(reply.is_answer, f"GET {path}: {reply.status}")
+        key = {"Idempotency-Key": "demo-deposit-1"}
+        deposit = {"customer": "Cobán", "amount": 250}
+        first = self._call("POST", "deposits", deposit, key, 0)
+        second = self._call("POST", "deposits", deposit, key, 1)
+        runs = [run for run in self._service_runs() if run == "demo-deposit-1"]
+        self._check(
+            first.is_answer and second.body == first.body and len(runs) == 1,
+            f"deposit sent twice over two entries: {first.status}, "
+            f"{second.status}, same answer, run {len(runs)} time(s)",
+        )
+
+    def _refusals(self) -> None:
+        other_body = self._call(
+            "POST",
+            "deposits",
+            {"amount": 1},
+            {"Idempotency-Key": "demo-deposit-1"},
+        )
+        stranger = _entry_client.EntryClient("no-such-key")
+        small_team = _entry_client.EntryClient("demo-key-tiendas")
+        for reply, kind in (
+            (other_body, "idempotency_key_reused"),
+            (stranger.chat(self._entry(), "planes", "x"), "unauthenticated"),
+            (
+                small_team.chat(self._entry(), "cedro-grande", "x"),
+                "not_allowed",
+            ),
+            (self._client.chat(self._entry(), "roble", "x"), "unknown_model"),
+        ):
+            self._check(
+                reply.kind == kind and reply.run == "not_run",
+                f"{reply.status} {reply.kind}, {reply.run}",
+            )
+
+    def _sessions(self) -> None:
+        seen = collections.defaultdict(set)
+        for turn in range(3):
+            for session in range(6):
+                reply = self._chat_once(
+                    self._entry(turn + session),
+                    "cedro-grande",
+                    f"turn {turn}",
+                    headers={"Session-Id": f"demo-session-{session}"},
+                )
+                seen[session].add(
+                    reply.header_by_name.get("x-mulberry-version", "")
+                )
+        self._check(
+            all(
+                len(versions) == 1 and "" not in versions
+                for versions in seen.values()
+            ),
+            f"{len(seen)} sessions over {len(self._deployment.entries)} "
+            f"entries, versions per session: "
+            f"{sorted(len(versions) for versions in seen.values())}",
+        )
+
+    def _withdrawal(self) -> None:
+        withdrawn = "2026-02"
+        stop = threading.Event()
+        with futures.ThreadPoolExecutor(6) as pool:
+            load = [pool.submit(self._stream_until, stop, i) for i in range(6)]
+            time.sleep(1.0)
+            self._withdraw("cedro-grande", withdrawn)
+            saved_s = time.monotonic()
+            in_force = self._wait_in_force(saved_s)
+            spread_s = time.monotonic() - saved_s
+            before = self._runs_of(withdrawn)
+            time.sleep(2.0)
+            after = self._runs_of(withdrawn)
+            stop.set()
+            replies = [reply for item in load for reply in item.result()]
+        self._check(
+            in_force,
+            f"in force on every instance {spread_s:.1f} s after saving",
+        )
+        self._check(
+            before == after,
+            f"no request reached cedro-grande {withdrawn} after that",
+        )
+        cut = [reply for reply in replies if not reply.is_answer]
+        self._check(
+            not cut,
+            f"{len(replies)} streams around the change, {len(cut)} not answered"
+            + "".join(f"; {reply.kind}" for reply in cut[:3]),
+        )
+
+    def _graceful_stop(self) -> None:
+        victim = next(
+            item
+            for item in self._deployment.instances_by_name.values()
+            if not item.facts["has_disk"]
+        )
+        stop = threading.Event()
+        with futures.ThreadPoolExecutor(6) as pool:
+            load = [
+                pool.submit(self._follow_entries, stop, victim.address)
+                for _ in range(6)
+            ]
+            time.sleep(0.5)
+            status = self._deployment.stop_instance(victim.name)
+            stop.set()
+            replies = [reply for item in load for reply in item.result()]
+        cut = [reply for reply in replies if not reply.is_answer]
+        self._check(
+            status == 0 and not cut,
+            f"{victim.name} stopped with status {status}; {len(replies)} "
+            f"requests meanwhile, {len(cut)} cut",
+        )
+
+    def _bills(self) -> None:
+        address = json.loads(
+            pathlib.Path(self._any_instance().facts["settings"]).read_text()
+        )["grpc_address"]
+        done = subprocess.run(
+            (
+                str(pathlib.Path(sys.executable).parent / "mulberrystage"),
+                f"--instance={address}",
+                "ledger",
+                "--by=team",
+                "--json",
+            ),
+            capture_output=True,
+            check=False,
+            timeout=30,
+        )
+        ledger = json.loads(done.stdout or b"{}")
+        billed = sum(row["requests"] for row in ledger.get("rows", []))
+        answered = sum(self._answered.values())
+        self._check(
+            done.returncode == 0
+            and not ledger.get("faults", ["no ledger"])
+            and billed == answered,
+            f"{answered} answers, {billed} bills, faults: "
+            f"{ledger.get('faults')} {done.stderr.decode()[-200:]}",
+        )
+
+    def _chat_once(
+        self,
+        entry: str,
+        model: str,
+        prompt: str,
+        stream: bool = False,
+        headers: dict[str, str] | None = None,
+    ) -> _entry_client.Reply:
+        reply = self._client.chat(entry, model, prompt, stream, headers)
+        return self._count(reply)
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        content: object = None,
+        headers: dict[str, str] | None = None,
+        entry: int = 0,
+    ) -> _entry_client.Reply:
+        reply = self._client.send(
+            self._entry(entry),
+            method,
+            f"/services/taller-app/{path}",
+            content,
+            headers,
+        )
+        return self._count(reply)
+
+    def _count(self, reply: _entry_client.Reply) -> _entry_client.Reply:
+        """Counts answers that must have a bill of their own."""
+        if (
+            reply.is_answer
+            and "x-mulberry-replayed" not in reply.header_by_name
+        ):
+            self._answered[reply.header_by_name.get("x-request-id", "")] += 1
+        return reply
+
+    def _stream_until(
+        self, stop: threading.Event, index: int
+    ) -> list[_entry_client.Reply]:
+        replies = []
+        while not stop.is_set():
+            replies.append(
+                self._chat_once(
+                    self._entry(index), "cedro-grande", f"quote {index}", True
+                )
+            )
+        return replies
+
+    def _follow_entries(
+        self, stop: threading.Event, first: str
+    ) -> list[_entry_client.Reply]:
+        """Calls like a caller that keeps the entry list for its time."""
+        replies = []
+        entry, keep_until_s = first, time.monotonic() + 5.0
+        while not stop.is_set():
+            if time.monotonic() >= keep_until_s:
+                with urllib.request.urlopen(
+                    f"http://{entry}/v1/entries", timeout=10
+                ) as answer:
+                    listed = json.load(answer)
+                entry = listed["entries"][0]["address"]
+                keep_until_s = time.monotonic() + listed["keep_s"]
+            replies.append(
+                self._chat_once(entry, "cedro-chico", "a short answer", True)
+            )
+        return replies
+
+    def _withdraw(self, model: str, version: str) -> None:
+        path = self._deployment.rule_file
+        path.write_text(
+            path.read_text()
+            + f"\nwithdraw {model} {version}  # asked by Tomás Xol  wrong cuts\n"
+        )
+
+    def _wait_in_force(self, saved_s: float) -> bool:
+        """Waits until no entry uses the withdrawn version any more."""
+        while time.monotonic() < saved_s + _IN_FORCE_S:
+            versions = {
+                self._client.chat(
+                    entry, "cedro-grande", "probe"
+                ).header_by_name.get("x-mulberry-version")
+                for entry in self._deployment.entries
+            }
+            if versions == {"2026-03"}:
+                return True
+        return False
+
+    def _runs_of(self, version: str) -> list[str]:
+        return [
+            run
+            for process in self._deployment.upstreams_by_name.values()
+            if process.facts["version"] == version
+            for run in runs(process)
+        ]
+
+    def _service_runs(self) -> list[str]:
+        return [
+            run
+            for process in self._deployment.upstreams_by_name.values()
+            if process.facts["model"] == "taller-app"
+            for run in runs(process)
+        ]
+
+    def _any_instance(self) -> _deployment.Process:
+        return next(
+            item
+            for item in self._deployment.instances_by_name.values()
+            if item.popen.poll() is None
+        )
+
+
+def runs(process: _deployment.Process) -> list[str]:
+    """Returns the ids of the requests that an upstream has run."""
+    with urllib.request.urlopen(
+        f"http://{process.address}/runs", timeout=10
+    ) as answer:
+        listed: list[str] = json.load(answer)
+        return listed
+
+
+def main() -> None:
+    """Runs the demo, or serves the deployment until a signal."""
+    parser = argparse.ArgumentParser(prog="scripts/demo")
+    parser.add_argument(
+        "--serve",
+        metavar="DIR",
+        help="keep the deployment up until SIGTERM or SIGINT and describe it "
+        "in DIR/deployment.json",
+    )
+    options = parser.parse_args()
+    if options.serve:
+        _serve(pathlib.Path(options.serve).resolve())
+        return
+    with tempfile.TemporaryDirectory(prefix="mulberry-demo-") as folder:
+        deployment = _deployment.Deployment(_SHAPE, pathlib.Path(folder))
+        try:
+            deployment.start()
+            failures = Demo(deployment).run()
+        finally:
+            deployment.stop()
+    print("every promise held" if not failures else f"{len(failures)} failed")
+    sys.exit(1 if failures else 0)
+
+
+def _serve(folder: pathlib.Path) -> None:
+    stopping = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopping.set())
+    deployment = _deployment.Deployment(_SHAPE, folder)
+    try:
+        deployment.start()
+        described = json.dumps(deployment.describe(), indent=2)
+        partial = folder / "deployment.json.partial"
+        partial.write_text(described)
+        # Readers must never see half of the file.
+        partial.rename(folder / "deployment.json")
+        print(f"ready: {folder / 'deployment.json'}", flush=True)
+        stopping.wait()
+    finally:
+        deployment.stop()
+
+
+if __name__ == "__main__":
+    main()
