--- a/libs/rules/mulberry_rules/__init__.py
+++ b/libs/rules/mulberry_rules/__init__.py
@@ -3,6 +3,12 @@
 from mulberry_rules._choices import CHOICES_BY_POLICY
 from mulberry_rules._diff import diff_rules
 from mulberry_rules._errors import RuleError, RuleErrors
+from mulberry_rules._explain import (
+    ExplainStep,
+    Explanation,
+    Situation,
+    explain,
+)
 from mulberry_rules._load_settings import (
     SettingsError,
     SettingsErrors,
@@ -26,6 +32,12 @@
     Version,
 )
 from mulberry_rules._parse import EMPTY_RULES, parse_rules
+from mulberry_rules._rebase import (
+    edited_from,
+    rebase,
+    same_content,
+    with_edited_from,
+)
 from mulberry_rules._settings import Limits, Policy, Settings, Timing, Tls
 
 __all__ = [
@@ -36,6 +48,8 @@
     "CallTarget",
     "Cascade",
     "ChatTarget",
+    "ExplainStep",
+    "Explanation",
     "Kind",
     "Limit",
     "Limits",
@@ -50,12 +64,18 @@
     "Settings",
     "SettingsError",
     "SettingsErrors",
+    "Situation",
     "Team",
     "Timing",
     "Tls",
     "Version",
     "diff_rules",
+    "edited_from",
+    "explain",
     "load_settings",
     "parse_rules",
     "parse_settings",
+    "rebase",
+    "same_content",
+    "with_edited_from",
 ]
