--- a/libs/standins/mulberry_standins/_services.py
+++ b/libs/standins/mulberry_standins/_services.py
@@ -97,7 +97,8 @@
 class Rater(_standin.Standin):
     """Rates an answer by the quality that it carries."""
 
-    _announces = False
+    def _description(self) -> dict[str, Any]:
+        return {**super()._description(), "service": "rater"}
 
     def _routes(self) -> dict[tuple[str, str], _http.Handler]:
         return {("POST", "/rate"): self._handle_rate}
@@ -128,7 +129,8 @@
 class WeightStore(_standin.Standin):
     """Serves weights at a limited rate: `POST /weights` for one load."""
 
-    _announces = False
+    def _description(self) -> dict[str, Any]:
+        return {**super()._description(), "service": "weights"}
 
     def _routes(self) -> dict[tuple[str, str], _http.Handler]:
         self._lock = threading.Lock()
--- a/libs/standins/mulberry_standins/_standin.py
+++ b/libs/standins/mulberry_standins/_standin.py
@@ -32,9 +32,7 @@
             options.name or f"{options.role}-{self._server.server_port}"
         )
         self._announcer = _announcer.Announcer(
-            options.entries if self._announces else (),
-            options.announce_key,
-            self._description,
+            options.entries, options.announce_key, self._description
         )
         self._serving = threading.Thread(
             target=self._server.serve_forever,
@@ -43,9 +41,6 @@
             daemon=True,
         )
 
-    #: Whether entries learn of this stand-in by its announcements.
-    _announces = True
-
     @property
     def address(self) -> str:
         """Base URL."""
@@ -71,7 +66,7 @@
         """Announces to leave, finishes what runs, then stops."""
         self._runs.mark_leaving()
         self._announcer.leave()
-        if self._announces and self._options.entries:
+        if self._options.entries:
             time.sleep(self._options.leave_s)
         until_s = time.monotonic() + self._options.finish_s
         while self._slots.busy and time.monotonic() < until_s:
