Nest the operator messages that collided with those of the state

All .proto files share one package, and both state.proto and operator.proto defined VoterStatus and ChangeVotersRequest, so the second module could not be imported. Statuses are now nested in their replies and the request is UpdateVoters.

--- a/libs/cli/mulberry_cli/_voter_commands.py
+++ b/libs/cli/mulberry_cli/_voter_commands.py
@@ -20,12 +20,12 @@
     command: _commands.VotersAdd, connection: _connection.Connection
 ) -> _outcome.Outcome:
     """Adds a voter."""
-    change = operator_pb2.ChangeVotersRequest.Add(
+    change = operator_pb2.UpdateVotersRequest.Add(
         name=command.name, grpc_address=command.address
     )
     return _change(
         connection,
-        operator_pb2.ChangeVotersRequest(
+        operator_pb2.UpdateVotersRequest(
             operator=operator_name(command.operator), add=change
         ),
     )
@@ -35,10 +35,10 @@
     command: _commands.VotersRemove, connection: _connection.Connection
 ) -> _outcome.Outcome:
     """Removes a voter."""
-    change = operator_pb2.ChangeVotersRequest.Remove(name=command.name)
+    change = operator_pb2.UpdateVotersRequest.Remove(name=command.name)
     return _change(
         connection,
-        operator_pb2.ChangeVotersRequest(
+        operator_pb2.UpdateVotersRequest(
             operator=operator_name(command.operator), remove=change
         ),
     )
@@ -48,14 +48,14 @@
     command: _commands.VotersReplace, connection: _connection.Connection
 ) -> _outcome.Outcome:
     """Puts a new voter in the place of a lost one."""
-    change = operator_pb2.ChangeVotersRequest.Replace(
+    change = operator_pb2.UpdateVotersRequest.Replace(
         name=command.name,
         new_name=command.new_name,
         new_grpc_address=command.new_address,
     )
     return _change(
         connection,
-        operator_pb2.ChangeVotersRequest(
+        operator_pb2.UpdateVotersRequest(
             operator=operator_name(command.operator), replace=change
         ),
     )
@@ -63,10 +63,10 @@
 
 def _change(
     connection: _connection.Connection,
-    request: operator_pb2.ChangeVotersRequest,
+    request: operator_pb2.UpdateVotersRequest,
 ) -> _outcome.Outcome:
     request.command_id = uuid.uuid4().hex
-    return _outcome_of(connection.call("ChangeVoters", request))
+    return _outcome_of(connection.call("UpdateVoters", request))
 
 
 def _outcome_of(
--- a/libs/cli/mulberry_cli/tests/test_cli.py
+++ b/libs/cli/mulberry_cli/tests/test_cli.py
@@ -181,13 +181,17 @@
         instance="coban-a-1",
         rules_number=4,
         rules_accepted_at_s=1e9,
-        instances=[operator_pb2.InstanceStatus(name="coban-a-1", voter=True)],
+        instances=[
+            operator_pb2.GetStatusReply.Instance(name="coban-a-1", voter=True)
+        ],
         upstreams=[
-            operator_pb2.UpstreamStatus(
+            operator_pb2.GetStatusReply.Upstream(
                 name="pool-1", running=2, serves=["cedro-chico 2026-01"]
             )
         ],
-        versions=[operator_pb2.VersionStatus(model="cedro-chico", share=0.05)],
+        versions=[
+            operator_pb2.GetStatusReply.Version(model="cedro-chico", share=0.05)
+        ],
     )
     assert cli.main(["status"]) == 0
     printed = capsys.readouterr().out
@@ -259,9 +263,9 @@
 ) -> None:
     """Guards against a change of voters that names the wrong one."""
     reply = operator_pb2.ListVotersReply(
-        voters=[operator_pb2.VoterStatus(name="m", state="leader")]
+        voters=[operator_pb2.ListVotersReply.Voter(name="m", state="leader")]
     )
-    stand_in.reply_by_method = {"ListVoters": reply, "ChangeVoters": reply}
+    stand_in.reply_by_method = {"ListVoters": reply, "UpdateVoters": reply}
     assert cli.main(["voters", *arguments]) == 0
     request = stand_in.requests[0]
     if change is not None:
--- a/libs/daemon/mulberry_daemon/_operator.py
+++ b/libs/daemon/mulberry_daemon/_operator.py
@@ -181,9 +181,9 @@
         """Lists the voters."""
         return _voters_message(_unrefused(context, self._backend.list_voters()))
 
-    def ChangeVoters(  # noqa: N802
+    def UpdateVoters(  # noqa: N802
         self,
-        request: operator_pb2.ChangeVotersRequest,
+        request: operator_pb2.UpdateVotersRequest,
         context: grpc.ServicerContext,
     ) -> operator_pb2.ListVotersReply:
         """Changes the voters."""
@@ -245,7 +245,7 @@
 
 
 def _voter_change(
-    context: grpc.ServicerContext, request: operator_pb2.ChangeVotersRequest
+    context: grpc.ServicerContext, request: operator_pb2.UpdateVotersRequest
 ) -> _operator_backend.VoterChange:
     match request.WhichOneof("change"):
         case "add":
@@ -282,8 +282,8 @@
 
 def _instance_message(
     status: _operator_backend.InstanceStatus,
-) -> operator_pb2.InstanceStatus:
-    return operator_pb2.InstanceStatus(
+) -> operator_pb2.GetStatusReply.Instance:
+    return operator_pb2.GetStatusReply.Instance(
         name=status.name,
         zone=status.zone,
         region=status.region,
@@ -297,8 +297,8 @@
 
 def _upstream_message(
     status: _operator_backend.UpstreamStatus,
-) -> operator_pb2.UpstreamStatus:
-    return operator_pb2.UpstreamStatus(
+) -> operator_pb2.GetStatusReply.Upstream:
+    return operator_pb2.GetStatusReply.Upstream(
         name=status.name,
         address=status.address,
         zone=status.zone,
@@ -313,8 +313,8 @@
 
 def _version_message(
     status: _operator_backend.VersionStatus,
-) -> operator_pb2.VersionStatus:
-    return operator_pb2.VersionStatus(
+) -> operator_pb2.GetStatusReply.Version:
+    return operator_pb2.GetStatusReply.Version(
         model=status.model,
         version=status.version,
         state=status.state,
@@ -353,7 +353,7 @@
 ) -> operator_pb2.ListVotersReply:
     return operator_pb2.ListVotersReply(
         voters=[
-            operator_pb2.VoterStatus(
+            operator_pb2.ListVotersReply.Voter(
                 name=voter.name,
                 grpc_address=voter.grpc_address,
                 state=voter.state.value,
--- a/libs/daemon/mulberry_daemon/tests/test_operator.py
+++ b/libs/daemon/mulberry_daemon/tests/test_operator.py
@@ -169,7 +169,7 @@
 
 def test_changes_of_voters(stub: Any, backend: _Backend) -> None:
     """Guards against one kind of change that is taken for another."""
-    request = operator_pb2.ChangeVotersRequest
+    request = operator_pb2.UpdateVotersRequest
     changes: list[dict[str, Any]] = [
         {"add": request.Add(name="n", grpc_address="g")},
         {"remove": request.Remove(name="n")},
@@ -180,7 +180,7 @@
         },
     ]
     for change in changes:
-        stub.ChangeVoters(request(command_id="c", operator="o", **change))
+        stub.UpdateVoters(request(command_id="c", operator="o", **change))
     assert [call[1] for call in backend.calls] == [
         _operator_backend.AddVoter("n", "g"),
         _operator_backend.RemoveVoter("n"),
@@ -200,8 +200,8 @@
     ("Explain", operator_pb2.ExplainRequest(team="a")),
     ("SumLedger", operator_pb2.SumLedgerRequest(by=["colour"])),
     (
-        "ChangeVoters",
-        operator_pb2.ChangeVotersRequest(command_id="c", operator="o"),
+        "UpdateVoters",
+        operator_pb2.UpdateVotersRequest(command_id="c", operator="o"),
     ),
 ]
 
--- a/libs/rules/mulberry_rules/_choices.py
+++ b/libs/rules/mulberry_rules/_choices.py
@@ -17,5 +17,5 @@
         "two_random",
     ),
     "admission": ("priority", "first_come"),
-    "version_judge": ("sequential", "none"),
+    "version_judge": ("sequential", "error_threshold", "none"),
 }
