Watch the rule file

The watcher polls by the timer service, takes a file once it has not changed for one period, submits it on a task of its own and writes the outcome to FILE.status in one step. It never writes the rule file. Refusals such as a missing quorum are tried again; content that had its outcome is not submitted again after a touch or a restart, because that could put back what another operator has changed since.

The number in an accepted file is outdated for the next edit. It is renewed only if the file holds every change accepted since, so that a stale copy of a colleague stays a conflict.

--- /dev/null
+++ b/libs/daemon/mulberry_daemon/_watch.py
@@ -0,0 +1,279 @@
+"""Watches the rule file and submits it when it was saved.
+
+The outcome of each saved file stands in `FILE.status` beside it. Nothing else
+is written: the rule file belongs to the operator and the editor.
+
+After a file was accepted, the number in its `edited-from` line is outdated.
+The status file names the number for the next edit. An operator who leaves the
+old number in place is still served where that is safe: the number is renewed
+if the file holds every change that was accepted since (see
+`mulberry_rules.rebase`). Only a file that would undo such a change, as a copy
+edited by a colleague at the same time would, is a conflict.
+"""
+
+import dataclasses
+import hashlib
+import os
+import pathlib
+import re
+import threading
+import time
+from collections.abc import Callable
+from concurrent import futures
+
+from absl import logging
+
+import mulberry_core as core
+import mulberry_rules as rules
+import mulberry_state as state
+
+#: A larger file is not read. The parser has a limit in characters as well.
+_MAX_FILE_BYTES = 2_000_000
+#: Begins the outcome of a file that is to be submitted again.
+_WAITING = "waiting"
+
+_DIGEST = re.compile(r"sha256 ([0-9a-f]{64})")
+
+SubmitResult = state.RulesAccepted | state.RulesConflict | state.RulesRejected
+
+
+def describe(result: SubmitResult) -> str:
+    """Returns the outcome of a submission in words for the status file."""
+    match result:
+        case state.RulesAccepted(number):
+            return (
+                f"accepted as rules {number}\n"
+                f"Begin the next edit with `edited-from {number}`."
+            )
+        case state.RulesConflict(number, changed_by, changes):
+            return "\n".join(
+                [
+                    f"conflict: {changed_by} has changed the rules since "
+                    "this file was edited; the rules in force are unchanged",
+                    *(f"  {change}" for change in changes),
+                    "Take these changes over into the file, or leave them "
+                    "out to undo them, and write "
+                    f"`edited-from {number}`.",
+                ]
+            )
+        case state.RulesRejected(errors):
+            return "\n".join(
+                [
+                    "rejected: the file has errors; the rules in force are "
+                    "unchanged",
+                    *(f"  {error}" for error in errors),
+                ]
+            )
+
+
+@dataclasses.dataclass(frozen=True)
+class RulesInForce:
+    """How the watcher sees accepted rules."""
+
+    #: Number of the rules in force, 0 before the first; unset while this
+    #: instance does not know it, for example before its first rules lease.
+    number: Callable[[], int | core.Missing]
+    #: Returns an accepted file by its number, unset if it is not known.
+    text: Callable[[int], str | core.Missing]
+
+
+@dataclasses.dataclass(frozen=True)
+class _Stamp:
+    """What changes when a file is saved."""
+
+    modified_ns: int
+    changed_ns: int
+    size_bytes: int
+    inode: int
+
+
+class RuleFileWatcher:
+    """Polls one rule file by the timer service."""
+
+    def __init__(
+        self,
+        path: str,
+        submit: Callable[[str], str | core.Refusal],
+        in_force: RulesInForce,
+        tasks: core.TaskPool,
+    ) -> None:
+        """Prepares the watcher; `start` begins to poll.
+
+        Args:
+            path: The rule file.
+            submit: Submits a text and returns the outcome in words, or a
+                refusal if the text is to be submitted again later. It may
+                block and is called by one task at a time.
+            in_force: Access to accepted rules.
+            tasks: Runs submissions, which are too long for a timer callback.
+        """
+        self._path = pathlib.Path(path)
+        self._status_path = pathlib.Path(f"{path}.status")
+        self._submit = submit
+        self._in_force = in_force
+        self._tasks = tasks
+        self._lock = threading.Lock()
+        self._running: futures.Future[None] | core.Missing = core.Missing.UNSET
+        self._seen: _Stamp | core.Missing = core.Missing.UNSET
+        self._handled: _Stamp | core.Missing = core.Missing.UNSET
+        self._handled_digest = ""
+        self._written = self._read_status()
+
+    def start(
+        self, timers: core.TimerService, period_s: float
+    ) -> core.Subscription:
+        """Polls every `period_s` seconds until the subscription is cancelled.
+
+        A file is taken once it has not changed for one period, so that a
+        file that is still being written is left alone.
+        """
+        return timers.every(period_s, self.poll, "rule-file")
+
+    def poll(self) -> None:
+        """Looks at the file once."""
+        with self._lock:
+            running = self._running
+            if isinstance(running, futures.Future) and not running.done():
+                return
+            stamp = _stamp(self._path)
+            settled = stamp == self._seen
+            self._seen = stamp
+            if isinstance(stamp, core.Missing):
+                self._report_missing()
+            elif settled and stamp != self._handled:
+                self._running = self._tasks.spawn(
+                    "rule-file", lambda stop: self._handle(stamp)
+                )
+
+    def _handle(self, stamp: _Stamp) -> None:
+        """Submits the file unless its content was handled before."""
+        content = self._read(stamp)
+        if isinstance(content, core.Missing):
+            # It is being written again; the next polls see the new stamp.
+            return
+        digest = hashlib.sha256(content).hexdigest()
+        if not self._was_handled(digest):
+            outcome = self._outcome(content)
+            if isinstance(outcome, core.Refusal):
+                self._write_status(
+                    stamp, digest, f"{_WAITING}: {outcome.reason}"
+                )
+                return
+            self._write_status(stamp, digest, outcome)
+            self._handled_digest = digest
+        self._handled = stamp
+
+    def _was_handled(self, digest: str) -> bool:
+        """Whether this content has had its outcome, also before a restart.
+
+        Submitting it again could put back what another operator has changed
+        since. A deployment without rules is new, so that the status file of
+        an earlier one does not count.
+        """
+        if digest == self._handled_digest:
+            return True
+        if self._in_force.number() in (0, core.Missing.UNSET):
+            return False
+        known = _DIGEST.search(self._written)
+        waiting = f"\n{_WAITING}" in self._written
+        return bool(known and known.group(1) == digest and not waiting)
+
+    def _outcome(self, content: bytes) -> str | core.Refusal:
+        try:
+            text = content.decode("utf-8-sig")
+        except UnicodeDecodeError as error:
+            return (
+                f"rejected: the file is not UTF-8 text ({error}); the rules "
+                "in force are unchanged"
+            )
+        if len(content) > _MAX_FILE_BYTES:
+            return (
+                f"rejected: the file is larger than {_MAX_FILE_BYTES} bytes; "
+                "the rules in force are unchanged"
+            )
+        number = self._in_force.number()
+        if isinstance(number, core.Missing):
+            return core.Refusal(
+                core.ErrorKind.RULES_LEASE_EXPIRED,
+                core.RunState.NOT_RUN,
+                "this instance does not know the rules in force yet",
+            )
+        accepted = self._in_force.text(number) if number else ""
+        if isinstance(accepted, str) and rules.same_content(text, accepted):
+            return (
+                f"in force already as rules {number}\n"
+                f"Begin the next edit with `edited-from {number}`."
+            )
+        return self._submit_renewed(text, number)
+
+    def _submit_renewed(self, text: str, number: int) -> str | core.Refusal:
+        renewed = rules.rebase(text, number, self._in_force.text)
+        outcome = self._submit(renewed)
+        if renewed == text or isinstance(outcome, core.Refusal):
+            return outcome
+        return (
+            f"{outcome}\nThe file says `edited-from {rules.edited_from(text)}`. "
+            f"It holds every change up to rules {number} and was taken as "
+            "edited from them."
+        )
+
+    def _read(self, stamp: _Stamp) -> bytes | core.Missing:
+        """Returns the content, unset if the file changed meanwhile."""
+        try:
+            with self._path.open("rb") as file:
+                content = file.read(_MAX_FILE_BYTES + 1)
+        except OSError as error:
+            logging.warning(
+                "rule file %s cannot be read: %s", self._path, error
+            )
+            return core.Missing.UNSET
+        return content if _stamp(self._path) == stamp else core.Missing.UNSET
+
+    def _report_missing(self) -> None:
+        text = (
+            f"{self._path.name}\n{_WAITING}: the file is missing or cannot be "
+            "read; the rules in force are unchanged\n"
+        )
+        self._write(text)
+
+    def _write_status(self, stamp: _Stamp, digest: str, outcome: str) -> None:
+        saved = time.strftime(
+            "%Y-%m-%d %H:%M:%S", time.gmtime(stamp.modified_ns / 1e9)
+        )
+        self._write(
+            f"{self._path.name}, saved {saved} UTC, sha256 {digest}\n"
+            f"{outcome}\n"
+        )
+
+    def _write(self, text: str) -> None:
+        """Replaces the status file in one step, if its content changes."""
+        if text == self._written:
+            return
+        temporary = self._status_path.with_name(f"{self._status_path.name}.new")
+        try:
+            temporary.write_text(text, encoding="utf-8")
+            os.replace(temporary, self._status_path)
+        except OSError as error:
+            logging.error("%s cannot be written: %s", self._status_path, error)
+        # Kept also after a failure, so that each outcome is logged once.
+        self._written = text
+        logging.info("rule file: %s", text.strip().replace("\n", " | "))
+
+    def _read_status(self) -> str:
+        try:
+            return self._status_path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError):
+            return ""
+
+
+def _stamp(path: pathlib.Path) -> _Stamp | core.Missing:
+    try:
+        status = path.stat()
+    except OSError:
+        return core.Missing.UNSET
+    return _Stamp(
+        modified_ns=status.st_mtime_ns,
+        changed_ns=status.st_ctime_ns,
+        size_bytes=status.st_size,
+        inode=status.st_ino,
+    )
