--- /dev/null
+++ b/libs/caller/mulberry_caller/_entries.py
@@ -0,0 +1,80 @@
+"""Which entry to use: asked for, kept for a while, tried in order."""
+
+import json
+import threading
+import time
+from collections.abc import Sequence
+from urllib import parse
+
+from mulberry_caller import _http
+
+#: Used until the first list came, and after a failed attempt, seconds.
+_RETRY_S = 1.0
+_ASK_TIMEOUT_S = 2.0
+#: An answer may not make a caller keep a list for longer, seconds.
+_MAX_KEEP_S = 300.0
+
+
+class EntryList:
+    """The entries in the order of preference."""
+
+    def __init__(self, seeds: Sequence[str], zone: str) -> None:
+        """Creates a list.
+
+        Args:
+            seeds: `IP:PORT` of entries to ask first; at least one.
+            zone: Availability zone of the caller, empty if unknown.
+        """
+        if not seeds:
+            raise ValueError("at least one entry address is needed")
+        self._lock = threading.Lock()
+        self._seeds = tuple(seeds)
+        self._zone = zone
+        self._entries: list[str] = list(seeds)
+        self._until_s = 0.0
+
+    def preferred(self) -> list[str]:
+        """Returns the entries, asking again if the answer is too old."""
+        with self._lock:
+            fresh = time.monotonic() < self._until_s
+            entries = list(self._entries)
+        if fresh:
+            return entries
+        self._refresh(entries)
+        with self._lock:
+            return list(self._entries)
+
+    def avoid(self, entry: str) -> None:
+        """Puts an entry that failed last until the list is asked for again."""
+        with self._lock:
+            if entry in self._entries and len(self._entries) > 1:
+                self._entries.remove(entry)
+                self._entries.append(entry)
+
+    def _refresh(self, known: list[str]) -> None:
+        for entry in dict.fromkeys([*known, *self._seeds]):
+            found = self._ask(entry)
+            if found:
+                entries, keep_s = found
+                self._set(entries, keep_s)
+                return
+        self._set(known, _RETRY_S)
+
+    def _set(self, entries: list[str], keep_s: float) -> None:
+        with self._lock:
+            self._entries = entries
+            self._until_s = time.monotonic() + min(keep_s, _MAX_KEEP_S)
+
+    def _ask(self, entry: str) -> tuple[list[str], float] | None:
+        query = f"?zone={parse.quote(self._zone)}" if self._zone else ""
+        request = _http.HttpRequest("GET", f"/v1/entries{query}", {})
+        exchange, body = _http.fetch(entry, request, _ASK_TIMEOUT_S)
+        if exchange.error or exchange.status != 200:
+            return None
+        try:
+            content = json.loads(body)
+            entries = [str(item["address"]) for item in content["entries"]]
+            keep_s = float(content["keep_s"])
+        except (ValueError, TypeError, KeyError):
+            return None
+        return (entries, keep_s) if entries else None
--- /dev/null
+++ b/libs/caller/mulberry_caller/_http.py
@@ -0,0 +1,133 @@
+"""One HTTP exchange with an entry over pycurl."""
+
+import collections
+import dataclasses
+from collections.abc import Iterator, Mapping
+
+import pycurl
+
+_CONNECT_TIMEOUT_MS = 2_000
+#: Longest wait for the socket before libcurl looks at its timers, seconds.
+_SELECT_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class HttpRequest:
+    """What is sent to an entry."""
+
+    method: str
+    #: Path with its query, percent-encoded.
+    path: str
+    header_by_name: Mapping[str, str]
+    body: bytes = b""
+
+
+class Exchange:
+    """Sends a request and gives back its answer piece by piece."""
+
+    def __init__(
+        self, entry: str, request: HttpRequest, timeout_s: float
+    ) -> None:
+        self.status = 0
+        #: By name in lower case.
+        self.header_by_name: dict[str, str] = {}
+        #: Empty, or why the exchange broke.
+        self.error = ""
+        #: Whether a byte of the request may have left.
+        self.sent = True
+        self._pending_status = 0
+        self._pieces: collections.deque[bytes] = collections.deque()
+        self._running = True
+        self._easy = pycurl.Curl()
+        self._multi = pycurl.CurlMulti()
+        self._set_options(entry, request, timeout_s)
+        self._multi.add_handle(self._easy)
+
+    def wait_for_status(self) -> None:
+        """Waits until the headers are there or the exchange broke."""
+        while self._running and not self.status:
+            self._step()
+
+    def pieces(self) -> Iterator[bytes]:
+        """Gives the body as it arrives; ends when the exchange ends."""
+        while self._running or self._pieces:
+            while self._pieces:
+                yield self._pieces.popleft()
+            if self._running:
+                self._step()
+
+    def read(self) -> bytes:
+        """Returns the rest of the body."""
+        return b"".join(self.pieces())
+
+    def close(self) -> None:
+        """Ends the exchange; an answer that is not complete is dropped."""
+        if self._running:
+            self._running = False
+            self._multi.remove_handle(self._easy)
+        self._easy.close()
+        self._multi.close()
+
+    def _set_options(
+        self, entry: str, request: HttpRequest, timeout_s: float
+    ) -> None:
+        easy = self._easy
+        url = entry if "://" in entry else f"http://{entry}"
+        easy.setopt(pycurl.URL, f"{url.rstrip('/')}{request.path}")
+        easy.setopt(pycurl.PROXY, "")
+        easy.setopt(pycurl.PATH_AS_IS, 1)
+        easy.setopt(pycurl.NOSIGNAL, 1)
+        easy.setopt(pycurl.CONNECTTIMEOUT_MS, _CONNECT_TIMEOUT_MS)
+        easy.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1e3)))
+        lines = [
+            f"{name}: {value}".encode("latin-1")
+            for name, value in request.header_by_name.items()
+        ]
+        easy.setopt(pycurl.HTTPHEADER, [*lines, b"Expect:"])
+        easy.setopt(pycurl.HEADERFUNCTION, self._on_header)
+        easy.setopt(pycurl.WRITEFUNCTION, self._pieces.append)
+        if request.body or request.method not in ("GET", "HEAD"):
+            easy.setopt(pycurl.POST, 1)
+            easy.setopt(pycurl.POSTFIELDSIZE, len(request.body))
+            easy.setopt(pycurl.POSTFIELDS, request.body)
+        easy.setopt(pycurl.CUSTOMREQUEST, request.method)
+        # A kept connection would make libcurl send again on its own, without
+        # the checks of this library.
+        easy.setopt(pycurl.FRESH_CONNECT, 1)
+        easy.setopt(pycurl.FORBID_REUSE, 1)
+
+    def _on_header(self, line: bytes) -> None:
+        text = line.decode("latin-1").strip()
+        if text.startswith("HTTP/"):
+            self.header_by_name.clear()
+            code = text.split(None, 2)[1:2]
+            self._pending_status = int(code[0]) if code else 0
+        elif text:
+            name, _, value = text.partition(":")
+            self.header_by_name[name.lower()] = value.strip()
+        elif self._pending_status >= 200:
+            self.status = self._pending_status
+
+    def _step(self) -> None:
+        _, running = self._multi.perform()
+        if running:
+            if not self._pieces:
+                self._multi.select(_SELECT_S)
+            return
+        self._running = False
+        _, _, failed = self._multi.info_read()
+        if failed:
+            self.error = failed[0][2] or f"libcurl error {failed[0][1]}"
+        self.sent = self._easy.getinfo(pycurl.REQUEST_SIZE) > 0
+        self._multi.remove_handle(self._easy)
+
+
+def fetch(
+    entry: str, request: HttpRequest, timeout_s: float
+) -> tuple[Exchange, bytes]:
+    """Sends a request and returns its ended exchange with the whole body."""
+    exchange = Exchange(entry, request, timeout_s)
+    try:
+        return exchange, exchange.read()
+    finally:
+        exchange.close()
--- /dev/null
+++ b/libs/caller/mulberry_caller/_replies.py
@@ -0,0 +1,118 @@
+"""What a caller gets back."""
+
+import dataclasses
+import json
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+#: Status of a request that got no answer.
+NO_ANSWER = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Failure:
+    """A request that was not answered, with its reason."""
+
+    #: HTTP status, 0 if no answer came.
+    status: int
+    #: Error kind of the entry, for example `overloaded`.
+    kind: str
+    #: `not_run`, `ran` or `unknown`.
+    run: str
+    message: str
+    request_id: str
+    #: Seconds after which sending again can help; negative if it cannot.
+    retry_after_s: float
+    #: Sends that were tried.
+    sends: int = 1
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """A whole answer of a plain service."""
+
+    status: int
+    #: By name in lower case.
+    header_by_name: Mapping[str, str]
+    body: bytes
+    request_id: str
+    #: Sends that it took.
+    sends: int
+
+    def json(self) -> Any:
+        """Returns the parsed body."""
+        return json.loads(self.body)
+
+
+@dataclasses.dataclass(frozen=True)
+class ChatReply:
+    """A whole chat answer."""
+
+    text: str
+    finish_reason: str
+    #: Model and version that answered.
+    model: str
+    version: str
+    tokens_in: int
+    tokens_out: int
+    request_id: str
+    sends: int
+
+
+def read_failure(
+    status: int, header_by_name: Mapping[str, str], body: bytes, sends: int
+) -> Failure:
+    """Reads the refusal of an entry."""
+    try:
+        content = json.loads(body)
+    except ValueError:
+        content = {}
+    if not isinstance(content, dict):
+        content = {}
+    error = content.get("error")
+    message = error.get("message", "") if isinstance(error, dict) else ""
+    after = header_by_name.get("retry-after", "")
+    return Failure(
+        status=status,
+        kind=str(content.get("kind", "")),
+        # Without the word of an entry nothing is known.
+        run=str(content.get("run", "unknown")),
+        message=str(message) or f"status {status}",
+        request_id=header_by_name.get("x-request-id", ""),
+        retry_after_s=float(after) if after.isdigit() else -1.0,
+        sends=sends,
+    )
+
+
+def no_answer(message: str, sent: bool, sends: int) -> Failure:
+    """Describes a request whose connection failed."""
+    return Failure(
+        status=NO_ANSWER,
+        kind="connection_failed",
+        run="unknown" if sent else "not_run",
+        message=message,
+        request_id="",
+        retry_after_s=0.0,
+        sends=sends,
+    )
+
+
+def chat_reply(
+    header_by_name: Mapping[str, str],
+    texts: Sequence[str],
+    finish_reason: str,
+    usage: Any,
+    sends: int,
+) -> ChatReply:
+    """Puts a chat answer together."""
+    counts = usage if isinstance(usage, dict) else {}
+    return ChatReply(
+        text="".join(texts),
+        finish_reason=finish_reason,
+        model=header_by_name.get("x-mulberry-model", ""),
+        version=header_by_name.get("x-mulberry-version", ""),
+        tokens_in=int(counts.get("prompt_tokens", 0)),
+        tokens_out=int(counts.get("completion_tokens", 0)),
+        request_id=header_by_name.get("x-request-id", ""),
+        sends=sends,
+    )
--- /dev/null
+++ b/libs/caller/mulberry_caller/_stream.py
@@ -0,0 +1,101 @@
+"""A streamed chat answer as the caller reads it."""
+
+import json
+from collections.abc import Iterator
+from typing import Any
+
+from mulberry_caller import _http, _replies
+
+
+class ChatStream:
+    """Iterates over the pieces of text of one answer.
+
+    After the end, `result` is the whole answer or the failure. Text that
+    was given out before a failure is not a complete answer.
+    """
+
+    def __init__(self, exchange: _http.Exchange, sends: int) -> None:
+        self._exchange = exchange
+        self._sends = sends
+        self._texts: list[str] = []
+        self._finish_reason = ""
+        self._usage: Any = None
+        self._done = False
+        self._result: _replies.ChatReply | _replies.Failure | None = None
+
+    @property
+    def result(self) -> _replies.ChatReply | _replies.Failure:
+        """The answer or its failure; raises `RuntimeError` before the end."""
+        if self._result is None:
+            raise RuntimeError("the stream has not ended")
+        return self._result
+
+    def __iter__(self) -> Iterator[str]:
+        """Gives the text as it arrives."""
+        try:
+            for event in _events(self._exchange):
+                text = self._take(event)
+                if text:
+                    yield text
+        finally:
+            self._exchange.close()
+            if self._result is None:
+                self._result = self._end()
+
+    def close(self) -> None:
+        """Stops the answer; the entry then cancels its run."""
+        self._exchange.close()
+        if self._result is None:
+            self._result = self._end()
+
+    def _take(self, event: bytes) -> str:
+        if event == b"[DONE]":
+            self._done = True
+            return ""
+        try:
+            chunk = json.loads(event)
+        except ValueError:
+            return ""
+        if not isinstance(chunk, dict):
+            return ""
+        if "error" in chunk:
+            headers = self._exchange.header_by_name
+            self._result = _replies.read_failure(
+                self._exchange.status, headers, event, self._sends
+            )
+            return ""
+        self._usage = chunk.get("usage") or self._usage
+        return self._take_choices(chunk.get("choices") or [])
+
+    def _take_choices(self, choices: Any) -> str:
+        text = ""
+        for choice in choices:
+            if choice.get("index", 0) == 0:
+                text += choice.get("delta", {}).get("content") or ""
+                self._finish_reason = (
+                    choice.get("finish_reason") or self._finish_reason
+                )
+        self._texts.append(text)
+        return text
+
+    def _end(self) -> _replies.ChatReply | _replies.Failure:
+        if not (self._done and self._finish_reason):
+            message = self._exchange.error or "the answer is not complete"
+            return _replies.no_answer(message, True, self._sends)
+        return _replies.chat_reply(
+            self._exchange.header_by_name,
+            self._texts,
+            self._finish_reason,
+            self._usage,
+            self._sends,
+        )
+
+
+def _events(exchange: _http.Exchange) -> Iterator[bytes]:
+    """Gives the data of each whole event."""
+    rest = b""
+    for piece in exchange.pieces():
+        *lines, rest = (rest + piece).split(b"\n")
+        for line in lines:
+            if line.startswith(b"data:"):
+                yield line[5:].strip()
--- /dev/null
+++ b/libs/caller/mulberry_caller/tests/test_caller.py
@@ -0,0 +1,319 @@
+"""Tests of the caller's client against a scripted entry."""
+
+import collections
+import http.server
+import json
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import pytest
+
+import mulberry_caller as caller
+
+_MESSAGES = [{"role": "user", "content": "a plan"}]
+#: Status, headers and body; the body `None` closes without an answer.
+_Scripted = tuple[int, dict[str, str], bytes | None]
+
+
+def _refusal(kind: str, run: str, after: str = "") -> _Scripted:
+    body = {"kind": kind, "run": run, "error": {"message": f"it is {kind}"}}
+    headers = {"Retry-After": after} if after else {}
+    return 503, headers, json.dumps(body).encode()
+
+
+def _chunk(delta: dict[str, Any], finish: str | None = None) -> bytes:
+    choice = {"index": 0, "delta": delta, "finish_reason": finish}
+    return f"data: {json.dumps({'choices': [choice]})}\n\n".encode()
+
+
+_WHOLE = json.dumps(
+    {
+        "choices": [
+            {"message": {"content": "a stand"}, "finish_reason": "stop"}
+        ],
+        "usage": {"prompt_tokens": 2, "completion_tokens": 3},
+    }
+).encode()
+_GOOD: _Scripted = (200, {"X-Mulberry-Model": "cedro"}, _WHOLE)
+_CLOSE: _Scripted = (0, {}, None)
+
+
+class ScriptedEntry:
+    """Answers work with a script and lists itself and others as entries."""
+
+    def __init__(self) -> None:
+        self.script: collections.deque[_Scripted] = collections.deque()
+        self.requests: list[dict[str, str]] = []
+        self.list_queries: list[str] = []
+        self.listed: list[str] = []
+        entry = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            def do_GET(self) -> None:
+                if not self.path.startswith("/v1/entries"):
+                    self.do_POST()
+                    return
+                entry.list_queries.append(self.path)
+                listed = entry.listed or [entry.address]
+                items = [{"address": item, "zone": "z"} for item in listed]
+                body = json.dumps({"entries": items, "keep_s": 60}).encode()
+                self._answer(200, {}, body)
+
+            def do_POST(self) -> None:
+                length = int(self.headers.get("Content-Length") or 0)
+                self.rfile.read(length)
+                entry.requests.append(
+                    {name.lower(): text for name, text in self.headers.items()}
+                )
+                status, headers, body = entry.script.popleft()
+                if body is None:
+                    self.connection.shutdown(socket.SHUT_RDWR)
+                    return
+                self._answer(status, headers, body)
+
+            def _answer(
+                self, status: int, headers: dict[str, str], body: bytes
+            ) -> None:
+                self.send_response(status)
+                for name, text in headers.items():
+                    self.send_header(name, text)
+                self.end_headers()
+                self.wfile.write(body)
+
+            def log_message(self, format: str, *args: Any) -> None:
+                pass
+
+        self._server = http.server.ThreadingHTTPServer(
+            ("127.0.0.1", 0), Handler
+        )
+        self.address = f"127.0.0.1:{self._server.server_port}"
+        threading.Thread(
+            target=self._server.serve_forever, args=(0.02,), daemon=True
+        ).start()
+
+    def stop(self) -> None:
+        """Stops serving."""
+        self._server.shutdown()
+        self._server.server_close()
+
+
+@pytest.fixture
+def make_entry() -> Iterator[Callable[[], ScriptedEntry]]:
+    made: list[ScriptedEntry] = []
+
+    def make() -> ScriptedEntry:
+        made.append(ScriptedEntry())
+        return made[-1]
+
+    yield make
+    for entry in made:
+        entry.stop()
+
+
+@pytest.fixture
+def entry(make_entry: Callable[[], ScriptedEntry]) -> ScriptedEntry:
+    return make_entry()
+
+
+@pytest.fixture
+def waits(monkeypatch: pytest.MonkeyPatch) -> list[float]:
+    """Collects waits in place of sleeping."""
+    collected: list[float] = []
+    monkeypatch.setattr("time.sleep", collected.append)
+    return collected
+
+
+def _closed_address() -> str:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+def test_whole_chat(entry: ScriptedEntry) -> None:
+    """Guards against headers or fields that get lost."""
+    entry.script.append(_GOOD)
+    options = caller.Options(kind="stand-plan", session="s1", deadline_s=9.0)
+    client = caller.Caller([entry.address], "key-1", "coban-a", options)
+    reply = client.chat("planes", _MESSAGES)
+    assert isinstance(reply, caller.ChatReply)
+    assert reply.text == "a stand"
+    assert (reply.model, reply.tokens_out) == ("cedro", 3)
+    sent = entry.requests[0]
+    assert sent["authorization"] == "Bearer key-1"
+    assert sent["x-mulberry-kind"] == "stand-plan"
+    assert sent["session-id"] == "s1"
+    assert 0 < float(sent["x-mulberry-deadline"]) <= 9.0
+    assert sent["idempotency-key"]
+    assert entry.list_queries == ["/v1/entries?zone=coban-a"]
+
+
+def test_entry_list_is_kept(entry: ScriptedEntry) -> None:
+    """Guards against asking for the list with every request."""
+    entry.script.extend([_GOOD] * 3)
+    client = caller.Caller([entry.address], "key-1")
+    for _ in range(3):
+        client.chat("planes", _MESSAGES)
+    assert len(entry.list_queries) == 1
+
+
+@pytest.mark.parametrize(
+    ("script", "sends", "waited_s"),
+    [
+        ([_refusal("overloaded", "not_run", "7"), _GOOD], 2, [7.0]),
+        ([_refusal("upstream_failed", "unknown", "1"), _GOOD], 2, [1.0]),
+        ([_CLOSE, _GOOD], 2, [0.1]),
+        ([_CLOSE, _CLOSE, _GOOD], 3, [0.1, 0.2]),
+    ],
+    ids=["not run", "unknown", "closed", "closed twice"],
+)
+def test_sends_again_under_the_same_key(
+    entry: ScriptedEntry,
+    waits: list[float],
+    script: list[_Scripted],
+    sends: int,
+    waited_s: list[float],
+) -> None:
+    """Guards against re-sends with a new key, or before `Retry-After`."""
+    entry.script.extend(script)
+    reply = caller.Caller([entry.address], "key-1").chat("planes", _MESSAGES)
+    assert isinstance(reply, caller.ChatReply)
+    assert reply.sends == sends
+    assert len({sent["idempotency-key"] for sent in entry.requests}) == 1
+    assert len(waits) == len(waited_s)
+    for wait_s, least_s in zip(waits, waited_s, strict=True):
+        assert least_s <= wait_s <= least_s * 1.25
+
+
+@pytest.mark.parametrize(
+    "refusal",
+    [
+        _refusal("not_allowed", "not_run"),
+        _refusal("answer_not_kept", "ran"),
+        _refusal("overloaded", "not_run", "1000"),
+    ],
+    ids=["final", "ran", "after the deadline"],
+)
+def test_does_not_send_again_where_it_cannot_help(
+    entry: ScriptedEntry, waits: list[float], refusal: _Scripted
+) -> None:
+    """Guards against re-sends that only add load."""
+    entry.script.append(refusal)
+    failure = caller.Caller([entry.address], "key-1").call(
+        "taller-app", "POST", "/deposits", b"{}"
+    )
+    assert isinstance(failure, caller.Failure)
+    assert failure.message.startswith("it is")
+    assert len(entry.requests) == 1
+    assert waits == []
+
+
+def test_sends_are_bounded(entry: ScriptedEntry, waits: list[float]) -> None:
+    """Guards against a caller that never gives up."""
+    entry.script.extend([_refusal("overloaded", "not_run", "1")] * 9)
+    client = caller.Caller(
+        [entry.address], "key-1", options=caller.Options(max_sends=3)
+    )
+    failure = client.call("taller-app", "GET", "/stock/1")
+    assert isinstance(failure, caller.Failure)
+    assert failure.run == "not_run"
+    assert len(entry.requests) == 3
+
+
+def test_next_entry_when_one_is_gone(
+    make_entry: Callable[[], ScriptedEntry], waits: list[float]
+) -> None:
+    """Guards against a caller that is stuck with a stopped entry."""
+    entry = make_entry()
+    entry.listed = [_closed_address(), entry.address]
+    entry.script.extend([_GOOD, _GOOD])
+    client = caller.Caller([_closed_address(), entry.address], "key-1")
+    reply = client.chat("planes", _MESSAGES)
+    assert isinstance(reply, caller.ChatReply)
+    assert reply.sends == 2
+    assert waits == [0.0]
+    again = client.chat("planes", _MESSAGES)
+    assert isinstance(again, caller.ChatReply)
+    assert again.sends == 1
+
+
+def test_no_entry_at_all_is_not_run(waits: list[float]) -> None:
+    """Guards against `unknown` for what never left the caller."""
+    client = caller.Caller([_closed_address()], "key-1")
+    failure = client.chat("planes", _MESSAGES)
+    assert isinstance(failure, caller.Failure)
+    assert failure.run == "not_run"
+
+
+def test_answers_of_services_pass_through(entry: ScriptedEntry) -> None:
+    """Guards against taking a service's own error for a refusal."""
+    entry.script.append((404, {}, b'{"error": "no such order"}'))
+    reply = caller.Caller([entry.address], "key-1").call(
+        "loket", "GET", "/orders/7"
+    )
+    assert isinstance(reply, caller.Reply)
+    assert reply.status == 404
+
+
+_BODY = _chunk({"content": "a "}) + _chunk({"content": "stand"})
+_END = _chunk({}, "stop") + b"data: [DONE]\n\n"
+_ERROR = b'data: {"error": {"message": "cut"}, "kind": "k", "run": "ran"}\n\n'
+
+
+@pytest.mark.parametrize(
+    ("body", "kind"),
+    [
+        (_BODY + _END, ""),
+        (_BODY, "connection_failed"),
+        (_BODY + _chunk({}, "stop"), "connection_failed"),
+        (_BODY + b"data: [DONE]\n\n", "connection_failed"),
+        (_BODY + _ERROR, "k"),
+    ],
+    ids=["whole", "cut", "no [DONE]", "no finish reason", "error event"],
+)
+def test_stream_is_whole_or_a_failure(
+    entry: ScriptedEntry, body: bytes, kind: str
+) -> None:
+    """Guards against a cut stream that is taken for an answer."""
+    entry.script.append((200, {}, body))
+    stream = caller.Caller([entry.address], "key-1").stream_chat(
+        "planes", _MESSAGES
+    )
+    assert isinstance(stream, caller.ChatStream)
+    assert "".join(stream) == "a stand"
+    result = stream.result
+    if kind:
+        assert isinstance(result, caller.Failure)
+        assert result.kind == kind
+        assert result.run != "not_run"
+    else:
+        assert isinstance(result, caller.ChatReply)
+        assert result.text == "a stand"
+    assert len(entry.requests) == 1
+
+
+def test_stream_is_sent_again_before_it_begins(
+    entry: ScriptedEntry, waits: list[float]
+) -> None:
+    """Guards against giving up on a stream that has given nothing yet."""
+    entry.script.extend(
+        [_refusal("overloaded", "not_run", "1"), (200, {}, _BODY + _END)]
+    )
+    stream = caller.Caller([entry.address], "key-1").stream_chat(
+        "planes", _MESSAGES
+    )
+    assert isinstance(stream, caller.ChatStream)
+    assert "".join(stream) == "a stand"
+
+
+def test_abandoned_stream_can_be_closed_twice(entry: ScriptedEntry) -> None:
+    """Guards against an error when a caller stops reading."""
+    entry.script.append((200, {}, _BODY + _END))
+    stream = caller.Caller([entry.address], "key-1").stream_chat(
+        "planes", _MESSAGES
+    )
+    assert isinstance(stream, caller.ChatStream)
+    assert next(iter(stream)) == "a "
+    stream.close()
+    stream.close()
+    assert isinstance(stream.result, caller.Failure)
