--- /dev/null
+++ b/libs/experiments/mulberry_experiments/_entry.py
@@ -0,0 +1,451 @@
+"""Load on one entry, compared with the stand-ins called directly.
+
+Both are measured in one run, one after the other, with the same schedule of
+requests. The load comes from several processes, each with one libcurl multi
+handle, so that the tool itself does not limit or delay the streams.
+"""
+
+import dataclasses
+import json
+import multiprocessing
+import os
+import pathlib
+import threading
+import time
+from collections.abc import Iterator, Mapping, Sequence
+from concurrent import futures
+
+import pycurl
+from hdrh import histogram
+
+_LOWEST_US = 1
+_HIGHEST_US = 60_000_000
+_DIGITS = 3
+_PERCENTILES = (50, 95, 99)
+
+#: Until the processes are up and wait for the first request, seconds.
+_START_DELAY_S = 2.0
+#: Time after the last request for its stream to end, seconds.
+_DRAIN_S = 30.0
+#: Between looks at the entry's process, seconds.
+_SAMPLE_S = 0.25
+_SELECT_S = 0.05
+
+_CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+@dataclasses.dataclass(frozen=True)
+class Row:
+    """One measured figure."""
+
+    name: str
+    figure: float
+    unit: str
+    #: What the design page asks for, empty where it asks for nothing.
+    target: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class EntryLoad:
+    """What is measured, and with which load."""
+
+    #: `IP:PORT` of the entry.
+    entry: str
+    #: Key of a team.
+    key: str
+    model: str
+    #: Version that the stand-ins below serve.
+    version: str
+    #: `IP:PORT` of stand-ins that serve the model, called directly.
+    upstreams: tuple[str, ...]
+    #: Process of the entry.
+    entry_pid: int
+    requests_per_s: float = 20.0
+    #: Tokens of each answer; the stand-ins must be started with at least as
+    #: many, and with a rate that makes an answer last `stream_s`.
+    tokens: int = 200
+    #: Expected time of one answer, seconds.
+    stream_s: float = 5.0
+    #: Requests are sent for this long, seconds.
+    duration_s: float = 20.0
+    processes: int = 4
+
+
+@dataclasses.dataclass(frozen=True)
+class _Part:
+    """The share of the load of one process."""
+
+    urls: tuple[str, ...]
+    header_lines: tuple[str, ...]
+    body: bytes
+    #: Seconds of CLOCK_MONOTONIC, which all processes share.
+    send_at_s: tuple[float, ...]
+    end_at_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class _PartResult:
+    """What one process has measured; histograms in their encoded form."""
+
+    first_token: bytes
+    token_gap: bytes
+    #: How late requests were sent, compared with the schedule.
+    send_lag: bytes
+    complete: int
+    failed: int
+    tokens: int
+    cpu_s: float
+    first_failure: str
+
+
+@dataclasses.dataclass
+class _Phase:
+    """The sum over all processes."""
+
+    first_token: histogram.HdrHistogram
+    token_gap: histogram.HdrHistogram
+    send_lag: histogram.HdrHistogram
+    complete: int = 0
+    failed: int = 0
+    tokens: int = 0
+    cpu_s: float = 0.0
+    first_failure: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class _Usage:
+    """What the entry's process used while it was under full load."""
+
+    #: Share of one core.
+    cpu: float
+    threads: int
+    idle_rss_bytes: int
+    peak_rss_bytes: int
+
+
+def measure_entry(load: EntryLoad) -> list[Row]:
+    """Runs the load directly and through the entry and returns the rows.
+
+    Raises:
+        RuntimeError: If no request succeeded.
+    """
+    direct = _run_phase(load, [f"http://{item}" for item in load.upstreams])
+    watch = _ProcessWatch(load)
+    entry = _run_phase(load, [f"http://{load.entry}"], watch)
+    for name, phase in (("direct", direct), ("entry", entry)):
+        if not phase.complete:
+            raise RuntimeError(f"{name}: {phase.first_failure}")
+    return [
+        *_latency_rows("direct", direct),
+        *_latency_rows("entry", entry),
+        *_added_rows(direct, entry),
+        *_throughput_rows(load, direct, entry),
+        *_usage_rows(load, watch.usage()),
+    ]
+
+
+def _new_histogram() -> histogram.HdrHistogram:
+    return histogram.HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+
+
+def _run_phase(
+    load: EntryLoad,
+    urls: Sequence[str],
+    watch: "_ProcessWatch | None" = None,
+) -> _Phase:
+    start_s = time.monotonic() + _START_DELAY_S
+    parts = _split(load, urls, start_s)
+    context = multiprocessing.get_context("spawn")
+    with futures.ProcessPoolExecutor(load.processes, context) as pool:
+        running = [pool.submit(_drive, part) for part in parts]
+        if watch is not None:
+            watch.start(start_s)
+        results = [item.result() for item in running]
+    if watch is not None:
+        watch.stop()
+    phase = _Phase(_new_histogram(), _new_histogram(), _new_histogram())
+    for result in results:
+        phase.first_token.decode_and_add(result.first_token)
+        phase.token_gap.decode_and_add(result.token_gap)
+        phase.send_lag.decode_and_add(result.send_lag)
+        phase.complete += result.complete
+        phase.failed += result.failed
+        phase.tokens += result.tokens
+        phase.cpu_s += result.cpu_s
+        phase.first_failure = phase.first_failure or result.first_failure
+    return phase
+
+
+def _split(load: EntryLoad, urls: Sequence[str], start_s: float) -> list[_Part]:
+    count = int(load.requests_per_s * load.duration_s)
+    times = [start_s + index / load.requests_per_s for index in range(count)]
+    body = {
+        "model": load.model,
+        "messages": [{"role": "user", "content": "Measure the entry."}],
+        "stream": True,
+        "max_tokens": load.tokens,
+    }
+    return [
+        _Part(
+            urls=tuple(f"{url}/v1/chat/completions" for url in urls),
+            header_lines=(
+                "Content-Type: application/json",
+                f"Authorization: Bearer {load.key}",
+                f"X-Mulberry-Version: {load.version}",
+                "Expect:",
+            ),
+            body=json.dumps(body).encode(),
+            send_at_s=tuple(times[place :: load.processes]),
+            end_at_s=start_s + load.duration_s + load.stream_s + _DRAIN_S,
+        )
+        for place in range(load.processes)
+    ]
+
+
+class _Stream:
+    """One request of the load."""
+
+    def __init__(self, part: _Part, index: int, driver: "_Driver") -> None:
+        self._driver = driver
+        self._last_s = 0.0
+        self._end = b""
+        self.tokens = 0
+        self.easy = pycurl.Curl()
+        easy = self.easy
+        easy.setopt(pycurl.URL, part.urls[index % len(part.urls)])
+        easy.setopt(pycurl.PROXY, "")
+        easy.setopt(pycurl.NOSIGNAL, 1)
+        request_id = f"X-Request-Id: load-{os.getpid()}-{index}"
+        easy.setopt(pycurl.HTTPHEADER, [*part.header_lines, request_id])
+        easy.setopt(pycurl.POSTFIELDS, part.body)
+        easy.setopt(pycurl.WRITEFUNCTION, self._on_data)
+        self._sent_s = time.monotonic()
+
+    @property
+    def complete(self) -> bool:
+        """Whether the whole answer came."""
+        return self._end.endswith(b"data: [DONE]\n\n")
+
+    @property
+    def end(self) -> bytes:
+        """The last bytes, to report a failure."""
+        return self._end
+
+    def _on_data(self, data: bytes) -> None:
+        now_s = time.monotonic()
+        tokens = data.count(b'"content":')
+        if not self.tokens:
+            self._driver.first_token.record_value(_us(now_s - self._sent_s))
+        elif tokens:
+            self._driver.token_gap.record_value(_us(now_s - self._last_s))
+            # Tokens that came together had no gap between them.
+            for _ in range(tokens - 1):
+                self._driver.token_gap.record_value(_LOWEST_US)
+        if tokens:
+            self._last_s = now_s
+        self.tokens += tokens
+        self._end = (self._end + data)[-200:]
+
+
+class _Driver:
+    """Sends the requests of one process at their times."""
+
+    def __init__(self, part: _Part) -> None:
+        self.first_token = _new_histogram()
+        self.token_gap = _new_histogram()
+        self._send_lag = _new_histogram()
+        self._part = part
+        self._multi = pycurl.CurlMulti()
+        self._stream_by_easy: dict[pycurl.Curl, _Stream] = {}
+        self._complete = 0
+        self._failed = 0
+        self._tokens = 0
+        self._first_failure = ""
+
+    def run(self) -> _PartResult:
+        """Sends all requests and waits for their streams."""
+        due = list(enumerate(self._part.send_at_s))
+        while due or self._stream_by_easy:
+            now_s = time.monotonic()
+            if now_s > self._part.end_at_s:
+                self._failed += len(due) + len(self._stream_by_easy)
+                self._first_failure = self._first_failure or "out of time"
+                break
+            while due and due[0][1] <= now_s:
+                index, at_s = due.pop(0)
+                self._send_lag.record_value(_us(now_s - at_s))
+                self._send(index)
+            self._multi.perform()
+            self._collect()
+            until_s = due[0][1] - time.monotonic() if due else _SELECT_S
+            if self._stream_by_easy:
+                self._multi.select(max(0.0, min(_SELECT_S, until_s)))
+            else:
+                time.sleep(max(0.0, until_s))
+        return self._result()
+
+    def _send(self, index: int) -> None:
+        stream = _Stream(self._part, index, self)
+        self._stream_by_easy[stream.easy] = stream
+        self._multi.add_handle(stream.easy)
+
+    def _collect(self) -> None:
+        _, good, bad = self._multi.info_read()
+        for easy in good:
+            self._finish(easy, "")
+        for easy, _, message in bad:
+            self._finish(easy, message)
+
+    def _finish(self, easy: pycurl.Curl, error: str) -> None:
+        stream = self._stream_by_easy.pop(easy)
+        self._multi.remove_handle(easy)
+        easy.close()
+        self._tokens += stream.tokens
+        if stream.complete and not error:
+            self._complete += 1
+            return
+        self._failed += 1
+        self._first_failure = self._first_failure or (
+            error or stream.end.decode("utf-8", "replace")
+        )
+
+    def _result(self) -> _PartResult:
+        return _PartResult(
+            first_token=self.first_token.encode(),
+            token_gap=self.token_gap.encode(),
+            send_lag=self._send_lag.encode(),
+            complete=self._complete,
+            failed=self._failed,
+            tokens=self._tokens,
+            cpu_s=time.process_time(),
+            first_failure=self._first_failure,
+        )
+
+
+def _drive(part: _Part) -> _PartResult:
+    return _Driver(part).run()
+
+
+def _us(seconds: float) -> int:
+    return min(_HIGHEST_US, max(_LOWEST_US, int(seconds * 1e6)))
+
+
+class _ProcessWatch:
+    """Samples the entry's process while all streams run."""
+
+    def __init__(self, load: EntryLoad) -> None:
+        self._load = load
+        self._proc = pathlib.Path(f"/proc/{load.entry_pid}")
+        self._idle_rss_bytes = self._rss_bytes()
+        self._samples: list[tuple[float, float]] = []
+        self._peak_rss_bytes = self._idle_rss_bytes
+        self._threads = 0
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._from_s = 0.0
+
+    def start(self, start_s: float) -> None:
+        """Watches from the time at which all streams are open."""
+        self._from_s = start_s + self._load.stream_s
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends the watch."""
+        self._stopped.set()
+        self._thread.join()
+
+    def usage(self) -> _Usage:
+        """Returns what was seen under full load."""
+        if len(self._samples) < 2:
+            raise RuntimeError("the load was too short to measure the entry")
+        (first_s, first_cpu_s), (last_s, last_cpu_s) = (
+            self._samples[0],
+            self._samples[-1],
+        )
+        return _Usage(
+            cpu=(last_cpu_s - first_cpu_s) / (last_s - first_s),
+            threads=self._threads,
+            idle_rss_bytes=self._idle_rss_bytes,
+            peak_rss_bytes=self._peak_rss_bytes,
+        )
+
+    def _run(self) -> None:
+        until_s = self._from_s + self._load.duration_s - self._load.stream_s
+        while not self._stopped.wait(_SAMPLE_S):
+            self._peak_rss_bytes = max(self._peak_rss_bytes, self._rss_bytes())
+            now_s = time.monotonic()
+            if self._from_s <= now_s <= until_s:
+                cpu_s, self._threads = self._cpu_and_threads()
+                self._samples.append((now_s, cpu_s))
+
+    def _rss_bytes(self) -> int:
+        fields = (self._proc / "statm").read_text().split()
+        return int(fields[1]) * _PAGE_BYTES
+
+    def _cpu_and_threads(self) -> tuple[float, int]:
+        # The command name is in parentheses and may contain spaces.
+        text = (self._proc / "stat").read_text().rpartition(")")[2]
+        fields = text.split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / _CLOCK_TICKS_PER_S, int(fields[17])
+
+
+def _percentiles_ms(
+    measured: histogram.HdrHistogram,
+) -> Mapping[int, float]:
+    return {
+        percent: measured.get_value_at_percentile(percent) / 1e3
+        for percent in _PERCENTILES
+    }
+
+
+def _latency_rows(name: str, phase: _Phase) -> Iterator[Row]:
+    for what, measured in (
+        ("first_token", phase.first_token),
+        ("token_gap", phase.token_gap),
+    ):
+        for percent, figure in _percentiles_ms(measured).items():
+            yield Row(f"{name}.{what}.p{percent}", figure, "ms")
+
+
+def _added_rows(direct: _Phase, entry: _Phase) -> Iterator[Row]:
+    targets = {"first_token": "<= 5", "token_gap": "<= 1"}
+    for what, target in targets.items():
+        before = _percentiles_ms(getattr(direct, what))
+        after = _percentiles_ms(getattr(entry, what))
+        for percent in _PERCENTILES:
+            yield Row(
+                f"added.{what}.p{percent}",
+                after[percent] - before[percent],
+                "ms",
+                target if percent == 95 else "",
+            )
+
+
+def _throughput_rows(
+    load: EntryLoad, direct: _Phase, entry: _Phase
+) -> Iterator[Row]:
+    seconds = load.duration_s + load.stream_s
+    for name, phase in (("direct", direct), ("entry", entry)):
+        yield Row(f"{name}.complete", phase.complete, "requests")
+        yield Row(f"{name}.failed", phase.failed, "requests", "0")
+        yield Row(
+            f"{name}.requests_per_s",
+            phase.complete / load.duration_s,
+            "requests/s",
+        )
+        yield Row(f"{name}.tokens_per_s", phase.tokens / seconds, "tokens/s")
+        lag_ms = _percentiles_ms(phase.send_lag)[99]
+        yield Row(f"{name}.tool.send_lag.p99", lag_ms, "ms")
+        cpu = phase.cpu_s / seconds / load.processes * 100
+        yield Row(f"{name}.tool.cpu", cpu, "% of a core per process")
+
+
+def _usage_rows(load: EntryLoad, usage: _Usage) -> Iterator[Row]:
+    yield Row("entry.cpu", usage.cpu * 100, "% of a core", "< 30")
+    yield Row("entry.threads", usage.threads, "threads")
+    yield Row("entry.rss", usage.peak_rss_bytes / 1e6, "MB")
+    streams = load.requests_per_s * load.stream_s
+    grown = usage.peak_rss_bytes - usage.idle_rss_bytes
+    yield Row("entry.rss_per_stream", grown / streams / 1e3, "kB")
