--- a/libs/upstream/mulberry_upstream/_adapter.py
+++ b/libs/upstream/mulberry_upstream/_adapter.py
@@ -293,26 +293,45 @@
 
     def _check(self, data: bytes) -> bytes:
         """Returns what may be forwarded of `data`."""
+        events = self._splitter.feed(data)
+        if len(events) == 1:
+            # One whole event in one read is by far the most frequent case.
+            verdict = self._checker.accept(events[0])
+            if verdict is _checker.Verdict.PASS:
+                self._attempt.settle(_send_record.AttemptState.ANSWERED)
+                return events[0]
+            self._after(verdict)
+            return b""
+        if self._splitter.pending_bytes > _MAX_EVENT_BYTES:
+            self._after(
+                _checker.Fault(
+                    core.ErrorKind.ANSWER_INCOMPLETE, "an event is too long"
+                )
+            )
+        return self._check_all(events)
+
+    def _check_all(self, events: list[bytes]) -> bytes:
         passed = []
-        for event in self._splitter.feed(data):
+        for event in events:
+            if self._outcome is not None:
+                break
             verdict = self._checker.accept(event)
             if verdict is _checker.Verdict.PASS:
                 passed.append(event)
-            elif isinstance(verdict, _checker.Fault):
-                self._fail(verdict, Recovery.RERUN)
-                break
+            else:
+                self._after(verdict)
         if self._checker.chunks:
             self._attempt.settle(_send_record.AttemptState.ANSWERED)
-        if self._splitter.pending_bytes > _MAX_EVENT_BYTES:
-            self._fail(
-                _checker.Fault(
-                    core.ErrorKind.ANSWER_INCOMPLETE, "an event is too long"
-                ),
-                Recovery.RERUN,
-            )
+        return b"".join(passed)
+
+    def _after(self, verdict: _checker.Verdict | _checker.Fault) -> None:
+        """Acts on an event that is not forwarded now."""
+        if self._checker.chunks:
+            self._attempt.settle(_send_record.AttemptState.ANSWERED)
+        if isinstance(verdict, _checker.Fault):
+            self._fail(verdict, Recovery.RERUN)
         elif self._checker.done:
             self._complete()
-        return passed[0] if len(passed) == 1 else b"".join(passed)
 
     def _complete(self) -> None:
         # The framing normally ends right after [DONE]; one more step lets
--- a/libs/upstream/mulberry_upstream/_checker.py
+++ b/libs/upstream/mulberry_upstream/_checker.py
@@ -7,8 +7,12 @@
 from typing import Any
 
 import mulberry_core as core
+from mulberry_upstream import _template
 
 _DONE = b"[DONE]"
+#: Attempts to find a template; engines that change more than the text from
+#: chunk to chunk have none.
+_MAX_LEARNED = 8
 #: Stands for an event that carries no data, for example a comment.
 _NO_DATA = b""
 
@@ -75,6 +79,10 @@
         self._open_indexes: set[int] = set()
         self._usage: Usage | core.Missing = core.Missing.UNSET
         self._done = False
+        self._learned = 0
+        self._template: _template.ChunkTemplate | core.Missing = (
+            core.Missing.UNSET
+        )
 
     @property
     def request_id(self) -> str:
@@ -124,6 +132,15 @@
 
     def accept(self, event: bytes) -> Verdict | Fault:
         """Checks the next whole event."""
+        template = self._template
+        if not isinstance(template, core.Missing) and not self._finish_by_index:
+            text = template.text_of(event, len(self._pieces) + 1)
+            if text:
+                self._texts.append(text)
+                return self._place_chunk(event, text)
+        return self._accept_parsed(event)
+
+    def _accept_parsed(self, event: bytes) -> Verdict | Fault:
         number, data = _fields(event)
         if data == _NO_DATA:
             return self._place_comment(event)
@@ -198,6 +215,7 @@
                 return _incomplete("text follows the finish reason")
             self._open_indexes.add(0)
             self._texts.append(simple)
+            self._learn(event)
             return self._place_chunk(event, simple)
         for choice in choices:
             fault = self._take_choice(choice)
@@ -205,6 +223,13 @@
                 return fault
         return self._place_chunk(event, json.dumps(choices, sort_keys=True))
 
+    def _learn(self, event: bytes) -> None:
+        if self._learned < _MAX_LEARNED:
+            self._learned += 1
+            self._template = _template.learn(
+                event, self.chunks + 1, self._numbered
+            )
+
     def _take_choice(self, choice: Any) -> Fault | None:
         if not isinstance(choice, dict):
             return _incomplete(f"chunk {self.chunks + 1} has a bad choice")
--- a/libs/upstream/mulberry_upstream/_transfer.py
+++ b/libs/upstream/mulberry_upstream/_transfer.py
@@ -170,7 +170,12 @@
         self._no_byte_sent = False
         self._poller: select.poll | None = None
         self._start_s = time.monotonic()
-        self._last_byte_s = self._start_s
+        self._deadline_s = self._start_s + bounds.total_s
+        #: Start, or time of the last bytes of headers or body.
+        self._silent_since_s = self._start_s
+        self._max_bytes = bounds.max_bytes
+        # Short bounds are kept to; looks need no more than the period.
+        self._look_ms = 1e3 * min(_LOOK_PERIOD_S, bounds.total_s, bounds.idle_s)
         self._multi = pool.take(request.address)
         # A new easy handle each time: `REQUEST_SIZE` of a used one keeps the
         # count of the exchange before, even after `reset`.
@@ -225,13 +230,20 @@
         with self._stepping:
             if self._end is not None:
                 return b""
-            if self._started:
+            if self._poller is not None:
+                self._poller.poll(self._poll_ms())
+            elif self._started:
                 self._wait()
             self._started = True
             self._perform()
-            self._check_time()
-            data = b"".join(self._received)
-            self._received.clear()
+            received = self._received
+            if not received:
+                self._check_time()
+                return b""
+            data = received[0] if len(received) == 1 else b"".join(received)
+            received.clear()
+            if time.monotonic() >= self._deadline_s or self._canceled.is_set():
+                self._check_time()
             return data
 
     def step_if_ready(self) -> None:
@@ -286,20 +298,19 @@
             self._header_by_name[name.lower()] = value.strip()
         elif self._pending_status >= 200:
             self._status = self._pending_status
+            self._silent_since_s = time.monotonic()
         return len(line)
 
-    def _on_body(self, data: bytes) -> int:
+    def _on_body(self, data: bytes) -> int | None:
         self._received_bytes += len(data)
-        if self._received_bytes > self._bounds.max_bytes:
+        self._silent_since_s = time.monotonic()
+        if self._received_bytes > self._max_bytes:
             return -1
         self._received.append(data)
-        return len(data)
+        return None
 
     def _perform(self) -> None:
-        before = self._received_bytes + self._header_bytes
         _, running = self._multi.perform()
-        if self._received_bytes + self._header_bytes != before:
-            self._last_byte_s = time.monotonic()
         if running:
             return
         _, _, failed = self._multi.info_read()
@@ -316,31 +327,32 @@
             return End.CONNECT_TIMEOUT
         return End.FAILED
 
+    def _poll_ms(self) -> float:
+        """Returns how long to wait for the socket, milliseconds."""
+        # libcurl may want to go on without a new byte on the socket.
+        own_ms = self._multi.timeout()
+        if own_ms >= 0:
+            return min(own_ms, self._look_ms)
+        return self._look_ms
+
     def _wait(self) -> None:
-        wait_s = max(0.0, min(_LOOK_PERIOD_S, self._until_limit_s()))
-        if self._poller is not None:
-            # libcurl may want to go on without a new byte on the socket.
-            own_ms = self._multi.timeout()
-            wait_ms = wait_s * 1e3
-            self._poller.poll(wait_ms if own_ms < 0 else min(wait_ms, own_ms))
-            return
+        """Waits while the request is sent and until the headers came."""
         if self._status:
             socket_fd = self._easy.getinfo(pycurl.ACTIVESOCKET)
             if socket_fd >= 0:
                 self._poller = select.poll()
                 self._poller.register(socket_fd, select.POLLIN)
                 return
+        wait_s = max(0.0, min(_LOOK_PERIOD_S, self._until_limit_s()))
         if self._multi.select(wait_s) < 0:
             time.sleep(_NO_SOCKET_WAIT_S)
 
     def _until_limit_s(self) -> float:
         now_s = time.monotonic()
-        total_s = self._start_s + self._bounds.total_s - now_s
-        if not self._status:
-            silent_s = self._start_s + self._bounds.first_byte_s - now_s
-        else:
-            silent_s = self._last_byte_s + self._bounds.idle_s - now_s
-        return min(total_s, silent_s)
+        silent_s = (
+            self._bounds.idle_s if self._status else self._bounds.first_byte_s
+        )
+        return min(self._deadline_s, self._silent_since_s + silent_s) - now_s
 
     def _check_time(self) -> None:
         if self._end is not None:
@@ -358,8 +370,7 @@
     def _check_deadline(self) -> None:
         if self._until_limit_s() > 0:
             return
-        total_s = time.monotonic() - self._start_s
-        if total_s >= self._bounds.total_s:
+        if time.monotonic() >= self._deadline_s:
             self._finish(End.DEADLINE, "the deadline passed")
         else:
             self._finish(End.SILENT, "the upstream is silent")
