--- a/libs/rules/mulberry_rules/_cursor.py
+++ b/libs/rules/mulberry_rules/_cursor.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import difflib
+import hashlib
 import re
 from collections.abc import Callable, Collection, Mapping
 from typing import Any
@@ -14,6 +15,8 @@
 _PERCENT = re.compile(r"([0-9]{1,3}(?:\.[0-9]{1,6})?)%")
 _DURATION = re.compile(r"([0-9]{1,6}(?:\.[0-9]{1,3})?)(ms|s|m|h|d)")
 _KEY_HASH = re.compile(r"sha256:([0-9a-fA-F]{64})")
+#: Its team would be that of every caller without a key.
+_EMPTY_KEY_HASH = hashlib.sha256(b"").hexdigest()
 _METHOD = re.compile(r"GET|HEAD|POST|PUT|PATCH|DELETE|OPTIONS")
 #: Leaves out `?`, `[` and `]`, which path matching would read as wildcards.
 _PATH = re.compile(r"/[A-Za-z0-9._~!$&'()*+,;=:@%/-]*")
@@ -127,7 +130,13 @@
             "the hash of the key is missing",
             "write `sha256:` and 64 hex digits, never the key itself",
         )
-        return match.group(1).lower() if match else ""
+        key_hash = match.group(1).lower() if match else ""
+        if key_hash == _EMPTY_KEY_HASH:
+            self._fail_last(
+                "this is the hash of an empty key",
+                "hash the key without a line end: `printf %s KEY | sha256sum`",
+            )
+        return key_hash
 
     def method(self) -> str:
         """Takes an HTTP method."""
--- a/libs/rules/mulberry_rules/tests/test_parse.py
+++ b/libs/rules/mulberry_rules/tests/test_parse.py
@@ -119,6 +119,11 @@
         f"sha256:{_hash('tiendas')}",
         "line 4 has the same key",
     ),
+    (
+        "team a key sha256:" + hashlib.sha256().hexdigest() + _ASKED,
+        "sha256:" + hashlib.sha256().hexdigest(),
+        "empty key",
+    ),
     ("service taller-app" + _ASKED, "taller-app", "line 16 has this rule"),
     ("model m cost 1 quality 0.5" + _ASKED, "m", "no version"),
     ("model m quality 0.5" + _ASKED, "", "`cost` is missing"),
