Test faults, merging and spread of membership; fix what they found

The fault table found three faults, fixed here: an instance that resumes after it was forgotten sent only its news, so nobody knew it (the receiver now asks for everything); an instance cut off restarted its measure of doubt with each suspicion; a removal could be given a short time to live and be undone by a late record.

A transfer of everything when a forgotten member returns was removed: no scenario needed it, because links end with a death.

--- a/libs/membership/mulberry_membership/_link.py
+++ b/libs/membership/mulberry_membership/_link.py
@@ -44,7 +44,6 @@
     stamp: int
     #: Whether there were more records than fit the request.
     more: bool
-    fetches: int
     #: Local time at which the exchange began, seconds.
     at_s: float
 
@@ -84,10 +83,9 @@
         #: peer itself had sent are included: it may have restarted.
         self._sends_all = True
         self._wants_all = True
-        #: Counts calls of `fetch_all_again`, which an exchange that began
-        #: before must not undo.
-        self._fetches = 0
         self._failing_since_s = math.inf
+        #: Begin of the wait for the next suspicion, seconds.
+        self._suspect_from_s = math.inf
         self._patience = 1
 
     @property
@@ -109,13 +107,6 @@
         self._wake.wait(timeout_s)
         self._wake.clear()
 
-    def fetch_all_again(self) -> None:
-        """Asks the peer for everything: this instance dropped records."""
-        with self._lock:
-            self._have_stamp = 0
-            self._wants_all = True
-            self._fetches += 1
-
     def failing_s(self) -> float:
         """Returns for how long exchanges have failed, 0 if they succeed."""
         with self._lock:
@@ -127,12 +118,12 @@
         """Whether the peer has failed for so long that it is suspected."""
         with self._lock:
             bound_s = suspect_after_s * self._patience
-            return self._clock.now() - self._failing_since_s >= bound_s
+            return self._clock.now() - self._suspect_from_s >= bound_s
 
     def begin_patience(self) -> None:
         """Starts the wait for the next suspicion of the same peer."""
         with self._lock:
-            self._failing_since_s = self._clock.now()
+            self._suspect_from_s = self._clock.now()
             self._patience = min(2 * self._patience, MAX_PATIENCE)
 
     def request(self, sender: str) -> SentRequest:
@@ -149,10 +140,9 @@
                 have_stamp=self._have_stamp,
                 full=self._wants_all,
             )
-            fetches = self._fetches
         fill(request, changes, self._clock.now())
         return SentRequest(
-            request, changes.stamp, changes.more, fetches, self._clock.now()
+            request, changes.stamp, changes.more, self._clock.now()
         )
 
     def succeeded(
@@ -160,16 +150,16 @@
     ) -> None:
         """Notes what both sides hold; the records must be merged before."""
         with self._lock:
-            lost_state = self._session not in (0, response.session)
+            new_session = self._session not in (0, response.session)
+            lost_state = new_session or response.resend
             self._acknowledged_stamp = 0 if lost_state else sent.stamp
             self._sends_all = lost_state or (self._sends_all and sent.more)
             self._session = response.session
-            if sent.fetches == self._fetches:
-                self._have_stamp = response.stamp
-                self._wants_all = response.more and self._wants_all
-            self._failing_since_s = math.inf
+            self._have_stamp = response.stamp
+            self._wants_all = response.more and self._wants_all
+            self._failing_since_s = self._suspect_from_s = math.inf
             self._patience = 1
-        if response.more or sent.more or lost_state:
+        if response.more or sent.more or new_session:
             self.wake()
 
     def failed(self, sent: SentRequest) -> None:
@@ -180,3 +170,4 @@
         """
         with self._lock:
             self._failing_since_s = min(self._failing_since_s, sent.at_s)
+            self._suspect_from_s = min(self._suspect_from_s, sent.at_s)
--- a/libs/membership/mulberry_membership/_local.py
+++ b/libs/membership/mulberry_membership/_local.py
@@ -68,6 +68,8 @@
             removed=removed,
             urgent=urgent,
         )
+        # A removal lasts as long as any message can be late.
+        ttl_s = core.Missing.UNLIMITED if removed else ttl_s
         return self._store.merge(record, seconds(ttl_s))
 
     def remove(
--- a/libs/membership/mulberry_membership/_membership.py
+++ b/libs/membership/mulberry_membership/_membership.py
@@ -1,6 +1,5 @@
 """Membership over a transport: the soft state of a real deployment."""
 
-import collections
 import secrets
 import threading
 from collections.abc import Callable, Mapping
@@ -10,6 +9,8 @@
 
 import mulberry_core as core
 from mulberry_membership import (
+    _forgotten,
+    _identity,
     _link,
     _local,
     _member_table,
@@ -28,8 +29,6 @@
 SUSPICION_TTL_S = _member_table.FORGET_AFTER_S
 #: Between searches for records of owners that left, seconds.
 PURGE_PERIOD_S = 10.0
-#: Names of forgotten members that are remembered.
-MAX_FORGOTTEN = 10_000
 
 _MEMBER = _records.RecordKind.MEMBER
 _SUSPICION = _records.RecordKind.SUSPICION
@@ -76,15 +75,9 @@
         self._counters = counters
         self._timing = timing
         self._lock = threading.RLock()
-        # Milliseconds, so that a restart within a second gets a higher one.
-        self._epoch = max(1, int(clock.wall() * 1000))
-        self._incarnation = self._epoch
-        self._sequence = 0
+        self._identity = _identity.Identity(name, clock)
         self._session = secrets.randbits(63) + 1
-        #: The record of each forgotten member.
-        self._forgotten_by_name: collections.OrderedDict[
-            str, _records.Record
-        ] = collections.OrderedDict()
+        self._forgotten = _forgotten.ForgottenMembers()
         self._member_callbacks: list[Callable[[_members.Member], None]] = []
         self._leaving = False
         self._purged_s = clock.now()
@@ -117,8 +110,7 @@
     @property
     def incarnation(self) -> int:
         """Present incarnation of this instance."""
-        with self._lock:
-            return self._incarnation
+        return self._identity.incarnation
 
     def start(self, timers: core.TimerService) -> None:
         """Starts to exchange; subscribes `tick` at the timer service."""
@@ -129,10 +121,8 @@
 
     def leave(self) -> None:
         """Tells the others that this instance stops as planned."""
-        with self._lock:
-            self._leaving = True
-            record = self._own_record(_MEMBER, self._name, b"", True, True)
-        self._store.merge(record)
+        self._leaving = True
+        self._publish_self()
         self._peers.run_once()
 
     def stop(self) -> None:
@@ -161,8 +151,7 @@
         urgent: bool = False,
     ) -> _records.Record:
         """Publishes this instance's own record."""
-        with self._lock:
-            record = self._own_record(kind, id, payload, False, urgent)
+        record = self._identity.record(kind, id, payload, urgent=urgent)
         self._merge_own(record, _local.seconds(ttl_s))
         return record
 
@@ -178,18 +167,19 @@
         urgent: bool = False,
     ) -> bool:
         """Publishes a record that something else orders."""
-        with self._lock:
-            record = _records.Record(
-                kind=kind,
-                id=id,
-                owner=self._name,
-                epoch=self._epoch,
-                incarnation=incarnation,
-                sequence=sequence,
-                payload=payload,
-                removed=removed,
-                urgent=urgent,
-            )
+        record = _records.Record(
+            kind=kind,
+            id=id,
+            owner=self._name,
+            epoch=self._identity.epoch,
+            incarnation=incarnation,
+            sequence=sequence,
+            payload=payload,
+            removed=removed,
+            urgent=urgent,
+        )
+        # A removal lasts as long as any message can be late.
+        ttl_s = core.Missing.UNLIMITED if removed else ttl_s
         return self._merge_own(record, _local.seconds(ttl_s))
 
     def remove(
@@ -229,10 +219,11 @@
         """Returns for how long the records of an owner may be outdated."""
         if owner == self._name:
             return 0.0
+        doubt_s = self._peers.isolated_s()
         suspected_s = self._table.suspected_s(owner)
         if suspected_s > 0.0:
-            return suspected_s + self._timing.suspect_after_s
-        return self._peers.isolated_s()
+            doubt_s = max(doubt_s, suspected_s + self._timing.suspect_after_s)
+        return doubt_s
 
     def subscribe(
         self, kind: _records.RecordKind, callback: _soft_state.Callback
@@ -246,16 +237,17 @@
         """Merges the records of a peer and returns those it lacks."""
         self._peers.note_contact()
         self._take(_link.unpack(request), request.sender)
-        with self._lock:
-            session = self._session
-        in_step = request.receiver_session == session
+        in_step = request.receiver_session == self._session
         changes = self._store.changes_since(
             request.have_stamp if in_step else 0,
             request.sender if in_step and not request.full else "",
             _link.MAX_RECORDS_PER_MESSAGE,
         )
         response = peer_pb2.ExchangeResponse(
-            session=session, stamp=changes.stamp, more=changes.more
+            session=self._session,
+            stamp=changes.stamp,
+            more=changes.more,
+            resend=self._is_unknown(request.sender),
         )
         _link.fill(response, changes, self._clock.now())
         self._counters.increment("membership.bytes_in", request.ByteSize())
@@ -290,97 +282,55 @@
         """Merges what a peer has sent."""
         urgent = False
         for record, ttl_s in received:
-            if self._is_forgotten(record):
+            if self._forgotten.covers(record):
                 self._publish_suspicion(record.id, record.incarnation)
                 continue
-            if record.owner == self._name and self._is_of_earlier_life(record):
+            if record.owner == self._name and self._identity.is_outdone_by(
+                record, self._store.latest(record.key)
+            ):
                 self._begin_new_epoch(record)
             if self._store.merge(record, ttl_s, source):
                 urgent = urgent or record.urgent
         if urgent:
             self._peers.wake(except_name=source)
 
-    def _is_forgotten(self, record: _records.Record) -> bool:
-        """Whether the record is that of a member that died and was forgotten.
+    def _is_unknown(self, sender: str) -> bool:
+        """Whether a sender must introduce itself again.
 
-        An instance that has not forgotten it yet may send it again; taken as
-        a new member it would return everywhere, again and again. If it does
-        live, it refutes the suspicion.
+        A process that was suspended for long does not know that it was
+        forgotten, and would send only what has changed since.
         """
-        if record.kind is not _MEMBER or record.removed:
-            return False
-        with self._lock:
-            forgotten = self._forgotten_by_name.get(record.id)
-        return forgotten is not None and forgotten.order >= record.order
-
-    def _is_of_earlier_life(self, record: _records.Record) -> bool:
-        """Whether an earlier process of this instance made the record.
-
-        It had a clock ahead of ours, or the clock was set back since: its
-        records would hide ours.
-        """
-        if record.removed and record.kind is not _MEMBER:
-            return False
-        held = self._store.latest(record.key)
-        is_held = not isinstance(held, core.Missing)
-        if is_held and held.order >= record.order:  # type: ignore[union-attr]
-            return False
-        with self._lock:
-            if record.epoch >= self._epoch:
-                return True
-        return is_held and record.kind not in _records.ORDERED_BY_OTHERS
+        record = self._store.latest((_MEMBER, sender))
+        return isinstance(record, core.Missing)
 
     def _begin_new_epoch(self, record: _records.Record) -> None:
-        with self._lock:
-            old_epoch = self._epoch
-            highest = max(record.epoch, self._incarnation)
-            if record.kind not in _records.ORDERED_BY_OTHERS:
-                highest = max(highest, record.incarnation)
-            self._epoch = self._incarnation = highest + 1
-            logging.info(
-                "an earlier process of %s had epoch %d: raised to %d",
-                self._name,
-                record.epoch,
-                self._epoch,
-            )
+        old_epoch, epoch = self._identity.raise_above(record)
+        logging.info(
+            "an earlier process of %s had epoch %d: raised from %d to %d",
+            self._name,
+            record.epoch,
+            old_epoch,
+            epoch,
+        )
         self._counters.increment("membership.epochs_raised")
         self._publish_self()
-        self._store.renew(self._name, old_epoch, highest + 1)
+        self._store.renew(self._name, old_epoch, epoch)
 
     def _publish_self(self) -> None:
-        with self._lock:
-            record = self._own_record(
-                _MEMBER, self._name, self._payload, self._leaving, True
-            )
-        self._store.merge(record)
-
-    def _own_record(
-        self,
-        kind: _records.RecordKind,
-        id: str,
-        payload: bytes,
-        removed: bool,
-        urgent: bool,
-    ) -> _records.Record:
-        self._sequence += 1
-        return _records.Record(
-            kind=kind,
-            id=id,
-            owner=self._name,
-            epoch=self._epoch,
-            incarnation=self._incarnation,
-            sequence=self._sequence,
-            payload=payload,
-            removed=removed,
-            urgent=urgent,
+        record = self._identity.record(
+            _MEMBER,
+            self._name,
+            self._payload,
+            removed=self._leaving,
+            urgent=True,
         )
+        self._store.merge(record)
 
     def _merge_own(self, record: _records.Record, ttl_s: float) -> bool:
         # Not under the lock: callbacks may take locks of their callers.
         if not self._store.merge(record, ttl_s):
             return False
-        with self._lock:
-            epoch = self._epoch
+        epoch = self._identity.epoch
         if record.epoch != epoch:
             # The epoch was raised since the record was made.
             self._store.renew(self._name, record.epoch, epoch)
@@ -415,7 +365,7 @@
         suspicion = self._store.latest((_SUSPICION, member.name))
         if not isinstance(suspicion, core.Missing) and not suspicion.removed:
             self._table.suspect(member.name, suspicion.incarnation)
-        self._fetch_if_forgotten(member)
+        self._forgotten.drop(member.name)
         self._store.reassess(member.name)
         self._rebuild()
         self._tell_members(member.name)
@@ -427,18 +377,6 @@
         self._store.reassess(record.id)
         self._rebuild()
 
-    def _fetch_if_forgotten(self, member: _members.Member) -> None:
-        """Gets the records again that were dropped with a dead member.
-
-        Peers have them as acknowledged and would not send them again.
-        """
-        with self._lock:
-            forgotten = self._forgotten_by_name.pop(member.name, None)
-            if forgotten is None or forgotten.epoch != member.epoch:
-                return
-            self._session = secrets.randbits(63) + 1
-        self._peers.fetch_all_again()
-
     def _on_suspicion(self, record: _records.Record) -> None:
         if record.removed:
             return
@@ -452,10 +390,8 @@
             self._tell_members(record.id)
 
     def _refute(self, incarnation: int) -> None:
-        with self._lock:
-            if incarnation < self._incarnation:
-                return
-            self._incarnation = incarnation + 1
+        if not self._identity.refute(incarnation):
+            return
         self._counters.increment("membership.refutations")
         self._publish_self()
         self._peers.wake()
@@ -511,11 +447,8 @@
 
     def _forget(self, name: str) -> None:
         member = self._store.latest((_MEMBER, name))
-        with self._lock:
-            if not isinstance(member, core.Missing):
-                self._forgotten_by_name[name] = member
-            while len(self._forgotten_by_name) > MAX_FORGOTTEN:
-                self._forgotten_by_name.popitem(last=False)
+        if not isinstance(member, core.Missing):
+            self._forgotten.add(member)
         self._store.purge(
             lambda held: (
                 held.record.owner == name and held.record.kind is not _SUSPICION
--- a/libs/membership/mulberry_membership/_peers.py
+++ b/libs/membership/mulberry_membership/_peers.py
@@ -146,11 +146,6 @@
             if link.name != except_name:
                 link.wake()
 
-    def fetch_all_again(self) -> None:
-        """Asks all peers for everything."""
-        for link in self._links():
-            link.fetch_all_again()
-
     def note_contact(self) -> None:
         """Notes that a peer has reached this instance."""
         self._last_contact_s = self._clock.now()
--- /dev/null
+++ b/libs/membership/mulberry_membership/tests/test_exchange.py
@@ -0,0 +1,172 @@
+"""Tests of single exchanges: what is sent, acknowledged and refused."""
+
+import mulberry_core as core
+import mulberry_membership as membership
+from mulberry_membership import _link, _records, _store
+from mulberry_wire import peer_pb2
+
+ENTRY = membership.RecordKind.ENTRY
+
+
+def _record(id: str, owner: str = "x", sequence: int = 1) -> _records.Record:
+    return _records.Record(ENTRY, id, owner, 1, 1, sequence, b"")
+
+
+def _wire(record: _records.Record) -> peer_pb2.WireRecord:
+    return peer_pb2.WireRecord(
+        kind=f"WIRE_RECORD_KIND_{record.kind.name}",
+        id=record.id,
+        owner=record.owner,
+        epoch=record.epoch,
+        incarnation=record.incarnation,
+        sequence=record.sequence,
+        payload=record.payload,
+    )
+
+
+def _member(name: str, epoch: int) -> peer_pb2.WireRecord:
+    payload = peer_pb2.MemberPayload(address=f"address-{name}")
+    return _wire(
+        _records.Record(
+            membership.RecordKind.MEMBER,
+            name,
+            name,
+            epoch,
+            epoch,
+            1,
+            payload.SerializeToString(),
+        )
+    )
+
+
+def _ids(
+    message: peer_pb2.ExchangeRequest | peer_pb2.ExchangeResponse,
+) -> set[str]:
+    return {wire.id for wire in message.records}
+
+
+def _link_and_store() -> tuple[_link.PeerLink, _store.RecordStore]:
+    clock = core.ManualClock()
+    store = _store.RecordStore(clock)
+    return _link.PeerLink("peer", "address", store, clock), store
+
+
+def _answer(link: _link.PeerLink, sent: _link.SentRequest) -> None:
+    link.succeeded(peer_pb2.ExchangeResponse(session=7, stamp=3), sent)
+
+
+def test_lost_request_is_sent_again() -> None:
+    """Guards against records taken as acknowledged when they were lost."""
+    link, store = _link_and_store()
+    _answer(link, link.request("me"))
+    store.merge(_record("a"))
+    sent = link.request("me")
+    link.failed(sent)
+    store.merge(_record("b"))
+    sent = link.request("me")
+    assert _ids(sent.request) == {"a", "b"}
+    _answer(link, sent)
+    assert _ids(link.request("me").request) == set()
+
+
+def test_record_is_not_returned_to_its_source() -> None:
+    """Guards against each record crossing each link twice."""
+    link, store = _link_and_store()
+    _answer(link, link.request("me"))
+    store.merge(_record("a"), source="peer")
+    store.merge(_record("b"), source="other")
+    assert _ids(link.request("me").request) == {"b"}
+
+
+def test_restarted_peer_gets_everything() -> None:
+    """Guards against a peer that lost its memory and is sent only news."""
+    link, store = _link_and_store()
+    store.merge(_record("a"), source="peer")
+    _answer(link, link.request("me"))
+    assert _ids(link.request("me").request) == set()
+    sent = link.request("me")
+    link.succeeded(peer_pb2.ExchangeResponse(session=8, stamp=1), sent)
+    assert _ids(link.request("me").request) == {"a"}
+
+
+def _instance() -> tuple[membership.Simulation, membership.Membership]:
+    simulation = membership.Simulation(1)
+    return simulation, simulation.by_name["i0"]
+
+
+def test_restarted_sender_gets_back_what_it_once_sent() -> None:
+    """Guards against records that a restarted instance never learns again."""
+    _, instance = _instance()
+    request = peer_pb2.ExchangeRequest(sender="x")
+    request.records.append(_member("x", 5))
+    request.records.append(_wire(_record("a", owner="y")))
+    instance.handle_exchange(request)
+    response = instance.handle_exchange(peer_pb2.ExchangeRequest(sender="x"))
+    assert "a" in _ids(response)
+    response = instance.handle_exchange(
+        peer_pb2.ExchangeRequest(
+            sender="x",
+            receiver_session=response.session,
+            have_stamp=response.stamp,
+        )
+    )
+    assert _ids(response) == set()
+
+
+def test_old_copy_of_a_forgotten_member_is_refused() -> None:
+    """Guards against dead members that return everywhere, again and again."""
+    simulation, instance = _instance()
+    request = peer_pb2.ExchangeRequest(sender="y")
+    request.records.append(_member("x", 5))
+    instance.handle_exchange(request)
+    assert "x" in instance.members()
+    simulation.seconds(70.0)
+    assert "x" not in instance.members()
+    instance.handle_exchange(request)
+    assert "x" not in instance.members()
+    assert "x" in instance.records(membership.RecordKind.SUSPICION)
+    newer = peer_pb2.ExchangeRequest(sender="y")
+    newer.records.append(_member("x", 6))
+    instance.handle_exchange(newer)
+    assert "x" in instance.members()
+
+
+def test_late_copy_of_an_earlier_process_is_not_listed() -> None:
+    """Guards against upstreams of a restarted home that return."""
+    simulation, instance = _instance()
+    request = peer_pb2.ExchangeRequest(sender="x")
+    request.records.append(_member("x", 1))
+    request.records.append(_wire(_record("a")))
+    instance.handle_exchange(request)
+    assert "a" in instance.records(ENTRY)
+    restarted = peer_pb2.ExchangeRequest(sender="x")
+    restarted.records.append(_member("x", 2))
+    instance.handle_exchange(restarted)
+    simulation.clock.advance(3.5)
+    instance.tick()
+    instance.handle_exchange(request)
+    assert "a" not in instance.records(ENTRY)
+
+
+def test_malformed_records_are_dropped() -> None:
+    """Guards against a faulty peer that fills memory or stops exchanges."""
+    _, instance = _instance()
+    request = peer_pb2.ExchangeRequest(sender="x")
+    request.records.append(_member("x", 1))
+    for field, value in (
+        ("id", ""),
+        ("owner", ""),
+        ("id", "i" * 1000),
+        ("payload", b"p" * 100_000),
+        ("kind", 99),
+    ):
+        wire = _wire(_record("bad"))
+        setattr(wire, field, value)
+        request.records.append(wire)
+    broken = _member("broken", 1)
+    broken.payload = b"\xff\xff\xff"
+    request.records.append(broken)
+    request.records.append(_wire(_record("good")))
+    instance.handle_exchange(request)
+    assert set(instance.records(ENTRY)) == {"good"}
+    assert set(instance.members()) == {"i0", "x"}
--- /dev/null
+++ b/libs/membership/mulberry_membership/tests/test_failures.py
@@ -0,0 +1,283 @@
+"""Faults of instances and of the network between them.
+
+The bounds follow from the page: suspected after 1 s, dead 3 s later, and
+records everywhere within 3 s.
+"""
+
+import dataclasses
+from collections.abc import Callable
+
+import pytest
+
+import mulberry_membership as membership
+
+ENTRY = membership.RecordKind.ENTRY
+DEAD = membership.MemberState.DEAD
+COUNT = 8
+#: Suspicion, death, and time for both to reach all instances, seconds.
+DEATH_S = 1.0 + 3.0 + 1.5
+SPREAD_S = 3.0
+
+Simulation = membership.Simulation
+
+
+def _joined(count: int = COUNT, seed: int = 1) -> Simulation:
+    simulation = Simulation(count, seed)
+    simulation.seconds(SPREAD_S)
+    assert simulation.has_converged()
+    for name, instance in simulation.by_name.items():
+        instance.publish(ENTRY, name, b"", urgent=True)
+    simulation.seconds(SPREAD_S)
+    _assert_entries(simulation)
+    return simulation
+
+
+def _assert_entries(simulation: Simulation) -> None:
+    """All running instances list the entries of exactly those."""
+    running = set(simulation.by_name)
+    for name, instance in simulation.by_name.items():
+        assert set(instance.records(ENTRY)) == running, name
+
+
+def _crash(simulation: Simulation) -> None:
+    simulation.crash("i3")
+    simulation.seconds(DEATH_S)
+
+
+def _crash_of_half(simulation: Simulation) -> None:
+    for name in ("i0", "i1", "i2", "i3"):
+        simulation.crash(name)
+    # Suspicions of members that only crashed instances watched follow when
+    # those are dead.
+    simulation.seconds(3 * DEATH_S)
+
+
+def _leave(simulation: Simulation) -> None:
+    simulation.by_name["i3"].leave()
+    simulation.crash("i3")
+    simulation.seconds(SPREAD_S)
+
+
+def _one_way_cut(simulation: Simulation) -> None:
+    simulation.network.cut("address-i1", "address-i2")
+    simulation.seconds(30.0)
+
+
+def _pair_cut(simulation: Simulation) -> None:
+    simulation.cut_between(["i1"], ["i2"])
+    simulation.seconds(30.0)
+
+
+def _deaf_to_most(simulation: Simulation) -> None:
+    for name in ("i2", "i3", "i4", "i5"):
+        simulation.network.cut(f"address-{name}", "address-i1")
+    simulation.seconds(30.0)
+
+
+def _short_pause(simulation: Simulation) -> None:
+    paused = simulation.by_name["i4"]
+    simulation.crash("i4")
+    simulation.seconds(3.0)
+    simulation.by_name["i4"] = paused
+    simulation.network.attach("address-i4", paused)
+    simulation.seconds(SPREAD_S)
+
+
+def _long_pause(simulation: Simulation) -> None:
+    paused = simulation.by_name["i4"]
+    simulation.crash("i4")
+    simulation.seconds(20.0)
+    simulation.by_name["i4"] = paused
+    simulation.network.attach("address-i4", paused)
+    simulation.seconds(2 * DEATH_S)
+
+
+def _very_long_pause(simulation: Simulation) -> None:
+    paused = simulation.by_name["i4"]
+    simulation.crash("i4")
+    simulation.seconds(100.0)
+    simulation.by_name["i4"] = paused
+    simulation.network.attach("address-i4", paused)
+    simulation.seconds(2 * DEATH_S)
+
+
+def _partition(seconds: float) -> Callable[[Simulation], None]:
+    def run(simulation: Simulation) -> None:
+        names = list(simulation.by_name)
+        simulation.cut_between(names[::2], names[1::2])
+        simulation.seconds(seconds)
+        simulation.network.heal()
+        simulation.seconds(3 * DEATH_S)
+
+    return run
+
+
+def _restart(wall_offset_s: float) -> Callable[[Simulation], None]:
+    def run(simulation: Simulation) -> None:
+        simulation.crash("i3")
+        simulation.rounds(1)
+        simulation.start("i3", wall_offset_s)
+        simulation.by_name["i3"].publish(ENTRY, "i3", b"new", urgent=True)
+        simulation.seconds(DEATH_S)
+        for instance in simulation.by_name.values():
+            assert instance.records(ENTRY)["i3"].payload == b"new"
+
+    return run
+
+
+def _restart_of_all(simulation: Simulation) -> None:
+    for name in list(simulation.by_name):
+        simulation.crash(name)
+        simulation.start(name, wall_offset_s=-10.0)
+        simulation.by_name[name].publish(ENTRY, name, b"")
+        simulation.seconds(1.0)
+    simulation.seconds(SPREAD_S)
+
+
+def _faulty_network(faults: membership.Faults) -> Callable[[Simulation], None]:
+    def run(simulation: Simulation) -> None:
+        simulation.network.faults = faults
+        simulation.seconds(30.0)
+        simulation.network.faults = membership.Faults()
+        simulation.seconds(2 * SPREAD_S)
+
+    return run
+
+
+@dataclasses.dataclass(frozen=True)
+class _Case:
+    name: str
+    fault: Callable[[Simulation], None]
+    #: Whether a member may be declared dead on the way.
+    deaths: bool
+
+
+CASES = (
+    _Case("a crash is noticed", _crash, True),
+    _Case("half of the instances crash", _crash_of_half, True),
+    _Case("a planned stop is no death", _leave, False),
+    _Case("one direction is cut", _one_way_cut, False),
+    _Case("a pair is cut", _pair_cut, False),
+    _Case("an instance hears few others", _deaf_to_most, False),
+    _Case("a pause shorter than the bound", _short_pause, False),
+    _Case("a pause longer than the bound", _long_pause, True),
+    _Case("a pause after which it is forgotten", _very_long_pause, True),
+    _Case("a partition of 2 s", _partition(2.0), False),
+    _Case("a partition of 10 s", _partition(10.0), True),
+    _Case("a partition of 3 minutes", _partition(180.0), True),
+    _Case("a restart", _restart(0.0), False),
+    _Case("a restart with an earlier clock", _restart(-3600.0), False),
+    _Case("a restart with the same clock", _restart(-4.0 * SPREAD_S), False),
+    _Case("a restart with a later clock", _restart(3600.0), False),
+    _Case("all restart one after the other", _restart_of_all, False),
+    _Case("loss", _faulty_network(membership.Faults(loss=0.2)), False),
+    _Case("late requests", _faulty_network(membership.Faults(late=0.3)), False),
+    _Case(
+        "all faults",
+        _faulty_network(membership.Faults(0.1, 0.1, 0.3)),
+        False,
+    ),
+)
+
+
+@pytest.mark.parametrize("case", CASES, ids=lambda case: case.name)
+def test_fault_table(case: _Case) -> None:
+    """Guards against false deaths, missed deaths and lost or old records."""
+    simulation = _joined()
+    case.fault(simulation)
+    assert simulation.has_converged()
+    _assert_entries(simulation)
+    deaths = simulation.counters.count("membership.deaths")
+    assert (deaths > 0) is case.deaths
+
+
+def test_no_death_before_the_bound() -> None:
+    """Guards against a death without the time to refute."""
+    simulation = _joined()
+    simulation.crash("i3")
+    simulation.seconds(3.5)
+    assert simulation.counters.count("membership.suspicions") > 0
+    assert simulation.counters.count("membership.deaths") == 0
+
+
+def test_refutation_needs_a_higher_incarnation() -> None:
+    """Guards against a suspect that is cleared by its old record."""
+    simulation = _joined()
+    before = simulation.by_name["i1"].incarnation
+    simulation.crash("i3")
+    simulation.seconds(2.0)
+    member = simulation.by_name["i1"].members()["i3"]
+    assert member.state is membership.MemberState.SUSPECT
+    # A new instance brings the record of the suspect from its peers.
+    simulation.start("i9")
+    simulation.seconds(1.0)
+    for name in ("i1", "i9"):
+        member = simulation.by_name[name].members()["i3"]
+        assert member.state is not membership.MemberState.ALIVE
+    assert simulation.by_name["i1"].incarnation == before
+
+
+def test_records_of_an_earlier_process_end() -> None:
+    """Guards against upstreams of a restarted home that stay listed."""
+    simulation = _joined()
+    kind = membership.RecordKind.UPSTREAM
+    home = simulation.by_name["i3"]
+    home.put(kind, "gone", 1, 1, b"", urgent=True)
+    home.put(kind, "moves", 1, 1, b"", urgent=True)
+    simulation.seconds(1.0)
+    simulation.crash("i3")
+    simulation.start("i3")
+    simulation.seconds(1.0)
+    assert set(simulation.by_name["i0"].records(kind)) == {"gone", "moves"}
+    simulation.by_name["i5"].put(kind, "moves", 1, 2, b"", urgent=True)
+    simulation.seconds(2 * SPREAD_S)
+    for instance in simulation.by_name.values():
+        assert set(instance.records(kind)) == {"moves"}
+
+
+def test_records_of_a_dead_owner_are_hidden_unless_moved() -> None:
+    """Guards against work for upstreams that no living home vouches for."""
+    simulation = _joined()
+    kind = membership.RecordKind.UPSTREAM
+    simulation.by_name["i3"].put(kind, "gone", 1, 1, b"")
+    simulation.by_name["i3"].put(kind, "moves", 1, 1, b"")
+    simulation.seconds(1.0)
+    simulation.crash("i3")
+    simulation.by_name["i5"].put(kind, "moves", 1, 2, b"")
+    simulation.seconds(DEATH_S)
+    for instance in simulation.by_name.values():
+        assert set(instance.records(kind)) == {"moves"}
+
+
+def test_dead_members_and_their_records_are_dropped() -> None:
+    """Guards against memory that grows with each instance that ever was."""
+    simulation = _joined()
+    for index in range(5):
+        name = f"short-{index}"
+        simulation.start(name)
+        simulation.by_name[name].publish(ENTRY, name, b"")
+        simulation.seconds(1.0)
+        if index % 2:
+            simulation.by_name[name].leave()
+        simulation.crash(name)
+    simulation.seconds(150.0)
+    for instance in simulation.by_name.values():
+        assert set(instance.members()) == set(simulation.by_name)
+        for index in range(5):
+            held = instance.latest(ENTRY, f"short-{index}")
+            assert not isinstance(held, membership.Record)
+
+
+def test_cut_off_instance_doubts_all_others_in_time() -> None:
+    """Guards against P8 broken by an instance that no longer hears of it."""
+    simulation = _joined()
+    others = [name for name in simulation.by_name if name != "i0"]
+    simulation.cut_between(["i0"], others)
+    simulation.seconds(2.75)
+    for name in others:
+        assert simulation.by_name["i0"].doubt_s(name) > 2.0, name
+    assert simulation.by_name["i0"].doubt_s("i0") == 0.0
+    simulation.network.heal()
+    simulation.seconds(SPREAD_S)
+    for name in others:
+        assert simulation.by_name["i0"].doubt_s(name) == 0.0, name
--- a/libs/membership/mulberry_membership/tests/test_soft_state.py
+++ b/libs/membership/mulberry_membership/tests/test_soft_state.py
@@ -1,41 +1,143 @@
-"""Contract of the soft state."""
+"""Contract of the soft state, for each implementation.
+
+A record is written at one place and read at another: the same object for the
+local soft state, another instance for membership.
+"""
+
+import dataclasses
+import math
+from collections.abc import Callable
+
+import pytest
 
 import mulberry_core as core
 import mulberry_membership as membership
 
 ENTRY = membership.RecordKind.ENTRY
+UPSTREAM = membership.RecordKind.UPSTREAM
+DEMAND = membership.RecordKind.DEMAND
+
 
+@dataclasses.dataclass
+class _States:
+    writer: membership.SoftState
+    reader: membership.SoftState
+    #: Lets time pass, enough for an exchange; argument in seconds.
+    pass_s: Callable[[float], None]
+
+
+def _local() -> _States:
+    clock = core.ManualClock()
+    state = membership.LocalSoftState("i0", clock)
+    return _States(state, state, clock.advance)
 
-def test_publish_replace_remove() -> None:
+
+def _fake_network() -> _States:
+    simulation = membership.Simulation(3)
+    simulation.rounds(5)
+    return _States(
+        simulation.by_name["i0"],
+        simulation.by_name["i1"],
+        simulation.seconds,
+    )
+
+
+@pytest.fixture(name="states", params=[_local, _fake_network])
+def _states(request: pytest.FixtureRequest) -> _States:
+    make: Callable[[], _States] = request.param
+    return make()
+
+
+def test_publish_replace_remove(states: _States) -> None:
     """Guards against a stale record that stays listed."""
-    state = membership.LocalSoftState("gent-1", core.ManualClock())
-    state.publish(ENTRY, "gent-1", b"one")
-    state.publish(ENTRY, "gent-1", b"two")
-    assert state.records(ENTRY)["gent-1"].payload == b"two"
-    state.remove(ENTRY, "gent-1")
-    assert state.records(ENTRY) == {}
-    state.publish(ENTRY, "gent-1", b"three")
-    assert state.records(ENTRY)["gent-1"].payload == b"three"
+    states.writer.publish(ENTRY, "e", b"one")
+    states.pass_s(0.5)
+    assert states.reader.records(ENTRY)["e"].payload == b"one"
+    states.writer.publish(ENTRY, "e", b"two")
+    states.pass_s(0.5)
+    assert states.reader.records(ENTRY)["e"].payload == b"two"
+    states.writer.remove(ENTRY, "e")
+    states.pass_s(0.5)
+    assert "e" not in states.reader.records(ENTRY)
+    states.writer.publish(ENTRY, "e", b"three")
+    states.pass_s(0.5)
+    assert states.reader.records(ENTRY)["e"].payload == b"three"
+
 
+def test_fields_arrive(states: _States) -> None:
+    """Guards against fields that get lost on the way."""
+    sent = states.writer.publish(ENTRY, "e", b"\x00\xff", urgent=True)
+    states.pass_s(0.5)
+    assert states.reader.records(ENTRY)["e"] == sent
+    assert sent.owner == states.writer.owner
 
-def test_older_order_changes_nothing() -> None:
+
+def test_older_order_changes_nothing(states: _States) -> None:
     """Guards against a late announcement that revives an upstream."""
-    state = membership.LocalSoftState("gent-1", core.ManualClock())
-    kind = membership.RecordKind.UPSTREAM
-    assert state.put(kind, "pool-1", 5, 7, b"new")
-    assert not state.put(kind, "pool-1", 5, 6, b"late")
-    assert state.put(kind, "pool-1", 5, 7, b"", removed=True)
-    assert not state.put(kind, "pool-1", 5, 7, b"new")
-    assert state.records(kind) == {}
+    assert states.writer.put(UPSTREAM, "u", 5, 7, b"new")
+    assert not states.writer.put(UPSTREAM, "u", 5, 6, b"late")
+    assert not states.writer.put(UPSTREAM, "u", 4, 9, b"late")
+    states.pass_s(0.5)
+    assert states.reader.records(UPSTREAM)["u"].payload == b"new"
+    assert states.writer.put(UPSTREAM, "u", 5, 7, b"", removed=True)
+    assert not states.writer.put(UPSTREAM, "u", 5, 7, b"new")
+    states.pass_s(0.5)
+    assert "u" not in states.reader.records(UPSTREAM)
+    held = states.reader.latest(UPSTREAM, "u")
+    assert isinstance(held, membership.Record)
+    assert held.removed
 
 
-def test_expiry_notifies_and_does_not_revive() -> None:
+def test_expiry(states: _States) -> None:
     """Guards against demand of a stopped instance that counts for ever."""
-    clock = core.ManualClock()
-    state = membership.LocalSoftState("gent-1", clock)
     seen: list[membership.Record] = []
-    state.subscribe(membership.RecordKind.DEMAND, seen.append)
-    state.publish(membership.RecordKind.DEMAND, "gent-1/a", b"3", ttl_s=5.0)
-    clock.advance(6.0)
-    assert state.records(membership.RecordKind.DEMAND) == {}
+    states.reader.subscribe(DEMAND, seen.append)
+    states.writer.publish(DEMAND, "d", b"3", ttl_s=5.0)
+    states.pass_s(1.0)
+    assert "d" in states.reader.records(DEMAND)
+    states.pass_s(6.0)
+    assert "d" not in states.reader.records(DEMAND)
     assert [record.removed for record in seen] == [False, True]
+
+
+def test_publishing_again_extends_the_time_to_live(states: _States) -> None:
+    """Guards against demand that vanishes although it is refreshed."""
+    for _ in range(4):
+        states.writer.publish(DEMAND, "d", b"3", ttl_s=2.0)
+        states.pass_s(1.5)
+        assert "d" in states.reader.records(DEMAND)
+
+
+def test_subscriptions_are_per_kind(states: _States) -> None:
+    """Guards against callbacks with records of another kind."""
+    seen: list[str] = []
+    states.reader.subscribe(ENTRY, lambda record: seen.append(record.id))
+    states.writer.publish(UPSTREAM, "u", b"")
+    states.writer.publish(ENTRY, "e", b"")
+    states.pass_s(0.5)
+    assert seen == ["e"]
+
+
+def test_age(states: _States) -> None:
+    """Guards against load reports that look newer than they are."""
+    assert math.isinf(states.reader.age_s(UPSTREAM, "u"))
+    states.writer.put(UPSTREAM, "u", 1, 1, b"")
+    states.pass_s(4.0)
+    assert 3.0 <= states.reader.age_s(UPSTREAM, "u") <= 4.0
+
+
+def test_remove_of_another_owner_changes_nothing(states: _States) -> None:
+    """Guards against an instance that removes what is not its own."""
+    if states.reader is states.writer:
+        pytest.skip("the local soft state has one owner")
+    states.writer.publish(ENTRY, "e", b"one")
+    states.pass_s(0.5)
+    states.reader.remove(ENTRY, "e")
+    states.pass_s(0.5)
+    assert "e" in states.writer.records(ENTRY)
+
+
+def test_no_doubt_while_exchanges_succeed(states: _States) -> None:
+    """Guards against upstreams hidden without a reason."""
+    states.pass_s(5.0)
+    assert states.reader.doubt_s(states.writer.owner) == 0.0
