Add consensus among voters

Messages name the identity of the data folder they are meant for, and voters count by identity: an emptied disk makes no quorum.

The first group is formed once all first voters have answered and none knows a group. The first leader writes the first voters to the log: without that record a voter that had received records before it learned of the group would never have stood for election (seen as a refused transfer of leadership).

--- /dev/null
+++ b/libs/state/mulberry_state/_applier.py
@@ -0,0 +1,152 @@
+"""Applies committed records to the state machine and takes snapshots."""
+
+import threading
+from collections.abc import Callable, Sequence
+
+from absl import logging
+
+from mulberry_state import (
+    _codec,
+    _disk,
+    _invariants,
+    _machine,
+    _shared,
+    _view,
+)
+from mulberry_wire import log_pb2
+
+#: A snapshot is taken when the log has grown by this much since the last one,
+#: or by the size of the last one, whichever is more. Bytes.
+SNAPSHOT_BYTES = 16 << 20
+
+#: Records applied without a break, so that readers of the state get a turn.
+_MAX_RECORDS = 256
+
+
+class Applier:
+    """Owns the state machine of a voter."""
+
+    def __init__(
+        self, shared: _shared.Shared, machine: _machine.StateMachine
+    ) -> None:
+        self._shared = shared
+        #: Guarded by `Shared.machine_lock`.
+        self.machine = machine
+        self._callbacks: list[Callable[[_view.View], None]] = []
+        self._snapshot_size = 0
+        #: Snapshots are taken after this many bytes of log.
+        self.snapshot_bytes = SNAPSHOT_BYTES
+        state = shared.log.take_state()
+        if state:
+            self.restore(state)
+
+    def subscribe(self, callback: Callable[[_view.View], None]) -> None:
+        """Calls back with each new view, on the applying task."""
+        self._callbacks.append(callback)
+
+    def restore(self, state: bytes) -> None:
+        """Replaces the state; the caller holds the locks."""
+        if state:
+            self.machine.restore(state)
+            self._snapshot_size = len(state)
+
+    def run(self, stop: threading.Event) -> None:
+        """Task: applies what is committed."""
+        shared = self._shared
+        while not stop.is_set():
+            with shared.lock:
+                if shared.commit_index <= shared.applied_index:
+                    shared.lock.wait(1.0)
+                    continue
+            try:
+                self._apply_next()
+                self._maybe_snapshot()
+            except (_disk.StorageError, _invariants.InvariantError) as error:
+                logging.exception("%s cannot go on", shared.name)
+                shared.fail(str(error))
+                return
+
+    def _apply_next(self) -> None:
+        shared = self._shared
+        with shared.machine_lock:
+            before = self.machine.view.revision
+            with shared.lock:
+                first = shared.applied_index + 1
+                last = min(
+                    shared.commit_index, shared.applied_index + _MAX_RECORDS
+                )
+                records = [
+                    shared.log.record(index) for index in range(first, last + 1)
+                ]
+            results = [self._apply(record) for record in records]
+            view = self.machine.view
+            with shared.lock:
+                shared.applied_index = last
+                self._answer(records, results)
+                shared.lock.notify_all()
+        if view.revision != before:
+            for callback in tuple(self._callbacks):
+                callback(view)
+
+    def _apply(self, record: log_pb2.LogRecord) -> object:
+        stamp = _machine.Stamp(record.index, record.wall_s, record.log_s)
+        if record.kind == log_pb2.LogRecord.COMMAND:
+            command = _codec.decode_command(record.data)
+            return self.machine.apply(command, stamp)
+        if record.kind == log_pb2.LogRecord.VOTERS:
+            voters = log_pb2.LogVoters.FromString(record.data)
+            self.machine.set_voters(
+                {voter.name: voter.address for voter in voters.voters},
+                voters.who,
+                stamp,
+            )
+        elif record.kind == log_pb2.LogRecord.IN_EFFECT:
+            mark = log_pb2.LogInEffect.FromString(record.data)
+            self.machine.mark_in_effect(mark.revision, stamp)
+        else:
+            self.machine.pass_over(stamp)
+        return None
+
+    def _answer(
+        self, records: Sequence[log_pb2.LogRecord], results: Sequence[object]
+    ) -> None:
+        pending = self._shared.pending_by_index
+        for record, result in zip(records, results, strict=True):
+            future = pending.pop(record.index, None)
+            if future is not None:
+                future.set_result(result)
+
+    def _maybe_snapshot(self) -> None:
+        log = self._shared.log
+        if log.bytes_since_snapshot > max(
+            self.snapshot_bytes, self._snapshot_size
+        ):
+            self.take_snapshot()
+
+    def take_snapshot(self) -> None:
+        """Saves the state and drops the records that it covers.
+
+        Raises:
+            StorageError: The snapshot cannot be synced.
+        """
+        shared = self._shared
+        with shared.machine_lock:
+            state = self.machine.snapshot()
+            with shared.lock:
+                index = shared.applied_index
+                term = shared.log.term_at(index)
+                snapshot = log_pb2.LogSnapshot(
+                    index=index,
+                    term=term or 0,
+                    log_s=self.machine.log_s,
+                    voters=shared.voters_at(index),
+                    state=state,
+                )
+        with shared.snapshot_lock:
+            with shared.lock:
+                if term is None or index <= shared.log.snapshot.index:
+                    return
+            shared.log.save_snapshot(snapshot)
+            self._snapshot_size = len(state)
+            with shared.disk_lock, shared.lock:
+                shared.log.compact(snapshot)
--- /dev/null
+++ b/libs/state/mulberry_state/_fake_network.py
@@ -0,0 +1,146 @@
+"""A network in one process that loses, repeats, delays and cuts."""
+
+import dataclasses
+import random
+import threading
+import time
+from concurrent import futures
+from typing import TypeVar
+
+from google.protobuf import message
+
+from mulberry_state import _disk, _peers
+
+_Q = TypeVar("_Q", bound=message.Message)
+_R = TypeVar("_R", bound=message.Message)
+
+#: What a lost message costs its sender; shorter than a real timeout so that
+#: tests are quick. Seconds.
+_LOSS_DELAY_S = 0.02
+
+
+@dataclasses.dataclass(frozen=True)
+class Faults:
+    """Chances, 0 to 1, that apply to each message."""
+
+    loss: float = 0.0
+    #: The receiver handles the message a second time, later.
+    repeat: float = 0.0
+    #: Longest delay of a message, seconds; unequal delays reorder.
+    delay_s: float = 0.0
+
+
+class FakeNetwork:
+    """Connects handlers by address."""
+
+    def __init__(self, seed: int) -> None:
+        self._lock = threading.Lock()
+        self._rng = random.Random(seed)
+        self._handler_by_address: dict[str, _peers.PeerHandler] = {}
+        self._cuts: set[tuple[str, str]] = set()
+        self._late = futures.ThreadPoolExecutor(4, "late-messages")
+        #: May be replaced at any time.
+        self.faults = Faults()
+
+    def transport(self, address: str) -> _peers.PeerTransport:
+        """Returns the transport of the voter at `address`."""
+        return _FakeTransport(self, address)
+
+    def attach(self, address: str, handler: _peers.PeerHandler) -> None:
+        """Lets a voter receive."""
+        with self._lock:
+            self._handler_by_address[address] = handler
+
+    def detach(self, address: str) -> None:
+        """Lets a voter receive nothing any more, as if it had stopped."""
+        with self._lock:
+            self._handler_by_address.pop(address, None)
+
+    def cut(self, source: str, target: str) -> None:
+        """Drops everything from `source` to `target`, in this direction."""
+        with self._lock:
+            self._cuts.add((source, target))
+
+    def isolate(self, address: str) -> None:
+        """Cuts one voter off in both directions."""
+        with self._lock:
+            for other in self._handler_by_address:
+                if other != address:
+                    self._cuts |= {(address, other), (other, address)}
+
+    def heal(self) -> None:
+        """Ends all cuts and faults."""
+        with self._lock:
+            self._cuts.clear()
+        self.faults = Faults()
+
+    def close(self) -> None:
+        """Waits for late messages."""
+        self._late.shutdown(wait=True)
+
+    def deliver(
+        self,
+        source: str,
+        target: str,
+        method: _peers.Method[_Q, _R],
+        request: _Q,
+    ) -> _R | _peers.Unreachable:
+        """Carries a request and its reply, or loses one of them."""
+        data = request.SerializeToString()
+        if self._lose(source, target):
+            return self._lost()
+        if self._chance(self.faults.repeat):
+            self._late.submit(self._handle, target, method, data, 0.05)
+        reply = self._handle(target, method, data, 0.0)
+        if isinstance(reply, _peers.Unreachable) or self._lose(target, source):
+            return self._lost()
+        return reply
+
+    def _handle(
+        self,
+        target: str,
+        method: _peers.Method[_Q, _R],
+        data: bytes,
+        delay_s: float,
+    ) -> _R | _peers.Unreachable:
+        with self._lock:
+            handler = self._handler_by_address.get(target)
+            delay_s += self._rng.random() * self.faults.delay_s
+        if delay_s:
+            time.sleep(delay_s)
+        if handler is None:
+            return _peers.Unreachable("not attached")
+        try:
+            request = method.request_type.FromString(data)
+            reply = handler.handle(method.name, request)
+        except _disk.StorageError as error:
+            return _peers.Unreachable(str(error))
+        return method.reply_type.FromString(reply.SerializeToString())
+
+    def _lose(self, source: str, target: str) -> bool:
+        with self._lock:
+            cut = (source, target) in self._cuts
+        return cut or self._chance(self.faults.loss)
+
+    def _chance(self, chance: float) -> bool:
+        with self._lock:
+            return self._rng.random() < chance
+
+    def _lost(self) -> _peers.Unreachable:
+        time.sleep(_LOSS_DELAY_S)
+        return _peers.Unreachable("lost")
+
+
+class _FakeTransport(_peers.PeerTransport):
+    def __init__(self, network: FakeNetwork, address: str) -> None:
+        self._network = network
+        self._address = address
+
+    def call(
+        self,
+        address: str,
+        method: _peers.Method[_Q, _R],
+        request: _Q,
+        timeout_s: float,
+    ) -> _R | _peers.Unreachable:
+        return self._network.deliver(self._address, address, method, request)
--- /dev/null
+++ b/libs/state/mulberry_state/_group.py
@@ -0,0 +1,281 @@
+"""Who votes: forming the first group and changing it one voter at a time."""
+
+import threading
+from collections.abc import Callable, Mapping
+
+from absl import logging
+
+from mulberry_state import _disk, _peers, _replication, _shared
+from mulberry_wire import log_pb2
+
+_HELLO_TIMEOUT_S = 1.0
+_HELLO_PERIOD_S = 0.2
+
+
+class ChangeRefused(Exception):  # noqa: N818 (an answer, not a fault)
+    """The voters were not changed, for the reason given."""
+
+
+class Group:
+    """Forms the group at the first start, and changes it later.
+
+    The first group is formed only when every first voter has answered and
+    none has been part of a group: a voter whose disk was emptied finds the
+    group that it was in, under an identity that is not its own, and waits
+    until an operator replaces it.
+    """
+
+    def __init__(
+        self,
+        shared: _shared.Shared,
+        replication: _replication.Replication,
+        first_voters: Mapping[str, str],
+    ) -> None:
+        self._shared = shared
+        self._replication = replication
+        self._first_voters = first_voters
+        self._changing = threading.Lock()
+        self._warned = False
+
+    def hello(self, request: log_pb2.HelloRequest) -> log_pb2.HelloReply:
+        """Says who this voter is and which group it knows."""
+        shared = self._shared
+        with shared.lock:
+            if shared.role is _shared.Role.FAILED:
+                raise _disk.StorageError(shared.failure)
+            return log_pb2.HelloReply(
+                name=shared.name,
+                identity=shared.identity,
+                voters=shared.voters.message,
+            )
+
+    def run_forming(self, stop: threading.Event) -> None:
+        """Task: ends once this voter is part of a group."""
+        shared = self._shared
+        while not stop.is_set():
+            with shared.lock:
+                if shared.voters.message.voters or shared.failure:
+                    return
+            try:
+                self._form()
+            except _disk.StorageError as error:
+                shared.fail(str(error))
+                return
+            stop.wait(_HELLO_PERIOD_S)
+
+    def change(
+        self,
+        add: Mapping[str, str],
+        remove: str,
+        who: str,
+        timeout_s: float,
+    ) -> str:
+        """Adds a voter, removes one, or replaces one of the same name.
+
+        Args:
+            add: gRPC address of the new voter by its name, or nothing.
+            remove: Name of the voter to remove, or empty.
+            who: Operator, for the audit trail.
+            timeout_s: How long the new voter may take to catch up.
+
+        Returns:
+            A sentence that says what was done.
+
+        Raises:
+            ChangeRefused: Nothing, or only the removal, was done.
+            LeadershipLost: The outcome is not known here.
+        """
+        if not self._changing.acquire(blocking=False):
+            raise ChangeRefused("another change of the voters is running")
+        learner: log_pb2.LogVoter | None = None
+        deadline_s = self._shared.clock.now() + timeout_s
+        try:
+            self._require_settled(deadline_s)
+            self._require_removable(remove, bool(add))
+            done = []
+            for name, address in add.items():
+                learner = self._greet(name, address, remove)
+                # Caught up before it counts: a voter that lags would make
+                # the quorum depend on it at once.
+                self._catch_up(learner, deadline_s)
+            if remove:
+                self._remove(remove, who, deadline_s)
+                done.append(f"removed voter {remove}")
+            if learner:
+                self._add(learner, who, deadline_s)
+                done.append(f"added voter {learner.name} {learner.address}")
+            return " and ".join(done)
+        finally:
+            if learner:
+                self._drop_unless_voter(learner)
+            self._changing.release()
+
+    def _form(self) -> None:
+        shared = self._shared
+        replies: list[log_pb2.HelloReply] = []
+        complete = True
+        for name, address in self._first_voters.items():
+            if name == shared.name:
+                continue
+            reply = self._hello(address)
+            if isinstance(reply, _peers.Unreachable) or reply.name != name:
+                complete = False
+            else:
+                replies.append(reply)
+        known = [reply for reply in replies if reply.voters.voters]
+        if known:
+            self._join(known[0].voters)
+        elif (
+            complete
+            and self._first_voters
+            and shared.name == min(self._first_voters)
+        ):
+            self._found(replies)
+
+    def _join(self, voters: log_pb2.LogVoters) -> None:
+        if any(v.identity == self._shared.identity for v in voters.voters):
+            self._set_first(voters)
+        elif not self._warned:
+            self._warned = True
+            logging.warning(
+                "%s: the data folder is not that of a voter of the group; "
+                "replace the voter to let it take part",
+                self._shared.name,
+            )
+
+    def _found(self, replies: list[log_pb2.HelloReply]) -> None:
+        shared = self._shared
+        identity_by_name = {reply.name: reply.identity for reply in replies}
+        identity_by_name[shared.name] = shared.identity
+        voters = log_pb2.LogVoters(who="settings")
+        for name, address in sorted(self._first_voters.items()):
+            voters.voters.add(
+                name=name, address=address, identity=identity_by_name[name]
+            )
+        logging.info("%s forms the group", shared.name)
+        self._set_first(voters)
+
+    def _set_first(self, voters: log_pb2.LogVoters) -> None:
+        shared = self._shared
+        with shared.snapshot_lock, shared.disk_lock, shared.lock:
+            if shared.voters.message.voters:
+                return
+            shared.log.save_snapshot(log_pb2.LogSnapshot(voters=voters))
+            shared.set_first_voters(voters)
+
+    def _hello(self, address: str) -> log_pb2.HelloReply | _peers.Unreachable:
+        return self._shared.transport.call(
+            address,
+            _peers.HELLO,
+            log_pb2.HelloRequest(name=self._shared.name),
+            _HELLO_TIMEOUT_S,
+        )
+
+    def _require_settled(self, deadline_s: float) -> None:
+        """Waits until the present voters and this term are committed.
+
+        A leader that changes the voters before it has committed a record of
+        its own term can end up with two groups that each have a quorum.
+        """
+        shared = self._shared
+        with shared.lock:
+            self._wait_for(
+                lambda: (
+                    shared.commit_index
+                    >= max(shared.voters.index, shared.term_start_index)
+                ),
+                deadline_s,
+                "the present voters are not settled",
+            )
+
+    def _require_removable(self, name: str, replaced: bool) -> None:
+        voters = self._shared.voters.message.voters
+        names = [voter.name for voter in voters]
+        if name and name not in names:
+            raise ChangeRefused(f"there is no voter {name}")
+        if name and len(names) == 1 and not replaced:
+            raise ChangeRefused("the last voter cannot be removed")
+        if name == self._shared.name:
+            raise ChangeRefused(
+                f"{name} leads; stop it or let another voter lead first"
+            )
+
+    def _greet(
+        self, name: str, address: str, replaced: str
+    ) -> log_pb2.LogVoter:
+        reply = self._hello(address)
+        if isinstance(reply, _peers.Unreachable):
+            raise ChangeRefused(f"{address} does not answer: {reply.reason}")
+        if reply.name != name:
+            raise ChangeRefused(f"{address} is {reply.name}, not {name}")
+        for voter in self._shared.voters.message.voters:
+            if voter.identity == reply.identity:
+                raise ChangeRefused(f"{name} votes already")
+            if voter.name == name and name != replaced:
+                raise ChangeRefused(f"{name} is a voter; replace it instead")
+        return log_pb2.LogVoter(
+            name=name, address=address, identity=reply.identity
+        )
+
+    def _catch_up(self, learner: log_pb2.LogVoter, deadline_s: float) -> None:
+        shared = self._shared
+        progress = self._replication.add_peer(learner)
+        with shared.lock:
+            self._wait_for(
+                lambda: progress.match_index >= shared.commit_index,
+                deadline_s,
+                f"{learner.name} has not caught up",
+            )
+
+    def _remove(self, name: str, who: str, deadline_s: float) -> None:
+        shared = self._shared
+        with shared.lock:
+            gone = [v for v in shared.voters.message.voters if v.name == name]
+            kept = [v for v in shared.voters.message.voters if v.name != name]
+        self._commit(kept, who, deadline_s)
+        for voter in gone:
+            self._replication.drop_peer(voter.identity)
+
+    def _add(
+        self, learner: log_pb2.LogVoter, who: str, deadline_s: float
+    ) -> None:
+        with self._shared.lock:
+            voters = [*self._shared.voters.message.voters, learner]
+        self._commit(voters, who, deadline_s)
+
+    def _commit(
+        self, voters: list[log_pb2.LogVoter], who: str, deadline_s: float
+    ) -> None:
+        shared = self._shared
+        message = log_pb2.LogVoters(voters=voters, who=who)
+        with shared.lock:
+            if shared.role is not _shared.Role.LEADER:
+                raise _shared.LeadershipLost
+            index = shared.append(
+                log_pb2.LogRecord.VOTERS, message.SerializeToString()
+            )
+            self._wait_for(
+                lambda: shared.applied_index >= index,
+                deadline_s,
+                "the change is not committed yet",
+            )
+
+    def _wait_for(
+        self, condition: Callable[[], bool], deadline_s: float, reason: str
+    ) -> None:
+        shared = self._shared
+        term = shared.log.term
+        while True:
+            if not shared.leads(term):
+                raise _shared.LeadershipLost
+            if condition():
+                return
+            left_s = deadline_s - shared.clock.now()
+            if left_s <= 0:
+                raise ChangeRefused(reason)
+            shared.lock.wait(left_s)
+
+    def _drop_unless_voter(self, learner: log_pb2.LogVoter) -> None:
+        with self._shared.lock:
+            if learner.identity not in self._shared.voters.by_identity:
+                self._replication.drop_peer(learner.identity)
--- /dev/null
+++ b/libs/state/mulberry_state/_peers.py
@@ -0,0 +1,61 @@
+"""How voters talk to each other, behind an interface that tests replace."""
+
+import abc
+import dataclasses
+from typing import Any, Generic, TypeVar
+
+from google.protobuf import message
+
+from mulberry_wire import log_pb2
+
+_Q = TypeVar("_Q", bound=message.Message)
+_R = TypeVar("_R", bound=message.Message)
+
+
+@dataclasses.dataclass(frozen=True)
+class Method(Generic[_Q, _R]):
+    """One call of the service `LogPeer`."""
+
+    name: str
+    request_type: type[_Q]
+    reply_type: type[_R]
+
+
+VOTE = Method("Vote", log_pb2.VoteRequest, log_pb2.VoteReply)
+APPEND = Method("Append", log_pb2.AppendRequest, log_pb2.AppendReply)
+INSTALL = Method("Install", log_pb2.InstallRequest, log_pb2.InstallReply)
+TRANSFER = Method("Transfer", log_pb2.TransferRequest, log_pb2.TransferReply)
+HELLO = Method("Hello", log_pb2.HelloRequest, log_pb2.HelloReply)
+
+
+@dataclasses.dataclass(frozen=True)
+class Unreachable:
+    """Sentinel: no reply arrived; the request may have been handled."""
+
+    reason: str
+
+
+class PeerTransport(abc.ABC):
+    """Calls other voters; used from many threads at once."""
+
+    @abc.abstractmethod
+    def call(
+        self,
+        address: str,
+        method: Method[_Q, _R],
+        request: _Q,
+        timeout_s: float,
+    ) -> _R | Unreachable:
+        """Returns the reply of the voter at `address`."""
+
+
+class PeerHandler(abc.ABC):
+    """Answers the calls of other voters."""
+
+    @abc.abstractmethod
+    def handle(self, method: str, request: Any) -> Any:
+        """Returns the reply to a request of the method of this name.
+
+        Raises:
+            StorageError: This voter cannot take part any more.
+        """
--- /dev/null
+++ b/libs/state/mulberry_state/_shared.py
@@ -0,0 +1,315 @@
+"""What the tasks of one voter share, guarded by one lock."""
+
+import dataclasses
+import enum
+import random
+import threading
+from collections.abc import Iterable, Sequence
+from concurrent import futures
+from typing import Any
+
+from absl import logging
+
+import mulberry_core as core
+import mulberry_rules as rules
+from mulberry_state import _log, _peers
+from mulberry_wire import log_pb2
+
+
+class Role(enum.Enum):
+    """What a voter is at present."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+    #: The data folder cannot be used; takes part in nothing.
+    FAILED = "failed"
+
+
+class LeadershipLost(Exception):  # noqa: N818 (an event, not a fault)
+    """The outcome of a proposal is not known here any more."""
+
+
+@dataclasses.dataclass
+class Progress:
+    """What the leader knows of another voter or learner."""
+
+    voter: log_pb2.LogVoter
+    #: Index of the next record to send.
+    next_index: int
+    #: Newest record known to be synced there.
+    match_index: int = 0
+    #: `Clock.now()` at the sending of the newest answered message.
+    acked_sent_s: float = float("-inf")
+    #: Nothing but a heartbeat is due before this time.
+    retry_s: float = float("-inf")
+    #: Set when the peer is no longer replicated to.
+    dropped: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Voters:
+    """The voters as of one record of the log."""
+
+    index: int
+    message: log_pb2.LogVoters
+
+    @property
+    def by_identity(self) -> dict[str, log_pb2.LogVoter]:
+        """The voters by the identity of their data folder."""
+        return {voter.identity: voter for voter in self.message.voters}
+
+
+class Shared:
+    """State of one voter.
+
+    Locks are taken in this order: `snapshot_lock`, `machine_lock`,
+    `disk_lock`, `lock`. Only `lock` is held briefly on a leader; a follower
+    also syncs under it.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        log: _log.Log,
+        transport: _peers.PeerTransport,
+        clock: core.Clock,
+        timing: rules.Timing,
+        rng: random.Random,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.identity = log.identity
+        self.log = log
+        self.transport = transport
+        self.clock = clock
+        self.timing = timing
+        self._rng = rng
+        self.snapshot_lock = threading.Lock()
+        self.machine_lock = threading.Lock()
+        self.disk_lock = threading.Lock()
+        self.lock = threading.Condition(threading.RLock())
+        self.role = Role.FOLLOWER
+        #: Why the role is `FAILED`.
+        self.failure = ""
+        self.leader_name = ""
+        self.leader_address = ""
+        self.commit_index: int = log.snapshot.index
+        self.applied_index: int = log.snapshot.index
+        #: `Clock.now()` when the leader was last heard.
+        self.heard_s = float("-inf")
+        #: When to stand for election.
+        self.election_s = 0.0
+        #: Set when the leader has handed over to this voter.
+        self.take_over = False
+        #: While handing over, the leader takes no proposals.
+        self.transferring = False
+        #: `Clock.now()` at the start of the leader's term.
+        self.elected_s = float("inf")
+        #: Index of the first record of the leader's term.
+        self.term_start_index = 0
+        self._log_base_s = 0.0
+        self.progress_by_identity: dict[str, Progress] = {}
+        #: Time of the newest request for a confirmation of leadership.
+        self.confirm_s = float("-inf")
+        self.pending_by_index: dict[int, futures.Future[Any]] = {}
+        self._voters: list[Voters] = []
+        self._load_voters()
+        self.delay_election()
+
+    @property
+    def voters(self) -> Voters:
+        """The newest voters in the log, committed or not."""
+        return self._voters[-1]
+
+    @property
+    def quorum(self) -> int:
+        """How many voters must agree."""
+        return len(self.voters.message.voters) // 2 + 1
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this data folder may vote."""
+        return self.identity in self.voters.by_identity
+
+    def other_voters(self) -> list[log_pb2.LogVoter]:
+        """Returns all voters but this one."""
+        return [
+            voter
+            for voter in self.voters.message.voters
+            if voter.identity != self.identity
+        ]
+
+    def leads(self, term: int) -> bool:
+        """Whether this voter leads in `term`."""
+        return self.role is Role.LEADER and self.log.term == term
+
+    def delay_election(self) -> None:
+        """Sets the time of the next election at random.
+
+        Between one and two timeouts, so that voters seldom stand together.
+        """
+        timeout_s = self.timing.election_timeout_s
+        self.election_s = self.clock.now() + timeout_s * self._rng.uniform(1, 2)
+
+    def voters_at(self, index: int) -> log_pb2.LogVoters:
+        """Returns the voters as of a record."""
+        for voters in reversed(self._voters):
+            if voters.index <= index:
+                return voters.message
+        return log_pb2.LogVoters()
+
+    def stage(self, records: Sequence[log_pb2.LogRecord]) -> None:
+        """Adds records to the log in memory and follows its voters."""
+        if not records:
+            return
+        first = records[0].index
+        self.log.stage(records)
+        while len(self._voters) > 1 and self._voters[-1].index >= first:
+            self._voters.pop()
+        self._note_voters(records)
+
+    def reload_voters(self) -> None:
+        """Reads the voters again after a snapshot was installed."""
+        self._voters = []
+        self._load_voters()
+
+    def set_first_voters(self, voters: log_pb2.LogVoters) -> None:
+        """Replaces the voters of an empty log."""
+        self._voters = [Voters(0, voters)]
+        self.delay_election()
+        self.lock.notify_all()
+
+    def follow(self, leader_name: str = "", leader_address: str = "") -> None:
+        """Becomes or stays a follower; open proposals lose their outcome."""
+        if self.role is Role.FAILED:
+            return
+        if self.role is not Role.FOLLOWER:
+            logging.info(
+                "%s is a follower in term %d", self.name, self.log.term
+            )
+        self.role = Role.FOLLOWER
+        self._end_leadership()
+        self.leader_name = leader_name
+        self.leader_address = leader_address
+        self.lock.notify_all()
+
+    def adopt_term(self, term: int) -> None:
+        """Follows in a later term; nothing is voted there yet."""
+        if term > self.log.term:
+            self.log.save_vote(term, "")
+            self.follow()
+
+    def lead(self) -> None:
+        """Becomes the leader of the present term."""
+        logging.info("%s leads in term %d", self.name, self.log.term)
+        self.role = Role.LEADER
+        self.leader_name = self.name
+        self.leader_address = self.address
+        self.elected_s = self.clock.now()
+        self._log_base_s = self.log.last_log_s
+        self.progress_by_identity = {}
+        self.confirm_s = float("-inf")
+        self.term_start_index = self.append(log_pb2.LogRecord.NOOP, b"")
+        if self.voters.index == 0:
+            # The first voters are known from the forming of the group; the
+            # record carries them into the view and to voters that joined late.
+            first = self.voters.message.SerializeToString()
+            self.append(log_pb2.LogRecord.VOTERS, first)
+        self.lock.notify_all()
+
+    def append(self, kind: "log_pb2.LogRecord.Kind", data: bytes) -> int:
+        """Stages a record of the leader and returns its index."""
+        now_s = self.clock.now()
+        record = log_pb2.LogRecord(
+            index=self.log.last.index + 1,
+            term=self.log.term,
+            kind=kind,
+            wall_s=self.clock.wall(),
+            log_s=self._log_base_s + max(0.0, now_s - self.elected_s),
+            data=data,
+        )
+        self.stage([record])
+        self.lock.notify_all()
+        return int(record.index)
+
+    def fail(self, reason: str) -> None:
+        """Stops taking part for good; the process must be restarted."""
+        with self.lock:
+            if self.role is not Role.FAILED:
+                logging.error("%s stops voting: %s", self.name, reason)
+                self.end(reason)
+
+    def end(self, reason: str) -> None:
+        """Takes part in nothing any more."""
+        with self.lock:
+            self._end_leadership()
+            self.role = Role.FAILED
+            self.failure = reason
+            self.leader_name = self.leader_address = ""
+            self.lock.notify_all()
+
+    def advance_commit(self) -> None:
+        """Commits what a quorum of the voters has synced.
+
+        Only records of the present term count: one of an earlier term that a
+        quorum holds may still be replaced.
+        """
+        synced = sorted(
+            (self._match(voter) for voter in self.voters.message.voters),
+            reverse=True,
+        )
+        index = synced[self.quorum - 1]
+        if index > self.commit_index and (
+            self.log.term_at(index) == self.log.term
+        ):
+            self.commit_index = index
+            self.lock.notify_all()
+
+    def confirmed_s(self) -> float:
+        """Returns up to when a quorum has confirmed the leadership."""
+        now_s = self.clock.now()
+        times = sorted(
+            (
+                now_s
+                if voter.identity == self.identity
+                else self._acked_s(voter.identity)
+                for voter in self.voters.message.voters
+            ),
+            reverse=True,
+        )
+        return times[self.quorum - 1]
+
+    def _match(self, voter: log_pb2.LogVoter) -> int:
+        if voter.identity == self.identity:
+            return self.log.durable_index
+        progress = self.progress_by_identity.get(voter.identity)
+        return progress.match_index if progress else 0
+
+    def _acked_s(self, identity: str) -> float:
+        progress = self.progress_by_identity.get(identity)
+        return progress.acked_sent_s if progress else float("-inf")
+
+    def _end_leadership(self) -> None:
+        self.elected_s = float("inf")
+        self.transferring = False
+        for progress in self.progress_by_identity.values():
+            progress.dropped = True
+        self.progress_by_identity = {}
+        pending = list(self.pending_by_index.values())
+        self.pending_by_index = {}
+        for future in pending:
+            future.set_exception(LeadershipLost())
+
+    def _load_voters(self) -> None:
+        snapshot = self.log.snapshot
+        self._voters.append(Voters(snapshot.index, snapshot.voters))
+        start = max(self.log.first_index, snapshot.index + 1)
+        self._note_voters(self.log.records_from(start, 1 << 62))
+
+    def _note_voters(self, records: Iterable[log_pb2.LogRecord]) -> None:
+        for record in records:
+            if record.kind == log_pb2.LogRecord.VOTERS:
+                voters = log_pb2.LogVoters.FromString(record.data)
+                self._voters.append(Voters(record.index, voters))
--- a/libs/state/mulberry_state/tests/conftest.py
+++ b/libs/state/mulberry_state/tests/conftest.py
@@ -1,10 +1,15 @@
 """Parts that the tests of this library share."""
 
+import random
+import time
+from collections.abc import Callable, Iterator
+
 import pytest
 
 import mulberry_core as core
 import mulberry_rules as rules
 import mulberry_state as state
+from mulberry_state import _fake_network, _memory_disk, _replica, _shared
 
 _LINE = rules.RuleLine(1, "", "test")
 
@@ -73,3 +78,121 @@
     parser: state.RulesParser, clock: core.ManualClock
 ) -> state.LocalStateClient:
     return state.LocalStateClient(parser, clock)
+
+
+class Cluster:
+    """Voters in one process on a network that a test disturbs."""
+
+    def __init__(self, names: str, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.network = _fake_network.FakeNetwork(seed)
+        self.clock = core.SystemClock()
+        self.first_voters = {name: name for name in names}
+        self.disk_by_name: dict[str, _memory_disk.MemoryDisk] = {}
+        self.replica_by_name: dict[str, _replica.Replica] = {}
+        self.snapshot_bytes = 1 << 30
+        for name in names:
+            self.start(name)
+
+    def start(self, name: str) -> _replica.Replica:
+        """Starts a voter on its disk, on an empty one at first."""
+        disk = self.disk_by_name.setdefault(name, _memory_disk.MemoryDisk())
+        replica = _replica.Replica(
+            name,
+            name,
+            self.first_voters,
+            disk,
+            self.network.transport(name),
+            state.StateMachine(WordParser()),
+            self.clock,
+            rules.Timing(heartbeat_period_s=0.03, election_timeout_s=0.15),
+            random.Random(self.rng.random()),
+        )
+        replica.applier.snapshot_bytes = self.snapshot_bytes
+        self.replica_by_name[name] = replica
+        self.network.attach(name, replica)
+        replica.start()
+        return replica
+
+    def crash(self, name: str) -> None:
+        """Stops a voter as a power loss would."""
+        replica = self.replica_by_name.pop(name)
+        self.network.detach(name)
+        disk = self.disk_by_name[name]
+        # What is written from here on does not reach the disk.
+        self.disk_by_name[name] = disk.after_crash(self.rng)
+        disk.fail_at = 0
+        replica.stop()
+
+    def stop(self) -> None:
+        """Stops everything."""
+        self.network.heal()
+        for replica in self.replica_by_name.values():
+            replica.stop()
+        self.network.close()
+
+    def leader(self) -> _replica.Replica | None:
+        """Returns the voter that leads in the latest term, if any."""
+        leaders = [
+            replica
+            for replica in self.replica_by_name.values()
+            if replica.shared.role is _shared.Role.LEADER
+        ]
+        return max(leaders, key=lambda r: r.shared.log.term, default=None)
+
+    def wait_for(self, condition: Callable[[], object], what: str) -> None:
+        """Waits for what must come; the bound only ends a hung test."""
+        end_s = time.monotonic() + 30
+        while not condition():
+            assert time.monotonic() < end_s, f"never came: {what}"
+            time.sleep(0.005)
+
+    def wait_leader(self) -> _replica.Replica:
+        """Waits until a quorum confirms a leader."""
+        found: list[_replica.Replica] = []
+
+        def confirmed() -> bool:
+            leader = self.leader()
+            if leader and leader.confirm_leadership(0.5):
+                found.append(leader)
+            return bool(found)
+
+        self.wait_for(confirmed, "a leader")
+        return found[0]
+
+    def propose(self, command: state.Command, tries: int) -> object:
+        """Proposes as a client does: the same command at any leader."""
+        for _ in range(tries):
+            leader = self.leader()
+            if leader is None:
+                time.sleep(0.01)
+                continue
+            result = leader.propose(command, 0.5)
+            if not isinstance(result, (core.Refusal, _replica.NotLeader)):
+                return result
+        return None
+
+    def wait_equal(self) -> None:
+        """Waits until all voters have applied the same records."""
+
+        def equal() -> bool:
+            found = {
+                (r.shared.applied_index, r.shared.log.last.index)
+                for r in self.replica_by_name.values()
+            }
+            return len(found) == 1 and len(set(found.pop())) == 1
+
+        self.wait_for(equal, "equal logs")
+
+
+@pytest.fixture
+def make_cluster() -> Iterator[Callable[..., Cluster]]:
+    made: list[Cluster] = []
+
+    def make(names: str = "abc", seed: int = 0) -> Cluster:
+        made.append(Cluster(names, seed))
+        return made[-1]
+
+    yield make
+    for cluster in made:
+        cluster.stop()
--- /dev/null
+++ b/libs/state/mulberry_state/tests/test_consensus.py
@@ -0,0 +1,293 @@
+"""Voters that lose messages, stop and come back."""
+
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+import mulberry_state as state
+from mulberry_state import _fake_network, _group, _memory_disk, _shared
+
+MakeCluster = Callable[..., Any]
+
+
+def _bill(number: int) -> state.RecordBill:
+    bill = state.Bill(
+        "t", f"k{number}", f"r{number}", "chat", "m", "1", 1, 1, 0.5, "d"
+    )
+    return state.RecordBill(f"c{number}", bill)
+
+
+def _keys(replica: Any) -> list[str]:
+    with replica.shared.machine_lock:
+        return [r.bill.key for r in replica.applier.machine.ledger.rows()]
+
+
+def _state(replica: Any) -> bytes:
+    with replica.shared.machine_lock:
+        return bytes(replica.applier.machine.snapshot())
+
+
+def test_commands_reach_all_voters(make_cluster: MakeCluster) -> None:
+    """Guards against voters whose states differ."""
+    cluster = make_cluster()
+    leader = cluster.wait_leader()
+    assert leader.propose(_bill(1), 5.0) == state.BillRecorded(True)
+    cluster.wait_equal()
+    assert len({_state(r) for r in cluster.replica_by_name.values()}) == 1
+
+
+def test_commands_survive_a_power_loss_everywhere(
+    make_cluster: MakeCluster,
+) -> None:
+    """Guards against acknowledgements before the sync."""
+    cluster = make_cluster()
+    cluster.wait_leader()
+    for number in range(5):
+        assert cluster.propose(_bill(number), 100)
+    for name in "abc":
+        cluster.crash(name)
+    for name in "abc":
+        cluster.start(name)
+    leader = cluster.wait_leader()
+    assert _keys(leader) == [f"k{number}" for number in range(5)]
+
+
+def test_isolated_leader_confirms_nothing(make_cluster: MakeCluster) -> None:
+    """Guards against leases of a leader that has been replaced."""
+    cluster = make_cluster()
+    old = cluster.wait_leader()
+    cluster.network.isolate(old.shared.address)
+    assert not old.confirm_leadership(0.3)
+    cluster.wait_for(
+        lambda: cluster.leader() not in (None, old), "a new leader"
+    )
+    new = cluster.wait_leader()
+    assert new is not old
+    assert cluster.propose(_bill(1), 100)
+    cluster.network.heal()
+    cluster.wait_equal()
+    assert _keys(old) == ["k1"]
+
+
+@pytest.mark.parametrize("direction", ["in", "out"])
+def test_one_way_cut_of_the_leader(
+    make_cluster: MakeCluster, direction: str
+) -> None:
+    """Guards against a leader that is heard but hears nobody."""
+    cluster = make_cluster()
+    old = cluster.wait_leader()
+    for name in "abc":
+        if name != old.shared.name:
+            pair = (name, old.shared.name)
+            cluster.network.cut(*(pair if direction == "in" else pair[::-1]))
+    cluster.wait_for(
+        lambda: cluster.leader() not in (None, old), "a new leader"
+    )
+    assert cluster.propose(_bill(1), 200)
+
+
+def test_returning_voter_does_not_unseat_the_leader(
+    make_cluster: MakeCluster,
+) -> None:
+    """Guards against elections by a voter that was isolated for long."""
+    cluster = make_cluster()
+    leader = cluster.wait_leader()
+    other = next(n for n in "abc" if n != leader.shared.name)
+    term = leader.shared.log.term
+    cluster.network.isolate(other)
+    replica = cluster.replica_by_name[other]
+    for _ in range(3):
+        before_s = replica.shared.election_s
+        cluster.wait_for(
+            lambda before_s=before_s: replica.shared.election_s > before_s,
+            "an attempt at an election",
+        )
+    assert replica.shared.log.term == term
+    cluster.network.heal()
+    assert cluster.propose(_bill(1), 100)
+    cluster.wait_equal()
+    assert leader.shared.role is _shared.Role.LEADER
+    assert leader.shared.log.term == term
+
+
+def test_lagging_voter_catches_up_by_snapshot(
+    make_cluster: MakeCluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a voter that can never follow again."""
+    monkeypatch.setattr("mulberry_state._log._TRAILING_RECORDS", 2)
+    cluster = make_cluster()
+    leader = cluster.wait_leader()
+    other = next(n for n in "abc" if n != leader.shared.name)
+    cluster.crash(other)
+    for number in range(20):
+        assert cluster.propose(_bill(number), 100)
+    leader.applier.take_snapshot()
+    assert leader.shared.log.first_index > 10
+    again = cluster.start(other)
+    cluster.wait_equal()
+    assert _keys(again) == _keys(leader)
+    assert again.shared.log.snapshot.index > 10
+    # The snapshot is on its disk as well.
+    cluster.crash(other)
+    assert len(_keys(cluster.start(other))) >= 10
+
+
+def test_planned_shutdown_hands_over(make_cluster: MakeCluster) -> None:
+    """Guards against a planned stop that costs an election timeout."""
+    cluster = make_cluster()
+    for _ in range(3):
+        leader = cluster.wait_leader()
+        term = leader.shared.log.term
+        cluster.wait_equal()
+        assert leader.transfer_leadership(10.0)
+        new = cluster.wait_leader()
+        assert new is not leader
+        assert new.shared.log.term == term + 1
+
+
+def test_empty_disk_never_votes_under_its_old_identity(
+    make_cluster: MakeCluster,
+) -> None:
+    """Guards against two quorums that share a voter which forgot its vote."""
+    cluster = make_cluster()
+    leader = cluster.wait_leader()
+    assert cluster.propose(_bill(1), 100)
+    cluster.wait_equal()
+    others = [n for n in "abc" if n != leader.shared.name]
+    lost, kept = others
+    cluster.crash(lost)
+    cluster.disk_by_name[lost] = _memory_disk.MemoryDisk()
+    empty = cluster.start(lost)
+    cluster.crash(leader.shared.name)
+    # Of the three voters only one is left: the empty disk makes no quorum.
+    survivor = cluster.replica_by_name[kept]
+    for _ in range(4):
+        before_s = survivor.shared.election_s
+        cluster.wait_for(
+            lambda before_s=before_s: survivor.shared.election_s > before_s,
+            "an attempt at an election",
+        )
+    assert cluster.leader() is None
+    assert not empty.shared.is_voter
+    cluster.start(leader.shared.name)
+    leader = cluster.wait_leader()
+    done = leader.group.change({lost: lost}, lost, "marta", 20.0)
+    assert done == f"removed voter {lost} and added voter {lost} {lost}"
+    cluster.wait_equal()
+    assert empty.shared.is_voter
+    assert _keys(empty) == ["k1"]
+    assert set(leader.view().voters_by_name) == set("abc")
+
+
+def test_new_voter_counts_only_when_caught_up(
+    make_cluster: MakeCluster,
+) -> None:
+    """Guards against a quorum that depends on an empty voter."""
+    cluster = make_cluster()
+    leader = cluster.wait_leader()
+    assert cluster.propose(_bill(1), 100)
+    cluster.start("d")
+    cluster.network.cut("d", leader.shared.name)
+    with pytest.raises(_group.ChangeRefused, match="does not answer"):
+        leader.group.change({"d": "d"}, "", "marta", 0.5)
+    assert len(leader.shared.voters.message.voters) == 3
+    cluster.network.heal()
+    leader.group.change({"d": "d"}, "", "marta", 20.0)
+    for refused in ({"d": "d"}, {"a": "d"}):
+        with pytest.raises(_group.ChangeRefused):
+            leader.group.change(refused, "", "marta", 1.0)
+    other = next(n for n in "abc" if n != leader.shared.name)
+    leader.group.change({}, other, "marta", 20.0)
+    assert set(leader.view().voters_by_name) == set("abcd") - {other}
+
+
+def test_failed_disk_stops_the_voter(make_cluster: MakeCluster) -> None:
+    """Guards against a leader that acknowledges what it cannot sync."""
+    cluster = make_cluster()
+    leader = cluster.wait_leader()
+    disk = cluster.disk_by_name[leader.shared.name]
+    disk.error = OSError(28, "full")
+    disk.fail_at = 0
+    leader.propose(_bill(1), 0.5)
+    cluster.wait_for(
+        lambda: leader.shared.role is _shared.Role.FAILED, "the failure"
+    )
+    assert "disk is full" in leader.shared.failure
+    refusal = leader.propose(_bill(2), 0.5)
+    assert refusal.kind.value == "storage_failed"
+    cluster.wait_for(
+        lambda: cluster.leader() not in (None, leader), "a new leader"
+    )
+    assert cluster.propose(_bill(3), 100)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_nothing_acknowledged_is_lost_or_doubled(
+    make_cluster: MakeCluster, seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against lost or repeated bills under every fault at once."""
+    monkeypatch.setattr("mulberry_state._log._TRAILING_RECORDS", 5)
+    cluster = make_cluster(seed=seed)
+    cluster.snapshot_bytes = 1500
+    for replica in cluster.replica_by_name.values():
+        replica.applier.snapshot_bytes = 1500
+    cluster.wait_leader()
+    acknowledged: list[int] = []
+    stop = threading.Event()
+
+    def bill_on(start: int) -> None:
+        number = start
+        while not stop.is_set():
+            if cluster.propose(_bill(number), 5):
+                acknowledged.append(number)
+            number += 1
+
+    workers = [
+        threading.Thread(target=bill_on, args=(start,))
+        for start in (0, 10_000, 20_000)
+    ]
+    for worker in workers:
+        worker.start()
+    for _ in range(8):
+        _disturb(cluster)
+        time.sleep(0.25)
+    stop.set()
+    for worker in workers:
+        worker.join()
+    cluster.network.heal()
+    for name in "abc":
+        if name not in cluster.replica_by_name:
+            cluster.start(name)
+    cluster.wait_leader()
+    assert cluster.propose(_bill(99_999), 200)
+    cluster.wait_equal()
+    replicas = list(cluster.replica_by_name.values())
+    assert [r.shared.failure for r in replicas] == ["", "", ""]
+    keys = _keys(replicas[0])
+    assert len(keys) == len(set(keys))
+    assert {f"k{number}" for number in acknowledged} <= set(keys)
+    assert len({_state(r) for r in replicas}) == 1
+    assert not replicas[0].applier.machine.ledger.check()
+
+
+def _disturb(cluster: Any) -> None:
+    rng = cluster.rng
+    name = rng.choice("abc")
+    what = rng.choice(["crash", "cut", "isolate", "noise", "heal"])
+    if what == "crash":
+        if name in cluster.replica_by_name:
+            cluster.crash(name)
+        for other in "abc":
+            if other != name and other not in cluster.replica_by_name:
+                cluster.start(other)
+    elif what == "cut":
+        cluster.network.cut(name, rng.choice("abc"))
+    elif what == "isolate":
+        cluster.network.isolate(name)
+    elif what == "noise":
+        cluster.network.faults = _fake_network.Faults(0.1, 0.2, 0.02)
+    else:
+        cluster.network.heal()
