Test the entry against stand-ins with faults; close streams

A table proves each "not run" against the record of what the stand-ins ran; faulty, cut and crossed streams, lost answers, lost quorum and bad input each have a case. werkzeug skips its closing iterator when a response passes its iterable through, so the end of a stream never reached the count of running requests; before: 16 running after all callers had gone, after: 0.

--- a/libs/entry/mulberry_entry/_responses.py
+++ b/libs/entry/mulberry_entry/_responses.py
@@ -56,5 +56,4 @@
         200,
         {**headers, "Cache-Control": "no-cache"},
         mimetype=EVENT_STREAM_TYPE,
-        direct_passthrough=True,
     )
--- /dev/null
+++ b/libs/entry/mulberry_entry/tests/test_entry.py
@@ -0,0 +1,327 @@
+"""Tests of the entry against stand-in upstreams."""
+
+import json
+import socket
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import pytest
+
+import mulberry_core as core
+import mulberry_rules as rules
+import mulberry_state as state
+from mulberry_entry.tests import harness
+
+_LIMITS = rules.Limits(
+    max_body_bytes=10_000,
+    max_header_bytes=4_000,
+    read_timeout_s=1.0,
+    max_streams=8,
+    max_queue=4,
+)
+
+
+@pytest.fixture
+def entry() -> Iterator[harness.Harness]:
+    started = harness.Harness(_LIMITS)
+    started.add_engine("engine-1")
+    started.add_engine("engine-2")
+    started.add_engine("dear-1", "dear")
+    started.add_service("taller-1")
+    yield started
+    started.stop()
+
+
+def _bills(entry: harness.Harness) -> int:
+    return sum(item.bills for item in entry.state.machine.ledger.sums())
+
+
+def test_answers_are_whole_and_billed_once(entry: harness.Harness) -> None:
+    """Guards against answers without a bill and bills without an answer."""
+    whole = entry.chat()
+    streamed = entry.chat(stream=True)
+    cascade = entry.chat("both", stream=True)
+    stock = entry.send("GET", "/services/taller/stock/board")
+    assert [answer[0] for answer in (whole, streamed, cascade, stock)] == [
+        200
+    ] * 4
+    assert streamed[2].endswith(b"data: [DONE]\n\n")
+    assert cascade[2].endswith(b"data: [DONE]\n\n")
+    assert whole[1]["X-Mulberry-Model"] == "m"
+    assert whole[1]["X-Mulberry-Version"] == "v1"
+    assert _bills(entry) == 4
+
+
+def test_key_is_billed_once_over_resends(entry: harness.Harness) -> None:
+    """Guards against a second bill for a request that is sent again."""
+    headers = {"Idempotency-Key": "same"}
+    assert entry.chat(headers=headers)[0] == 200
+    assert entry.chat(headers=headers)[0] == 200
+    assert _bills(entry) == 1
+
+
+@pytest.mark.parametrize("stream", [False, True])
+def test_end_is_not_passed_on_without_bill(
+    entry: harness.Harness, stream: bool
+) -> None:
+    """Guards against a whole answer whose bill is lost with the entry."""
+    entry.state.failing = (state.RecordBill,)
+    status, _, body = entry.chat(stream=stream)
+    if stream:
+        assert status == 200
+        assert b"[DONE]" not in body
+        assert b'"finish_reason":"stop"' not in body
+        content = json.loads(body.rstrip().rsplit(b"data: ", 1)[1])
+    else:
+        content = json.loads(body)
+    assert content["kind"] == "bill_not_recorded"
+    assert content["run"] == "ran"
+
+
+def test_deposit_runs_once_and_is_replayed(entry: harness.Harness) -> None:
+    """Guards against a deposit that is recorded twice."""
+    headers = {"Idempotency-Key": "d-1"}
+    first = entry.send("POST", "/services/taller/deposits", {"a": 1}, headers)
+    again = entry.send("POST", "/services/taller/deposits", {"a": 1}, headers)
+    other = entry.send("POST", "/services/taller/deposits", {"a": 2}, headers)
+    assert first[0] == again[0] == 201
+    assert first[2] == again[2]
+    assert json.loads(other[2])["kind"] == "idempotency_key_reused"
+    assert entry.runs().count("d-1") == 1
+    assert _bills(entry) == 1
+
+
+def test_lost_answer_is_unknown_and_never_run_again(
+    entry: harness.Harness,
+) -> None:
+    """Guards against a second run after an answer that got lost."""
+    entry.set_faults("taller-1", close_without_answer=True)
+    headers = {"Idempotency-Key": "d-2"}
+    first = entry.send("POST", "/services/taller/deposits", {}, headers)
+    entry.set_faults("taller-1")
+    again = entry.send("POST", "/services/taller/deposits", {}, headers)
+    assert json.loads(first[2])["run"] == "unknown"
+    assert json.loads(again[2])["kind"] == "claim_open"
+    assert json.loads(again[2])["run"] == "unknown"
+    assert entry.runs().count("d-2") == 1
+
+
+def test_refused_deposit_can_be_sent_again(entry: harness.Harness) -> None:
+    """Guards against a claim that blocks a call which provably did not run."""
+    entry.set_faults("taller-1", refuse=True)
+    headers = {"Idempotency-Key": "d-3"}
+    first = entry.send("POST", "/services/taller/deposits", {}, headers)
+    entry.set_faults("taller-1")
+    again = entry.send("POST", "/services/taller/deposits", {}, headers)
+    assert json.loads(first[2])["run"] == "not_run"
+    assert again[0] == 201
+    assert entry.runs().count("d-3") == 1
+
+
+def test_unsettled_deposit_is_recorded_later(entry: harness.Harness) -> None:
+    """Guards against an answer that is lost with a short loss of quorum."""
+    entry.state.failing = (state.SettleClaim,)
+    headers = {"Idempotency-Key": "d-4"}
+    first = entry.send("POST", "/services/taller/deposits", {}, headers)
+    assert json.loads(first[2])["kind"] == "bill_not_recorded"
+    entry.state.failing = ()
+    until_s = time.monotonic() + 10
+    while entry.parts.biller.waiting() and time.monotonic() < until_s:
+        time.sleep(0.05)
+    again = entry.send("POST", "/services/taller/deposits", {}, headers)
+    assert again[0] == 201
+    assert entry.runs().count("d-4") == 1
+
+
+_Change = Callable[[harness.Harness], None]
+
+
+def _expire_lease(entry: harness.Harness) -> None:
+    entry.state.lease_remaining_s = lambda: 0.0  # type: ignore[method-assign]
+
+
+def _withdraw(entry: harness.Harness) -> None:
+    text = harness.RULES.replace("edited-from 0", "edited-from 1")
+    text += "withdraw m v1  # asked by test\n"
+    command = state.SubmitRules("2", text, 1, "test")
+    assert isinstance(entry.state.propose(command, 1), state.RulesAccepted)
+
+
+def _leave(entry: harness.Harness) -> None:
+    for name in ("engine-1", "engine-2"):
+        entry.announce(
+            name,
+            state="leaving",
+            serves=[{"model": "m", "version": "v1"}],
+        )
+
+
+def _lose_quorum(entry: harness.Harness) -> None:
+    entry.state.failing = (state.ClaimCall,)
+
+
+def _refuse_all(entry: harness.Harness) -> None:
+    for name in ("engine-1", "engine-2"):
+        entry.set_faults(name, refuse=True)
+
+
+_CHAT: tuple[str, str, Any] = (
+    "POST",
+    "/v1/chat/completions",
+    {"model": "m", "messages": [{"role": "user", "content": "x"}]},
+)
+_DEPOSIT: tuple[str, str, Any] = ("POST", "/services/taller/deposits", {})
+
+
+def _nothing(entry: harness.Harness) -> None:
+    return None
+
+
+@pytest.mark.parametrize(
+    ("kind", "request_", "change", "key"),
+    [
+        ("unauthenticated", _CHAT, _nothing, "wrong"),
+        ("unauthenticated", _CHAT, _nothing, ""),
+        ("rules_lease_expired", _CHAT, _expire_lease, harness.KEY),
+        ("rules_lease_expired", _DEPOSIT, _expire_lease, harness.KEY),
+        ("version_withdrawn", _CHAT, _withdraw, harness.KEY),
+        ("no_upstream", _CHAT, _leave, harness.KEY),
+        ("upstream_refused", _CHAT, _refuse_all, harness.KEY),
+        ("quorum_unavailable", _DEPOSIT, _lose_quorum, harness.KEY),
+        (
+            "not_allowed",
+            ("GET", "/services/secreto/x", None),
+            _nothing,
+            harness.KEY,
+        ),
+        (
+            "unknown_service",
+            ("GET", "/services/none/x", None),
+            _nothing,
+            harness.KEY,
+        ),
+        ("not_found", ("GET", "/v2/x", None), _nothing, harness.KEY),
+        ("bad_request", (*_CHAT[:2], b"{"), _nothing, harness.KEY),
+        ("bad_request", (*_CHAT[:2], b"\xff\xfe"), _nothing, harness.KEY),
+        (
+            "request_too_large",
+            (*_CHAT[:2], b" " * 20_000),
+            _nothing,
+            harness.KEY,
+        ),
+    ],
+)
+def test_not_run_is_true(
+    entry: harness.Harness,
+    kind: str,
+    request_: tuple[str, str, Any],
+    change: _Change,
+    key: str,
+) -> None:
+    """Guards against a refusal that says "not run" of work that ran."""
+    change(entry)
+    status, headers, body = entry.send(*request_, key=key)
+    content = json.loads(body)
+    assert (content["kind"], content["run"]) == (kind, "not_run")
+    answer = core.ANSWER_BY_KIND[core.ErrorKind(kind)]
+    assert status == answer.status
+    assert ("Retry-After" in headers) == answer.may_resend
+    assert entry.runs() == []
+
+
+@pytest.mark.parametrize(
+    ("faults", "kind", "run"),
+    [
+        # Only an answer to another request was seen.
+        ({"cross_id": "other"}, "answer_mismatched", "unknown"),
+        ({"garble_at": 2}, "answer_incomplete", "ran"),
+        ({"drop_at": 2}, "answer_incomplete", "ran"),
+        ({"duplicate_at": 2}, "answer_incomplete", "ran"),
+    ],
+)
+def test_faulty_stream_never_ends_as_whole(
+    entry: harness.Harness, faults: dict[str, Any], kind: str, run: str
+) -> None:
+    """Guards against a garbled or crossed answer that looks whole."""
+    for name in ("engine-1", "engine-2"):
+        entry.set_faults(name, **faults)
+    status, _, body = entry.chat(stream=True)
+    assert b"[DONE]" not in body
+    if status == 200:
+        content = json.loads(body.rstrip().rsplit(b"data: ", 1)[1])
+    else:
+        content = json.loads(body)
+    assert (content["kind"], content["run"]) == (kind, run)
+    assert _bills(entry) == 0
+
+
+def test_cut_stream_is_continued(entry: harness.Harness) -> None:
+    """Guards against tokens lost or repeated after a cut."""
+    expected = entry.chat(stream=True)[2].count(b"data: ")
+    for name in ("engine-1", "engine-2"):
+        entry.set_faults(name, cut_after=3, times=1)
+    _, _, body = entry.chat(stream=True)
+    assert body.endswith(b"data: [DONE]\n\n")
+    assert body.count(b"data: ") == expected
+    assert _bills(entry) == 2
+
+
+def test_place_is_given_back_when_callers_go(entry: harness.Harness) -> None:
+    """Guards against places lost to callers who close their connection."""
+    for name in ("engine-1", "engine-2"):
+        entry.set_faults(name, token_s=0.2)
+    host, port = entry.address.split(":")
+    body = json.dumps({**_CHAT[2], "stream": True}).encode()
+    head = (
+        f"POST {_CHAT[1]} HTTP/1.1\r\nHost: x\r\n"
+        f"Authorization: Bearer {harness.KEY}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode()
+    for _ in range(2 * _LIMITS.max_streams):
+        with socket.create_connection((host, int(port)), 5) as connection:
+            connection.sendall(head + body)
+            connection.recv(100)
+    until_s = time.monotonic() + 10
+    while entry.app.running and time.monotonic() < until_s:
+        time.sleep(0.05)
+    assert entry.app.running == 0
+    assert entry.parts.decisions.admission.running() == 0
+
+
+_HEAD = b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+
+
+@pytest.mark.parametrize(
+    ("data", "pause_s", "kind"),
+    [
+        (_HEAD + b"Content-Length: 50\r\n\r\n{", 0.0, "bad_request"),
+        (_HEAD + b"X: " + b"y" * 9000 + b"\r\n\r\n", 0.0, "headers_too_large"),
+        (b"GET /" + b"y" * 9000 + b" HTTP/1.1\r\n\r\n", 0.0, "headers"),
+        (_HEAD + b"Content-Length: x\r\n\r\n", 0.0, "bad_request"),
+        (b"\x00\x01\x02\r\n\r\n", 0.0, "bad_request"),
+        (_HEAD + b"X-Slow: " + b"y" * 100, 0.05, "request_timeout"),
+        (
+            _HEAD + b"Content-Length: 500\r\n\r\n" + b" " * 100,
+            0.05,
+            "request_timeout",
+        ),
+    ],
+)
+def test_bad_input_gets_a_clear_error(
+    entry: harness.Harness, data: bytes, pause_s: float, kind: str
+) -> None:
+    """Guards against malformed and slow input taking a thread or the entry."""
+    received = entry.raw(data, pause_s)
+    assert kind.encode() in received
+    assert b"not_run" in received
+    assert entry.chat()[0] == 200
+
+
+def test_announcements_are_checked(entry: harness.Harness) -> None:
+    """Guards against malformed announcements changing the directory."""
+    before = set(entry.directory.upstreams())
+    for body in (b"", b"[]", b"{}", b'{"name": "x"}', b"\xff", b"[" * 50_000):
+        reply = entry.send("POST", "/v1/announcements", body)
+        assert reply[0] == 400, body[:20]
+    assert set(entry.directory.upstreams()) == before
