--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -1,1 +1,207 @@
 """Choice of model, version and upstream; admission, limits, retries."""
+
+from mulberry_decisions._admission import (
+    Admission,
+    Decided,
+    FirstCome,
+    QueuePlace,
+    Ticket,
+)
+from mulberry_decisions._crashes import (
+    CrashGuard,
+    CrashReport,
+    NoCrashGuard,
+)
+from mulberry_decisions._error_threshold import (
+    ErrorThreshold,
+)
+from mulberry_decisions._hedging import (
+    FixedDelayHedging,
+    HedgePolicy,
+    NoHedging,
+)
+from mulberry_decisions._judge import (
+    FAILURES,
+    Evidence,
+    EvidenceCounts,
+    EvidenceKey,
+    EvidenceSeries,
+    NoJudge,
+    Observation,
+    Proposal,
+    VersionJudge,
+)
+from mulberry_decisions._learned_models import (
+    LearnedCascade,
+)
+from mulberry_decisions._limits import (
+    Demand,
+    EqualShares,
+    Taken,
+    TeamLimit,
+    TeamLimiter,
+)
+from mulberry_decisions._models import (
+    Attempt,
+    Deliver,
+    FixedOrder,
+    ModelChooser,
+    ModelOption,
+    RatingCounts,
+    RatingExport,
+    RatingKey,
+    TryModel,
+)
+from mulberry_decisions._paying_hedges import (
+    PayingHedges,
+)
+from mulberry_decisions._priority_admission import (
+    PriorityAdmission,
+)
+from mulberry_decisions._proven_steps import (
+    ProvenSteps,
+)
+from mulberry_decisions._retries import (
+    NoRetries,
+    RetryBudget,
+    UnlimitedRetries,
+)
+from mulberry_decisions._rollout import (
+    NO_STEP,
+    Move,
+    RolloutAdvancer,
+    RolloutAdvice,
+    RolloutState,
+    TimedSteps,
+)
+from mulberry_decisions._sequential_judge import (
+    SequentialJudge,
+)
+from mulberry_decisions._session_versions import (
+    SessionShare,
+)
+from mulberry_decisions._shared_limits import (
+    SharedLimiter,
+)
+from mulberry_decisions._shared_retries import (
+    ShareRetryBudget,
+)
+from mulberry_decisions._strikes import (
+    MAX_STRIKES,
+    StrikeGuard,
+)
+from mulberry_decisions._table import (
+    ADMISSIONS,
+    CRASH_GUARDS,
+    HEDGE_POLICIES,
+    MODEL_CHOOSERS,
+    RETRY_BUDGETS,
+    ROLLOUT_ADVANCERS,
+    TEAM_LIMITERS,
+    UPSTREAM_CHOOSERS,
+    VERSION_CHOOSERS,
+    VERSION_JUDGES,
+)
+from mulberry_decisions._two_choices import (
+    TwoChoices,
+)
+from mulberry_decisions._upstreams import (
+    CacheEvent,
+    LeastReportedLoad,
+    RoundRobin,
+    TwoRandomChoices,
+    UpstreamChooser,
+    UpstreamState,
+)
+from mulberry_decisions._versions import (
+    FixedShare,
+    StableVersion,
+    Standing,
+    VersionChooser,
+    VersionOffer,
+)
+from mulberry_decisions._work import (
+    Outcome,
+    Work,
+)
+
+__all__ = [
+    "ADMISSIONS",
+    "CRASH_GUARDS",
+    "FAILURES",
+    "HEDGE_POLICIES",
+    "MAX_STRIKES",
+    "MODEL_CHOOSERS",
+    "NO_STEP",
+    "RETRY_BUDGETS",
+    "ROLLOUT_ADVANCERS",
+    "TEAM_LIMITERS",
+    "UPSTREAM_CHOOSERS",
+    "VERSION_CHOOSERS",
+    "VERSION_JUDGES",
+    "Admission",
+    "Attempt",
+    "CacheEvent",
+    "CrashGuard",
+    "CrashReport",
+    "Decided",
+    "Deliver",
+    "Demand",
+    "EqualShares",
+    "ErrorThreshold",
+    "Evidence",
+    "EvidenceCounts",
+    "EvidenceKey",
+    "EvidenceSeries",
+    "FirstCome",
+    "FixedDelayHedging",
+    "FixedOrder",
+    "FixedShare",
+    "HedgePolicy",
+    "LearnedCascade",
+    "LeastReportedLoad",
+    "ModelChooser",
+    "ModelOption",
+    "Move",
+    "NoCrashGuard",
+    "NoHedging",
+    "NoJudge",
+    "NoRetries",
+    "Observation",
+    "Outcome",
+    "PayingHedges",
+    "PriorityAdmission",
+    "Proposal",
+    "ProvenSteps",
+    "QueuePlace",
+    "RatingCounts",
+    "RatingExport",
+    "RatingKey",
+    "RetryBudget",
+    "RolloutAdvancer",
+    "RolloutAdvice",
+    "RolloutState",
+    "RoundRobin",
+    "SequentialJudge",
+    "SessionShare",
+    "ShareRetryBudget",
+    "SharedLimiter",
+    "StableVersion",
+    "Standing",
+    "StrikeGuard",
+    "Taken",
+    "TeamLimit",
+    "TeamLimiter",
+    "Ticket",
+    "TimedSteps",
+    "TryModel",
+    "TwoChoices",
+    "TwoRandomChoices",
+    "UnlimitedRetries",
+    "UpstreamChooser",
+    "UpstreamState",
+    "VersionChooser",
+    "VersionJudge",
+    "VersionOffer",
+    "Work",
+]
