--- a/libs/entry/mulberry_entry/_dispatch.py
+++ b/libs/entry/mulberry_entry/_dispatch.py
@@ -132,8 +132,8 @@
         run: core.RunState,
     ) -> Reservation | core.Refusal:
         """Holds a place on the upstream of an earlier send, to resume."""
-        known = self._parts.directory.upstreams().get(before.chosen.name)
-        if not known or known.incarnation != before.chosen.incarnation:
+        known = self._parts.directory.find(before.chosen.name)
+        if not _is_same_process(known, before.chosen):
             return core.Refusal(
                 core.ErrorKind.NO_UPSTREAM, run, "the upstream was lost"
             )
@@ -223,13 +223,12 @@
         chosen: decisions.UpstreamState,
         run: core.RunState,
     ) -> upstream.SendPermit | core.Refusal:
-        known = self._parts.directory.upstreams().get(chosen.name)
-        current = known is not None and known.incarnation == chosen.incarnation
+        known = self._parts.directory.find(chosen.name)
         target = upstream.UpstreamTarget(
             name=chosen.name,
             address=chosen.address,
             incarnation=chosen.incarnation,
-            leaving=not current or (known is not None and _is_leaving(known)),
+            leaving=not _is_same_process(known, chosen) or _is_leaving(known),
             valid_until_s=core.Missing.UNSET,
             serves=chosen.serves,
             service=""
@@ -321,8 +320,21 @@
         )
 
 
-def _is_leaving(known: membership.Upstream) -> bool:
-    return known.state is membership.UpstreamState.LEAVING
+def _is_same_process(
+    known: membership.Upstream | core.Missing, chosen: decisions.UpstreamState
+) -> bool:
+    """Whether the upstream has neither vanished nor restarted."""
+    return (
+        not isinstance(known, core.Missing)
+        and known.incarnation == chosen.incarnation
+    )
+
+
+def _is_leaving(known: membership.Upstream | core.Missing) -> bool:
+    return (
+        not isinstance(known, core.Missing)
+        and known.state is membership.UpstreamState.LEAVING
+    )
 
 
 def _serves(known: membership.Upstream, destination: Destination) -> bool:
--- a/libs/entry/mulberry_entry/_requests.py
+++ b/libs/entry/mulberry_entry/_requests.py
@@ -80,7 +80,7 @@
     if not declared.isdecimal():
         return _refuse(core.ErrorKind.BAD_REQUEST, "bad Content-Length")
     if int(declared) > max_bytes:
-        _close_after(http_request)
+        _close_unread(http_request)
         return _refuse(
             core.ErrorKind.REQUEST_TOO_LARGE,
             f"{declared} bytes, at most {max_bytes} are accepted",
@@ -88,20 +88,20 @@
     try:
         body = bytes(request.environ["wsgi.input"].read(max_bytes + 1))
     except Exception as error:  # cheroot raises bare types per chunk fault
-        _close_after(http_request)
+        _close_unread(http_request)
         return _refuse(core.ErrorKind.BAD_REQUEST, f"bad body: {error}")
     if http_request is not None:
         if http_request.conn.timed_out:
-            _close_after(http_request)
+            _close_unread(http_request)
             return _refuse(core.ErrorKind.REQUEST_TIMEOUT, "body too slow")
         http_request.conn.arrived()
     if len(body) > max_bytes:
-        _close_after(http_request)
+        _close_unread(http_request)
         return _refuse(
             core.ErrorKind.REQUEST_TOO_LARGE, f"more than {max_bytes} bytes"
         )
     if len(body) < int(declared):
-        _close_after(http_request)
+        _close_unread(http_request)
         return _refuse(
             core.ErrorKind.BAD_REQUEST,
             f"body ends after {len(body)} of {declared} bytes",
@@ -151,7 +151,9 @@
 
 def close_after_answer(request: werkzeug.Request) -> None:
     """Asks the server to close the connection after this answer."""
-    _close_after(request.environ.get(_server.REQUEST_KEY))
+    http_request = request.environ.get(_server.REQUEST_KEY)
+    if http_request is not None:
+        http_request.close_connection = True
 
 
 def _known(value: Any) -> Any:
@@ -196,6 +198,8 @@
     return core.Refusal(kind, core.RunState.NOT_RUN, reason)
 
 
-def _close_after(http_request: Any) -> None:
+def _close_unread(http_request: Any) -> None:
+    """Closes the connection after this answer; input may be left unread."""
     if http_request is not None:
         http_request.close_connection = True
+        http_request.conn.has_unread_input = True
--- a/libs/entry/mulberry_entry/_server.py
+++ b/libs/entry/mulberry_entry/_server.py
@@ -1,6 +1,7 @@
 """The HTTP server of an entry: cheroot with limits on slow and large requests."""
 
 import json
+import socket
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -13,6 +14,10 @@
 import mulberry_core as core
 import mulberry_rules as rules
 
+#: Bounds on input that is read only to be discarded.
+_DISCARD_S = 0.5
+_DISCARD_BYTES = 2_097_152
+
 #: Key in the WSGI environment under which the application finds the request.
 REQUEST_KEY = "mulberry.http_request"
 
@@ -64,6 +69,7 @@
         refusal = core.Refusal(kind, core.RunState.NOT_RUN, msg or str(status))
         body = refusal_body(refusal, "")
         self.close_connection = True
+        self.conn.has_unread_input = True
         self.sent_headers = True
         head = (
             f"HTTP/1.1 {refusal.answer.status} {kind.value}\r\n"
@@ -82,6 +88,8 @@
     arriving_since_s = 0.0
     #: Set once the request was cut off for arriving too slowly.
     timed_out = False
+    #: Set when an answer is given before all input was read.
+    has_unread_input = False
 
     def communicate(self) -> bool:
         """Reads and answers one request under the watch of the server."""
@@ -91,6 +99,8 @@
             keep = bool(super().communicate())  # type: ignore[no-untyped-call]
             if self.timed_out and self.arriving_since_s:
                 self._answer_timeout()
+            if self.has_unread_input:
+                self._discard_input()
             return keep and not self.timed_out
         finally:
             self.arrived()
@@ -104,10 +114,29 @@
         """Makes the reader see the end of the request now."""
         self.timed_out = True
         try:
-            self.socket.shutdown(0)
+            self.socket.shutdown(socket.SHUT_RD)
         except OSError:
             logging.debug("connection closed before it was cut off")
 
+    def _discard_input(self) -> None:
+        """Reads on for a moment before the connection is closed.
+
+        Closing with unread input resets the connection, and the caller would
+        lose the answer that tells what is wrong.
+        """
+        until_s = time.monotonic() + _DISCARD_S
+        left_bytes = _DISCARD_BYTES
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+            self.socket.settimeout(_DISCARD_S)
+            while left_bytes > 0 and time.monotonic() < until_s:
+                block = self.socket.recv(65_536)
+                if not block:
+                    return
+                left_bytes -= len(block)
+        except OSError:
+            logging.debug("connection closed while its input was discarded")
+
     def _answer_timeout(self) -> None:
         request = _Request(self.server, self)
         request.simple_response("408 Request Timeout", "arrived too slowly")
--- a/libs/entry/mulberry_entry/tests/harness.py
+++ b/libs/entry/mulberry_entry/tests/harness.py
@@ -1,5 +1,6 @@
 """An entry in one process with stand-in upstreams, for tests."""
 
+import contextlib
 import http.client
 import json
 import socket
@@ -207,7 +208,8 @@
         with socket.create_connection((host, int(port)), 20) as connection:
             if not pause_s:
                 connection.sendall(data)
-                connection.shutdown(socket.SHUT_WR)
+                with contextlib.suppress(OSError):
+                    connection.shutdown(socket.SHUT_WR)
             else:
                 _send_slowly(connection, data, pause_s)
             received = b""
--- a/libs/membership/mulberry_membership/_directory.py
+++ b/libs/membership/mulberry_membership/_directory.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 import threading
 from collections.abc import Mapping
 
@@ -32,6 +33,10 @@
 #: upstream must get no new work after 3 s.
 MAX_DOUBT_S = 2.0
 
+#: Age of a snapshot of all upstreams, seconds. Reading 600 records for each
+#: request took 5 ms; loads are reported once a second at most.
+SNAPSHOT_S = 0.1
+
 _KIND = _records.RecordKind.UPSTREAM
 
 
@@ -62,6 +67,15 @@
     live: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class _Snapshot:
+    """The upstreams as they were a moment ago."""
+
+    upstreams_by_name: Mapping[str, _upstreams.Upstream]
+    #: Local time until which the snapshot is used, seconds.
+    until_s: float
+
+
 class UpstreamDirectory:
     """Takes announcements of upstreams and lists those of all homes."""
 
@@ -76,6 +90,10 @@
         self._counters = counters
         self._lock = threading.Lock()
         self._homed_by_name: dict[str, _Homed] = {}
+        self._snapshot_lock = threading.Lock()
+        self._snapshot = _Snapshot({}, -math.inf)
+        self._changed = threading.Event()
+        soft_state.subscribe(_KIND, lambda record: self._changed.set())
 
     def start(self, timers: core.TimerService) -> core.Subscription:
         """Subscribes `tick` at the timer service."""
@@ -103,17 +121,44 @@
                     del self._homed_by_name[name]
 
     def upstreams(self) -> Mapping[str, _upstreams.Upstream]:
-        """Returns the upstreams of all homes by name."""
-        upstreams = {}
-        for name, record in self._soft_state.records(_KIND).items():
-            if self._soft_state.doubt_s(record.owner) > MAX_DOUBT_S:
-                continue
-            upstream = _upstreams.decode_upstream(
-                record, self._soft_state.age_s(_KIND, name)
-            )
-            if not isinstance(upstream, core.Missing):
-                upstreams[name] = self._with_newest(upstream)
-        return upstreams
+        """Returns the upstreams of all homes by name.
+
+        The mapping is renewed when a record changes, and every `SNAPSHOT_S`
+        for the ages of load reports. Before a send, `find` has the newest.
+        """
+        now_s = self._clock.now()
+        with self._snapshot_lock:
+            snapshot = self._snapshot
+            if snapshot.until_s > now_s and not self._changed.is_set():
+                return snapshot.upstreams_by_name
+            self._changed.clear()
+        found = {
+            name: upstream
+            for name, record in self._soft_state.records(_KIND).items()
+            if not isinstance(upstream := self._read(record), core.Missing)
+        }
+        with self._snapshot_lock:
+            self._snapshot = _Snapshot(found, now_s + SNAPSHOT_S)
+        return found
+
+    def find(self, name: str) -> _upstreams.Upstream | core.Missing:
+        """Returns one upstream as it is known at this moment."""
+        record = self._soft_state.latest(_KIND, name)
+        if isinstance(record, core.Missing) or record.removed:
+            return core.Missing.UNSET
+        return self._read(record)
+
+    def _read(
+        self, record: _records.Record
+    ) -> _upstreams.Upstream | core.Missing:
+        if self._soft_state.doubt_s(record.owner) > MAX_DOUBT_S:
+            return core.Missing.UNSET
+        upstream = _upstreams.decode_upstream(
+            record, self._soft_state.age_s(_KIND, record.id)
+        )
+        if isinstance(upstream, core.Missing):
+            return upstream
+        return self._with_newest(upstream)
 
     def _take(
         self, announcement: _announcements.Announcement
