Bound the time that a rule file may take to parse

Every voter parses a submitted file while it applies its log. A file may now have 10,000 rules and 1,000 kinds, at most 500 errors are listed, a wrong word is compared with up to 100 names, and call patterns are looked up by their literal beginning.

--- a/libs/rules/mulberry_rules/_checks.py
+++ b/libs/rules/mulberry_rules/_checks.py
@@ -29,6 +29,9 @@
     "kind": (_model.DEFAULT_KIND.name,),
 }
 
+#: Each call is compared with the kinds one after the other.
+_MAX_KINDS = 1_000
+
 
 @dataclasses.dataclass(frozen=True)
 class Placed:
@@ -96,10 +99,25 @@
         errors.extend(_check_statement(item, names))
     errors.extend(_shared_keys(placed))
     errors.extend(_dear_first(placed))
-    errors.extend(_hidden_calls(placed))
+    excess = [line for line in lines if line.keyword == "kind"][_MAX_KINDS:]
+    errors.extend(_too_many_kinds(excess))
+    if not excess:
+        errors.extend(_hidden_calls(placed))
     return errors
 
 
+def _too_many_kinds(
+    excess: list[_lines.Line],
+) -> Iterator[_errors.RuleError]:
+    for line in excess[:1]:
+        yield line.error(
+            line.keyword,
+            f"there are more than {_MAX_KINDS} kinds",
+            "cover several calls by one path with `*`",
+            skip=0,
+        )
+
+
 def _check_statement(item: Placed, names: Names) -> Iterator[_errors.RuleError]:
     line = item.line
     match item.statement:
@@ -337,29 +355,47 @@
     A `once` call that an earlier, wider kind takes would be resent like any
     other call.
     """
-    earlier: list[tuple[_model.Kind, _model.CallTarget]] = []
+    calls_by_route: dict[tuple[str, str], _Calls] = {}
     for item in placed:
         kind = item.statement
         if not isinstance(kind, _model.Kind):
             continue
-        if not isinstance(kind.target, _model.CallTarget):
+        target = kind.target
+        if not isinstance(target, _model.CallTarget):
             continue
-        hiding = next(
-            (by for by, target in earlier if _covers(target, kind.target)), None
-        )
-        if hiding is not None:
+        route = (target.service, target.method)
+        calls = calls_by_route.setdefault(route, _Calls())
+        for hiding in calls.covering(target.path):
             yield item.line.error(
                 kind.name,
                 f"kind {hiding.name} on line {hiding.line.number} takes all "
                 "calls of this kind",
                 "move this line before it, or change one of the paths",
             )
-        earlier.append((kind, kind.target))
+        calls.add(target.path, kind)
 
 
-def _covers(wide: _model.CallTarget, narrow: _model.CallTarget) -> bool:
-    return (
-        wide.service == narrow.service
-        and wide.method == narrow.method
-        and fnmatch.fnmatchcase(narrow.path, wide.path)
-    )
+class _Calls:
+    """Path patterns of one service and method, by their literal beginning.
+
+    Comparing each pattern with each other one takes seconds for a file with
+    thousands of kinds.
+    """
+
+    def __init__(self) -> None:
+        self._kinds_by_beginning: dict[str, list[tuple[str, _model.Kind]]] = (
+            collections.defaultdict(list)
+        )
+
+    def add(self, path: str, kind: _model.Kind) -> None:
+        """Adds a pattern after all patterns of earlier lines."""
+        beginning = path.partition("*")[0]
+        self._kinds_by_beginning[beginning].append((path, kind))
+
+    def covering(self, path: str) -> Iterator[_model.Kind]:
+        """Yields one kind whose pattern takes each path that `path` takes."""
+        for length in range(len(path) + 1):
+            for wide, kind in self._kinds_by_beginning.get(path[:length], ()):
+                if fnmatch.fnmatchcase(path, wide):
+                    yield kind
+                    return
--- a/libs/rules/mulberry_rules/_cursor.py
+++ b/libs/rules/mulberry_rules/_cursor.py
@@ -19,19 +19,28 @@
 _EMPTY_KEY_HASH = hashlib.sha256(b"").hexdigest()
 _METHOD = re.compile(r"GET|HEAD|POST|PUT|PATCH|DELETE|OPTIONS")
 #: Leaves out `?`, `[` and `]`, which path matching would read as wildcards.
-_PATH = re.compile(r"/[A-Za-z0-9._~!$&'()*+,;=:@%/-]*")
+_PATH = re.compile(r"/[A-Za-z0-9._~!$&'()*+,;=:@%/-]{0,255}")
 
+#: Most names that a wrong word is compared with.
+_MAX_COMPARED = 100
+#: Most names that a suggestion lists.
+_MAX_LISTED = 20
 _SECONDS_BY_UNIT = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}
 
 
 def did_you_mean(text: str, known: Collection[str]) -> str:
     """Returns a suggestion for a word that is not among `known`."""
-    close = difflib.get_close_matches(text, known, n=1)
-    if close:
-        return f"did you mean `{close[0]}`?"
-    if known:
-        return "use one of: " + ", ".join(sorted(known))
-    return "add a line that declares it"
+    if not known:
+        return "add a line that declares it"
+    # Comparing with thousands of names for each of thousands of errors would
+    # take minutes; a wrong file of that size does not need the help.
+    if len(known) <= _MAX_COMPARED:
+        close = difflib.get_close_matches(text, known, n=1)
+        if close:
+            return f"did you mean `{close[0]}`?"
+    listed = ", ".join(sorted(known)[:_MAX_LISTED])
+    more = ", ..." if len(known) > _MAX_LISTED else ""
+    return f"use one of: {listed}{more}"
 
 
 class Cursor:
@@ -154,7 +163,8 @@
             _PATH,
             "this is not a path",
             "the path is missing",
-            "begin it with `/`; `*` stands for any text, as in `/stock/*`",
+            "begin it with `/`, use up to 256 characters; `*` stands for any "
+            "text, as in `/stock/*`",
         )
         return match.group() if match else ""
 
--- a/libs/rules/mulberry_rules/_lines.py
+++ b/libs/rules/mulberry_rules/_lines.py
@@ -9,6 +9,11 @@
 #: the design scale (2,000 lines of 120 characters) stays well below.
 MAX_TEXT_CHARACTERS = 1_000_000
 
+#: Most rules in a file. Every voter parses a submitted file while it applies
+#: its log, so a file must not keep it busy; the largest file expected at the
+#: design scale has 2,000 rules.
+MAX_RULES = 10_000
+
 #: Rule that names its base and needs no `# asked by`.
 EDITED_FROM = "edited-from"
 
@@ -77,7 +82,10 @@
 
 
 def split_text(text: str) -> SplitText:
-    """Splits a rule file; blank lines and pure comments are left out."""
+    """Splits a rule file; blank lines and pure comments are left out.
+
+    Stops at the first rule after `MAX_RULES`.
+    """
     lines = []
     errors: list[_errors.RuleError] = []
     # Editors count "\n" only, so `str.splitlines` would shift the numbers.
@@ -89,6 +97,8 @@
         if line is None:
             continue
         lines.append(line)
+        if len(lines) > MAX_RULES:
+            break
         if line.keyword != EDITED_FROM and not line.rule.asked_by:
             errors.append(_not_asked(line, content))
     return SplitText(tuple(lines), tuple(errors))
@@ -122,6 +132,10 @@
 
 
 def _unprintable(number: int, content: str) -> list[_errors.RuleError]:
+    """Finds the first character of the line that is not text."""
+    match = _UNPRINTABLE.search(content)
+    if match is None:
+        return []
     return [
         _errors.RuleError(
             number,
@@ -130,10 +144,20 @@
             "the line holds a character that cannot be printed",
             "delete it; the file must be plain UTF-8 text",
         )
-        for match in _UNPRINTABLE.finditer(content)
     ]
 
 
+def too_many(line: Line) -> _errors.RuleError:
+    """Returns the error of a file whose rule after `MAX_RULES` is `line`."""
+    return _errors.RuleError(
+        line.number,
+        1,
+        "",
+        f"the file has more than {MAX_RULES} rules",
+        "delete rules that no team needs",
+    )
+
+
 def too_long(text: str) -> _errors.RuleError:
     """Returns the error of a file above `MAX_TEXT_CHARACTERS`."""
     return _errors.RuleError(
--- a/libs/rules/mulberry_rules/_parse.py
+++ b/libs/rules/mulberry_rules/_parse.py
@@ -9,6 +9,10 @@
     _statements,
 )
 
+#: Most errors that are returned. A file of another kind, saved by mistake, may
+#: have one on each line, and the errors travel through the replicated log.
+_MAX_ERRORS = 500
+
 
 def parse_rules(text: str) -> _model.Rules | _errors.RuleErrors:
     """Parses a rule file.
@@ -23,6 +27,8 @@
     if len(text) > _lines.MAX_TEXT_CHARACTERS:
         return _errors.RuleErrors((_lines.too_long(text),))
     split = _lines.split_text(text)
+    if len(split.lines) > _lines.MAX_RULES:
+        return _errors.RuleErrors((_lines.too_many(split.lines[-1]),))
     errors = list(split.errors)
     statements: list[_checks.Placed] = []
     for line in split.lines:
@@ -32,11 +38,28 @@
     errors.extend(_base_errors(split.lines))
     errors.extend(_checks.check(split.lines, statements))
     if errors:
-        ordered = sorted(errors, key=lambda error: (error.line, error.column))
-        return _errors.RuleErrors(tuple(ordered))
+        return _errors.RuleErrors(_ordered(errors))
     return _assemble(statements)
 
 
+def _ordered(
+    errors: list[_errors.RuleError],
+) -> tuple[_errors.RuleError, ...]:
+    """Returns the errors in the order of the file, within bounds."""
+    ordered = sorted(errors, key=lambda error: (error.line, error.column))
+    shown = ordered[:_MAX_ERRORS]
+    if len(ordered) > len(shown):
+        last = _errors.RuleError(
+            ordered[len(shown)].line,
+            1,
+            "",
+            f"there are {len(ordered) - len(shown)} more errors from here on",
+            "correct those above first",
+        )
+        shown.append(last)
+    return tuple(shown)
+
+
 def _read_line(
     line: _lines.Line, errors: list[_errors.RuleError]
 ) -> _checks.Placed | None:
--- a/libs/rules/mulberry_rules/tests/test_parse.py
+++ b/libs/rules/mulberry_rules/tests/test_parse.py
@@ -251,12 +251,29 @@
     assert "`tiendas`" in parsed.errors[0].suggestion
 
 
-def test_too_large_a_file_is_refused() -> None:
-    """Guards against a file that keeps an instance busy for minutes."""
-    assert isinstance(
-        rules.parse_rules("service a # asked by b\n" * 100_000),
-        rules.RuleErrors,
-    )
+_ANY_RULE = "service a # asked by b\n"
+_MANY_KINDS = "\n".join(
+    f"kind k{number} chat planes priority 1 deadline 1s # asked by x"
+    for number in range(1_000)
+)
+_TOO_LARGE = [
+    (_ANY_RULE * 100_000, 1, "characters"),
+    (_ANY_RULE * 20_000, 1, "more than 10000 rules"),
+    ("edited-from 0\n" + "#\x00\n" * 1000, 501, "500 more errors"),
+    ("x\n" * 9_000, 501, "more errors from here on"),
+    (BASE + _MANY_KINDS, 1, "more than 1000 kinds"),
+]
+
+
+@pytest.mark.parametrize(("text", "count", "message"), _TOO_LARGE)
+def test_too_large_a_file_is_refused(
+    text: str, count: int, message: str
+) -> None:
+    """Guards against a file that keeps a voter busy for minutes."""
+    parsed = rules.parse_rules(text)
+    assert isinstance(parsed, rules.RuleErrors)
+    assert len(parsed.errors) <= count
+    assert any(message in error.message for error in parsed.errors)
 
 
 def test_diff_is_empty_for_equal_rules() -> None:
