Add the voter of a daemon and the client of every instance

The leader notes a lease before it reads the view for the reply, so that a revision reported as in effect everywhere is in every later reply. When a change is in effect everywhere it is recorded in the log: the audit trail and a later leader then know since when.

Calls that wait for a quorum are bounded to 48, so that threads of the shared gRPC server are left for the calls of other voters.

--- a/libs/state/mulberry_state/__init__.py
+++ b/libs/state/mulberry_state/__init__.py
@@ -1,6 +1,8 @@
 """Replicated log and state machine."""
 
 from mulberry_state._audit import AuditRecord
+from mulberry_state._caller import VoterCaller
+from mulberry_state._channels import CHANNEL_OPTIONS, OpenChannel, open_insecure
 from mulberry_state._claims import Claim
 from mulberry_state._client import StateClient
 from mulberry_state._commands import (
@@ -47,16 +49,25 @@
     VerdictStale,
     VerdictState,
 )
+from mulberry_state._disk import Disk, OsDisk, StorageError
+from mulberry_state._group import ChangeRefused
 from mulberry_state._invariants import InvariantError
 from mulberry_state._ledger import LedgerSum
 from mulberry_state._local import LocalStateClient
 from mulberry_state._machine import Stamp, StateMachine
-from mulberry_state._parser import RulesParser
+from mulberry_state._node import SERVER_THREADS, StateNode
+from mulberry_state._parser import FileRulesParser, RulesParser
+from mulberry_state._reader import StateReader
+from mulberry_state._remote import RemoteStateClient, new_command_id
+from mulberry_state._reports import LedgerReport, NodeStatus, VoterStatus
+from mulberry_state._rulebook import RulesText
 from mulberry_state._view import EMPTY_VIEW, RolloutStep, Verdict, View
 
 __all__ = [
+    "CHANNEL_OPTIONS",
     "EMPTY_VIEW",
     "NO_STEP",
+    "SERVER_THREADS",
     "AcquireLease",
     "AdvanceRollout",
     "Answer",
@@ -64,6 +75,7 @@
     "Bill",
     "BillMismatch",
     "BillRecorded",
+    "ChangeRefused",
     "Claim",
     "ClaimCall",
     "ClaimGranted",
@@ -76,20 +88,27 @@
     "ClearStrikes",
     "Command",
     "CrashRecorded",
+    "Disk",
+    "FileRulesParser",
     "InvariantError",
     "LeaseGranted",
     "LeaseHeld",
     "LeaseLost",
+    "LedgerReport",
     "LedgerSum",
     "LocalStateClient",
+    "NodeStatus",
+    "OpenChannel",
     "OrderRecorded",
     "OrderState",
+    "OsDisk",
     "PinSession",
     "RecordBill",
     "RecordCrash",
     "RecordOrder",
     "RecordVerdict",
     "ReleaseClaim",
+    "RemoteStateClient",
     "Result",
     "RolloutAdvanced",
     "RolloutStale",
@@ -98,11 +117,15 @@
     "RulesConflict",
     "RulesParser",
     "RulesRejected",
+    "RulesText",
     "SessionPinned",
     "SettleClaim",
     "Stamp",
     "StateClient",
     "StateMachine",
+    "StateNode",
+    "StateReader",
+    "StorageError",
     "StrikesCleared",
     "SubmitRules",
     "Verdict",
@@ -110,4 +133,8 @@
     "VerdictStale",
     "VerdictState",
     "View",
+    "VoterCaller",
+    "VoterStatus",
+    "new_command_id",
+    "open_insecure",
 ]
--- a/libs/state/mulberry_state/_audit.py
+++ b/libs/state/mulberry_state/_audit.py
@@ -54,6 +54,13 @@
                     record, in_effect_s=wall_s
                 )
 
+    def in_effect_since(self, revision: int) -> float:
+        """Returns since when every instance has a revision, 0 if unknown."""
+        for record in self._records:
+            if record.revision >= revision:
+                return record.in_effect_s
+        return 0.0
+
     def records(self) -> tuple[AuditRecord, ...]:
         """Returns the records, oldest first."""
         return tuple(self._records)
--- /dev/null
+++ b/libs/state/mulberry_state/_caller.py
@@ -0,0 +1,92 @@
+"""Calls to whichever voter can serve them."""
+
+import threading
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any
+
+import mulberry_core as core
+from mulberry_state import _channels, _peers
+from mulberry_wire import state_pb2_grpc
+
+#: A voter that takes longer is passed over; the leader answers in
+#: milliseconds, or within a heartbeat after a fault.
+ATTEMPT_TIMEOUT_S = 1.0
+
+
+class VoterCaller:
+    """Knows the voters, and which of them last said who leads."""
+
+    def __init__(
+        self,
+        addresses: Iterable[str],
+        channels: _channels.Channels,
+        clock: core.Clock,
+    ) -> None:
+        self._channels = channels
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._first_addresses = tuple(dict.fromkeys(addresses))
+        self._addresses = self._first_addresses
+        self._leader = ""
+
+    def set_voters(self, voters_by_name: Mapping[str, str]) -> None:
+        """Takes the voters of a new view.
+
+        The addresses of the settings are kept at the end: they still help if
+        all present voters have moved.
+        """
+        with self._lock:
+            self._addresses = tuple(
+                dict.fromkeys(
+                    (*voters_by_name.values(), *self._first_addresses)
+                )
+            )
+
+    def note_leader(self, address: str) -> None:
+        """Asks this voter first from now on; empty for none."""
+        with self._lock:
+            self._leader = address
+
+    def attempts(self, deadline_s: float) -> Iterator[tuple[str, float]]:
+        """Yields an address and the time for a call, until the deadline.
+
+        The leader comes first, as long as it is known; after one round over
+        all voters there is a short pause, because an election is running.
+        """
+        pause = threading.Event()
+        tried: list[str] = []
+        while True:
+            left_s = deadline_s - self._clock.now()
+            if left_s <= 0:
+                return
+            address = self._next(tried)
+            if not address:
+                tried.clear()
+                pause.wait(min(0.05, left_s))
+                continue
+            tried.append(address)
+            yield address, min(ATTEMPT_TIMEOUT_S, left_s)
+
+    def call(
+        self, address: str, method: str, request: Any, timeout_s: float
+    ) -> Any:
+        """Returns the reply of one voter, or `Unreachable`."""
+        reply = self._channels.call(
+            address, state_pb2_grpc.StateStub, method, request, timeout_s
+        )
+        if isinstance(reply, _peers.Unreachable):
+            with self._lock:
+                if self._leader == address:
+                    self._leader = ""
+        else:
+            leader = getattr(reply, "leader_address", "")
+            if leader:
+                self.note_leader(leader)
+        return reply
+
+    def _next(self, tried: list[str]) -> str:
+        with self._lock:
+            for address in (self._leader, *self._addresses):
+                if address and address not in tried:
+                    return address
+        return ""
--- /dev/null
+++ b/libs/state/mulberry_state/_channels.py
@@ -0,0 +1,85 @@
+"""gRPC channels by address."""
+
+import threading
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import grpc
+
+from mulberry_state import _peers
+
+_T = TypeVar("_T")
+
+OpenChannel = Callable[[str], grpc.Channel]
+
+#: Snapshots come in parts of 1 MiB, records have at most 3 MiB.
+_MAX_MESSAGE_BYTES = 8 << 20
+
+CHANNEL_OPTIONS = (
+    ("grpc.max_receive_message_length", _MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", _MAX_MESSAGE_BYTES),
+    # By default a lost connection is tried again after 1 s, then ever more
+    # seldom up to two minutes: too late for an election after a restart.
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 500),
+    # Instances are addressed directly, whatever proxy the environment names.
+    ("grpc.enable_http_proxy", 0),
+)
+
+
+def open_insecure(address: str) -> grpc.Channel:
+    """Opens a channel without TLS."""
+    return grpc.insecure_channel(address, options=CHANNEL_OPTIONS)
+
+
+class Channels:
+    """Keeps one channel for each address, and its stubs."""
+
+    def __init__(self, open_channel: OpenChannel) -> None:
+        self._open = open_channel
+        self._lock = threading.Lock()
+        self._channel_by_address: dict[str, grpc.Channel] = {}
+        self._stub_by_key: dict[tuple[str, Any], Any] = {}
+
+    def stub(self, address: str, stub_type: Any) -> Any:
+        """Returns the stub of a service at an address."""
+        key = (address, stub_type)
+        with self._lock:
+            if key not in self._stub_by_key:
+                channel = self._channel_by_address.get(address)
+                if channel is None:
+                    channel = self._open(address)
+                    self._channel_by_address[address] = channel
+                self._stub_by_key[key] = stub_type(channel)
+            return self._stub_by_key[key]
+
+    def call(
+        self,
+        address: str,
+        stub_type: Any,
+        method: str,
+        request: Any,
+        timeout_s: float,
+    ) -> Any:
+        """Returns the reply, or `Unreachable` with the reason."""
+        try:
+            stub = self.stub(address, stub_type)
+            return getattr(stub, method)(request, timeout=timeout_s)
+        except grpc.RpcError as error:
+            return _peers.Unreachable(_reason(error))
+        except ValueError as error:
+            # The channel was closed: this instance is stopping.
+            return _peers.Unreachable(str(error))
+
+    def close(self) -> None:
+        """Closes all channels; running calls fail."""
+        with self._lock:
+            for channel in self._channel_by_address.values():
+                channel.close()
+
+
+def _reason(error: Any) -> str:
+    # Errors of unary calls are calls as well; the types do not say so.
+    code = getattr(error, "code", None)
+    return f"{code().name}: {error.details()}" if code else str(error)
--- /dev/null
+++ b/libs/state/mulberry_state/_grpc_peers.py
@@ -0,0 +1,82 @@
+"""Calls between voters over gRPC."""
+
+from typing import Any, TypeVar
+
+import grpc
+from google.protobuf import message
+
+from mulberry_state import _channels, _disk, _peers
+from mulberry_wire import log_pb2, log_pb2_grpc
+
+_Q = TypeVar("_Q", bound=message.Message)
+_R = TypeVar("_R", bound=message.Message)
+
+
+class GrpcPeerTransport(_peers.PeerTransport):
+    """Calls the service `LogPeer` of other voters."""
+
+    def __init__(self, channels: _channels.Channels) -> None:
+        self._channels = channels
+
+    def call(
+        self,
+        address: str,
+        method: _peers.Method[_Q, _R],
+        request: _Q,
+        timeout_s: float,
+    ) -> _R | _peers.Unreachable:
+        """Returns the reply of the voter at `address`."""
+        reply: _R | _peers.Unreachable = self._channels.call(
+            address, log_pb2_grpc.LogPeerStub, method.name, request, timeout_s
+        )
+        return reply
+
+
+class LogPeerServicer(log_pb2_grpc.LogPeerServicer):
+    """Passes calls of other voters to the replica."""
+
+    def __init__(self, handler: _peers.PeerHandler) -> None:
+        self._handler = handler
+
+    def Vote(  # noqa: N802 (name of the gRPC method)
+        self, request: log_pb2.VoteRequest, context: grpc.ServicerContext
+    ) -> log_pb2.VoteReply:
+        """Answers a candidate."""
+        return self._handle(_peers.VOTE, request, context)
+
+    def Append(  # noqa: N802
+        self, request: log_pb2.AppendRequest, context: grpc.ServicerContext
+    ) -> log_pb2.AppendReply:
+        """Takes records."""
+        return self._handle(_peers.APPEND, request, context)
+
+    def Install(  # noqa: N802
+        self, request: log_pb2.InstallRequest, context: grpc.ServicerContext
+    ) -> log_pb2.InstallReply:
+        """Takes a part of a snapshot."""
+        return self._handle(_peers.INSTALL, request, context)
+
+    def Transfer(  # noqa: N802
+        self, request: log_pb2.TransferRequest, context: grpc.ServicerContext
+    ) -> log_pb2.TransferReply:
+        """Takes over leadership."""
+        return self._handle(_peers.TRANSFER, request, context)
+
+    def Hello(  # noqa: N802
+        self, request: log_pb2.HelloRequest, context: grpc.ServicerContext
+    ) -> log_pb2.HelloReply:
+        """Says who this voter is."""
+        return self._handle(_peers.HELLO, request, context)
+
+    def _handle(
+        self,
+        method: _peers.Method[Any, _R],
+        request: Any,
+        context: grpc.ServicerContext,
+    ) -> _R:
+        try:
+            reply: _R = self._handler.handle(method.name, request)
+            return reply
+        except _disk.StorageError as error:
+            context.abort(grpc.StatusCode.UNAVAILABLE, str(error))
+            raise
--- /dev/null
+++ b/libs/state/mulberry_state/_holders.py
@@ -0,0 +1,76 @@
+"""Which instances hold a rules lease, as the leader knows it."""
+
+import dataclasses
+import threading
+
+import mulberry_core as core
+
+#: How far the clocks of two instances may drift apart while a lease runs.
+DRIFT = 0.01
+
+
+@dataclasses.dataclass(frozen=True)
+class Holder:
+    """The lease of one instance."""
+
+    #: Revision that the instance reported when it last renewed.
+    revision: int
+    #: `Clock.now()` of the leader by which the lease has certainly ended.
+    ends_s: float
+
+
+class Holders:
+    """Leases granted in one leader's term of office."""
+
+    def __init__(self, clock: core.Clock, term_s: float) -> None:
+        self._clock = clock
+        self._longest_s = term_s * (1 + DRIFT)
+        self._lock = threading.Lock()
+        self._holder_by_instance: dict[str, Holder] = {}
+
+    def renew(self, instance: str, revision: int, arrived_s: float) -> None:
+        """Notes a lease that ends one term after its request arrived.
+
+        The instance counts from the sending of the request, which was
+        earlier.
+        """
+        ends_s = arrived_s + self._longest_s
+        with self._lock:
+            old = self._holder_by_instance.get(instance)
+            if old:
+                # Requests may overtake each other.
+                ends_s = max(ends_s, old.ends_s)
+                revision = max(revision, old.revision)
+            self._holder_by_instance[instance] = Holder(revision, ends_s)
+
+    def all_have(self, revision: int, elected_s: float) -> bool:
+        """Whether every running lease is on `revision` or a later one.
+
+        Args:
+            revision: Revision of the view, committed and applied here.
+            elected_s: When the term began: leases of earlier leaders are not
+                known here and have ended one lease term later.
+        """
+        now_s = self._clock.now()
+        if now_s < elected_s + self._longest_s:
+            return False
+        with self._lock:
+            self._drop_ended(now_s)
+            return all(
+                holder.revision >= revision
+                for holder in self._holder_by_instance.values()
+            )
+
+    def clear(self) -> None:
+        """Forgets all leases, at the start of another term."""
+        with self._lock:
+            self._holder_by_instance.clear()
+
+    def _drop_ended(self, now_s: float) -> None:
+        ended = [
+            instance
+            for instance, holder in self._holder_by_instance.items()
+            if holder.ends_s <= now_s
+        ]
+        for instance in ended:
+            del self._holder_by_instance[instance]
--- a/libs/state/mulberry_state/_machine.py
+++ b/libs/state/mulberry_state/_machine.py
@@ -291,7 +291,7 @@
 
     def _submit_rules(self, command: _commands.SubmitRules) -> _commands.Result:
         before = self.rulebook.number
-        result, changes = self.rulebook.submit(command, self._wall_s)
+        result = self.rulebook.submit(command, self._wall_s, self._revision + 1)
         if isinstance(result, _commands.RulesRejected):
             count = len(result.errors)
             self._note(command.operator, f"rules rejected: {count} errors")
@@ -306,9 +306,10 @@
             if not isinstance(rules, core.Missing):
                 self.versions.drop_old_rollouts(rules)
             self._change_view()
+            changes = "; ".join(self.rulebook.texts()[-1].changes)
             self._note(
                 command.operator,
-                f"rules {self.rulebook.number}: {'; '.join(changes)}",
+                f"rules {self.rulebook.number}: {changes}",
                 in_view=True,
             )
         return result
--- /dev/null
+++ b/libs/state/mulberry_state/_node.py
@@ -0,0 +1,280 @@
+"""One voter of a daemon."""
+
+import pathlib
+import threading
+from collections.abc import Mapping
+
+import grpc
+from absl import logging
+
+import mulberry_core as core
+import mulberry_rules as rules
+from mulberry_state import (
+    _audit,
+    _channels,
+    _disk,
+    _group,
+    _grpc_peers,
+    _holders,
+    _machine,
+    _parser,
+    _replica,
+    _reports,
+    _rulebook,
+    _service,
+    _shared,
+)
+from mulberry_wire import log_pb2_grpc, state_pb2_grpc
+
+#: Threads that the gRPC server needs for the services of a voter alone.
+SERVER_THREADS = _service.MAX_WAITING_CALLS + 16
+
+#: Between looks at the leases while a change is not in effect everywhere.
+_EFFECT_PERIOD_S = 0.5
+_IDLE_PERIOD_S = 5.0
+_MARK_TIMEOUT_S = 2.0
+
+
+class StateNode:
+    """Log, consensus and state machine of one voter.
+
+    The gRPC server that it is added to needs at least `SERVER_THREADS`
+    threads: proposals and renewals wait on them for a quorum, and calls of
+    other voters must not wait behind those.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        first_voters: Mapping[str, str],
+        folder: pathlib.Path,
+        clock: core.Clock,
+        timing: rules.Timing | None = None,
+        parser: _parser.RulesParser | None = None,
+        open_channel: _channels.OpenChannel = _channels.open_insecure,
+        disk: _disk.Disk | None = None,
+    ) -> None:
+        """Opens the data folder.
+
+        Args:
+            name: Name of the instance.
+            address: gRPC address by which the others reach it.
+            first_voters: gRPC address by name; used until a group is formed.
+            folder: The data folder.
+            clock: For timeouts, leases and stamps.
+            timing: Periods and terms.
+            parser: How rule files are read.
+            open_channel: Opens a channel to another instance.
+            disk: Used in place of the folder.
+
+        Raises:
+            StorageError: The data folder cannot be used.
+        """
+        timing = timing or rules.Timing()
+        self._clock = clock
+        self._channels = _channels.Channels(open_channel)
+        self.replica = _replica.Replica(
+            name,
+            address,
+            first_voters,
+            disk or _disk.OsDisk(folder),
+            _grpc_peers.GrpcPeerTransport(self._channels),
+            _machine.StateMachine(parser or _parser.FileRulesParser()),
+            clock,
+            timing,
+        )
+        self.holders = _holders.Holders(clock, timing.lease_term_s)
+        self._pool = core.TaskPool(f"state-{name}", 1)
+        #: Set when a lease was renewed while a change is not in effect.
+        self.effect_event = threading.Event()
+
+    def add_to(self, server: grpc.Server) -> None:
+        """Adds the services of the voter to a server that is not started."""
+        state_pb2_grpc.add_StateServicer_to_server(  # type: ignore[no-untyped-call]
+            _service.StateServicer(self, self._channels, self._clock), server
+        )
+        log_pb2_grpc.add_LogPeerServicer_to_server(  # type: ignore[no-untyped-call]
+            _grpc_peers.LogPeerServicer(self.replica), server
+        )
+
+    def start(self) -> None:
+        """Starts to take part; the server should be started by now."""
+        self.replica.start()
+        self._pool.spawn("in effect", self._run_effect)
+
+    def stop(self, transfer_timeout_s: float = 2.0) -> None:
+        """Hands leadership over, ends all tasks and closes the folder."""
+        if not self.replica.transfer_leadership(transfer_timeout_s):
+            logging.warning("leadership was not handed over")
+        self._pool.stopping.set()
+        self.effect_event.set()
+        self._pool.stop()
+        self.replica.stop()
+        self._channels.close()
+
+    def ledger(self) -> _reports.LedgerReport:
+        """Sums the bills and adds up all records again."""
+        with self.replica.shared.machine_lock:
+            machine = self.replica.applier.machine
+            return _reports.LedgerReport(
+                index=machine.index,
+                sums=machine.ledger.sums(),
+                differences=machine.ledger.check(),
+            )
+
+    def audit(
+        self, before_index: int = 0, max_records: int = 0
+    ) -> tuple[_audit.AuditRecord, ...]:
+        """Returns audit records, the newest first.
+
+        Args:
+            before_index: Only records below this log index; 0 for all.
+            max_records: How many at most; 0 for all.
+        """
+        with self.replica.shared.machine_lock:
+            records = self.replica.applier.machine.audit.records()
+        newest = [
+            record
+            for record in reversed(records)
+            if not before_index or record.index < before_index
+        ]
+        return tuple(newest[: max_records or None])
+
+    def history(self) -> tuple[_rulebook.RulesText, ...]:
+        """Returns the accepted rule files that are kept, newest first."""
+        with self.replica.shared.machine_lock:
+            texts = self.replica.applier.machine.rulebook.texts()
+        return texts[::-1]
+
+    def status(self) -> _reports.NodeStatus:
+        """Returns the standing of this voter."""
+        with self.replica.shared.machine_lock:
+            machine = self.replica.applier.machine
+            view = machine.view
+            in_effect = machine.in_effect
+            texts = machine.rulebook.texts()
+            rules_in_effect_s = (
+                machine.audit.in_effect_since(texts[-1].revision)
+                if texts
+                else 0.0
+            )
+        shared = self.replica.shared
+        with shared.lock:
+            return _reports.NodeStatus(
+                name=shared.name,
+                identity=shared.identity,
+                role=shared.role.value,
+                term=shared.log.term,
+                leader_name=shared.leader_name,
+                leader_address=shared.leader_address,
+                last_index=shared.log.last.index,
+                commit_index=shared.commit_index,
+                applied_index=shared.applied_index,
+                snapshot_index=shared.log.snapshot.index,
+                voters=self._voters(),
+                in_effect_revision=in_effect[0],
+                in_effect_s=in_effect[1],
+                rules_in_effect_s=rules_in_effect_s,
+                revision=view.revision,
+                rules_number=view.rules_number,
+                failure=shared.failure,
+            )
+
+    def in_effect_everywhere(self, revision: int) -> bool:
+        """Whether every instance is known to have a revision of the view.
+
+        An instance has it if it renewed its lease with it or with a later
+        one, or if its lease has ended.
+        """
+        machine = self.replica.applier.machine
+        if machine.in_effect[0] >= revision:
+            return True
+        shared = self.replica.shared
+        with shared.lock:
+            elected_s = shared.elected_s
+            leads = shared.role is _shared.Role.LEADER
+        return (
+            leads
+            and machine.view.revision >= revision
+            and self.holders.all_have(revision, elected_s)
+        )
+
+    def in_effect_since(self, revision: int) -> float | core.Missing:
+        """Returns the Unix time since when every instance has a revision."""
+        with self.replica.shared.machine_lock:
+            machine = self.replica.applier.machine
+            since_s = machine.audit.in_effect_since(revision)
+        return since_s or core.Missing.UNSET
+
+    def change_voters(
+        self,
+        add: Mapping[str, str],
+        remove: str,
+        who: str,
+        timeout_s: float,
+    ) -> str:
+        """Changes the voters; works on the leader only.
+
+        Args:
+            add: Address by name of the new voter, or nothing.
+            remove: Name of the voter to remove, or empty.
+            who: Operator, for the audit trail.
+            timeout_s: How long the new voter may take to catch up.
+
+        Returns:
+            A sentence that says what was done.
+
+        Raises:
+            ChangeRefused: The change was not made, for the reason given.
+        """
+        try:
+            return self.replica.group.change(add, remove, who, timeout_s)
+        except _shared.LeadershipLost as error:
+            raise _group.ChangeRefused("this voter does not lead") from error
+
+    def _voters(self) -> tuple[_reports.VoterStatus, ...]:
+        shared = self.replica.shared
+        leads = shared.role is _shared.Role.LEADER
+        now_s = shared.clock.now()
+        rows = []
+        for voter in shared.voters.message.voters:
+            match_index, silent_s = 0, -1.0
+            progress = shared.progress_by_identity.get(voter.identity)
+            if leads and voter.identity == shared.identity:
+                match_index, silent_s = shared.log.durable_index, 0.0
+            elif progress and progress.acked_sent_s > 0:
+                match_index = progress.match_index
+                silent_s = now_s - progress.acked_sent_s
+            rows.append(
+                _reports.VoterStatus(
+                    name=voter.name,
+                    address=voter.address,
+                    identity=voter.identity,
+                    match_index=match_index,
+                    silent_s=silent_s,
+                )
+            )
+        return tuple(rows)
+
+    def _run_effect(self, stop: threading.Event) -> None:
+        """Task: records in the log since when changes are in effect.
+
+        It is recorded so that the audit trail and a later leader know.
+        """
+        machine = self.replica.applier.machine
+        while not stop.is_set():
+            wanted = machine.audit.last_revision
+            pending = machine.in_effect[0] < wanted
+            self.effect_event.wait(
+                _EFFECT_PERIOD_S if pending else _IDLE_PERIOD_S
+            )
+            self.effect_event.clear()
+            wanted = machine.audit.last_revision
+            if machine.in_effect[0] < wanted and self.in_effect_everywhere(
+                wanted
+            ):
+                revision = machine.view.revision
+                if not self.in_effect_everywhere(revision):
+                    revision = wanted
+                self.replica.mark_in_effect(revision, _MARK_TIMEOUT_S)
--- a/libs/state/mulberry_state/_parser.py
+++ b/libs/state/mulberry_state/_parser.py
@@ -18,3 +18,18 @@
     @abc.abstractmethod
     def diff(self, old: rules.Rules, new: rules.Rules) -> tuple[str, ...]:
         """Returns one sentence for each change."""
+
+
+class FileRulesParser(RulesParser):
+    """Reads rule files with mulberry_rules."""
+
+    def parse(self, text: str) -> rules.Rules | tuple[str, ...]:
+        """Returns the rules, or one sentence for each error."""
+        parsed = rules.parse_rules(text)
+        if isinstance(parsed, rules.RuleErrors):
+            return tuple(str(error) for error in parsed.errors)
+        return parsed
+
+    def diff(self, old: rules.Rules, new: rules.Rules) -> tuple[str, ...]:
+        """Returns one sentence for each change."""
+        return rules.diff_rules(old, new)
--- a/libs/state/mulberry_state/_rulebook.py
+++ b/libs/state/mulberry_state/_rulebook.py
@@ -22,6 +22,10 @@
     operator: str
     #: Unix time of acceptance, seconds.
     wall_s: float
+    #: Sentences: changes from the rules before.
+    changes: tuple[str, ...]
+    #: Revision of the view that put the rules in force.
+    revision: int
 
 
 class Rulebook:
@@ -43,28 +47,34 @@
         return tuple(self._texts)
 
     def submit(
-        self, command: _commands.SubmitRules, wall_s: float
-    ) -> tuple[_commands.Result, tuple[str, ...]]:
-        """Applies a rule file.
-
-        Returns:
-            The result, and what changed in the rules as sentences.
-        """
+        self, command: _commands.SubmitRules, wall_s: float, revision: int
+    ) -> _commands.Result:
+        """Applies a rule file; `revision` is that of the view if accepted."""
         parsed = self._parser.parse(command.text)
         if isinstance(parsed, tuple):
-            return _commands.RulesRejected(parsed), ()
+            return _commands.RulesRejected(parsed)
         if self._is_in_force(command):
-            return _commands.RulesAccepted(self.number), ()
+            return _commands.RulesAccepted(self.number)
         if command.edited_from != self.number:
-            return self._conflict(command.edited_from), ()
-        old = self.rules
-        self._accept(command, parsed, wall_s)
+            return self._conflict(command.edited_from)
         changes = (
             ("first rules",)
-            if isinstance(old, core.Missing)
-            else self._parser.diff(old, parsed)
+            if isinstance(self.rules, core.Missing)
+            else self._parser.diff(self.rules, parsed)
+        )
+        number = self.number + 1
+        self._accept(
+            parsed,
+            RulesText(
+                number,
+                command.text,
+                command.operator,
+                wall_s,
+                changes,
+                revision,
+            ),
         )
-        return _commands.RulesAccepted(self.number), changes
+        return _commands.RulesAccepted(number)
 
     def _is_in_force(self, command: _commands.SubmitRules) -> bool:
         """Whether this file was accepted before and still holds.
@@ -78,22 +88,14 @@
             and command.text == self.text
         )
 
-    def _accept(
-        self,
-        command: _commands.SubmitRules,
-        parsed: rules.Rules,
-        wall_s: float,
-    ) -> None:
-        number = self.number + 1
+    def _accept(self, parsed: rules.Rules, text: RulesText) -> None:
         _invariants.require(
-            all(text.number < number for text in self._texts),
-            f"rules number {number} would be given twice",
+            all(old.number < text.number for old in self._texts),
+            f"rules number {text.number} would be given twice",
         )
-        self.number = number
+        self.number = text.number
         self.rules = parsed
-        self._texts.append(
-            RulesText(number, command.text, command.operator, wall_s)
-        )
+        self._texts.append(text)
         del self._texts[:-MAX_TEXTS]
 
     def _conflict(self, edited_from: int) -> _commands.RulesConflict:
--- /dev/null
+++ b/libs/state/mulberry_state/_service.py
@@ -0,0 +1,219 @@
+"""The gRPC service by which instances and operators reach a voter."""
+
+import threading
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import grpc
+
+import mulberry_core as core
+from mulberry_state import (
+    _channels,
+    _codec,
+    _group,
+    _peers,
+    _replica,
+    _reports,
+    _view_codec,
+)
+from mulberry_wire import state_pb2, state_pb2_grpc
+
+if TYPE_CHECKING:
+    from mulberry_state import _node
+
+_R = TypeVar("_R")
+
+#: Calls that may wait for a quorum at the same time; more are turned away, so
+#: that threads are left for the calls of other voters.
+MAX_WAITING_CALLS = 48
+
+#: A leader that cannot confirm by then is most likely cut off.
+_CONFIRM_TIMEOUT_S = 1.0
+_MAX_PROPOSE_S = 30.0
+#: Part of a call's time that is kept for the way back.
+_FORWARD_SHARE = 0.9
+
+
+class StateServicer(state_pb2_grpc.StateServicer):
+    """Serves the state, and passes on to the leader what only it can do."""
+
+    def __init__(
+        self,
+        node: "_node.StateNode",
+        channels: _channels.Channels,
+        clock: core.Clock,
+    ) -> None:
+        self._node = node
+        self._replica = node.replica
+        self._channels = channels
+        self._clock = clock
+        self._slots = threading.BoundedSemaphore(MAX_WAITING_CALLS)
+
+    def Propose(  # noqa: N802 (name of the gRPC method)
+        self,
+        request: state_pb2.ProposeRequest,
+        context: grpc.ServicerContext,
+    ) -> state_pb2.ProposeReply:
+        """Applies a command."""
+        return self._in_slot(context, lambda: self._propose(request, context))
+
+    def Renew(  # noqa: N802
+        self, request: state_pb2.RenewRequest, context: grpc.ServicerContext
+    ) -> state_pb2.RenewReply:
+        """Prolongs the rules lease of an instance."""
+        return self._in_slot(context, lambda: self._renew(request, context))
+
+    def Ledger(  # noqa: N802
+        self, request: state_pb2.LedgerRequest, context: grpc.ServicerContext
+    ) -> state_pb2.LedgerReply:
+        """Sums the bills and verifies the ledger."""
+        return _reports.encode_ledger(self._node.ledger())
+
+    def Audit(  # noqa: N802
+        self, request: state_pb2.AuditRequest, context: grpc.ServicerContext
+    ) -> state_pb2.AuditReply:
+        """Returns audit records."""
+        return _reports.encode_audit(
+            self._node.audit(request.before_index, request.max_records)
+        )
+
+    def History(  # noqa: N802
+        self, request: state_pb2.HistoryRequest, context: grpc.ServicerContext
+    ) -> state_pb2.HistoryReply:
+        """Returns accepted rule files."""
+        return _reports.encode_history(self._node.history())
+
+    def Status(  # noqa: N802
+        self, request: state_pb2.StatusRequest, context: grpc.ServicerContext
+    ) -> state_pb2.StatusReply:
+        """Returns the standing of this voter."""
+        return _reports.encode_status(self._node.status())
+
+    def ChangeVoters(  # noqa: N802
+        self,
+        request: state_pb2.ChangeVotersRequest,
+        context: grpc.ServicerContext,
+    ) -> state_pb2.ChangeVotersReply:
+        """Adds, removes or replaces a voter."""
+        return self._in_slot(
+            context, lambda: self._change_voters(request, context)
+        )
+
+    def _propose(
+        self,
+        request: state_pb2.ProposeRequest,
+        context: grpc.ServicerContext,
+    ) -> state_pb2.ProposeReply:
+        command = _codec.decode_command(request.command.SerializeToString())
+        timeout_s = min(request.timeout_s, _MAX_PROPOSE_S)
+        outcome = self._replica.propose(command, timeout_s)
+        leader = self._leader_address()
+        if isinstance(outcome, _replica.NotLeader):
+            reply = self._forward("Propose", request, context)
+            if reply is not None:
+                return reply  # type: ignore[no-any-return]
+            return state_pb2.ProposeReply(
+                leader_address=outcome.leader_address,
+                refusal=state_pb2.StateRefusal(
+                    kind=core.ErrorKind.QUORUM_UNAVAILABLE.value,
+                    reason="this voter knows no leader that can be reached",
+                ),
+            )
+        reply = state_pb2.ProposeReply(leader_address=leader)
+        if isinstance(outcome, core.Refusal):
+            reply.refusal.kind = outcome.kind.value
+            reply.refusal.reason = outcome.reason
+        else:
+            _codec.fill_result(outcome, reply.result)
+        return reply
+
+    def _renew(
+        self, request: state_pb2.RenewRequest, context: grpc.ServicerContext
+    ) -> state_pb2.RenewReply:
+        arrived_s = self._clock.now()
+        left_s = context.time_remaining()
+        timeout_s = min(_CONFIRM_TIMEOUT_S, left_s or _CONFIRM_TIMEOUT_S)
+        if not self._replica.confirm_leadership(timeout_s):
+            reply = self._forward("Renew", request, context)
+            if reply is not None:
+                return reply  # type: ignore[no-any-return]
+            return state_pb2.RenewReply(
+                leader_address=self._leader_address(),
+                refusal=state_pb2.StateRefusal(
+                    kind=core.ErrorKind.QUORUM_UNAVAILABLE.value,
+                    reason="no leader is confirmed by a quorum",
+                ),
+            )
+        # The lease is noted before the view is read: a revision that was
+        # reported as in effect everywhere is then in this reply.
+        self._node.holders.renew(request.instance, request.revision, arrived_s)
+        self._node.effect_event.set()
+        view = self._replica.view()
+        reply = state_pb2.RenewReply(
+            granted=True, leader_address=self._leader_address()
+        )
+        if request.revision != view.revision:
+            message = _view_codec.encode_view(view, request.rules_number)
+            reply.view.CopyFrom(message)
+        return reply
+
+    def _change_voters(
+        self,
+        request: state_pb2.ChangeVotersRequest,
+        context: grpc.ServicerContext,
+    ) -> state_pb2.ChangeVotersReply:
+        if self._leader_address() != self._replica.shared.address:
+            reply = self._forward("ChangeVoters", request, context)
+            if reply is not None:
+                return reply  # type: ignore[no-any-return]
+        add = (
+            {request.add_name: request.add_address} if request.add_name else {}
+        )
+        try:
+            reason = self._node.change_voters(
+                add, request.remove_name, request.operator, request.timeout_s
+            )
+        except _group.ChangeRefused as error:
+            return state_pb2.ChangeVotersReply(
+                reason=str(error), leader_address=self._leader_address()
+            )
+        return state_pb2.ChangeVotersReply(
+            accepted=True, reason=reason, leader_address=self._leader_address()
+        )
+
+    def _forward(
+        self, method: str, request: Any, context: grpc.ServicerContext
+    ) -> Any:
+        """Returns the leader's reply, `None` if there is none."""
+        leader = self._leader_address()
+        if request.forwarded or leader in ("", self._replica.shared.address):
+            return None
+        copy = type(request)()
+        copy.CopyFrom(request)
+        copy.forwarded = True
+        left_s = context.time_remaining()
+        timeout_s = _CONFIRM_TIMEOUT_S if left_s is None else left_s
+        reply = self._channels.call(
+            leader,
+            state_pb2_grpc.StateStub,
+            method,
+            copy,
+            timeout_s * _FORWARD_SHARE,
+        )
+        return None if isinstance(reply, _peers.Unreachable) else reply
+
+    def _leader_address(self) -> str:
+        return self._replica.shared.leader_address
+
+    def _in_slot(
+        self, context: grpc.ServicerContext, call: Callable[[], _R]
+    ) -> _R:
+        if not self._slots.acquire(blocking=False):
+            context.abort(
+                grpc.StatusCode.RESOURCE_EXHAUSTED,
+                "too many calls wait for a quorum",
+            )
+        try:
+            return call()
+        finally:
+            self._slots.release()
--- /dev/null
+++ b/libs/state/mulberry_state/_view_codec.py
@@ -0,0 +1,55 @@
+"""Views on the wire."""
+
+import mulberry_core as core
+import mulberry_rules as rules
+from mulberry_state import _parser, _versions, _view
+from mulberry_wire import state_pb2
+
+
+def encode_view(
+    view: _view.View, known_rules_number: int
+) -> state_pb2.ViewMessage:
+    """Returns the message of a view, without rules that are known."""
+    message = state_pb2.ViewMessage(
+        revision=view.revision,
+        rules_number=view.rules_number,
+        strikes_by_digest=view.strikes_by_digest,
+        voters_by_name=view.voters_by_name,
+    )
+    if view.rules_number != known_rules_number:
+        message.rules_text = view.rules_text
+    _versions.fill_verdicts(view.verdicts_by_version, message.verdicts)
+    _versions.fill_rollouts(view.rollout_steps_by_model, message.rollouts)
+    return message
+
+
+def decode_view(
+    message: state_pb2.ViewMessage,
+    known: _view.View,
+    parser: _parser.RulesParser,
+) -> _view.View:
+    """Builds a view; the rules are parsed only if their number is new.
+
+    Raises:
+        ValueError: The rules cannot be parsed by this version.
+    """
+    parsed: rules.Rules | core.Missing = known.rules
+    text = known.rules_text
+    if message.rules_number != known.rules_number:
+        text = message.rules_text
+        result = parser.parse(text)
+        if isinstance(result, tuple):
+            raise ValueError(
+                f"rules {message.rules_number} cannot be parsed: {result[0]}"
+            )
+        parsed = result
+    return _view.View(
+        revision=message.revision,
+        rules_number=message.rules_number,
+        rules=parsed,
+        rules_text=text,
+        verdicts_by_version=_versions.read_verdicts(message.verdicts),
+        rollout_steps_by_model=_versions.read_rollouts(message.rollouts),
+        strikes_by_digest=dict(message.strikes_by_digest),
+        voters_by_name=dict(message.voters_by_name),
+    )
--- /dev/null
+++ b/libs/state/mulberry_state/tests/test_node.py
@@ -0,0 +1,244 @@
+"""Voters and clients over gRPC on loopback."""
+
+import pathlib
+import threading
+import time
+from collections.abc import Callable, Iterator
+from concurrent import futures
+from typing import Any
+
+import grpc
+import pytest
+
+import mulberry_core as core
+import mulberry_rules as rules
+import mulberry_state as state
+
+_TIMING = rules.Timing(
+    lease_renew_period_s=0.1,
+    lease_term_s=1.0,
+    heartbeat_period_s=0.05,
+    election_timeout_s=0.25,
+)
+
+
+class _Deployment:
+    """Three voters with one client for each, and one instance more."""
+
+    def __init__(self, folder: pathlib.Path, parser: state.RulesParser) -> None:
+        self.folder = folder
+        self.parser = parser
+        self.clock = core.SystemClock()
+        self.server_by_name: dict[str, grpc.Server] = {}
+        self.node_by_name: dict[str, state.StateNode] = {}
+        self.address_by_name: dict[str, str] = {}
+        for name in "abc":
+            server = self._server()
+            port = server.add_insecure_port("127.0.0.1:0")
+            self.server_by_name[name] = server
+            self.address_by_name[name] = f"127.0.0.1:{port}"
+        for name in "abc":
+            self._start(name)
+        self.clients = [self.client(f"i{number}") for number in range(4)]
+
+    def client(self, instance: str) -> state.RemoteStateClient:
+        client = state.RemoteStateClient(
+            instance,
+            self.address_by_name.values(),
+            self.clock,
+            _TIMING,
+            self.parser,
+        )
+        client.start()
+        return client
+
+    def leader(self) -> state.StateNode:
+        for _ in range(1000):
+            for node in self.node_by_name.values():
+                if node.replica.confirm_leadership(0.2):
+                    return node
+            time.sleep(0.01)
+        raise AssertionError("never came: a leader")
+
+    def stop_voter(self, name: str, transfer_timeout_s: float) -> None:
+        self.server_by_name.pop(name).stop(0)
+        self.node_by_name.pop(name).stop(transfer_timeout_s)
+
+    def restart_voter(self, name: str) -> None:
+        server = self._server()
+        server.add_insecure_port(self.address_by_name[name])
+        self.server_by_name[name] = server
+        self._start(name)
+
+    def stop(self) -> None:
+        for client in self.clients:
+            client.stop()
+        for name in list(self.node_by_name):
+            self.stop_voter(name, 0.0)
+
+    def _server(self) -> grpc.Server:
+        threads = futures.ThreadPoolExecutor(state.SERVER_THREADS)
+        return grpc.server(threads, options=state.CHANNEL_OPTIONS)
+
+    def _start(self, name: str) -> None:
+        node = state.StateNode(
+            name,
+            self.address_by_name[name],
+            self.address_by_name,
+            self.folder / name,
+            self.clock,
+            _TIMING,
+            self.parser,
+        )
+        node.add_to(self.server_by_name[name])
+        self.server_by_name[name].start()
+        node.start()
+        self.node_by_name[name] = node
+
+
+@pytest.fixture
+def deployment(
+    tmp_path: pathlib.Path, parser: state.RulesParser
+) -> Iterator[_Deployment]:
+    made = _Deployment(tmp_path, parser)
+    yield made
+    made.stop()
+
+
+def _wait_for(condition: Callable[[], object], what: str) -> None:
+    end_s = time.monotonic() + 30
+    while not condition():
+        assert time.monotonic() < end_s, f"never came: {what}"
+        time.sleep(0.005)
+
+
+def _bill(number: int) -> state.RecordBill:
+    bill = state.Bill(
+        "t", f"k{number}", f"r{number}", "chat", "m", "1", 1, 1, 0.5, "d"
+    )
+    return state.RecordBill(state.new_command_id(), bill)
+
+
+def _has_rules(client: state.RemoteStateClient) -> Callable[[], bool]:
+    return lambda: client.view().rules_number == 1
+
+
+def test_rules_reach_every_instance(deployment: _Deployment) -> None:
+    """Guards against instances that work by old rules."""
+    seen: list[int] = []
+    deployment.clients[3].subscribe(lambda view: seen.append(view.revision))
+    submit = state.SubmitRules("c1", "m:1", 0, "marta")
+    assert deployment.clients[0].propose(submit, 10) == state.RulesAccepted(1)
+    for client in deployment.clients:
+        _wait_for(_has_rules(client), "the rules")
+        assert client.lease_remaining_s() > 0
+        assert set(client.view().voters_by_name) == set("abc")
+    assert seen == sorted(set(seen))
+    node = deployment.leader()
+    revision = deployment.clients[0].view().revision
+    _wait_for(lambda: node.in_effect_everywhere(revision), "in effect")
+    _wait_for(lambda: node.status().rules_in_effect_s, "the mark in the log")
+    assert node.audit()[0].who == "marta"
+    assert node.audit()[0].in_effect_s > 0
+
+
+def test_isolated_instance_delays_in_effect(deployment: _Deployment) -> None:
+    """Guards against reporting a withdrawal that one instance lacks."""
+    slow = state.RemoteStateClient(
+        "slow",
+        deployment.address_by_name.values(),
+        deployment.clock,
+        _TIMING,
+        deployment.parser,
+    )
+    node = deployment.leader()
+    _wait_for(
+        lambda: node.in_effect_everywhere(node.replica.view().revision),
+        "the end of the wait of a new leader",
+    )
+    assert slow.renew_once(5.0)
+    held = slow.view().revision
+    deployment.clients[0].propose(state.SubmitRules("c1", "m:1", 0, "o"), 10)
+    while slow.lease_remaining_s() > 0:
+        revision = node.replica.view().revision
+        still_held = slow.lease_remaining_s() > 0
+        assert not (node.in_effect_everywhere(held + 1) and still_held)
+        assert revision >= held
+    _wait_for(lambda: node.in_effect_everywhere(held + 1), "in effect")
+    slow.stop()
+
+
+def test_commands_go_on_when_the_leader_stops(
+    deployment: _Deployment,
+) -> None:
+    """Guards against a lost or repeated bill around a new leader."""
+    client = deployment.clients[0]
+    total = 60
+    results: list[Any] = []
+
+    def bill_all() -> None:
+        results.extend(
+            client.propose(_bill(number), 20) for number in range(total)
+        )
+
+    worker = threading.Thread(target=bill_all)
+    worker.start()
+    stopped = deployment.leader().status().name
+    deployment.stop_voter(stopped, 2.0)
+    worker.join()
+    assert results == [state.BillRecorded(True)] * total
+    deployment.restart_voter(stopped)
+    node = deployment.leader()
+    report = node.ledger()
+    assert report.sums[0].bills == total
+    assert not report.differences
+    _wait_for(
+        lambda: (
+            deployment.node_by_name[stopped].status().applied_index
+            >= node.status().commit_index
+        ),
+        "the restarted voter",
+    )
+    assert deployment.node_by_name[stopped].ledger().sums == report.sums
+
+
+def test_lease_ends_without_a_quorum(deployment: _Deployment) -> None:
+    """Guards against instances that trust rules nobody can confirm."""
+    client = deployment.clients[0]
+    _wait_for(lambda: client.lease_remaining_s() > 0, "a lease")
+    leader = deployment.leader().status().name
+    for name in "abc":
+        if name != leader:
+            deployment.stop_voter(name, 0.0)
+    _wait_for(lambda: client.lease_remaining_s() == 0, "the end of the lease")
+    refusal = client.propose(_bill(1), 0.5)
+    assert isinstance(refusal, core.Refusal)
+    assert refusal.kind is core.ErrorKind.QUORUM_UNAVAILABLE
+    for name in "abc":
+        if name != leader:
+            deployment.restart_voter(name)
+    _wait_for(lambda: client.lease_remaining_s() > 0, "the lease again")
+
+
+def test_reports_over_grpc(deployment: _Deployment) -> None:
+    """Guards against reports that differ from what the voters hold."""
+    client = deployment.clients[0]
+    client.propose(state.SubmitRules("c1", "m:1", 0, "marta"), 10)
+    client.propose(_bill(1), 10)
+    reader = state.StateReader(client.caller, deployment.clock)
+    node = deployment.leader()
+    ledger = reader.ledger(5)
+    assert isinstance(ledger, state.LedgerReport)
+    assert ledger.sums == node.ledger().sums
+    assert reader.audit(5, max_records=1) == node.audit()[:1]
+    assert reader.history(5) == node.history()
+    status = reader.status(5)
+    assert isinstance(status, state.NodeStatus)
+    assert status.role == "leader"
+    assert {voter.name for voter in status.voters} == set("abc")
+    refusal = reader.change_voters("", "", "zz", "marta", 5)
+    assert isinstance(refusal, core.Refusal)
+    assert refusal.reason == "there is no voter zz"
+    follower = next(n for n in "abc" if n != status.name)
+    sentence = reader.change_voters("", "", follower, "marta", 10)
+    assert sentence == f"removed voter {follower}"
