Add orders to engines under a lease, and load planning

One holder at a time gives orders. The lease is checked when libcurl asks for the body on the open connection; TCP_USER_TIMEOUT bounds how long a written order can be under way, so a new holder waits 5 s before its first order to engines that ignore fencing numbers. Orders are recorded before they are sent; a new holder reads them from a state that holds its own grant, finishes those still wanted and undoes the others. The rate of the weight store is computed from the newest order of each engine and is never too low.

--- /dev/null
+++ b/libs/control/mulberry_control/_engine_control.py
@@ -0,0 +1,218 @@
+"""Gives orders to engines over HTTP."""
+
+import abc
+import dataclasses
+import json
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import pycurl
+
+import mulberry_core as core
+from mulberry_control import _orders
+
+#: Seconds to set up a connection. The lease is checked after that.
+CONNECT_TIMEOUT_S = 2.0
+#: Bytes that the engine's machine has not acknowledged after this long are
+#: dropped by the kernel, also when this process is gone, seconds.
+UNACKNOWLEDGED_S = 3.0
+#: An order that was sent cannot arrive later than this after the check of
+#: the lease, seconds: the kernel's bound, and 2 s for an engine that reads
+#: its connections late.
+IN_FLIGHT_S = UNACKNOWLEDGED_S + 2.0
+#: Engines answer when the order is carried out; a load takes minutes.
+ANSWER_TIMEOUT_S = 600.0
+_LIST_TIMEOUT_S = 5.0
+_MAX_ANSWER_BYTES = 4_194_304
+_OK = 200
+_CONFLICT = 409
+_SERVER_ERROR = 500
+
+
+@dataclasses.dataclass(frozen=True)
+class PlacedOrder:
+    """An order that an engine says it has received."""
+
+    order: _orders.Order
+    fencing_number: int
+    #: False where its fencing number was outdated.
+    accepted: bool
+
+
+class EngineControl(abc.ABC):
+    """Gives orders to engines and asks which they have received."""
+
+    @abc.abstractmethod
+    def place(
+        self,
+        target: _orders.EngineTarget,
+        order: _orders.Order,
+        fencing_number: int,
+        may_send: Callable[[], bool],
+    ) -> _orders.OrderOutcome:
+        """Gives one order, at most once, and waits until it is carried out.
+
+        Args:
+            target: The engine.
+            order: The order.
+            fencing_number: Of the lease under which it is given.
+            may_send: Asked immediately before the order is written to an
+                open connection; if it returns false, nothing is written.
+        """
+
+    @abc.abstractmethod
+    def list(
+        self, target: _orders.EngineTarget
+    ) -> tuple[PlacedOrder, ...] | core.Refusal:
+        """Returns the orders that the engine has received, oldest first."""
+
+
+class HttpEngineControl(EngineControl):
+    """Speaks `/control/orders` of the engines."""
+
+    def place(
+        self,
+        target: _orders.EngineTarget,
+        order: _orders.Order,
+        fencing_number: int,
+        may_send: Callable[[], bool],
+    ) -> _orders.OrderOutcome:
+        """Posts the order on a fresh connection."""
+        body = _Body(_encode(order, fencing_number), may_send)
+        curl = _new_curl(target, ANSWER_TIMEOUT_S)
+        try:
+            curl.setopt(pycurl.POST, 1)
+            curl.setopt(pycurl.POSTFIELDSIZE, body.size)
+            curl.setopt(pycurl.READFUNCTION, body.read)
+            curl.setopt(
+                pycurl.HTTPHEADER, ["Content-Type: application/json", "Expect:"]
+            )
+            curl.setopt(pycurl.WRITEFUNCTION, lambda _: None)
+            curl.perform()
+            status = int(curl.getinfo(pycurl.RESPONSE_CODE))
+        except pycurl.error:
+            if body.sent:
+                return _orders.OrderOutcome.UNKNOWN
+            return _orders.OrderOutcome.NOT_SENT
+        finally:
+            curl.close()
+        return _outcome(status)
+
+    def list(
+        self, target: _orders.EngineTarget
+    ) -> tuple[PlacedOrder, ...] | core.Refusal:
+        """Gets the orders that the engine has received."""
+        answer = bytearray()
+
+        def take(data: bytes) -> int:
+            answer.extend(data)
+            # Any other number than that of the bytes ends the transfer.
+            return len(data) if len(answer) <= _MAX_ANSWER_BYTES else 0
+
+        curl = _new_curl(target, _LIST_TIMEOUT_S)
+        try:
+            curl.setopt(pycurl.WRITEFUNCTION, take)
+            curl.perform()
+            status = int(curl.getinfo(pycurl.RESPONSE_CODE))
+        except pycurl.error as error:
+            return _refusal(f"{target.name} cannot be asked: {error}")
+        finally:
+            curl.close()
+        if status != _OK:
+            return _refusal(f"{target.name} answered with status {status}")
+        return _decode_list(bytes(answer), target.name)
+
+
+class _Body:
+    """Supplies the body; libcurl asks for it when the connection is open."""
+
+    def __init__(self, data: bytes, may_send: Callable[[], bool]) -> None:
+        self._left = data
+        self._may_send = may_send
+        self.size = len(data)
+        self.sent = False
+
+    def read(self, size: int) -> bytes | int:
+        if not self.sent and not self._may_send():
+            return pycurl.READFUNC_ABORT
+        self.sent = True
+        part, self._left = self._left[:size], self._left[size:]
+        return part
+
+
+def _new_curl(target: _orders.EngineTarget, timeout_s: float) -> pycurl.Curl:
+    curl = pycurl.Curl()
+    curl.setopt(pycurl.URL, f"{target.address}/control/orders")
+    curl.setopt(pycurl.NOSIGNAL, 1)
+    curl.setopt(pycurl.NOPROXY, "*")
+    curl.setopt(pycurl.FOLLOWLOCATION, 0)
+    # libcurl sends again by itself when a kept connection closes.
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+    curl.setopt(pycurl.FORBID_REUSE, 1)
+    curl.setopt(pycurl.CONNECTTIMEOUT_MS, int(CONNECT_TIMEOUT_S * 1000))
+    curl.setopt(pycurl.TIMEOUT_MS, int(timeout_s * 1000))
+    curl.setopt(pycurl.SOCKOPTFUNCTION, _set_user_timeout)
+    return curl
+
+
+def _set_user_timeout(descriptor: int, _purpose: int) -> int:
+    with socket.socket(fileno=descriptor) as opened:
+        opened.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            int(UNACKNOWLEDGED_S * 1000),
+        )
+        # The descriptor belongs to libcurl and must stay open.
+        opened.detach()
+    return int(pycurl.SOCKOPT_OK)
+
+
+def _encode(order: _orders.Order, fencing_number: int) -> bytes:
+    return json.dumps(
+        {
+            "order": order.kind.value,
+            "model": order.model,
+            "version": order.version,
+            "fencing_number": fencing_number,
+            "order_id": order.order_id,
+        }
+    ).encode()
+
+
+def _outcome(status: int) -> _orders.OrderOutcome:
+    if status == _OK:
+        return _orders.OrderOutcome.DONE
+    if status == _CONFLICT:
+        return _orders.OrderOutcome.OUTDATED
+    if status >= _SERVER_ERROR:
+        return _orders.OrderOutcome.UNKNOWN
+    return _orders.OrderOutcome.REJECTED
+
+
+def _decode_list(
+    data: bytes, name: str
+) -> tuple[PlacedOrder, ...] | core.Refusal:
+    try:
+        return tuple(_decode_placed(item) for item in json.loads(data))
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        return _refusal(f"{name} answered with an unreadable list: {error!r}")
+
+
+def _decode_placed(item: dict[str, Any]) -> PlacedOrder:
+    return PlacedOrder(
+        order=_orders.Order(
+            kind=_orders.OrderKind(item["order"]),
+            model=str(item["model"]),
+            version=str(item["version"]),
+            order_id=str(item.get("order_id", "")),
+        ),
+        fencing_number=int(item["fencing_number"]),
+        accepted=bool(item.get("accepted", True)),
+    )
+
+
+def _refusal(reason: str) -> core.Refusal:
+    return core.Refusal(
+        core.ErrorKind.UPSTREAM_FAILED, core.RunState.NOT_RUN, reason
+    )
--- /dev/null
+++ b/libs/control/mulberry_control/_executor.py
@@ -0,0 +1,358 @@
+"""Gives orders to engines: one holder at a time, no order out of turn."""
+
+import dataclasses
+import threading
+import uuid
+from collections.abc import Callable, Mapping
+
+from absl import logging
+
+import mulberry_core as core
+import mulberry_state as state
+from mulberry_control import (
+    _engine_control,
+    _journal,
+    _lease,
+    _orders,
+)
+
+#: Difference between the time of day of two instances, at most, seconds.
+MAX_CLOCK_SKEW_S = 5.0
+#: Wait for the record of an order, seconds.
+_RECORD_TIMEOUT_S = 2.0
+
+#: Whether a half-done order of an earlier holder is still wanted.
+Wants = Callable[[_orders.EngineTarget, _orders.Order], bool]
+
+
+@dataclasses.dataclass(frozen=True)
+class WeightRate:
+    """What the weight store can serve, over all holders."""
+
+    #: Loads in one window.
+    loads: int = 4
+    #: Length of the window, seconds.
+    window_s: float = 60.0
+
+
+@dataclasses.dataclass(frozen=True)
+class _Known:
+    """The newest order of an engine, by local time."""
+
+    order: _orders.Order
+    is_open: bool
+    #: Not before the order was recorded last, seconds.
+    at_s: float
+
+
+class OrderExecutor:
+    """Gives orders under a lease; what cannot be given now is refused.
+
+    Each refusal says after how long to try again; nothing here sleeps.
+    `execute` may be called from several threads, one for each engine, as a
+    load takes minutes; `prepare` and `recover` from one.
+    """
+
+    def __init__(
+        self,
+        lease: _lease.ControlLease,
+        client: state.StateClient,
+        journal: _journal.OrderJournal,
+        control: _engine_control.EngineControl,
+        clock: core.Clock,
+        counters: core.Counters,
+        rate: WeightRate,
+    ) -> None:
+        self._lease = lease
+        self._client = client
+        self._journal = journal
+        self._control = control
+        self._clock = clock
+        self._counters = counters
+        self._rate = rate
+        self._lock = threading.RLock()
+        self._journal_number = 0
+        self._known_by_upstream: dict[str, _Known] = {}
+        #: Local time until which an order without an answer may still
+        #: arrive, by engine.
+        self._uncertain_until_s: dict[str, float] = {}
+        #: Engines with an order that this process is placing now.
+        self._running: set[str] = set()
+
+    def prepare(self) -> _lease.HeldLease | core.Refusal:
+        """Acquires or renews the lease, and reads the orders given so far."""
+        held = self._lease.renew()
+        if isinstance(held, core.Refusal):
+            return held
+        if held.fencing_number != self._journal_number:
+            recorded = self._journal.orders(
+                self._lease.name, held.fencing_number
+            )
+            if isinstance(recorded, core.Refusal):
+                return recorded
+            self._take_over(held, recorded)
+        return held
+
+    def half_done(self) -> Mapping[str, _orders.Order]:
+        """Returns the orders whose end is not recorded, by engine."""
+        with self._lock:
+            return {
+                name: known.order
+                for name, known in self._known_by_upstream.items()
+                if known.is_open and name not in self._running
+            }
+
+    def recover(
+        self, targets_by_name: Mapping[str, _orders.EngineTarget], wants: Wants
+    ) -> Mapping[str, _orders.OrderOutcome | core.Refusal]:
+        """Finishes the half-done orders that are wanted and undoes others.
+
+        Returns:
+            What became of each, by engine.
+        """
+        outcomes: dict[str, _orders.OrderOutcome | core.Refusal] = {}
+        for name, order in self.half_done().items():
+            target = targets_by_name.get(name)
+            if target is None:
+                # It has crashed or left; a new process has loaded nothing.
+                outcomes[name] = self._close(
+                    name, order, state.OrderState.FAILED, self._journal_number
+                )
+                continue
+            outcomes[name] = self._recover_one(target, order, wants)
+        return outcomes
+
+    def execute(
+        self, target: _orders.EngineTarget, order: _orders.Order
+    ) -> _orders.OrderOutcome | core.Refusal:
+        """Gives one order, or says why it cannot be given now."""
+        with self._lock:
+            known = self._known_by_upstream.get(target.name)
+            if known is not None and known.is_open:
+                return _wait(f"an order to {target.name} is half done", 1.0)
+            begun = self._begin(target, order)
+        return self._give(target, order, begun)
+
+    def _recover_one(
+        self,
+        target: _orders.EngineTarget,
+        order: _orders.Order,
+        wants: Wants,
+    ) -> _orders.OrderOutcome | core.Refusal:
+        wanted = wants(target, order)
+        is_loaded = (order.model, order.version) in target.versions
+        if wanted and is_loaded and order.kind is _orders.OrderKind.LOAD:
+            return self._close(
+                target.name,
+                order,
+                state.OrderState.DONE,
+                self._journal_number,
+            )
+        chosen: _orders.Order | core.Missing = core.Missing.UNSET
+        if not wanted:
+            chosen = _orders.inverse(order, new_order_id())
+        if isinstance(chosen, core.Missing):
+            chosen = dataclasses.replace(order, order_id=new_order_id())
+        with self._lock:
+            begun = self._begin(target, chosen)
+        return self._give(target, chosen, begun)
+
+    def _begin(
+        self, target: _orders.EngineTarget, order: _orders.Order
+    ) -> int | core.Refusal:
+        """Checks whether the order may be given; called with the lock held.
+
+        Returns:
+            The fencing number to give it under.
+        """
+        held = self._lease.held()
+        if isinstance(held, core.Missing):
+            return _lease.lease_lost("the lease is not held")
+        if held.fencing_number != self._journal_number:
+            return _lease.lease_lost("the recorded orders are not read yet")
+        refusal = self._refuse_for_now(target, order, held)
+        if refusal is not None:
+            return refusal
+        self._note(target.name, order, is_open=True)
+        self._running.add(target.name)
+        return held.fencing_number
+
+    def _give(
+        self,
+        target: _orders.EngineTarget,
+        order: _orders.Order,
+        number: int | core.Refusal,
+    ) -> _orders.OrderOutcome | core.Refusal:
+        if isinstance(number, core.Refusal):
+            return number
+        try:
+            begun = self._record(
+                target.name, order, state.OrderState.BEGUN, number
+            )
+            if isinstance(begun, core.Refusal):
+                return begun
+            outcome = self._control.place(
+                target, order, number, lambda: self._lease.may_send(number)
+            )
+            return self._conclude(target, order, outcome, number)
+        finally:
+            with self._lock:
+                self._running.discard(target.name)
+
+    def _conclude(
+        self,
+        target: _orders.EngineTarget,
+        order: _orders.Order,
+        outcome: _orders.OrderOutcome,
+        number: int,
+    ) -> _orders.OrderOutcome:
+        self._counters.increment(f"control.orders.{outcome.value}")
+        logging.info(
+            "order %s to %s: %s",
+            _orders.encode_order(order),
+            target.name,
+            outcome.value,
+        )
+        if outcome is _orders.OrderOutcome.UNKNOWN:
+            with self._lock:
+                self._uncertain_until_s[target.name] = (
+                    self._clock.now() + _engine_control.IN_FLIGHT_S
+                )
+            return outcome
+        done = outcome is _orders.OrderOutcome.DONE
+        self._close(
+            target.name,
+            order,
+            state.OrderState.DONE if done else state.OrderState.FAILED,
+            number,
+        )
+        if outcome is _orders.OrderOutcome.OUTDATED:
+            self._lease.drop()
+        return outcome
+
+    def _refuse_for_now(
+        self,
+        target: _orders.EngineTarget,
+        order: _orders.Order,
+        held: _lease.HeldLease,
+    ) -> core.Refusal | None:
+        now_s = self._clock.now()
+        with self._lock:
+            quiet_s = self._uncertain_until_s.get(target.name, now_s)
+        if not target.checks_fencing and held.fencing_number > 1:
+            # The holder before checked its lease, which ended before this
+            # one was granted, immediately before each order.
+            quiet_s = max(quiet_s, held.granted_s + _engine_control.IN_FLIGHT_S)
+        if quiet_s > now_s:
+            return _wait(
+                f"earlier orders to {target.name} may still arrive",
+                quiet_s - now_s,
+            )
+        if order.kind is _orders.OrderKind.LOAD:
+            return self._refuse_load(target.name, now_s)
+        return None
+
+    def _refuse_load(self, name: str, now_s: float) -> core.Refusal | None:
+        """Applies the rate of the weight store.
+
+        Only the newest order of each engine is recorded. Each recent one
+        counts as a load, and an engine gets no second load in a window, so
+        the count is never too low, whoever gave the orders.
+        """
+        with self._lock:
+            recent = {
+                upstream: known.at_s + self._rate.window_s - now_s
+                for upstream, known in self._known_by_upstream.items()
+                if known.at_s + self._rate.window_s > now_s
+            }
+        if name in recent:
+            return _wait(
+                f"{name} had an order within the rate window", recent[name]
+            )
+        if len(recent) >= self._rate.loads:
+            return _wait(
+                "the weight store's rate is used up",
+                sorted(recent.values())[len(recent) - self._rate.loads],
+            )
+        return None
+
+    def _take_over(
+        self,
+        held: _lease.HeldLease,
+        recorded: tuple[_journal.RecordedOrder, ...],
+    ) -> None:
+        now_s, wall_s = self._clock.now(), self._clock.wall()
+        with self._lock:
+            self._known_by_upstream = {
+                item.upstream: _Known(
+                    order=item.order,
+                    is_open=item.state is state.OrderState.BEGUN,
+                    at_s=now_s
+                    - max(0.0, wall_s - item.wall_s - MAX_CLOCK_SKEW_S),
+                )
+                for item in recorded
+            }
+            self._journal_number = held.fencing_number
+        logging.info(
+            "holds lease %s with fencing number %d; %d orders are half done",
+            self._lease.name,
+            held.fencing_number,
+            len(self.half_done()),
+        )
+
+    def _close(
+        self,
+        name: str,
+        order: _orders.Order,
+        end: state.OrderState,
+        number: int,
+    ) -> _orders.OrderOutcome | core.Refusal:
+        """Records the end of an order; without the record it stays open."""
+        recorded = self._record(name, order, end, number)
+        if isinstance(recorded, core.Refusal):
+            return recorded
+        self._note(name, order, is_open=False)
+        if end is state.OrderState.DONE:
+            return _orders.OrderOutcome.DONE
+        return _orders.OrderOutcome.REJECTED
+
+    def _record(
+        self,
+        name: str,
+        order: _orders.Order,
+        progress: state.OrderState,
+        number: int,
+    ) -> state.OrderRecorded | core.Refusal:
+        result = self._client.propose(
+            state.RecordOrder(
+                command_id=uuid.uuid4().hex,
+                lease_name=self._lease.name,
+                fencing_number=number,
+                upstream=name,
+                order=_orders.encode_order(order),
+                state=progress,
+            ),
+            _RECORD_TIMEOUT_S,
+        )
+        if isinstance(result, core.Refusal | state.OrderRecorded):
+            return result
+        if number == self._journal_number:
+            self._lease.drop()
+        return _lease.lease_lost("another instance was granted the lease")
+
+    def _note(self, name: str, order: _orders.Order, is_open: bool) -> None:
+        with self._lock:
+            self._known_by_upstream[name] = _Known(
+                order, is_open, self._clock.now()
+            )
+
+
+def new_order_id() -> str:
+    """Returns an id that no other order has."""
+    return uuid.uuid4().hex
+
+
+def _wait(reason: str, seconds: float) -> core.Refusal:
+    return core.Refusal(
+        core.ErrorKind.LIMIT_EXCEEDED, core.RunState.NOT_RUN, reason, seconds
+    )
--- /dev/null
+++ b/libs/control/mulberry_control/_lease.py
@@ -0,0 +1,121 @@
+"""The lease under which orders are given."""
+
+import dataclasses
+import threading
+import uuid
+
+import mulberry_core as core
+import mulberry_state as state
+
+#: Share by which the clocks of two machines may drift.
+MAX_DRIFT = 0.01
+
+
+@dataclasses.dataclass(frozen=True)
+class HeldLease:
+    """A lease as its holder knows it."""
+
+    fencing_number: int
+    #: Local time up to which the holder may rely on it, seconds.
+    expires_s: float
+    #: Local time at which this fencing number was first known here, seconds.
+    granted_s: float
+
+
+class ControlLease:
+    """Acquires, renews and checks one named lease; thread-safe."""
+
+    def __init__(
+        self,
+        client: state.StateClient,
+        clock: core.Clock,
+        name: str,
+        holder: str,
+        duration_s: float = 10.0,
+    ) -> None:
+        """Creates a lease that is not held.
+
+        Args:
+            client: Access to the replicated state.
+            clock: CLOCK_BOOTTIME: a lease ends also while the machine
+                sleeps.
+            name: Name of the lease.
+            holder: Unique for each process, not only for each instance:
+                orders of an earlier process may still be on their way.
+            duration_s: Term of the lease.
+        """
+        self._client = client
+        self._clock = clock
+        self._name = name
+        self._holder = holder
+        self._duration_s = duration_s
+        self._lock = threading.Lock()
+        self._held: HeldLease | core.Missing = core.Missing.UNSET
+
+    @property
+    def name(self) -> str:
+        """Name of the lease."""
+        return self._name
+
+    def renew(self) -> HeldLease | core.Refusal:
+        """Acquires or renews the lease."""
+        # The term counts from before the request: the state grants it later.
+        sent_s = self._clock.now()
+        result = self._client.propose(
+            state.AcquireLease(
+                uuid.uuid4().hex, self._name, self._holder, self._duration_s
+            ),
+            self._duration_s / 2,
+        )
+        if isinstance(result, core.Refusal):
+            return result
+        if not isinstance(result, state.LeaseGranted):
+            self.drop()
+            return lease_lost(f"lease {self._name} is held by another")
+        return self._take(result.fencing_number, sent_s)
+
+    def held(self) -> HeldLease | core.Missing:
+        """Returns the lease if it can be relied on now."""
+        with self._lock:
+            held = self._held
+        if isinstance(held, core.Missing):
+            return held
+        if self._clock.now() >= held.expires_s:
+            return core.Missing.UNSET
+        return held
+
+    def may_send(self, fencing_number: int) -> bool:
+        """Whether an order with this number may be written now."""
+        held = self.held()
+        return (
+            not isinstance(held, core.Missing)
+            and held.fencing_number == fencing_number
+        )
+
+    def drop(self) -> None:
+        """Stops to rely on the lease."""
+        with self._lock:
+            self._held = core.Missing.UNSET
+
+    def _take(self, fencing_number: int, sent_s: float) -> HeldLease:
+        granted_s = self._clock.now()
+        with self._lock:
+            held = self._held
+            if (
+                not isinstance(held, core.Missing)
+                and held.fencing_number == fencing_number
+            ):
+                granted_s = held.granted_s
+            self._held = HeldLease(
+                fencing_number=fencing_number,
+                expires_s=sent_s + self._duration_s * (1 - MAX_DRIFT),
+                granted_s=granted_s,
+            )
+            return self._held
+
+
+def lease_lost(reason: str) -> core.Refusal:
+    """Returns the refusal of an order without a lease."""
+    return core.Refusal(
+        core.ErrorKind.LEASE_LOST, core.RunState.NOT_RUN, reason
+    )
--- /dev/null
+++ b/libs/control/mulberry_control/_planner.py
@@ -0,0 +1,261 @@
+"""Decides which version to load where; plain data in, orders out."""
+
+import abc
+import dataclasses
+from collections.abc import Mapping, Sequence
+
+from mulberry_control import _orders
+
+Pair = tuple[str, str]
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineState:
+    """One engine as the planner sees it."""
+
+    name: str
+    #: Loaded (model, version) pairs.
+    versions: frozenset[Pair]
+    #: Requests that it can run at once.
+    capacity: int
+    #: Most pairs that fit its memory.
+    max_versions: int
+    #: A leaving engine, or one with an order under way, gets no orders.
+    available: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class PoolDemand:
+    """Demand for one (model, version) pair."""
+
+    #: Requests that run or wait, averaged over some seconds.
+    requests: float
+    #: Whether the rules still allow new work for the pair.
+    live: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class PlannedOrder:
+    """An order for an engine."""
+
+    engine: str
+    kind: _orders.OrderKind
+    model: str
+    version: str
+    reason: str
+
+
+class LoadPlanner(abc.ABC):
+    """Plans orders; it is told the time and remembers what it has seen."""
+
+    @abc.abstractmethod
+    def plan(
+        self,
+        engines: Sequence[EngineState],
+        demand_by_pair: Mapping[Pair, PoolDemand],
+        max_loads: int,
+        now_s: float,
+    ) -> tuple[PlannedOrder, ...]:
+        """Returns the orders to give now, the most urgent first.
+
+        Args:
+            engines: All engines.
+            demand_by_pair: Demand; pairs without an entry have none.
+            max_loads: Loads that the weight store can serve now.
+            now_s: Local time, seconds.
+        """
+
+
+def capacity_of(engines: Sequence[EngineState], pair: Pair) -> float:
+    """Returns the requests that the engines can run at once for a pair.
+
+    An engine's capacity counts in equal parts for what it has loaded.
+    """
+    return sum(
+        engine.capacity / len(engine.versions)
+        for engine in engines
+        if pair in engine.versions
+    )
+
+
+class ThresholdLoadPlanner(LoadPlanner):
+    """Baseline: loads as soon as demand exceeds capacity."""
+
+    def plan(
+        self,
+        engines: Sequence[EngineState],
+        demand_by_pair: Mapping[Pair, PoolDemand],
+        max_loads: int,
+        now_s: float,
+    ) -> tuple[PlannedOrder, ...]:
+        """Loads each short pair on the engine with most free memory."""
+        orders: list[PlannedOrder] = []
+        used: set[str] = set()
+        for pair, demand in sorted(demand_by_pair.items()):
+            if len(used) >= max_loads:
+                break
+            short = demand.requests > capacity_of(engines, pair)
+            free = [
+                engine
+                for engine in engines
+                if engine.available
+                and engine.name not in used
+                and pair not in engine.versions
+            ]
+            if not short or not demand.live or not free:
+                continue
+            chosen = min(free, key=lambda item: len(item.versions))
+            used.add(chosen.name)
+            orders += _replace(chosen, pair, min(chosen.versions, default=None))
+        return tuple(orders)
+
+
+@dataclasses.dataclass(frozen=True)
+class Hysteresis:
+    """Bounds that keep engines from changing back and forth."""
+
+    #: Demand over capacity above which a pair is short.
+    short_share: float = 0.9
+    #: Demand over remaining capacity up to which a pair gives an engine away.
+    spare_share: float = 0.6
+    #: A shortage must last this long, seconds: shorter ones end before a load
+    #: of minutes helps.
+    short_for_s: float = 15.0
+    #: An engine keeps what it loaded for at least this long, seconds.
+    keep_s: float = 300.0
+
+
+DEFAULT_HYSTERESIS = Hysteresis()
+
+
+class HysteresisLoadPlanner(LoadPlanner):
+    """Loads for lasting shortages, from pairs that stay well below theirs.
+
+    A live pair with demand that no engine has loaded is served at once.
+    """
+
+    def __init__(self, bounds: Hysteresis = DEFAULT_HYSTERESIS) -> None:
+        self._bounds = bounds
+        self._short_since_s: dict[Pair, float] = {}
+        self._changed_s: dict[str, float] = {}
+
+    def plan(
+        self,
+        engines: Sequence[EngineState],
+        demand_by_pair: Mapping[Pair, PoolDemand],
+        max_loads: int,
+        now_s: float,
+    ) -> tuple[PlannedOrder, ...]:
+        """Returns orders for the pairs with the largest shortage first."""
+        self._forget_gone(engines)
+        orders: list[PlannedOrder] = []
+        remaining = {engine.name: engine for engine in engines}
+        for pair in self._short_pairs(engines, demand_by_pair, now_s):
+            if max_loads <= 0:
+                break
+            planned = self._load(
+                pair, list(remaining.values()), demand_by_pair, now_s
+            )
+            if not planned:
+                continue
+            name = planned[0].engine
+            self._changed_s[name] = now_s
+            self._short_since_s.pop(pair, None)
+            del remaining[name]
+            orders += planned
+            max_loads -= 1
+        return tuple(orders)
+
+    def _short_pairs(
+        self,
+        engines: Sequence[EngineState],
+        demand_by_pair: Mapping[Pair, PoolDemand],
+        now_s: float,
+    ) -> list[Pair]:
+        shortage_by_pair: dict[Pair, float] = {}
+        for pair, demand in demand_by_pair.items():
+            capacity = capacity_of(engines, pair)
+            short = (
+                demand.live
+                and demand.requests > capacity * self._bounds.short_share
+            )
+            if not short:
+                self._short_since_s.pop(pair, None)
+                continue
+            since_s = self._short_since_s.setdefault(pair, now_s)
+            if not capacity or now_s - since_s >= self._bounds.short_for_s:
+                shortage_by_pair[pair] = demand.requests - capacity
+        for pair in set(self._short_since_s) - set(demand_by_pair):
+            del self._short_since_s[pair]
+        return sorted(
+            shortage_by_pair, key=lambda pair: (-shortage_by_pair[pair], pair)
+        )
+
+    def _load(
+        self,
+        pair: Pair,
+        engines: Sequence[EngineState],
+        demand_by_pair: Mapping[Pair, PoolDemand],
+        now_s: float,
+    ) -> list[PlannedOrder]:
+        candidates: list[tuple[float, str, EngineState, Pair | None]] = []
+        for engine in engines:
+            changed_s = self._changed_s.get(engine.name, float("-inf"))
+            kept = now_s - changed_s >= self._bounds.keep_s
+            if not engine.available or not kept or pair in engine.versions:
+                continue
+            if len(engine.versions) < engine.max_versions:
+                candidates.append((0.0, engine.name, engine, None))
+                continue
+            for victim in engine.versions:
+                share = _share_without(engine, victim, engines, demand_by_pair)
+                if share <= self._bounds.spare_share:
+                    candidates.append((share, engine.name, engine, victim))
+        if not candidates:
+            return []
+        _, _, chosen, dropped = min(candidates, key=lambda item: item[:2])
+        return _replace(chosen, pair, dropped)
+
+    def _forget_gone(self, engines: Sequence[EngineState]) -> None:
+        names = {engine.name for engine in engines}
+        for name in set(self._changed_s) - names:
+            del self._changed_s[name]
+
+
+def _share_without(
+    engine: EngineState,
+    victim: Pair,
+    engines: Sequence[EngineState],
+    demand_by_pair: Mapping[Pair, PoolDemand],
+) -> float:
+    """Returns demand over capacity of a pair if one engine drops it."""
+    demand = demand_by_pair.get(victim)
+    if demand is None or not demand.live or not demand.requests:
+        return 0.0
+    others = [other for other in engines if other.name != engine.name]
+    capacity = capacity_of(others, victim)
+    return demand.requests / capacity if capacity else float("inf")
+
+
+def _replace(
+    engine: EngineState, pair: Pair, victim: Pair | None
+) -> list[PlannedOrder]:
+    orders = []
+    if victim is not None and len(engine.versions) >= engine.max_versions:
+        orders.append(
+            PlannedOrder(
+                engine.name,
+                _orders.OrderKind.UNLOAD,
+                *victim,
+                reason=f"makes room for {pair[0]} {pair[1]}",
+            )
+        )
+    orders.append(
+        PlannedOrder(
+            engine.name,
+            _orders.OrderKind.LOAD,
+            *pair,
+            reason=f"demand for {pair[0]} {pair[1]} exceeds its capacity",
+        )
+    )
+    return orders
--- /dev/null
+++ b/libs/control/mulberry_control/tests/test_engine_control.py
@@ -0,0 +1,116 @@
+"""Tests of orders over HTTP against the stand-in engine."""
+
+import socket
+from collections.abc import Iterator
+
+import pytest
+
+import mulberry_control as control
+import mulberry_core as core
+import mulberry_standins as standins
+
+OUTCOME = control.OrderOutcome
+LOAD = control.Order(control.OrderKind.LOAD, "cedro", "2", "order-1")
+
+
+def _target(address: str) -> control.EngineTarget:
+    return control.EngineTarget("engine", address, True, frozenset())
+
+
+@pytest.fixture(name="address")
+def _address() -> Iterator[str]:
+    engine = standins.create(
+        standins.Options(
+            "engine",
+            serves=(("cedro", "1"),),
+            load_s=0.0,
+            checks_fencing=True,
+        )
+    )
+    engine.start()
+    yield engine.address
+    engine.stop()
+
+
+def test_order_arrives_whole(address: str) -> None:
+    """Guards against fields that the engine does not get."""
+    engine = control.HttpEngineControl()
+    outcome = engine.place(_target(address), LOAD, 7, lambda: True)
+    assert outcome is OUTCOME.DONE
+    assert engine.list(_target(address)) == (
+        control.PlacedOrder(LOAD, 7, True),
+    )
+
+
+def test_nothing_is_sent_without_the_lease(address: str) -> None:
+    """Guards against an order sent although the lease has ended."""
+    engine = control.HttpEngineControl()
+    outcome = engine.place(_target(address), LOAD, 7, lambda: False)
+    assert outcome is OUTCOME.NOT_SENT
+    assert engine.list(_target(address)) == ()
+
+
+def test_lease_is_asked_once_the_connection_is_open() -> None:
+    """Guards against a check that a slow connection makes outdated."""
+    asked: list[bool] = []
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port = listener.getsockname()[1]
+
+    def may_send() -> bool:
+        asked.append(True)
+        return True
+
+    engine = control.HttpEngineControl()
+    outcome = engine.place(
+        _target(f"http://127.0.0.1:{port}"), LOAD, 7, may_send
+    )
+    assert outcome is OUTCOME.NOT_SENT
+    assert asked == []
+
+
+def test_outdated_and_malformed_orders(address: str) -> None:
+    """Guards against a rejection that is taken for success."""
+    engine = control.HttpEngineControl()
+    target = _target(address)
+    assert engine.place(target, LOAD, 7, lambda: True) is OUTCOME.DONE
+    assert engine.place(target, LOAD, 6, lambda: True) is OUTCOME.OUTDATED
+    role = control.Order(control.OrderKind.CHANGE_ROLE, "cedro", "r", "o")
+    # The stand-in knows no roles.
+    assert engine.place(target, role, 7, lambda: True) is OUTCOME.REJECTED
+
+
+def test_closed_connection_leaves_the_outcome_unknown() -> None:
+    """Guards against an order sent twice after a lost answer."""
+    import threading
+
+    connections: list[bytes] = []
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def serve() -> None:
+            accepted, _ = listener.accept()
+            with accepted:
+                connections.append(accepted.recv(65_536))
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+        port = listener.getsockname()[1]
+        engine = control.HttpEngineControl()
+        outcome = engine.place(
+            _target(f"http://127.0.0.1:{port}"), LOAD, 7, lambda: True
+        )
+        thread.join()
+        listener.settimeout(0.2)
+        with pytest.raises(TimeoutError):
+            listener.accept()
+    assert outcome is OUTCOME.UNKNOWN
+    assert len(connections) == 1
+
+
+def test_unreachable_engine_cannot_be_listed() -> None:
+    """Guards against an exception instead of a refusal."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port = listener.getsockname()[1]
+    answer = control.HttpEngineControl().list(
+        _target(f"http://127.0.0.1:{port}")
+    )
+    assert isinstance(answer, core.Refusal)
