--- a/libs/decisions/mulberry_decisions/_evidence.py
+++ b/libs/decisions/mulberry_decisions/_evidence.py
@@ -1,12 +1,14 @@
 """Counts of runs by version, over time and over instances."""
 
+import bisect
 import dataclasses
+from collections.abc import Iterable, Sequence
 
 import mulberry_core as core
 from mulberry_decisions import _judge, _work
 
 #: Length of a time span, seconds.
-SPAN_S = 10.0
+SPAN_S = 2.0
 #: Newest spans whose starts are all kept; of older ones the number halves
 #: with each doubling of the age.
 _NEWEST_KEPT = 6
@@ -74,7 +76,9 @@
         before = self._before.setdefault(key, {})
         if span not in before:
             before[span] = counts
-            self._thin(before, span)
+            kept = set(_thinned(before, span))
+            for old in [each for each in before if each not in kept]:
+                del before[old]
         self._now[key] = add(counts, self._one(observation))
 
     def export(self) -> _judge.Evidence:
@@ -115,20 +119,22 @@
             1, int(failed), int(rated), int(low), int(timed), int(slow)
         )
 
-    def _thin(
-        self, before: dict[int, _judge.EvidenceCounts], newest: int
-    ) -> None:
-        """Keeps the newest starts and one for each doubling of the age.
 
-        What is kept depends on time only. Choosing by outcome would break
-        the bound on false alarms.
-        """
-        kept_class: set[int] = set()
-        for span in sorted(before)[:-_NEWEST_KEPT]:
-            age_class = (newest - span).bit_length()
-            if age_class in kept_class:
-                del before[span]
-            kept_class.add(age_class)
+def _thinned(spans: Iterable[int], newest: int) -> list[int]:
+    """Keeps the newest starts and one for each doubling of the age.
+
+    What is kept depends on time only. Choosing by outcome would break the
+    bound on false alarms.
+    """
+    ordered = sorted(spans)
+    kept = ordered[-_NEWEST_KEPT:]
+    age_classes: set[int] = set()
+    for span in ordered[:-_NEWEST_KEPT]:
+        age_class = (newest - span).bit_length()
+        if age_class not in age_classes:
+            kept.append(span)
+        age_classes.add(age_class)
+    return sorted(kept)
 
 
 class AllEvidence:
@@ -161,33 +167,41 @@
         return {key for known in self._by_instance.values() for key in known}
 
     def starts(self, key: _judge.EvidenceKey) -> list[int]:
-        """Returns the spans from which evidence can be counted."""
-        return sorted(
-            {
-                span
-                for series in self._series(key)
-                for span in series.before_by_span
-            }
-        )
+        """Returns the spans from which evidence is counted."""
+        spans = {
+            span
+            for series in self._series(key)
+            for span in series.before_by_span
+        }
+        return _thinned(spans, max(spans, default=0))
 
-    def total(self, key: _judge.EvidenceKey) -> _judge.EvidenceCounts:
-        """Returns the counts of the whole epoch."""
+    def total(
+        self, keys: Iterable[_judge.EvidenceKey]
+    ) -> _judge.EvidenceCounts:
+        """Returns the counts of whole epochs."""
         total = _EMPTY
-        for series in self._series(key):
-            total = add(total, series.now)
+        for key in keys:
+            for series in self._series(key):
+                total = add(total, series.now)
         return total
 
     def since(
-        self, key: _judge.EvidenceKey, span: int
-    ) -> _judge.EvidenceCounts:
-        """Returns the counts from the start of a span to now."""
-        total = _EMPTY
-        for series in self._series(key):
-            later = [start for start in series.before_by_span if start >= span]
-            if later:
-                before = series.before_by_span[min(later)]
-                total = add(total, add(series.now, before, -1))
-        return total
+        self, keys: Iterable[_judge.EvidenceKey], starts: Sequence[int]
+    ) -> list[_judge.EvidenceCounts]:
+        """Returns the counts from each of the ascending starts to now."""
+        totals = [_EMPTY] * len(starts)
+        for key in keys:
+            for series in self._series(key):
+                spans = sorted(series.before_by_span)
+                for index, start in enumerate(starts):
+                    place = bisect.bisect_left(spans, start)
+                    if place == len(spans):
+                        break
+                    before = series.before_by_span[spans[place]]
+                    totals[index] = add(
+                        totals[index], add(series.now, before, -1)
+                    )
+        return totals
 
     def _series(self, key: _judge.EvidenceKey) -> list[_judge.EvidenceSeries]:
         return [
--- a/libs/decisions/mulberry_decisions/_priority_admission.py
+++ b/libs/decisions/mulberry_decisions/_priority_admission.py
@@ -17,7 +17,7 @@
 #: late wastes a place.
 _ARRIVAL_DEVIATIONS = 2.0
 #: Deviations added when a waiting request is about to run.
-_START_DEVIATIONS = 1.0
+_START_DEVIATIONS = 2.0
 #: Share of places that each less urgent priority may use although more
 #: urgent work waits; without it dossiers would starve during a rush.
 _GUARANTEED_SHARE = 0.1
@@ -47,7 +47,7 @@
             if other < priority:
                 self._decay(other, now_s)
                 mean += self._places[other]
-        return mean + 2.0 * math.sqrt(mean)
+        return mean + math.sqrt(mean)
 
     def _decay(self, priority: int, now_s: float) -> None:
         since_s = now_s - self._updated_s.get(priority, now_s)
--- a/libs/decisions/mulberry_decisions/_sequential_judge.py
+++ b/libs/decisions/mulberry_decisions/_sequential_judge.py
@@ -12,8 +12,9 @@
 )
 
 #: Log of the evidence for a verdict: at most one false alarm of one test in
-#: 100,000 starts, that is time spans of 10 s with runs.
-_ALARM_LOG_EVIDENCE = 11.5
+#: a million starts, that is time spans of 2 s with runs. With 12 tests for
+#: each of two versions and 10 runs in a span this is 2.4 per million runs.
+_ALARM_LOG_EVIDENCE = 13.8
 #: The same on probation, where a fault was seen before: one in 1,000.
 _PROBATION_LOG_EVIDENCE = 6.9
 #: Log of the evidence at which another model counts as worse as well.
@@ -179,51 +180,50 @@
 
     def _worst(self, name: _Name) -> _verdict_tests.Finding:
         """Returns the strongest evidence against the version."""
-        siblings = self._established(name)
-        concurrent = [
-            finding
-            for signal in _verdict_tests.Signal
-            for finding in self._against_siblings(name, siblings, signal)
-        ]
-        concurrent.append(self._against_past(name))
-        return max(concurrent, key=lambda finding: finding.log_evidence)
+        findings = self._against_siblings(name, self._established(name))
+        findings.append(self._against_past(name))
+        return max(findings, key=lambda finding: finding.log_evidence)
 
     def _against_siblings(
-        self,
-        name: _Name,
-        siblings: list[_Name],
-        signal: _verdict_tests.Signal,
+        self, name: _Name, siblings: list[_Name]
     ) -> list[_verdict_tests.Finding]:
         """Tests each kind, and all kinds together."""
-        keys = self._keys(name)
         findings = []
         pooled: dict[int, list[_verdict_tests.Comparison]] = {}
-        for key in keys:
+        for key in self._keys(name):
             others = self._reference_keys(siblings, key.kind)
-            comparisons = []
-            history = self._total(others)
-            for start in self._all.starts(key):
-                comparison = _verdict_tests.Comparison(
-                    self._all.since(key, start),
-                    self._since(others, start),
-                    history,
+            if not others:
+                continue
+            history = self._all.total(others)
+            starts = self._all.starts(key)
+            comparisons = [
+                _verdict_tests.Comparison(version, reference, history)
+                for version, reference in zip(
+                    self._all.since([key], starts),
+                    self._all.since(others, starts),
+                    strict=True,
                 )
-                comparisons.append(comparison)
+            ]
+            for start, comparison in zip(starts, comparisons, strict=True):
                 pooled.setdefault(start, []).append(comparison)
-            findings.append(_verdict_tests.worse(signal, key.kind, comparisons))
-        together = [
-            _verdict_tests.pool(signal, each) for each in pooled.values()
-        ]
-        findings.append(_verdict_tests.worse(signal, "", together))
+            findings += [
+                _verdict_tests.worse(signal, key.kind, comparisons)
+                for signal in _verdict_tests.Signal
+            ]
+        for signal in _verdict_tests.Signal:
+            together = [
+                _verdict_tests.pool(signal, each) for each in pooled.values()
+            ]
+            findings.append(_verdict_tests.worse(signal, "", together))
         return findings
 
     def _against_past(self, name: _Name) -> _verdict_tests.Finding:
         """Compares a version that runs alone with its own past."""
         nothing = _verdict_tests.worse(_verdict_tests.Signal.ERRORS, "", [])
         findings = [
-            self._change(key, signal)
+            finding
             for key in self._keys(name)
-            for signal in _verdict_tests.Signal
+            for finding in self._changes(key)
         ]
         best = max(
             findings, key=lambda finding: finding.log_evidence, default=nothing
@@ -233,16 +233,17 @@
         # All models worse at once points to the rater or to the work.
         return best if self._has_sound_companion(name) else nothing
 
-    def _change(
-        self, key: _judge.EvidenceKey, signal: _verdict_tests.Signal
-    ) -> _verdict_tests.Finding:
-        total = self._all.total(key)
+    def _changes(self, key: _judge.EvidenceKey) -> list[_verdict_tests.Finding]:
+        """Tests one kind of a version against its own past."""
+        total = self._all.total([key])
         comparisons = []
-        for start in self._all.starts(key):
-            recent = self._all.since(key, start)
+        for recent in self._all.since([key], self._all.starts(key)):
             past = _evidence.add(total, recent, -1)
             comparisons.append(_verdict_tests.Comparison(recent, past, past))
-        return _verdict_tests.worse(signal, key.kind, comparisons)
+        return [
+            _verdict_tests.worse(signal, key.kind, comparisons)
+            for signal in _verdict_tests.Signal
+        ]
 
     def _has_sound_companion(self, name: _Name) -> bool:
         """Whether something else has recent runs and is not worse."""
@@ -250,9 +251,7 @@
             other = (key.model, key.version)
             if other == name or not self._is_current(key):
                 continue
-            changes = [
-                self._change(key, signal) for signal in _verdict_tests.Signal
-            ]
+            changes = self._changes(key)
             tested = max(change.total for change in changes)
             worst = max(change.log_evidence for change in changes)
             if tested > 0 and worst < _COMPANION_LOG_EVIDENCE:
@@ -317,22 +316,8 @@
             if key.kind == kind
         ]
 
-    def _since(
-        self, keys: list[_judge.EvidenceKey], start: int
-    ) -> _judge.EvidenceCounts:
-        total = _judge.EvidenceCounts()
-        for key in keys:
-            total = _evidence.add(total, self._all.since(key, start))
-        return total
-
-    def _total(self, keys: list[_judge.EvidenceKey]) -> _judge.EvidenceCounts:
-        total = _judge.EvidenceCounts()
-        for key in keys:
-            total = _evidence.add(total, self._all.total(key))
-        return total
-
     def _counts(self, name: _Name) -> dict[str, _judge.EvidenceCounts]:
-        return {key.kind: self._all.total(key) for key in self._keys(name)}
+        return {key.kind: self._all.total([key]) for key in self._keys(name)}
 
     def _is_current(self, key: _judge.EvidenceKey) -> bool:
         name = (key.model, key.version)
--- a/libs/decisions/mulberry_decisions/_strikes.py
+++ b/libs/decisions/mulberry_decisions/_strikes.py
@@ -16,6 +16,11 @@
 #: place for ever.
 _TURN_S = 5.0
 
+#: Time for which a cleared content still counts when places are computed,
+#: seconds. If its place went to another content at once, that one could meet
+#: the run of a third, which would then get its second strike.
+_KEPT_AFTER_CLEARING_S = 120.0
+
 _Place = tuple[str, int]
 
 
@@ -33,6 +38,8 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._strikes: dict[str, int] = {}
+        #: Contents whose strikes were cleared, with the time.
+        self._cleared_at_s: dict[str, float] = {}
         #: Runs in flight: number by content, by upstream and incarnation.
         self._running: dict[_Place, dict[str, int]] = {}
 
@@ -117,11 +124,21 @@
     def strikes_changed(self, strikes_by_digest: Mapping[str, int]) -> None:
         """Replaces the strikes by the recorded ones."""
         with self._lock:
-            self._strikes = {
+            now_s = self._clock.now()
+            new = {
                 digest: count
                 for digest, count in strikes_by_digest.items()
                 if count > 0
             }
+            for digest, count in self._strikes.items():
+                if digest not in new and count < MAX_STRIKES:
+                    self._cleared_at_s[digest] = now_s
+            self._cleared_at_s = {
+                digest: at_s
+                for digest, at_s in self._cleared_at_s.items()
+                if now_s - at_s < _KEPT_AFTER_CLEARING_S and digest not in new
+            }
+            self._strikes = new
 
     def _may_start(
         self, work: _work.Work, upstream: _upstreams.UpstreamState
@@ -173,6 +190,14 @@
             for digest, count in self._strikes.items()
             if count < MAX_STRIKES
         )
+        oldest_s = self._clock.now() - _KEPT_AFTER_CLEARING_S
+        cleared = [
+            digest
+            for digest, at_s in self._cleared_at_s.items()
+            if at_s > oldest_s
+        ]
+        if len(digests) + len(cleared) <= places:
+            return sorted(digests + cleared)
         if len(digests) > places:
             turn = str(int(self._clock.wall() / _TURN_S))
             digests.sort(key=functools.partial(_rank, turn))
--- /dev/null
+++ b/libs/experiments/mulberry_experiments/_decisions/_crashes.py
@@ -0,0 +1,203 @@
+"""Upstreams lost to one content, and innocent requests blocked."""
+
+import collections
+import dataclasses
+import random
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+from mulberry_experiments import _measure
+from mulberry_experiments._decisions import _simulation
+
+_ENTRIES = 3
+_UPSTREAMS = 9
+_SECONDS = 900.0
+_INNOCENT_PER_S = 3.0
+_INNOCENT_RUN_S = 8.0
+#: From the start of the bad request to the loss of its upstream.
+_CRASH_AFTER_S = 1.0
+_RESTART_S = 30.0
+#: From a crash to the strikes at all entries.
+_RECORD_S = 0.1
+_RESENDS = 20
+_RESEND_AFTER_S = 5.0
+_ATTEMPTS = 3
+
+
+@dataclasses.dataclass
+class _Run:
+    entry: int
+    work: decisions.Work
+    upstream: decisions.UpstreamState
+    attempt: int
+
+
+class _Pool:
+    """Entries with guards, and upstreams that a content crashes."""
+
+    def __init__(self, policy: str, seed: int) -> None:
+        self.simulation = _simulation.Simulation()
+        self._draw = random.Random(f"{seed} crash")
+        clock = self.simulation.clock
+        self._guards = [
+            decisions.CRASH_GUARDS[policy](clock) for _ in range(_ENTRIES)
+        ]
+        self._incarnations = dict.fromkeys(
+            (f"u{index}" for index in range(_UPSTREAMS)), 1
+        )
+        self._down: set[str] = set()
+        self._runs: list[_Run] = []
+        self._strikes: collections.Counter[str] = collections.Counter()
+        self.lost = 0
+        self.blocked: set[str] = set()
+        self.completed = 0
+        self.failed = 0
+
+    def send(self, entry: int, work: decisions.Work, attempt: int = 0) -> None:
+        """Runs a request on a random upstream that the guard leaves."""
+        guard = self._guards[entry]
+        states = [
+            decisions.UpstreamState(name, name, "z", incarnation)
+            for name, incarnation in self._incarnations.items()
+            if name not in self._down
+        ]
+        usable = guard.filter(work, states)
+        if isinstance(usable, core.Refusal):
+            if usable.kind is core.ErrorKind.CONTENT_BLOCKED:
+                self.blocked.add(work.content)
+            else:
+                self._later(entry, work, attempt)
+            return
+        chosen = self._draw.choice(usable) if usable else None
+        if chosen is None or not guard.started(work, chosen):
+            self._later(entry, work, attempt)
+            return
+        run = _Run(entry, work, chosen, attempt)
+        self._runs.append(run)
+        if work.content == "bad":
+            self.simulation.after(_CRASH_AFTER_S, lambda: self._crash(run))
+        else:
+            seconds = self._draw.expovariate(1.0 / _INNOCENT_RUN_S)
+            self.simulation.after(seconds, lambda: self._complete(run))
+
+    def _later(self, entry: int, work: decisions.Work, attempt: int) -> None:
+        if self.simulation.now_s < work.deadline_at_s:
+            self.simulation.after(1.0, lambda: self.send(entry, work, attempt))
+        else:
+            self.failed += 1
+
+    def _complete(self, run: _Run) -> None:
+        if run not in self._runs:
+            return
+        self._runs.remove(run)
+        self.completed += 1
+        cleared = self._guards[run.entry].finished(
+            run.work, run.upstream, decisions.Outcome.COMPLETED
+        )
+        for digest in cleared:
+            self._strikes.pop(digest, None)
+        if cleared:
+            self._publish()
+
+    def _crash(self, run: _Run) -> None:
+        name = run.upstream.name
+        if run not in self._runs:
+            return
+        self.lost += 1
+        self._down.add(name)
+        self.simulation.after(_RESTART_S, lambda: self._restart(name))
+        hit = [each for each in self._runs if each.upstream.name == name]
+        self._runs = [each for each in self._runs if each not in hit]
+        for guard in self._guards:
+            report = guard.upstream_lost(name, run.upstream.incarnation)
+            if isinstance(report, decisions.CrashReport):
+                self._strikes.update(report.digests)
+        self._publish()
+        for each in hit:
+            if each.work.content != "bad" and each.attempt + 1 < _ATTEMPTS:
+                # The strikes are recorded before work is sent again.
+                self.simulation.after(
+                    2 * _RECORD_S,
+                    lambda each=each: self.send(  # type: ignore[misc]
+                        each.entry, each.work, each.attempt + 1
+                    ),
+                )
+
+    def _publish(self) -> None:
+        strikes = dict(self._strikes)
+
+        def take() -> None:
+            for guard in self._guards:
+                guard.strikes_changed(strikes)
+
+        self.simulation.after(_RECORD_S, take)
+
+    def _restart(self, name: str) -> None:
+        self._incarnations[name] += 1
+        self._down.discard(name)
+
+
+def _work(content: str, deadline_at_s: float) -> decisions.Work:
+    return decisions.Work("a", "k", 2, deadline_at_s, content=content)
+
+
+def _season(policy: str, seed: int, copies: int) -> _Pool:
+    """Runs innocent work while a caller resends the bad content.
+
+    Args:
+        policy: Name of the guard.
+        seed: Seed of the run.
+        copies: Copies that are sent to different entries at each resend.
+    """
+    pool = _Pool(policy, seed)
+    draw = random.Random(f"{seed} season")
+    at_s, number = 0.0, 0
+    bad = [
+        (60.0 + index * _RESEND_AFTER_S, copy)
+        for index in range(_RESENDS)
+        for copy in range(copies)
+    ]
+    for bad_at_s, copy in bad:
+        pool.simulation.after(
+            bad_at_s,
+            lambda copy=copy: pool.send(  # type: ignore[misc]
+                copy, _work("bad", _SECONDS)
+            ),
+        )
+    while at_s < _SECONDS - 100.0:
+        at_s += draw.expovariate(_INNOCENT_PER_S)
+        number += 1
+        pool.simulation.run(at_s)
+        work = _work(f"{number}", at_s + 120.0)
+        pool.send(draw.randrange(_ENTRIES), work)
+    pool.simulation.run(_SECONDS)
+    return pool
+
+
+def run(seed: int) -> list[_measure.Row]:
+    """Measures resends one by one, and copies at several entries at once."""
+    rows = []
+    for copies, label in ((1, "resent"), (_ENTRIES, "3 copies at once")):
+        for policy in decisions.CRASH_GUARDS:
+            pool = _season(policy, seed, copies)
+            ours = policy == "strikes"
+            for name, figure, target in (
+                ("upstreams lost", pool.lost, "<= 2"),
+                (
+                    "innocent requests blocked",
+                    len(pool.blocked - {"bad"}),
+                    "<= 0",
+                ),
+                ("innocent requests completed", pool.completed, ""),
+            ):
+                rows.append(
+                    _measure.Row(
+                        "crashes",
+                        policy,
+                        f"{label}: {name}",
+                        figure,
+                        "",
+                        target if ours else "",
+                    )
+                )
+    return rows
--- /dev/null
+++ b/libs/experiments/mulberry_experiments/_decisions/_limits.py
@@ -0,0 +1,111 @@
+"""Error of team limits while callers move between entries."""
+
+import random
+from collections.abc import Mapping
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+from mulberry_experiments import _measure
+
+_SECONDS = 120.0
+_WARM_UP_S = 20.0
+_STEP_S = 0.1
+#: Age of the demand that an entry knows of the others, seconds.
+_LAG_S = 1.0
+_CALLERS = 40
+#: Mean time that a caller stays with an entry, seconds.
+_STAY_S = 10.0
+#: (entries, limit in requests per second).
+_SIZES = ((10, 20.0), (330, 200.0))
+_TOKENS = 200
+
+
+def _admitted(
+    policy: str, entries: int, limit: float, factor: float, seed: int
+) -> tuple[float, float]:
+    """Returns requests per second that were offered and admitted."""
+    draw = random.Random(f"{seed} {entries} {factor}")
+    clock = core.ManualClock()
+    limiters = [_limiter(policy, clock, seed + i) for i in range(entries)]
+    limits = {"a": decisions.TeamLimit(limit, limit * _TOKENS)}
+    for limiter in limiters:
+        limiter.set_limits(limits)
+    places = [draw.randrange(entries) for _ in range(_CALLERS)]
+    offered = admitted = 0
+    steps = round(_SECONDS / _STEP_S)
+    for step in range(steps):
+        clock.advance(_STEP_S)
+        if step % round(_LAG_S / _STEP_S) == 0:
+            _share(limiters)
+        for caller in range(_CALLERS):
+            if draw.random() < _STEP_S / _STAY_S:
+                places[caller] = draw.randrange(entries)
+        count = _poisson(factor * limit * _STEP_S, draw)
+        for _ in range(count):
+            # A few callers send most of the requests.
+            caller = int(_CALLERS * draw.random() ** 2)
+            size = draw.choice((100, 300))
+            taken = limiters[places[caller]].take("a", size)
+            if step * _STEP_S >= _WARM_UP_S:
+                offered += 1
+                admitted += isinstance(taken, decisions.Taken)
+    measured_s = _SECONDS - _WARM_UP_S
+    return offered / measured_s, admitted / measured_s
+
+
+def _limiter(
+    policy: str, clock: core.Clock, seed: int
+) -> decisions.TeamLimiter:
+    if policy == "shared":
+        return decisions.SharedLimiter(clock, seed)
+    return decisions.TEAM_LIMITERS[policy](clock)
+
+
+def _share(limiters: list[decisions.TeamLimiter]) -> None:
+    """Gives each entry the demand of all others, summed beforehand."""
+    demands = [limiter.demand().get("a") for limiter in limiters]
+    known = [each or decisions.Demand() for each in demands]
+    requests = sum(each.requests_per_s for each in known)
+    tokens = sum(each.tokens_per_s for each in known)
+    for limiter, own in zip(limiters, known, strict=True):
+        others = decisions.Demand(
+            requests - own.requests_per_s, tokens - own.tokens_per_s
+        )
+        merged: Mapping[str, Mapping[str, decisions.Demand]] = {
+            "others": {"a": others},
+            **{str(index): {} for index in range(len(limiters) - 2)},
+        }
+        limiter.merge(merged)
+
+
+def _poisson(mean: float, draw: random.Random) -> int:
+    count = 0
+    passed = draw.expovariate(1.0)
+    while passed < mean:
+        count += 1
+        passed += draw.expovariate(1.0)
+    return count
+
+
+def run(seed: int) -> list[_measure.Row]:
+    """Measures demand above and just below the limit."""
+    rows = []
+    for entries, limit in _SIZES:
+        for policy in decisions.TEAM_LIMITERS:
+            ours = policy == "shared"
+            for factor in (2.0, 0.9):
+                offered, admitted = _admitted(
+                    policy, entries, limit, factor, seed
+                )
+                expected = min(offered, limit)
+                rows.append(
+                    _measure.Row(
+                        "limits",
+                        policy,
+                        f"{entries} entries, demand {factor:g}x: error",
+                        100.0 * abs(admitted / expected - 1.0),
+                        "%",
+                        "<= 5" if ours else "",
+                    )
+                )
+    return rows
--- /dev/null
+++ b/libs/experiments/mulberry_experiments/_decisions/_versions.py
@@ -0,0 +1,290 @@
+"""Exposure to bad versions, and false alarms, over a season of rollouts."""
+
+import collections
+import dataclasses
+import random
+from collections.abc import Callable
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+from mulberry_experiments import _measure
+
+_ENTRIES = 10
+#: Period of the exchange between entries, and of the looks at evidence.
+_TICK_S = 2.0
+_PER_S = 5.0
+_TURNS = 4
+_STEPS = (0.01, 0.05, 0.25, 1.0)
+_STEP_S = 300.0
+_MAX_EXPOSED = 50
+_SECONDS = 3600.0
+#: Share of bad runs of a sound version, by kind.
+_SOUND = {"check": 0.03, "letter": 0.08, "dossier": 0.12}
+_KINDS = tuple(_SOUND)
+#: A version counts as bad from this share of bad runs on.
+_BAD_FROM = 0.2
+
+#: Share of bad runs by kind and seconds since the rollout began.
+_Fault = Callable[[str, float], float]
+
+
+def _sudden(at_s: float, share: float) -> _Fault:
+    return lambda kind, now_s: share if now_s >= at_s else _SOUND[kind]
+
+
+def _slow(kind: str, now_s: float) -> float:
+    """Grows from the usual share to six tenths over half an hour."""
+    return min(0.6, _SOUND[kind] + 0.6 * now_s / 1800.0)
+
+
+def _one_kind(kind: str, now_s: float) -> float:
+    return 0.6 if kind == "letter" else _SOUND[kind]
+
+
+def _sound(kind: str, now_s: float) -> float:
+    return _SOUND[kind]
+
+
+@dataclasses.dataclass
+class _Policy:
+    """A way to roll out: chooser, advancer and judge by name."""
+
+    name: str
+    chooser: str
+    advancer: str
+    judge: str
+    #: Keeps one share for ever; 0 for the steps of the rule.
+    fixed_share: float = 0.0
+
+
+_POLICIES = (
+    _Policy("fixed 5%", "fixed_share", "timed", "none", 0.05),
+    _Policy("timed steps", "fixed_share", "timed", "none"),
+    _Policy("error threshold", "fixed_share", "timed", "error_threshold"),
+    _Policy("sequential", "session_share", "proven", "sequential"),
+)
+
+
+class _Season:
+    """One rollout with sessions at all entries."""
+
+    def __init__(
+        self, policy: _Policy, seed: int, new: _Fault, old: _Fault = _sound
+    ) -> None:
+        self._draw = random.Random(f"{seed} season")
+        self._clock = core.ManualClock()
+        self._policy = policy
+        self._faults = {"new": new, "old": old}
+        self._chooser = decisions.VERSION_CHOOSERS[policy.chooser]()
+        self._advancer = decisions.ROLLOUT_ADVANCERS[policy.advancer]()
+        self._judges = [
+            decisions.VERSION_JUDGES[policy.judge](self._clock)
+            for _ in range(_ENTRIES)
+        ]
+        self._standing = decisions.Standing.GOOD
+        self._number = 0
+        self._step, self._step_at_s = decisions.NO_STEP, 0.0
+        self._pins: dict[str, str] = {}
+        self._turns: collections.Counter[str] = collections.Counter()
+        self._offer = decisions.VersionOffer("m", "old", "new")
+        self.exposed_bad = 0
+        self.requests = 0
+        self.verdicts = 0
+
+    def run(self, seconds: float) -> None:
+        """Serves requests; looks at the evidence once per tick."""
+        late: list[decisions.Evidence] = [{}] * _ENTRIES
+        for _ in range(round(seconds / _TICK_S)):
+            for _ in range(_poisson(_PER_S * _TICK_S, self._draw)):
+                self._clock.advance(1e-4)
+                self._request()
+            self._clock.advance(_TICK_S)
+            # The leader knows the others' evidence of the tick before.
+            for index in range(1, _ENTRIES):
+                self._judges[0].merge(f"entry-{index}", late[index])
+            late = [judge.export() for judge in self._judges]
+            self._look()
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether all new sessions get the new version."""
+        return self._step == len(_STEPS) - 1
+
+    def _request(self) -> None:
+        session = f"s{self._draw.randrange(1 << 30)}"
+        if self._turns and self._draw.random() < 1.0 - 1.0 / _TURNS:
+            session = self._draw.choice(list(self._turns))
+        self._turns[session] += 1
+        if self._turns[session] >= _TURNS:
+            del self._turns[session]
+        kind = self._draw.choice(_KINDS)
+        work = decisions.Work("a", kind, 2, 1e9, session, session)
+        allowed = {"old", "new"}
+        if self._standing is decisions.Standing.BAD:
+            allowed = {"old"}
+        version = self._chooser.choose(
+            work, self._offer, allowed, self._pins.get(session, _UNSET)
+        )
+        assert isinstance(version, str)
+        self._pins[session] = version
+        now_s = self._clock.now()
+        share = self._faults[version](kind, now_s)
+        self.requests += 1
+        self.exposed_bad += version == "new" and share >= _BAD_FROM
+        self._observe(version, kind, self._draw.random() < share)
+
+    def _observe(self, version: str, kind: str, is_bad: bool) -> None:
+        """A third of the bad runs fails, the others are rated low."""
+        failed = is_bad and self._draw.random() < 1 / 3
+        self._draw.choice(self._judges).observe(
+            decisions.Observation(
+                "m",
+                version,
+                kind,
+                decisions.Outcome.TRUNCATED
+                if failed
+                else decisions.Outcome.COMPLETED,
+                _UNSET if failed else (0.3 if is_bad else 0.95),
+                0.9,
+                self._draw.uniform(1.0, 2.0),
+            )
+        )
+
+    def _look(self) -> None:
+        judge = self._judges[0]
+        for proposal in judge.proposals():
+            if proposal.standing is decisions.Standing.BAD:
+                self.verdicts += 1
+            if proposal.version == "new":
+                self._standing = proposal.standing
+            self._number += 1
+            for each in self._judges:
+                each.verdict_recorded(
+                    "m", proposal.version, self._number, proposal.standing
+                )
+        exposed = judge.exposed("m", "new")
+        proven = judge.is_proven("m", "new", "old")
+        advice = self._advancer.advise(
+            decisions.RolloutState(
+                "m",
+                "new",
+                self._step,
+                _STEPS,
+                self._clock.now() - self._step_at_s,
+                _STEP_S,
+                False,
+                self._standing,
+                exposed,
+                proven,
+            )
+        )
+        if advice.step != self._step:
+            self._step, self._step_at_s = advice.step, self._clock.now()
+        share = _STEPS[self._step] if self._step >= 0 else 0.0
+        self._offer = decisions.VersionOffer(
+            "m",
+            "old",
+            "new",
+            self._policy.fixed_share or share,
+            self._standing,
+            exposed,
+            _MAX_EXPOSED,
+            proven,
+        )
+
+
+_UNSET = core.Missing.UNSET
+
+
+def _poisson(mean: float, draw: random.Random) -> int:
+    count = 0
+    passed = draw.expovariate(1.0)
+    while passed < mean:
+        count += 1
+        passed += draw.expovariate(1.0)
+    return count
+
+
+#: Fault of the new version, and whether the bound of 60 applies.
+_SCENARIOS: dict[str, tuple[_Fault, bool]] = {
+    "bad from the start": (_sudden(0.0, 0.5), True),
+    "sudden on the 25% step": (_sudden(800.0, 0.5), True),
+    "sudden at 100%": (_sudden(1800.0, 0.5), True),
+    "sudden at 100%, 30% bad": (_sudden(1800.0, 0.3), False),
+    "slow": (_slow, True),
+    "one kind only": (_one_kind, True),
+}
+
+
+def run(seed: int) -> list[_measure.Row]:
+    """Measures exposure for each fault, and false alarms without one."""
+    rows: list[_measure.Row] = []
+    for label, (fault, is_bounded) in _SCENARIOS.items():
+        fixed = 0
+        for policy in _POLICIES:
+            season = _Season(policy, seed, fault)
+            season.run(_SECONDS)
+            ours = policy.name == "sequential"
+            if policy.name == "fixed 5%":
+                fixed = season.exposed_bad
+            rows.append(
+                _row(
+                    policy,
+                    f"{label}: requests exposed",
+                    season.exposed_bad,
+                    "<= 60" if ours and is_bounded else "",
+                )
+            )
+            rows.append(
+                _row(
+                    policy,
+                    f"{label}: exposed / fixed 5%",
+                    season.exposed_bad / max(1, fixed),
+                    "<= 0.25" if ours else "",
+                )
+            )
+    return rows + _sound_rows(seed)
+
+
+def _sound_rows(seed: int) -> list[_measure.Row]:
+    rows = []
+    for policy in _POLICIES[2:]:
+        alarms = requests = finished = 0
+        for part in range(2):
+            season = _Season(policy, seed * 10 + part, _sound)
+            season.run(_SECONDS)
+            alarms += season.verdicts
+            requests += season.requests
+            finished += season.is_finished
+        together = _Season(
+            policy, seed, _sudden(1800.0, 0.5), _sudden(1800.0, 0.5)
+        )
+        together.run(_SECONDS)
+        ours = policy.name == "sequential"
+        rows += [
+            _row(
+                policy,
+                "sound: false alarms per million requests",
+                1e6 * alarms / requests,
+                "<= 3" if ours else "",
+            ),
+            _row(
+                policy,
+                "sound: rollouts finished of 2",
+                finished,
+                ">= 2" if ours else "",
+            ),
+            _row(
+                policy,
+                "all versions at once: verdicts",
+                together.verdicts,
+                "<= 0" if ours else "",
+            ),
+        ]
+    return rows
+
+
+def _row(
+    policy: _Policy, name: str, figure: float, target: str
+) -> _measure.Row:
+    return _measure.Row("versions", policy.name, name, figure, "", target)
--- /dev/null
+++ b/libs/experiments/mulberry_experiments/_decisions/_workload.py
@@ -0,0 +1,136 @@
+"""Work of both deployments: kinds, teams and times of arrival."""
+
+import dataclasses
+import itertools
+import random
+from collections.abc import Iterator, Mapping, Sequence
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+
+
+@dataclasses.dataclass(frozen=True)
+class KindShape:
+    """One kind of work as its users send it."""
+
+    name: str
+    priority: int
+    deadline_s: float
+    #: Mean run time on an idle upstream, seconds.
+    run_s: float
+    tokens: int
+    #: Share among the requests of its deployment.
+    share: float
+    #: Share of good answers by model; empty for calls.
+    good_by_model: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    is_call: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Deployment:
+    """Teams, kinds and models of one user."""
+
+    name: str
+    weights_by_team: Mapping[str, float]
+    kinds: Sequence[KindShape]
+    #: Cheapest first.
+    models: Sequence[decisions.ModelOption]
+
+
+def _good(chico: float, medio: float, grande: float) -> Mapping[str, float]:
+    return {"chico": chico, "medio": medio, "grande": grande}
+
+
+_CHICO = decisions.ModelOption("chico", 1.0, 0.70, 1.0)
+_MEDIO = decisions.ModelOption("medio", 4.0, 0.85, 2.0)
+_GRANDE = decisions.ModelOption("grande", 12.0, 0.96, 4.0)
+
+#: A Holy Week rush: most requests are stock lookups from tablets.
+RUSH = Deployment(
+    "rush",
+    {"large": 3.0, "tablets": 2.0, "workshop": 1.0, "office": 1.0},
+    (
+        KindShape("stock", 1, 2.0, 0.05, 0, 0.70, is_call=True),
+        KindShape("check", 1, 5.0, 0.8, 200, 0.15, _good(0.92, 0.95, 0.98)),
+        KindShape("letter", 2, 30.0, 4.0, 900, 0.10, _good(0.80, 0.90, 0.97)),
+        KindShape("plan", 3, 120.0, 20.0, 5000, 0.05, _good(0.10, 0.45, 0.96)),
+    ),
+    (_CHICO, _GRANDE),
+)
+
+#: A morning at the counter: quick checks, letters and fitting dossiers.
+COUNTER = Deployment(
+    "counter",
+    {"loket": 3.0, "gent": 1.0, "leuven": 1.0, "brugge": 1.0},
+    (
+        KindShape("status", 1, 2.0, 0.05, 0, 0.30, is_call=True),
+        KindShape("check", 1, 5.0, 0.8, 200, 0.40, _good(0.90, 0.94, 0.98)),
+        KindShape("letter", 2, 30.0, 4.0, 900, 0.20, _good(0.70, 0.88, 0.97)),
+        KindShape(
+            "dossier", 3, 120.0, 20.0, 5000, 0.10, _good(0.05, 0.60, 0.96)
+        ),
+    ),
+    (_CHICO, _MEDIO, _GRANDE),
+)
+
+DEPLOYMENTS = (RUSH, COUNTER)
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """A request and when it comes."""
+
+    at_s: float
+    kind: KindShape
+    work: decisions.Work
+    #: Seconds that it runs on an idle upstream.
+    run_s: float
+
+
+def arrivals(
+    deployment: Deployment,
+    per_s: float,
+    seconds: float,
+    draw: random.Random,
+    teams: Mapping[str, float] | None = None,
+) -> Iterator[Arrival]:
+    """Yields requests with exponential pauses and run times.
+
+    Args:
+        deployment: Where the kinds come from.
+        per_s: Mean number of requests per second.
+        seconds: When to stop.
+        draw: Source of chance.
+        teams: Shares of the requests by team; the weights if left out.
+    """
+    shares = teams or deployment.weights_by_team
+    at_s = 0.0
+    for number in itertools.count():
+        at_s += draw.expovariate(per_s)
+        if at_s >= seconds:
+            return
+        kind = draw.choices(
+            deployment.kinds, [kind.share for kind in deployment.kinds]
+        )[0]
+        team = draw.choices(list(shares), list(shares.values()))[0]
+        yield Arrival(
+            at_s,
+            kind,
+            decisions.Work(
+                team,
+                kind.name,
+                kind.priority,
+                at_s + kind.deadline_s,
+                session=f"{team}-{draw.randrange(200)}",
+                content=core.digest128(f"{number}".encode()),
+                expected_tokens=kind.tokens,
+                is_call=kind.is_call,
+            ),
+            # Between half and one and a half of the mean.
+            kind.run_s * (0.5 + draw.random()),
+        )
+
+
+def mean_run_s(deployment: Deployment) -> float:
+    """Returns the mean run time over the kinds."""
+    return sum(kind.share * kind.run_s for kind in deployment.kinds)
