Let the stream loop write to callers past the HTTP server

The server's own path (_pyio writer, one thread for each stream) took most of the CPU for each token.

--- a/libs/entry/mulberry_entry/_answer_stream.py
+++ b/libs/entry/mulberry_entry/_answer_stream.py
@@ -5,7 +5,7 @@
 import mulberry_core as core
 import mulberry_decisions as decisions
 import mulberry_upstream as upstream
-from mulberry_entry import _chat_run, _responses
+from mulberry_entry import _chat_run, _direct, _responses
 
 
 class AnswerStream:
@@ -31,6 +31,17 @@
         self._release = release
         self._on_complete = on_complete
         self._ended = False
+        self._has_begun = False
+        self._writer: _direct.DirectWriter | core.Missing = core.Missing.UNSET
+
+    def write_past_server(
+        self, writer: _direct.DirectWriter | core.Missing
+    ) -> None:
+        """Sends all blocks after the first through `writer`, if it is set.
+
+        It takes much less CPU for each token than the server's own path.
+        """
+        self._writer = writer
 
     def __iter__(self) -> Iterator[bytes]:
         """Returns itself."""
@@ -40,6 +51,11 @@
         """Returns the next events."""
         if self._ended:
             raise StopIteration
+        if self._has_begun and not isinstance(self._writer, core.Missing):
+            while not self._stream.forward(self._writer.write):
+                self._writer.flush()
+        # The server sends the head of the response with the first block.
+        self._has_begun = True
         block = next(self._stream, b"")
         if block:
             return block
@@ -48,6 +64,8 @@
 
     def close(self) -> None:
         """Cancels the run on the upstream if the caller has gone."""
+        if not isinstance(self._writer, core.Missing):
+            self._writer.close()
         if self._ended:
             return
         self._ended = True
--- a/libs/entry/mulberry_entry/_app.py
+++ b/libs/entry/mulberry_entry/_app.py
@@ -15,8 +15,10 @@
 import mulberry_membership as membership
 import mulberry_rules as rules
 from mulberry_entry import (
+    _answer_stream,
     _calls,
     _chat,
+    _direct,
     _dispatch,
     _entry_list,
     _parts,
@@ -155,7 +157,14 @@
         if isinstance(read, core.Refusal):
             return read
         request, in_force = read
-        return self._chat.handle(request, in_force, _gone_check(http))
+        answer = self._chat.handle(request, in_force, _gone_check(http))
+        if isinstance(answer, werkzeug.Response) and isinstance(
+            answer.response, _answer_stream.AnswerStream
+        ):
+            answer.response.write_past_server(
+                _direct.direct_writer(http.environ.get(_server.REQUEST_KEY))
+            )
+        return answer
 
     def _run_call(
         self,
