--- /dev/null
+++ b/libs/daemon/mulberry_daemon/_backend.py
@@ -0,0 +1,352 @@
+"""Answers operators from the parts of the daemon."""
+
+import collections
+import dataclasses
+
+import mulberry_core as core
+import mulberry_entry as entry
+import mulberry_membership as membership
+import mulberry_rules as rules
+import mulberry_state as state
+from mulberry_daemon import _operator_backend as backend
+from mulberry_daemon import _replicated
+
+_READ_TIMEOUT_S = 5.0
+_SUBMIT_TIMEOUT_S = 10.0
+#: A new voter copies the whole state before it counts.
+_CHANGE_VOTERS_TIMEOUT_S = 60.0
+
+#: A voter that has not answered the leader for this long is reported as
+#: unreachable, seconds.
+_SILENT_S = 2.0
+
+_NAME_BY_VERDICT = {
+    state.VerdictState.BAD: "bad",
+    state.VerdictState.PROBATION: "probation",
+}
+
+
+class DaemonBackend(backend.OperatorBackend):
+    """Joins replicated state, membership and directory."""
+
+    def __init__(
+        self,
+        instance: str,
+        replicated: _replicated.Replicated,
+        members: membership.Membership,
+        directory: membership.UpstreamDirectory,
+        clock: core.Clock,
+    ) -> None:
+        self._instance = instance
+        self._replicated = replicated
+        self._members = members
+        self._directory = directory
+        self._clock = clock
+        #: Unix time of the last change by member name.
+        self._since_by_name: dict[str, float] = {}
+        members.subscribe_members(self._member_changed)
+
+    def submit_rules(
+        self, command_id: str, text: str, operator: str
+    ) -> backend.SubmitResult | core.Refusal:
+        """See `OperatorBackend`."""
+        edited_from = rules.edited_from(text)
+        result = self._replicated.client.propose(
+            state.SubmitRules(
+                command_id,
+                text,
+                0 if isinstance(edited_from, core.Missing) else edited_from,
+                operator,
+            ),
+            _SUBMIT_TIMEOUT_S,
+        )
+        assert isinstance(
+            result,
+            state.RulesAccepted
+            | state.RulesConflict
+            | state.RulesRejected
+            | core.Refusal,
+        )
+        return result
+
+    def accepted_rules(
+        self, number: int | core.Missing
+    ) -> backend.AcceptedRules | core.Refusal:
+        """See `OperatorBackend`."""
+        listed = self.list_rules(0)
+        if isinstance(listed, core.Refusal):
+            return listed
+        for accepted in listed:
+            if number in (core.Missing.UNSET, accepted.number):
+                return accepted
+        kind = core.ErrorKind.NOT_FOUND if listed else core.ErrorKind.NO_RULES
+        return _refuse(kind, f"no accepted rules {number}")
+
+    def list_rules(
+        self, limit: int
+    ) -> tuple[backend.AcceptedRules, ...] | core.Refusal:
+        """See `OperatorBackend`; a limit of 0 stands for all."""
+        history = self._replicated.reader.history(_READ_TIMEOUT_S)
+        if isinstance(history, core.Refusal):
+            return history
+        return tuple(
+            backend.AcceptedRules(
+                item.number,
+                item.operator,
+                item.wall_s,
+                item.changes,
+                item.text,
+            )
+            for item in history[: limit or None]
+        )
+
+    def status(self) -> backend.Status | core.Refusal:
+        """See `OperatorBackend`; works without a quorum too."""
+        client = self._replicated.client
+        view = client.view()
+        leader = self._replicated.reader.status(_READ_TIMEOUT_S)
+        history = self._replicated.reader.history(_READ_TIMEOUT_S)
+        known = not isinstance(leader, core.Refusal)
+        accepted_at_s: float | core.Missing = core.Missing.UNSET
+        everywhere_at_s: float | core.Missing = core.Missing.UNSET
+        if not isinstance(history, core.Refusal) and history:
+            accepted_at_s = history[0].wall_s
+        if not isinstance(leader, core.Refusal):
+            everywhere_at_s = leader.rules_in_effect_s or core.Missing.UNSET
+        return backend.Status(
+            instance=self._instance,
+            leader=leader.leader_name  # type: ignore[union-attr]
+            if known
+            else core.Missing.UNSET,
+            rules_number=view.rules_number,
+            rules_accepted_at_s=accepted_at_s,
+            rules_everywhere_at_s=everywhere_at_s,
+            lease_remaining_s=client.lease_remaining_s(),
+            instances=self._instances(view),
+            upstreams=self._upstreams(),
+            versions=_versions(view),
+        )
+
+    def explain(
+        self, team: str, target: str, session: str | core.Missing
+    ) -> rules.Explanation | core.Refusal:
+        """See `OperatorBackend`."""
+        view = self._replicated.client.view()
+        if isinstance(view.rules, core.Missing):
+            return _refuse(core.ErrorKind.NO_RULES, "no rules are in force")
+        names_by_target = collections.defaultdict(list)
+        for known in self._directory.upstreams().values():
+            if known.state is not membership.UpstreamState.READY:
+                continue
+            for served in known.versions:
+                key = (served.model, served.version)
+                names_by_target[key].append(known.name)
+            if isinstance(known.service, str):
+                names_by_target[(known.service, "")].append(known.name)
+        situation = rules.Situation(
+            reason_by_bad_version={
+                key: verdict.reason
+                for key, verdict in view.verdicts_by_version.items()
+                if verdict.state is state.VerdictState.BAD
+            },
+            share_by_model={
+                rollout.model: entry.rollout_share(view, rollout)
+                for rollout in view.rules.rollouts_by_model.values()
+            },
+            upstreams_by_target={
+                key: tuple(sorted(names))
+                for key, names in names_by_target.items()
+            },
+        )
+        return rules.explain(view.rules, team, target, situation)
+
+    def list_audit(
+        self, limit: int, before: int | core.Missing
+    ) -> tuple[backend.AuditEntry, ...] | core.Refusal:
+        """See `OperatorBackend`."""
+        records = self._replicated.reader.audit(
+            _READ_TIMEOUT_S,
+            0 if isinstance(before, core.Missing) else before,
+            limit,
+        )
+        if isinstance(records, core.Refusal):
+            return records
+        return tuple(
+            backend.AuditEntry(
+                item.index, item.wall_s, item.who, _with_effect(item)
+            )
+            for item in records
+        )
+
+    def sum_ledger(
+        self, by: tuple[backend.LedgerColumn, ...]
+    ) -> backend.Ledger | core.Refusal:
+        """See `OperatorBackend`."""
+        report = self._replicated.reader.ledger(_READ_TIMEOUT_S)
+        if isinstance(report, core.Refusal):
+            return report
+        columns = by or tuple(backend.LedgerColumn)
+        rows: dict[tuple[str, ...], backend.LedgerRow] = {}
+        for item in report.sums:
+            key = tuple(getattr(item, column.value) for column in columns)
+            before = rows.get(key) or backend.LedgerRow(
+                dict(zip(columns, key, strict=True)), 0, 0, 0, 0.0
+            )
+            rows[key] = dataclasses.replace(
+                before,
+                requests=before.requests + item.bills,
+                tokens_in=before.tokens_in + item.tokens_in,
+                tokens_out=before.tokens_out + item.tokens_out,
+                cost=before.cost + item.cost,
+            )
+        return backend.Ledger(tuple(rows.values()), report.differences)
+
+    def list_voters(self) -> tuple[backend.VoterStatus, ...] | core.Refusal:
+        """See `OperatorBackend`."""
+        report = self._replicated.reader.status(_READ_TIMEOUT_S)
+        if isinstance(report, core.Refusal):
+            return report
+        return tuple(
+            backend.VoterStatus(
+                voter.name, voter.address, _voter_state(report, voter)
+            )
+            for voter in report.voters
+        )
+
+    def change_voters(
+        self, command_id: str, change: backend.VoterChange, operator: str
+    ) -> tuple[backend.VoterStatus, ...] | core.Refusal:
+        """See `OperatorBackend`."""
+        add_name, add_address, remove_name = _change_of(change)
+        changed = self._replicated.reader.change_voters(
+            add_name,
+            add_address,
+            remove_name,
+            operator,
+            _CHANGE_VOTERS_TIMEOUT_S,
+        )
+        if isinstance(changed, core.Refusal):
+            return changed
+        return self.list_voters()
+
+    def _member_changed(self, member: membership.Member) -> None:
+        self._since_by_name[member.name] = self._clock.wall()
+
+    def _instances(
+        self, view: state.View
+    ) -> tuple[backend.InstanceStatus, ...]:
+        entries = {
+            name: entry.EntryState.decode(record.payload)
+            for name, record in self._members.records(
+                membership.RecordKind.ENTRY
+            ).items()
+        }
+        rows = []
+        for name, member in sorted(self._members.members().items()):
+            served = entries.get(name)
+            leaving = served is not None and served.leaving
+            rows.append(
+                backend.InstanceStatus(
+                    name=name,
+                    zone=member.zone,
+                    region=member.region,
+                    grpc_address=member.address,
+                    http_address=served.address if served else "",
+                    state="leaving" if leaving else member.state.value,
+                    voter=name in view.voters_by_name,
+                    since_s=self._since_by_name.get(name, 0.0),
+                )
+            )
+        return tuple(rows)
+
+    def _upstreams(self) -> tuple[backend.UpstreamStatus, ...]:
+        return tuple(
+            backend.UpstreamStatus(
+                name=known.name,
+                address=known.address,
+                zone=known.zone,
+                state=known.state.value,
+                serves=tuple(
+                    f"{served.model} {served.version}"
+                    for served in known.versions
+                )
+                or (str(known.service),),
+                running=known.running,
+                queued=known.queued,
+                capacity=known.capacity,
+                home=known.home,
+            )
+            for _, known in sorted(self._directory.upstreams().items())
+        )
+
+
+def _versions(view: state.View) -> tuple[backend.VersionStatus, ...]:
+    if isinstance(view.rules, core.Missing):
+        return ()
+    return tuple(
+        _version_status(view, view.rules, known)
+        for versions in view.rules.versions_by_model.values()
+        for known in versions
+    )
+
+
+def _version_status(
+    view: state.View, in_force: rules.Rules, known: rules.Version
+) -> backend.VersionStatus:
+    verdict = view.verdicts_by_version.get((known.model, known.version))
+    rollout = in_force.rollouts_by_model.get(known.model)
+    share = entry.rollout_share(view, rollout) if rollout else 0.0
+    is_target = rollout is not None and rollout.to_version == known.version
+    is_default = in_force.default_version(known.model) == known.version
+    name = "rollout" if is_target else "live"
+    reason = known.line.asked_by
+    since_s: float | core.Missing = core.Missing.UNSET
+    step = view.rollout_steps_by_model.get(known.model)
+    if is_target and step:
+        since_s, reason = step.since_s, step.reason
+    if verdict and verdict.state in _NAME_BY_VERDICT:
+        name, reason = _NAME_BY_VERDICT[verdict.state], verdict.reason
+    if known.withdrawn:
+        name, reason = "withdrawn", known.line.asked_by
+    own_share = share if is_target else (1.0 - share) * is_default
+    return backend.VersionStatus(
+        model=known.model,
+        version=known.version,
+        state=name,
+        share=0.0 if name in ("withdrawn", "bad") else own_share,
+        since_s=since_s,
+        reason=reason,
+    )
+
+
+def _voter_state(
+    report: state.NodeStatus, voter: state.VoterStatus
+) -> backend.VoterState:
+    if voter.name == report.leader_name:
+        return backend.VoterState.LEADER
+    if not 0 <= voter.silent_s < _SILENT_S:
+        return backend.VoterState.UNREACHABLE
+    if voter.match_index < report.commit_index:
+        return backend.VoterState.CATCHING_UP
+    return backend.VoterState.FOLLOWER
+
+
+def _change_of(change: backend.VoterChange) -> tuple[str, str, str]:
+    match change:
+        case backend.AddVoter(name, address):
+            return name, address, ""
+        case backend.RemoveVoter(name):
+            return "", "", name
+        case backend.ReplaceVoter(name, new_name, new_address):
+            return new_name, new_address, name
+
+
+def _with_effect(item: state.AuditRecord) -> str:
+    if not item.in_effect_s:
+        return item.what
+    after_s = max(0.0, item.in_effect_s - item.wall_s)
+    return f"{item.what}; in effect everywhere after {after_s:.1f} s"
+
+
+def _refuse(kind: core.ErrorKind, reason: str) -> core.Refusal:
+    return core.Refusal(kind, core.RunState.NOT_RUN, reason)
--- a/libs/daemon/mulberry_daemon/_instance.py
+++ b/libs/daemon/mulberry_daemon/_instance.py
@@ -13,12 +13,18 @@
 import mulberry_state as state
 import mulberry_upstream as upstream
 from mulberry_daemon import (
+    _backend,
     _decision_set,
     _drain,
-    _local_state,
+    _operator,
+    _replicated,
     _rollouts,
+    _rule_file,
     _sharing,
+    _tls,
+    _watch,
 )
+from mulberry_wire import operator_pb2_grpc
 
 #: Long-running tasks of the daemon itself; peers have their own pools.
 _MAX_TASKS = 16
@@ -26,9 +32,9 @@
 #: Connections to upstreams kept open between requests.
 _KEPT_CONNECTIONS = 64
 
-#: Each peer and each tool holds at most one worker for a moment, a streaming
-#: call holds one for as long as it lasts.
-_GRPC_THREADS = 24
+#: Threads for exchanges of peers and for operators, beside those that
+#: proposals and renewals hold while they wait for a quorum.
+_GRPC_THREADS = 24 + state.SERVER_THREADS
 
 
 class Instance:
@@ -39,6 +45,11 @@
         self._clock = core.SystemClock()
         self._counters = _build_counters(settings)
         self._timers = core.TimerService(self._clock)
+        self._tls = (
+            _tls.TlsFiles(settings.tls)
+            if isinstance(settings.tls, rules.Tls)
+            else core.Missing.UNSET
+        )
         self._tasks = core.TaskPool("tasks", _MAX_TASKS)
         self._grpc = grpc.server(
             futures.ThreadPoolExecutor(_GRPC_THREADS, "grpc"),
@@ -50,7 +61,7 @@
             settings.zone,
             settings.region,
             settings.peers,
-            membership.GrpcTransport(),
+            membership.GrpcTransport(self._channel_credentials()),
             self._clock,
             self._counters,
         )
@@ -58,14 +69,30 @@
         self._directory = membership.UpstreamDirectory(
             self._membership, self._clock, self._counters
         )
-        self._state: state.StateClient = _local_state.open_state(
-            settings, self._clock
+        self._replicated = _replicated.open_replicated(
+            settings, self._clock, self._counters, self._open_channel
         )
+        self._replicated.add_to(self._grpc)
+        self._state = self._replicated.client
         self._parts = self._build_parts()
         self._app = entry.EntryApp(self._parts)
         self._http = entry.HttpServer(
             settings.http_address, self._app, settings.limits, self._timers
         )
+        if isinstance(self._tls, _tls.TlsFiles):
+            self._http.use_tls(self._tls.http_adapter())
+        operator_pb2_grpc.add_OperatorServicer_to_server(  # type: ignore[no-untyped-call]
+            _operator.OperatorService(
+                _backend.DaemonBackend(
+                    settings.name,
+                    self._replicated,
+                    self._membership,
+                    self._directory,
+                    self._clock,
+                )
+            ),
+            self._grpc,
+        )
         self._sharing = _sharing.Sharing(self._parts, settings.http_address)
         self._rollouts = _rollouts.RolloutController(
             self._state,
@@ -78,13 +105,15 @@
     def start(self) -> None:
         """Joins the others and begins to serve."""
         self._timers.start()
-        self._grpc.add_insecure_port(self._settings.grpc_address)
+        self._bind_grpc()
         self._grpc.start()
+        self._replicated.start()
         self._membership.start(self._timers)
         self._directory.start(self._timers)
         self._http.start()
         self._sharing.start(self._timers)
         self._rollouts.start(self._timers, self._tasks)
+        self._watch_rule_file()
 
     def stop(self, forced: threading.Event) -> None:
         """Drains and stops; `forced` ends the drain early."""
@@ -93,6 +122,7 @@
         self._http.stop()
         self._parts.ratings.stop()
         self._tasks.stop()
+        self._replicated.stop()
         self._membership.leave()
         self._membership.stop()
         self._timers.stop()
@@ -132,6 +162,41 @@
             announce_key_hash=self._settings.announce_key_hash,
         )
 
+    def _bind_grpc(self) -> None:
+        address = self._settings.grpc_address
+        if isinstance(self._tls, _tls.TlsFiles):
+            self._tls.start(self._timers)
+            self._grpc.add_secure_port(address, self._tls.server_credentials())
+        else:
+            self._grpc.add_insecure_port(address)
+
+    def _channel_credentials(
+        self,
+    ) -> grpc.ChannelCredentials | core.Missing:
+        if isinstance(self._tls, _tls.TlsFiles):
+            return self._tls.channel_credentials()
+        return core.Missing.UNSET
+
+    def _open_channel(self, address: str) -> grpc.Channel:
+        if isinstance(self._tls, _tls.TlsFiles):
+            return grpc.secure_channel(
+                address,
+                self._tls.channel_credentials(),
+                options=state.CHANNEL_OPTIONS,
+            )
+        return state.open_insecure(address)
+
+    def _watch_rule_file(self) -> None:
+        path = self._settings.rule_file
+        if isinstance(path, core.Missing):
+            return
+        source = _rule_file.RuleFileSource(
+            self._settings.name, self._replicated
+        )
+        _watch.RuleFileWatcher(
+            path, source.submit, source.in_force(), self._tasks
+        ).start(self._timers, self._settings.timing.watch_period_s)
+
     def _is_first_member(self) -> bool:
         """Whether this instance comes first among the live ones."""
         alive = [
--- /dev/null
+++ b/libs/daemon/mulberry_daemon/_rule_file.py
@@ -0,0 +1,66 @@
+"""Connects the watcher of the rule file with the replicated state."""
+
+import mulberry_core as core
+import mulberry_rules as rules
+import mulberry_state as state
+from mulberry_daemon import _replicated, _watch
+
+_SUBMIT_TIMEOUT_S = 5.0
+_HISTORY_TIMEOUT_S = 3.0
+
+
+class RuleFileSource:
+    """Submits the watched file and knows the rules in force."""
+
+    def __init__(
+        self, instance: str, replicated: _replicated.Replicated
+    ) -> None:
+        self._operator = f"rule file at {instance}"
+        self._replicated = replicated
+
+    def submit(self, text: str) -> str | core.Refusal:
+        """Submits a file and returns the outcome in words.
+
+        Several instances may watch the same file: the command id follows from
+        the content and the rules in force, so that they share one outcome.
+        """
+        number = self._replicated.client.view().rules_number
+        digest = core.digest128(text.encode())
+        edited_from = rules.edited_from(text)
+        result = self._replicated.client.propose(
+            state.SubmitRules(
+                f"rules-{number}-{digest}",
+                text,
+                0 if isinstance(edited_from, core.Missing) else edited_from,
+                self._operator,
+            ),
+            _SUBMIT_TIMEOUT_S,
+        )
+        if isinstance(
+            result,
+            state.RulesAccepted | state.RulesConflict | state.RulesRejected,
+        ):
+            return _watch.describe(result)
+        assert isinstance(result, core.Refusal), result
+        return result
+
+    def in_force(self) -> _watch.RulesInForce:
+        """Returns access to accepted rules for the watcher."""
+        return _watch.RulesInForce(self._number, self._text)
+
+    def _number(self) -> int | core.Missing:
+        if self._replicated.client.lease_remaining_s() <= 0:
+            return core.Missing.UNSET
+        return self._replicated.client.view().rules_number
+
+    def _text(self, number: int) -> str | core.Missing:
+        view = self._replicated.client.view()
+        if number == view.rules_number:
+            return view.rules_text
+        history = self._replicated.reader.history(_HISTORY_TIMEOUT_S)
+        if isinstance(history, core.Refusal):
+            return core.Missing.UNSET
+        for accepted in history:
+            if accepted.number == number:
+                return accepted.text
+        return core.Missing.UNSET
--- a/libs/entry/mulberry_entry/__init__.py
+++ b/libs/entry/mulberry_entry/__init__.py
@@ -9,6 +9,7 @@
 from mulberry_entry._requests import hash_key
 from mulberry_entry._server import HttpServer
 from mulberry_entry._sessions import SessionPins
+from mulberry_entry._versions import rollout_share
 
 __all__ = [
     "Biller",
@@ -23,4 +24,5 @@
     "SessionPins",
     "entry_list_body",
     "hash_key",
+    "rollout_share",
 ]
--- a/libs/rules/mulberry_rules/_checks.py
+++ b/libs/rules/mulberry_rules/_checks.py
@@ -219,13 +219,6 @@
             "the rollout leads to the version it starts from",
             "name another version after `to`, or delete the line",
         )
-    if (rollout.model, rollout.from_version) in names.withdrawn:
-        yield line.error(
-            rollout.from_version,
-            "the rollout starts from a withdrawn version, so sessions "
-            "outside its share would have no version",
-            "start it from a live version, or delete the line",
-        )
     steps = rollout.steps
     for before, after in itertools.pairwise(steps):
         if after <= before:
