--- a/libs/rules/mulberry_rules/_checks.py
+++ b/libs/rules/mulberry_rules/_checks.py
@@ -52,15 +52,12 @@
         self.versions_by_model: dict[str, set[str]] = collections.defaultdict(
             set
         )
-        self.withdrawn: set[tuple[str, str]] = set()
         for line in lines:
             words = [token.text for token in line.tokens[1:3]]
             if words:
                 self.by_keyword[line.keyword].add(words[0])
             if line.keyword in ("version", "withdraw") and len(words) > 1:
                 self.versions_by_model[words[0]].add(words[1])
-                if line.keyword == "withdraw":
-                    self.withdrawn.add((words[0], words[1]))
 
     def missing(
         self, line: _lines.Line, keyword: str, name: str, skip: int = 1
