--- /dev/null
+++ b/libs/experiments/mulberry_experiments/_state_cluster.py
@@ -0,0 +1,150 @@
+"""Three voter processes behind relays that count their bytes."""
+
+import contextlib
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import mulberry_core as core
+import mulberry_state as state
+
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_START_TIMEOUT_S = 30.0
+
+
+class Relay:
+    """Passes connections on to a port and counts the bytes of both ways."""
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        self._target = target
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        #: Bytes passed on so far, both ways.
+        self.bytes = 0
+        self._sockets: list[socket.socket] = [self._listener]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        """Ends all connections."""
+        for end in self._sockets:
+            with contextlib.suppress(OSError):
+                end.shutdown(socket.SHUT_RDWR)
+            end.close()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                near, _ = self._listener.accept()
+                try:
+                    far = socket.create_connection(self._target)
+                except OSError:
+                    near.close()
+                    continue
+                self._sockets += [near, far]
+                for ends in ((near, far), (far, near)):
+                    threading.Thread(
+                        target=self._pass_on, args=ends, daemon=True
+                    ).start()
+
+    def _pass_on(self, source: socket.socket, target: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            while data := source.recv(65_536):
+                self.bytes += len(data)
+                target.sendall(data)
+        for end in (source, target):
+            with contextlib.suppress(OSError):
+                end.shutdown(socket.SHUT_RDWR)
+
+
+class VoterProcesses:
+    """Three voters in processes of their own."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self.clock = core.SystemClock()
+        self._port_by_name = {name: _free_port() for name in "abc"}
+        self.relay_by_name = {
+            name: Relay(("127.0.0.1", port))
+            for name, port in self._port_by_name.items()
+        }
+        self.voters = {
+            name: relay.address for name, relay in self.relay_by_name.items()
+        }
+        self.process_by_name: dict[str, subprocess.Popen[bytes]] = {}
+        for name in "abc":
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        """Starts a voter on its folder."""
+        spec = {
+            "name": name,
+            "listen": f"127.0.0.1:{self._port_by_name[name]}",
+            "voters": self.voters,
+            "folder": str(self._folder / name),
+        }
+        self.process_by_name[name] = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "mulberry_experiments._state_voter",
+                json.dumps(spec),
+            ],
+            stderr=subprocess.DEVNULL,
+        )
+
+    def kill(self, name: str) -> None:
+        """Ends a voter without a chance to hand over."""
+        process = self.process_by_name.pop(name)
+        process.kill()
+        process.wait()
+
+    def client(self, instance: str) -> state.RemoteStateClient:
+        """Returns a started client."""
+        client = state.RemoteStateClient(
+            instance, self.voters.values(), self.clock
+        )
+        client.start()
+        return client
+
+    def leader(self, client: state.RemoteStateClient) -> str:
+        """Waits for a leader and returns its name."""
+        reader = state.StateReader(client.caller, self.clock)
+        end_s = time.monotonic() + _START_TIMEOUT_S
+        while time.monotonic() < end_s:
+            status = reader.status(1.0)
+            if isinstance(status, state.NodeStatus) and status.leader_name:
+                return status.leader_name
+            time.sleep(0.05)
+        raise TimeoutError("no leader")
+
+    def cpu_s(self, name: str) -> float:
+        """Returns the processor time that a voter has used, seconds."""
+        process = self.process_by_name[name]
+        text = pathlib.Path(f"/proc/{process.pid}/stat").read_text()
+        fields = text.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+
+    def resident_bytes(self, name: str) -> int:
+        """Returns the memory of a voter."""
+        process = self.process_by_name[name]
+        text = pathlib.Path(f"/proc/{process.pid}/statm").read_text()
+        return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+    def stop(self) -> None:
+        """Ends all voters."""
+        for process in self.process_by_name.values():
+            process.terminate()
+        for process in self.process_by_name.values():
+            process.wait()
+        for relay in self.relay_by_name.values():
+            relay.close()
+
+
+def _free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return int(server.getsockname()[1])
