--- a/libs/decisions/mulberry_decisions/_paying_hedges.py
+++ b/libs/decisions/mulberry_decisions/_paying_hedges.py
@@ -10,8 +10,11 @@
 #: Latencies kept for each kind.
 _KEPT = 200
 _FEWEST = 50
-#: A copy is sent when this share of requests has been answered.
+#: A copy is sent after this many times the latency that this share of
+#: requests stays below. At the percentile itself most copies would go to
+#: requests that are only a little slow, and use up the allowed copies.
 _DELAY_PERCENTILE = 0.95
+_DELAY_FACTOR = 1.5
 #: The slowest hundredth must take this many times the delay; otherwise a
 #: copy that starts after the delay cannot be much faster.
 _TAIL_RATIO = 2.0
@@ -63,14 +66,19 @@
             if hedged:
                 state.credit -= 1.0
                 state.won.append(won)
-            state.latencies.append(latency_s)
+            # How slow the first copy would have been is not known; counted
+            # as fast, it would make the tail look short and end hedging.
+            state.latencies.append(float("inf") if won else latency_s)
             if len(state.latencies) >= _FEWEST:
                 state.delay_s = _delay(sorted(state.latencies))
 
 
 def _delay(ordered: list[float]) -> float | core.Missing:
     """Returns the delay for sorted latencies, unset without a long tail."""
-    delay_s = ordered[int(_DELAY_PERCENTILE * (len(ordered) - 1))]
+    usual_s = ordered[int(_DELAY_PERCENTILE * (len(ordered) - 1))]
+    delay_s = _DELAY_FACTOR * usual_s
+    if delay_s == float("inf"):
+        return core.Missing.UNSET
     slowest = ordered[int(0.99 * (len(ordered) - 1))]
     if slowest < _TAIL_RATIO * delay_s:
         return core.Missing.UNSET
--- a/libs/decisions/mulberry_decisions/_two_choices.py
+++ b/libs/decisions/mulberry_decisions/_two_choices.py
@@ -2,6 +2,8 @@
 
 import collections
 import dataclasses
+import functools
+import heapq
 import math
 import random
 import threading
@@ -23,6 +25,12 @@
 #: Load that one recent failure counts for. An upstream that fails at once
 #: always reports little load and would otherwise attract all requests.
 _FAILURE_COST = 0.5
+#: Time in which a difference from the mean load fades, seconds. It is of the
+#: order of a run time: older reports tell little about who waits now.
+_REPORT_MEMORY_S = 1.0
+#: Trust that even an old report keeps: a deep queue or a slow upstream lasts.
+_LEAST_TRUST = 0.2
+_RING_SIZE = 1 << 64
 #: Starts and ends kept for each upstream.
 _MAX_CHANGES = 512
 
@@ -105,17 +113,33 @@
     ) -> _upstreams.UpstreamState:
         with self._lock:
             now_s = self._clock.now()
-            sampled = self._sample(usable) + self._holders(work, usable)
-            return min(
-                sampled, key=lambda state: self._cost(work, state, now_s)
-            )
+            mean = sum(_reported(state) for state in usable) / len(usable)
+            costs = {
+                state.name: self._cost(work, state, now_s, mean)
+                for state in self._sample(work, usable)
+                + self._holders(work, usable)
+            }
+            best = min(costs, key=costs.__getitem__)
+            return next(state for state in usable if state.name == best)
 
     def _sample(
-        self, usable: Sequence[_upstreams.UpstreamState]
+        self, work: _work.Work, usable: Sequence[_upstreams.UpstreamState]
     ) -> list[_upstreams.UpstreamState]:
-        """Draws two upstreams in proportion to their effective capacity."""
+        """Returns two upstreams, drawn in proportion to their capacity.
+
+        For a chat the content draws them, so copies that callers send to
+        several entries at once meet the same two and can crash no more.
+        Where these are full, and for calls, which are often alike, chance
+        draws them.
+        """
         if len(usable) <= 2:
             return list(usable)
+        if work.content and not work.is_call:
+            pair = heapq.nlargest(
+                2, usable, key=functools.partial(_rank, work.content)
+            )
+            if min(_reported(state) for state in pair) < 1.0:
+                return pair
         weights = [_capacity(state) for state in usable]
         first = self._random.choices(range(len(usable)), weights)[0]
         weights[first] = 0.0
@@ -138,6 +162,7 @@
         work: _work.Work,
         state: _upstreams.UpstreamState,
         now_s: float,
+        mean: float,
     ) -> float:
         feedback = self._feedback.get(state.name)
         own = 0
@@ -146,7 +171,10 @@
             reported_at_s = now_s - state.report_age_s
             own = _net_changes(feedback, reported_at_s)
             failures = self._failures(feedback, now_s)
-        load = max(0, state.running + state.queued + own) / _capacity(state)
+        fresh = math.exp(-state.report_age_s / _REPORT_MEMORY_S)
+        trust = max(_LEAST_TRUST, fresh)
+        reported = mean + trust * (_reported(state) - mean)
+        load = max(0.0, reported + own / _capacity(state))
         zone = (
             _ZONE_COST
             if self._zone
@@ -166,6 +194,17 @@
         return feedback.failures * math.exp(-since_s / _FAILURE_WINDOW_S)
 
 
+def _rank(content: str, state: _upstreams.UpstreamState) -> float:
+    """Weighted rendezvous hashing: the two highest are the content's pair."""
+    position = core.ring_position(f"{content}\x00{state.name}")
+    share = (position + 1) / (_RING_SIZE + 1)
+    return math.log(share) / max(1, state.capacity)
+
+
+def _reported(state: _upstreams.UpstreamState) -> float:
+    return (state.running + state.queued) / _capacity(state)
+
+
 def _capacity(state: _upstreams.UpstreamState) -> float:
     """Returns the capacity, reduced while the upstream warms up."""
     warm = min(1.0, state.since_start_s / _SLOW_START_S)
--- a/libs/experiments/mulberry_experiments/_decisions/_crashes.py
+++ b/libs/experiments/mulberry_experiments/_decisions/_crashes.py
@@ -42,6 +42,10 @@
         self._guards = [
             decisions.CRASH_GUARDS[policy](clock) for _ in range(_ENTRIES)
         ]
+        self._choosers = [
+            decisions.TwoChoices(clock, "z", seed * 100 + index)
+            for index in range(_ENTRIES)
+        ]
         self._incarnations = dict.fromkeys(
             (f"u{index}" for index in range(_UPSTREAMS)), 1
         )
@@ -54,10 +58,13 @@
         self.failed = 0
 
     def send(self, entry: int, work: decisions.Work, attempt: int = 0) -> None:
-        """Runs a request on a random upstream that the guard leaves."""
+        """Runs a request on an upstream that the guard leaves."""
         guard = self._guards[entry]
+        load = collections.Counter(run.upstream.name for run in self._runs)
         states = [
-            decisions.UpstreamState(name, name, "z", incarnation)
+            decisions.UpstreamState(
+                name, name, "z", incarnation, capacity=8, running=load[name]
+            )
             for name, incarnation in self._incarnations.items()
             if name not in self._down
         ]
@@ -68,8 +75,8 @@
             else:
                 self._later(entry, work, attempt)
             return
-        chosen = self._draw.choice(usable) if usable else None
-        if chosen is None or not guard.started(work, chosen):
+        chosen = self._choosers[entry].choose(work, usable)
+        if isinstance(chosen, core.Refusal) or not guard.started(work, chosen):
             self._later(entry, work, attempt)
             return
         run = _Run(entry, work, chosen, attempt)
