--- a/libs/upstream/mulberry_upstream/_adapter.py
+++ b/libs/upstream/mulberry_upstream/_adapter.py
@@ -252,8 +252,9 @@
     first: bytes,
 ) -> core.Refusal:
     parts = [first]
-    while transfer.end is None:
-        parts.append(transfer.step())
+    # Bytes may still wait when the exchange has ended.
+    while (part := transfer.step()) or transfer.end is None:
+        parts.append(part)
     return _failures.refuse(request.record, attempt, transfer, b"".join(parts))
 
 
--- a/libs/upstream/mulberry_upstream/tests/test_contract.py
+++ b/libs/upstream/mulberry_upstream/tests/test_contract.py
@@ -141,6 +141,8 @@
     assert isinstance(refusal, core.Refusal)
     assert refusal.kind is case.kind
     assert refusal.run is case.run
+    if "status" in case.faults:
+        assert "status by a fault" in refusal.reason
     if refusal.run is _Run.NOT_RUN:
         assert _runs(engine.address) == []
 
