--- a/libs/experiments/mulberry_experiments/_entry.py
+++ b/libs/experiments/mulberry_experiments/_entry.py
@@ -429,7 +429,7 @@
     seconds = load.duration_s + load.stream_s
     for name, phase in (("direct", direct), ("entry", entry)):
         yield Row(f"{name}.complete", phase.complete, "requests")
-        yield Row(f"{name}.failed", phase.failed, "requests", "0")
+        yield Row(f"{name}.failed", phase.failed, "requests", "<= 0")
         yield Row(
             f"{name}.requests_per_s",
             phase.complete / load.duration_s,
@@ -443,7 +443,7 @@
 
 
 def _usage_rows(load: EntryLoad, usage: _Usage) -> Iterator[Row]:
-    yield Row("entry.cpu", usage.cpu * 100, "% of a core", "< 30")
+    yield Row("entry.cpu", usage.cpu * 100, "% of a core", "<= 30")
     yield Row("entry.threads", usage.threads, "threads")
     yield Row("entry.rss", usage.peak_rss_bytes / 1e6, "MB")
     streams = load.requests_per_s * load.stream_s
--- a/libs/experiments/mulberry_experiments/_measure.py
+++ b/libs/experiments/mulberry_experiments/_measure.py
@@ -35,16 +35,20 @@
 #: `module:function` by name. Modules are imported when they are run, so that
 #: one experiment does not need the libraries of all others.
 EXPERIMENTS: Mapping[str, str] = {
-    name: f"mulberry_experiments._decisions._{name}:run"
-    for name in (
-        "cascade",
-        "versions",
-        "upstreams",
-        "admission",
-        "limits",
-        "crashes",
-        "hedging",
-    )
+    **{
+        name: f"mulberry_experiments._decisions._{name}:run"
+        for name in (
+            "cascade",
+            "versions",
+            "upstreams",
+            "admission",
+            "limits",
+            "crashes",
+            "hedging",
+        )
+    },
+    "entry": "mulberry_experiments._deployed:run_entry",
+    "state": "mulberry_experiments._deployed:run_state",
 }
 
 
