Exchange less while nothing is new; add the measurements of membership

Cause: an idle instance of 12 sent 6.7 KB/s and took 3.0 % of a core (trial, 5 s, machine busy), over the targets of 5 KB/s and 1.8 %. Most of the bytes were pings with which gRPC estimates the bandwidth, and exchanges that carried nothing.

Bandwidth probes are off (SERVER_OPTIONS for the server, too), and a link with nothing new exchanges each 500 ms with the two next peers and each second with the others. Changes still go out within 250 ms, urgent ones at once. The first failure of a link wakes the others, so an instance that is cut off knows it as early as before.

--- /dev/null
+++ b/libs/experiments/mulberry_experiments/_membership.py
@@ -0,0 +1,309 @@
+"""Spread of a leaving upstream, and what an idle instance costs.
+
+Figures of up to 12 instances come from processes that speak gRPC over
+loopback. Those of more instances come from the simulation, which counts
+rounds and bytes but no time.
+"""
+
+import dataclasses
+import math
+import multiprocessing
+import random
+import time
+from collections.abc import Callable, Sequence
+
+import numpy as np
+
+import mulberry_membership as membership
+from mulberry_experiments import _entry, _membership_worker
+
+_COUNT = 12
+_SPREAD_TARGET = "at most 3 s everywhere"
+_BYTES_TARGET = "at most 5,000 bytes/s for all control work"
+_CPU_TARGET = "at most 1.8 % of a core for all control work"
+#: Between two leaving upstreams, seconds; varied so that the events do not
+#: fall into step with the exchanges.
+_GAP_S = (0.1, 0.6)
+#: Until instances have joined and connections are quiet, seconds.
+_SETTLE_S = 4.0
+_WAIT_S = 30.0
+
+
+class Fleet:
+    """Instances in processes of their own, on loopback."""
+
+    def __init__(self, count: int) -> None:
+        context = multiprocessing.get_context("spawn")
+        self._workers = [
+            _membership_worker.WorkerHandle(context, f"i{index}")
+            for index in range(count)
+        ]
+
+    def __enter__(self) -> "Fleet":
+        addresses = [worker.address() for worker in self._workers]
+        for worker in self._workers:
+            worker.call("join", tuple(addresses[:2]))
+        deadline_s = time.monotonic() + _WAIT_S
+        while not self._have_joined():
+            if time.monotonic() > deadline_s:
+                raise TimeoutError("the instances did not join")
+            time.sleep(0.2)
+        time.sleep(_SETTLE_S)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for worker in self._workers:
+            worker.stop()
+
+    def __len__(self) -> int:
+        return len(self._workers)
+
+    def announce(self, index: int, name: str, leaving: bool) -> float:
+        """Announces an upstream at one instance; returns the time before."""
+        at_s = self._workers[index].call("announce", name, leaving)
+        assert isinstance(at_s, float)
+        return at_s
+
+    def leaving_times(self, name: str) -> list[float]:
+        """Returns when each instance first listed the upstream as leaving."""
+        deadline_s = time.monotonic() + _WAIT_S
+        while time.monotonic() < deadline_s:
+            times = [
+                worker.call("leaving_since", name) for worker in self._workers
+            ]
+            found = [item for item in times if isinstance(item, float)]
+            if len(found) == len(self._workers):
+                return found
+            time.sleep(0.05)
+        raise TimeoutError(f"{name} is not listed as leaving everywhere")
+
+    def load(self, upstreams: int, changing: bool) -> None:
+        """Lets upstreams announce themselves each second, spread evenly."""
+        for index, worker in enumerate(self._workers):
+            own = len(range(index, upstreams, len(self._workers)))
+            worker.call("load", own, changing)
+
+    def usage(self, seconds: float) -> _membership_worker.Usage:
+        """Returns the mean usage of an instance over an interval."""
+        before = [worker.usage() for worker in self._workers]
+        time.sleep(seconds)
+        after = [worker.usage() for worker in self._workers]
+        each = [new.minus(old) for new, old in zip(after, before, strict=True)]
+        return _membership_worker.mean(each)
+
+    def _have_joined(self) -> bool:
+        return all(
+            worker.call("members") == len(self._workers)
+            for worker in self._workers
+        )
+
+
+def measure_spread(events: int, seed: int) -> tuple[_entry.Row, ...]:
+    """Measures how fast all instances learn that an upstream leaves."""
+    chooser = random.Random(seed)
+    single_ms: list[float] = []
+    everywhere_ms: list[float] = []
+    with Fleet(_COUNT) as fleet:
+        for event in range(events):
+            home, name = chooser.randrange(_COUNT), f"u{event}"
+            fleet.announce(home, name, leaving=False)
+            time.sleep(chooser.uniform(*_GAP_S))
+            begun_s = fleet.announce(home, name, leaving=True)
+            delays_ms = [
+                (at_s - begun_s) * 1000 for at_s in fleet.leaving_times(name)
+            ]
+            single_ms += delays_ms
+            everywhere_ms.append(max(delays_ms))
+    rows = []
+    for name, values in (
+        ("one instance", single_ms),
+        ("all instances", everywhere_ms),
+    ):
+        for percent in (50, 99):
+            rows.append(
+                _entry.Row(
+                    f"membership: leaving upstream known to {name} of "
+                    f"{_COUNT}, {percent}th percentile of {events} events",
+                    float(np.percentile(values, percent)),
+                    "ms",
+                    _SPREAD_TARGET,
+                )
+            )
+    return tuple(rows)
+
+
+def measure_idle(
+    counts: Sequence[int], seconds: float
+) -> tuple[_entry.Row, ...]:
+    """Measures an instance without upstreams, against instances."""
+    usages = []
+    for count in counts:
+        with Fleet(count) as fleet:
+            usages.append(fleet.usage(seconds))
+    rows = _usage_rows(f"idle, {counts[-1]} instances", usages[-1])
+    rows += _slope_rows("for each further instance", counts, usages)
+    return tuple(rows)
+
+
+def measure_upstreams(
+    counts: Sequence[int], seconds: float, changing: bool
+) -> tuple[_entry.Row, ...]:
+    """Measures an instance of 12 against the number of upstreams.
+
+    Args:
+        counts: Numbers of upstreams, growing.
+        seconds: Length of each interval.
+        changing: Whether the load of each upstream changes each second by
+            more than the threshold of publication; otherwise it stays.
+    """
+    usages = []
+    with Fleet(_COUNT) as fleet:
+        for count in counts:
+            fleet.load(count, changing)
+            time.sleep(_SETTLE_S)
+            usages.append(fleet.usage(seconds))
+    what = "changing" if changing else "steady"
+    rows = _usage_rows(
+        f"{_COUNT} instances, {counts[-1]} {what} upstreams", usages[-1]
+    )
+    rows += _slope_rows(f"for each further {what} upstream", counts, usages)
+    return tuple(rows)
+
+
+def measure_simulated(
+    counts: Sequence[int], seed: int
+) -> tuple[_entry.Row, ...]:
+    """Counts rounds and bytes of larger numbers of simulated instances.
+
+    A real instance passes an urgent change on without waiting for its
+    period, so the rounds are an upper bound of the periods.
+    """
+    rows = []
+    for count in counts:
+        simulation = membership.Simulation(count, seed)
+        joined = _rounds_until(simulation, simulation.has_converged)
+        simulation.rounds(8)
+        before = simulation.counters.count("membership.bytes_out")
+        idle_rounds = 8
+        simulation.rounds(idle_rounds)
+        sent = simulation.counters.count("membership.bytes_out") - before
+        period_s = membership.Timing().exchange_period_s
+        rows += [
+            _entry.Row(
+                f"membership: simulated join of {count} instances",
+                float(joined),
+                "rounds of 250 ms",
+            ),
+            _entry.Row(
+                f"membership: simulated leaving upstream known to all "
+                f"{count} instances",
+                float(_spread_rounds(simulation)),
+                "rounds of 250 ms",
+                "at most 12",
+            ),
+            _entry.Row(
+                f"membership: simulated idle messages sent by one of "
+                f"{count} instances, without HTTP/2 and TCP",
+                sent / count / (idle_rounds * period_s),
+                "bytes/s",
+                _BYTES_TARGET,
+            ),
+        ]
+    return tuple(rows)
+
+
+def measure(seed: int, quick: bool = False) -> tuple[_entry.Row, ...]:
+    """Runs all measurements of this page.
+
+    Args:
+        seed: Of the events and of the simulation.
+        quick: Shorter intervals and fewer events, for a trial.
+    """
+    seconds = 3.0 if quick else 15.0
+    upstreams = (0, 60, 120) if quick else (0, 120, 240, 480)
+    sizes = (12, 64) if quick else (12, 64, 128, 330)
+    return (
+        *measure_spread(20 if quick else 200, seed),
+        *measure_idle((4, 8, 12), seconds),
+        *measure_upstreams(upstreams, seconds, changing=False),
+        *measure_upstreams(upstreams, seconds, changing=True),
+        *measure_simulated(sizes, seed),
+    )
+
+
+def _spread_rounds(simulation: membership.Simulation) -> int:
+    directories = [
+        membership.UpstreamDirectory(
+            instance, simulation.clock, simulation.counters
+        )
+        for instance in simulation.by_name.values()
+    ]
+    ready = _membership_worker.announcement("u", 1, leaving=False, running=0)
+    directories[0].announce(ready)
+    simulation.rounds(math.ceil(math.log2(len(directories))) + 2)
+    directories[0].announce(
+        dataclasses.replace(
+            ready, sequence=2, state=membership.UpstreamState.LEAVING
+        )
+    )
+    kind = membership.RecordKind.UPSTREAM
+    return _rounds_until(
+        simulation,
+        lambda: all(
+            instance.records(kind)["u"].sequence == 2
+            for instance in simulation.by_name.values()
+        ),
+    )
+
+
+def _rounds_until(
+    simulation: membership.Simulation, is_done: Callable[[], bool]
+) -> int:
+    rounds = 0
+    while not is_done():
+        simulation.round()
+        rounds += 1
+    return rounds
+
+
+def _usage_rows(what: str, usage: _membership_worker.Usage) -> list[_entry.Row]:
+    return [
+        _entry.Row(
+            f"membership: {what}, sent by one with TCP/IP headers",
+            usage.wire_bytes / usage.seconds,
+            "bytes/s",
+            _BYTES_TARGET,
+        ),
+        _entry.Row(
+            f"membership: {what}, messages sent by one",
+            usage.message_bytes / usage.seconds,
+            "bytes/s",
+        ),
+        _entry.Row(
+            f"membership: {what}, processor of one",
+            100 * usage.cpu_s / usage.seconds,
+            "% of a core",
+            _CPU_TARGET,
+        ),
+    ]
+
+
+def _slope_rows(
+    what: str,
+    counts: Sequence[int],
+    usages: Sequence[_membership_worker.Usage],
+) -> list[_entry.Row]:
+    wire = [usage.wire_bytes / usage.seconds for usage in usages]
+    cpu = [100 * usage.cpu_s / usage.seconds for usage in usages]
+    return [
+        _entry.Row(
+            f"membership: sent by one {what}, {counts[0]} to {counts[-1]}",
+            float(np.polyfit(counts, wire, 1)[0]),
+            "bytes/s",
+        ),
+        _entry.Row(
+            f"membership: processor of one {what}, {counts[0]} to {counts[-1]}",
+            float(np.polyfit(counts, cpu, 1)[0]),
+            "% of a core",
+        ),
+    ]
--- a/libs/membership/mulberry_membership/__init__.py
+++ b/libs/membership/mulberry_membership/__init__.py
@@ -10,6 +10,7 @@
 from mulberry_membership._directory import AnnounceOutcome, UpstreamDirectory
 from mulberry_membership._fake_network import FakeNetwork, Faults
 from mulberry_membership._grpc_transport import (
+    SERVER_OPTIONS,
     GrpcTransport,
     add_peers_service,
 )
@@ -25,6 +26,7 @@
 
 __all__ = [
     "MAX_ANNOUNCEMENT_BYTES",
+    "SERVER_OPTIONS",
     "AnnounceOutcome",
     "Announcement",
     "Callback",
--- a/libs/membership/mulberry_membership/_grpc_transport.py
+++ b/libs/membership/mulberry_membership/_grpc_transport.py
@@ -8,6 +8,11 @@
 from mulberry_membership import _transport
 from mulberry_wire import peer_pb2, peer_pb2_grpc
 
+# gRPC answers messages with pings to estimate the bandwidth, which exchanges
+# of some tens of bytes do not need.
+_NO_BANDWIDTH_PROBES = ("grpc.http2.bdp_probe", 0)
+#: Options for the server that the service for exchanges is registered on.
+SERVER_OPTIONS = (_NO_BANDWIDTH_PROBES, ("grpc.so_reuseport", 0))
 #: A peer that restarts should be reached within a second, the time after
 #: which it would be suspected; the default backoff grows to two minutes.
 _CHANNEL_OPTIONS = (
@@ -16,6 +21,7 @@
     ("grpc.max_reconnect_backoff_ms", 500),
     # Proxies of the environment must not see traffic between instances.
     ("grpc.enable_http_proxy", 0),
+    _NO_BANDWIDTH_PROBES,
     # Several instances in one process, as in tests, must not share a socket.
     ("grpc.use_local_subchannel_pool", 1),
 )
--- a/libs/membership/mulberry_membership/_link.py
+++ b/libs/membership/mulberry_membership/_link.py
@@ -11,6 +11,8 @@
 #: Most records in one message. With records of about 150 bytes this is
 #: 150 KB, well under gRPC's limit of 4 MB for a message.
 MAX_RECORDS_PER_MESSAGE = 1_000
+#: Sums of periods differ from their product by less than this, seconds.
+_ROUNDING_S = 1e-6
 #: A peer that refutes each suspicion of this instance can be reached by
 #: others; suspicions of it become rarer up to this factor.
 MAX_PATIENCE = 8
@@ -51,7 +53,7 @@
 class PeerLink:
     """Remembers what a peer has acknowledged and whether it answers.
 
-    Only one thread exchanges; the others read `failing_s` and call `wake`.
+    Only one thread exchanges; the others read `failing` and call `wake`.
     """
 
     def __init__(
@@ -87,6 +89,12 @@
         #: Begin of the wait for the next suspicion, seconds.
         self._suspect_from_s = math.inf
         self._patience = 1
+        #: Whether to exchange although nothing is new for the peer.
+        self._is_asked = False
+        #: Between exchanges while there is nothing new for the peer, seconds.
+        self.idle_period_s = 0.0
+        #: When the last successful exchange began, seconds.
+        self._exchanged_s = -math.inf
 
     @property
     def closed(self) -> bool:
@@ -100,6 +108,8 @@
 
     def wake(self) -> None:
         """Makes the task exchange without waiting for its period."""
+        with self._lock:
+            self._is_asked = True
         self._wake.set()
 
     def wait(self, timeout_s: float) -> None:
@@ -107,12 +117,30 @@
         self._wake.wait(timeout_s)
         self._wake.clear()
 
-    def failing_s(self) -> float:
-        """Returns for how long exchanges have failed, 0 if they succeed."""
+    def is_due(self) -> bool:
+        """Whether there is a reason to exchange now.
+
+        Something is new for the peer, the last exchange failed or left
+        records over, or the idle period has passed.
+        """
+        with self._lock:
+            if not math.isinf(self._failing_since_s) or self._sends_all:
+                return True
+            if self._wants_all or self._is_asked:
+                return True
+            idle_s = self._clock.now() - self._exchanged_s
+            if idle_s >= self.idle_period_s - _ROUNDING_S:
+                return True
+            changes = self._store.changes_since(
+                self._acknowledged_stamp, self.name, 1
+            )
+            return bool(changes.held)
+
+    @property
+    def failing(self) -> bool:
+        """Whether the last exchange failed."""
         with self._lock:
-            if math.isinf(self._failing_since_s):
-                return 0.0
-            return self._clock.now() - self._failing_since_s
+            return not math.isinf(self._failing_since_s)
 
     def should_suspect(self, suspect_after_s: float) -> bool:
         """Whether the peer has failed for so long that it is suspected."""
@@ -129,6 +157,7 @@
     def request(self, sender: str) -> SentRequest:
         """Returns the next request with what its success will prove."""
         with self._lock:
+            self._is_asked = False
             changes = self._store.changes_since(
                 self._acknowledged_stamp,
                 "" if self._sends_all else self.name,
@@ -157,17 +186,20 @@
             self._session = response.session
             self._have_stamp = response.stamp
             self._wants_all = response.more and self._wants_all
+            self._exchanged_s = sent.at_s
             self._failing_since_s = self._suspect_from_s = math.inf
             self._patience = 1
         if response.more or sent.more or new_session:
             self.wake()
 
-    def failed(self, sent: SentRequest) -> None:
-        """Notes a failed exchange.
+    def failed(self, sent: SentRequest) -> bool:
+        """Notes a failed exchange; returns whether it is the first in a row.
 
         Time counts from the first failure, not from the last success: a
         process that was suspended must not suspect its peers on waking.
         """
         with self._lock:
+            is_first = math.isinf(self._failing_since_s)
             self._failing_since_s = min(self._failing_since_s, sent.at_s)
             self._suspect_from_s = min(self._suspect_from_s, sent.at_s)
+            return is_first
--- a/libs/membership/mulberry_membership/_peers.py
+++ b/libs/membership/mulberry_membership/_peers.py
@@ -15,6 +15,8 @@
     _transport,
 )
 
+#: Peers with the short idle period.
+_NEAR_PEERS = 2
 #: Shortest time between the begins of two exchanges with one peer, seconds;
 #: several urgent changes shortly after each other go into one message.
 MIN_GAP_S = 0.02
@@ -31,8 +33,14 @@
 class Timing:
     """Periods and bounds, in seconds."""
 
-    #: Between exchanges with one peer.
+    #: Between exchanges with one peer that there is something new for.
     exchange_period_s: float = 0.25
+    #: Between exchanges with the two next peers on the ring while nothing is
+    #: new; they detect a failure in time. Idle exchanges with all peers each
+    #: 250 ms took 6.7 KB/s and 3.0 % of a core at 12 instances.
+    near_idle_period_s: float = 0.5
+    #: The same for the peers further away.
+    far_idle_period_s: float = 1.0
     #: Exchanges that fail for this long lead to a suspicion.
     suspect_after_s: float = 1.0
     #: Suspected without refutation until a member is dead.
@@ -136,6 +144,7 @@
             in_use = self._set_probes(members, living)
             closed = self._close_unwanted(wanted)
             self._add_missing(wanted)
+            self._set_idle_periods(wanted)
         for link in closed:
             if link.address not in in_use:
                 self._transport.forget(link.address)
@@ -151,17 +160,20 @@
         self._last_contact_s = self._clock.now()
 
     def isolated_s(self) -> float:
-        """Returns for how long all exchanges failed, 0 if one succeeds."""
-        failing_s = [link.failing_s() for link in self._links()]
-        if not failing_s:
+        """Returns the seconds since the last contact with any peer.
+
+        Zero unless all exchanges fail.
+        """
+        links = self._links()
+        if not links or not all(link.failing for link in links):
             return 0.0
-        silent_s = self._clock.now() - self._last_contact_s
-        return min(*failing_s, silent_s)
+        return self._clock.now() - self._last_contact_s
 
     def run_once(self) -> None:
-        """Exchanges once with each peer and probes once."""
+        """Exchanges once with each peer that is due, and probes once."""
         for link in self._links():
-            self.exchange(link)
+            if link.is_due():
+                self.exchange(link)
         self.probe()
 
     def exchange(self, link: _link.PeerLink) -> bool:
@@ -176,7 +188,9 @@
         )
         if isinstance(response, core.Refusal):
             self._counters.increment("membership.exchange_failures")
-            link.failed(sent)
+            if link.failed(sent):
+                # Shows at once whether this instance is cut off altogether.
+                self.wake(except_name=link.name)
             self._suspect_if_due(link)
             return False
         self._counters.increment("membership.bytes_in", response.ByteSize())
@@ -226,6 +240,15 @@
                 self._links_by_name[name] = link
                 self._spawn(link)
 
+    def _set_idle_periods(self, wanted: Mapping[str, str]) -> None:
+        for place, name in enumerate(wanted):
+            near = place < _NEAR_PEERS
+            self._links_by_name[name].idle_period_s = (
+                self._timing.near_idle_period_s
+                if near
+                else self._timing.far_idle_period_s
+            )
+
     def _set_probes(
         self,
         members: Mapping[str, _members.Member],
@@ -253,8 +276,9 @@
 
     def _run_link(self, link: _link.PeerLink, stop: threading.Event) -> None:
         while not link.closed and not stop.is_set():
-            self.exchange(link)
-            stop.wait(MIN_GAP_S)
+            if link.is_due():
+                self.exchange(link)
+                stop.wait(MIN_GAP_S)
             link.wait(self._timing.exchange_period_s - MIN_GAP_S)
 
     def _run_probes(self, stop: threading.Event) -> None:
--- a/libs/membership/mulberry_membership/tests/test_exchange.py
+++ b/libs/membership/mulberry_membership/tests/test_exchange.py
@@ -89,6 +89,54 @@
     assert _ids(link.request("me").request) == {"a"}
 
 
+def _quiet_link() -> tuple[
+    _link.PeerLink, _store.RecordStore, core.ManualClock
+]:
+    clock = core.ManualClock()
+    store = _store.RecordStore(clock)
+    link = _link.PeerLink("peer", "address", store, clock)
+    link.idle_period_s = 1.0
+    _answer(link, link.request("me"))
+    assert not link.is_due()
+    return link, store, clock
+
+
+def test_link_is_due_when_the_idle_period_has_passed() -> None:
+    """Guards against a failure that nobody looks for."""
+    link, _, clock = _quiet_link()
+    clock.advance(1.0)
+    assert link.is_due()
+
+
+def test_link_is_due_for_a_change() -> None:
+    """Guards against a change that waits for the idle period."""
+    link, store, _ = _quiet_link()
+    store.merge(_record("a"), source="peer")
+    assert not link.is_due()
+    store.merge(_record("b"), source="other")
+    assert link.is_due()
+
+
+def test_woken_link_is_due_until_it_has_exchanged() -> None:
+    """Guards against a wake-up lost between the wait and the exchange."""
+    link, _, _ = _quiet_link()
+    link.wake()
+    link.wait(10.0)
+    assert link.is_due()
+    _answer(link, link.request("me"))
+    assert not link.is_due()
+
+
+def test_link_is_due_after_a_failure_and_for_left_over_records() -> None:
+    """Guards against a retry or a rest that waits for the idle period."""
+    link, _, _ = _quiet_link()
+    link.failed(link.request("me"))
+    assert link.is_due()
+    sent = link.request("me")
+    link.succeeded(peer_pb2.ExchangeResponse(session=7, more=True), sent)
+    assert link.is_due()
+
+
 def _instance() -> tuple[membership.Simulation, membership.Membership]:
     simulation = membership.Simulation(1)
     return simulation, simulation.by_name["i0"]
