--- /dev/null
+++ b/libs/entry/mulberry_entry/tests/test_stock_client.py
@@ -0,0 +1,71 @@
+"""The stock Python client of the chat completions protocol, unpatched."""
+
+from collections.abc import Iterator
+
+import openai
+import pytest
+
+from mulberry_entry.tests import harness
+
+
+@pytest.fixture
+def entry() -> Iterator[harness.Harness]:
+    started = harness.Harness()
+    started.add_engine("engine-1")
+    yield started
+    started.stop()
+
+
+def _client(entry: harness.Harness, key: str = harness.KEY) -> openai.OpenAI:
+    return openai.OpenAI(
+        api_key=key, base_url=f"http://{entry.address}/v1", max_retries=0
+    )
+
+
+def test_whole_streamed_and_listed(entry: harness.Harness) -> None:
+    """Guards against answers that the stock client cannot read."""
+    client = _client(entry)
+    assert "m" in [model.id for model in client.models.list()]
+    whole = client.chat.completions.create(
+        model="m", messages=[{"role": "user", "content": "hola"}]
+    )
+    text = whole.choices[0].message.content
+    assert text
+    assert whole.usage
+    assert whole.usage.completion_tokens == 5
+    streamed = client.chat.completions.create(
+        model="m", messages=[{"role": "user", "content": "hola"}], stream=True
+    )
+    parts = [
+        chunk.choices[0].delta.content or ""
+        for chunk in streamed
+        if chunk.choices
+    ]
+    assert "".join(parts) == text
+    cascade = client.chat.completions.create(
+        model="both",
+        messages=[{"role": "user", "content": "hola"}],
+        stream=True,
+    )
+    assert list(cascade)[-1].choices[0].finish_reason == "stop"
+
+
+def test_errors_are_those_of_the_protocol(entry: harness.Harness) -> None:
+    """Guards against refusals that the stock client cannot tell apart."""
+    messages: list[openai.types.chat.ChatCompletionMessageParam] = [
+        {"role": "user", "content": "hola"}
+    ]
+    with pytest.raises(openai.AuthenticationError):
+        _client(entry, "wrong").chat.completions.create(
+            model="m", messages=messages
+        )
+    with pytest.raises(openai.NotFoundError) as unknown:
+        _client(entry).chat.completions.create(model="x", messages=messages)
+    assert unknown.value.code == "unknown_model"
+    entry.set_faults("engine-1", garble_at=2)
+    with pytest.raises(openai.APIError):
+        list(
+            _client(entry).chat.completions.create(
+                model="m", messages=messages, stream=True
+            )
+        )
