Give orders to engines from the leading voter where settings ask for it

Entries publish what they are asked for by model and version; the leader plans loads under its lease. Off by default (policy.load_planner): an engine keeps what it announces.

--- /dev/null
+++ b/libs/daemon/mulberry_daemon/_engine_orders.py
@@ -0,0 +1,182 @@
+"""Loads versions where they are missing, from one instance at a time."""
+
+import collections
+import threading
+import uuid
+from collections.abc import Callable, Mapping
+from concurrent import futures
+
+import mulberry_control as control
+import mulberry_core as core
+import mulberry_entry as entry
+import mulberry_membership as membership
+import mulberry_rules as rules
+import mulberry_state as state
+
+_PERIOD_S = 2.0
+_LEASE_NAME = "engine-orders"
+
+#: Versions that fit the memory of one engine.
+_MAX_VERSIONS = 2
+
+#: Loads that run at once; each takes minutes on a real engine.
+_MAX_LOADS = 4
+
+#: Planners by their name in the settings; `none` gives no orders.
+PLANNERS: Mapping[str, Callable[[], control.LoadPlanner]] = {
+    "threshold": control.ThresholdLoadPlanner,
+    "hysteresis": control.HysteresisLoadPlanner,
+}
+
+
+class EngineOrders:
+    """Runs the load planner on the voter that leads.
+
+    The leader has all recorded orders at hand; the lease with its fencing
+    number, not the leadership, keeps two instances from giving orders.
+    """
+
+    def __init__(
+        self,
+        parts: entry.EntryParts,
+        node: state.StateNode,
+        planner: control.LoadPlanner,
+    ) -> None:
+        self._parts = parts
+        self._node = node
+        self._planner = planner
+        self._executor = control.OrderExecutor(
+            control.ControlLease(
+                parts.state,
+                parts.clock,
+                _LEASE_NAME,
+                f"{parts.instance}/{uuid.uuid4().hex}",
+            ),
+            parts.state,
+            control.MachineOrderJournal(lambda: node.replica.applier.machine),
+            control.HttpEngineControl(),
+            parts.clock,
+            parts.counters,
+            control.WeightRate(),
+        )
+        self._loads = futures.ThreadPoolExecutor(
+            _MAX_LOADS, thread_name_prefix="engine orders"
+        )
+        self._lock = threading.Lock()
+        self._busy: set[str] = set()
+
+    def start(self, tasks: core.TaskPool) -> None:
+        """Looks at demand every two seconds."""
+        tasks.spawn("engine orders", self._run)
+
+    def run_once(self) -> None:
+        """Recovers half-done orders, then plans and gives new ones."""
+        if self._node.status().role != "leader":
+            return
+        if isinstance(self._executor.prepare(), core.Refusal):
+            return
+        targets = self._targets()
+        self._executor.recover(targets, self._wants)
+        planned = self._planner.plan(
+            self._engines(),
+            self._demand(),
+            _MAX_LOADS,
+            self._parts.clock.now(),
+        )
+        orders_by_engine = collections.defaultdict(list)
+        for order in planned:
+            orders_by_engine[order.engine].append(order)
+        for name, orders in orders_by_engine.items():
+            self._give(targets[name], orders)
+
+    def _run(self, stop: threading.Event) -> None:
+        while not stop.wait(_PERIOD_S):
+            self.run_once()
+
+    def _give(
+        self, target: control.EngineTarget, orders: list[control.PlannedOrder]
+    ) -> None:
+        with self._lock:
+            if target.name in self._busy:
+                return
+            self._busy.add(target.name)
+
+        def give() -> None:
+            try:
+                for planned in orders:
+                    self._executor.execute(
+                        target,
+                        control.Order(
+                            planned.kind,
+                            planned.model,
+                            planned.version,
+                            control.new_order_id(),
+                        ),
+                    )
+            finally:
+                with self._lock:
+                    self._busy.discard(target.name)
+
+        self._loads.submit(give)
+
+    def _targets(self) -> dict[str, control.EngineTarget]:
+        return {
+            known.name: control.EngineTarget(
+                name=known.name,
+                address=known.address,
+                checks_fencing=known.checks_fencing,
+                versions=_pairs(known),
+            )
+            for known in self._parts.directory.upstreams().values()
+            if isinstance(known.service, core.Missing)
+        }
+
+    def _engines(self) -> list[control.EngineState]:
+        with self._lock:
+            busy = set(self._busy)
+        return [
+            control.EngineState(
+                name=known.name,
+                versions=_pairs(known),
+                capacity=known.capacity,
+                max_versions=_MAX_VERSIONS,
+                available=known.state is membership.UpstreamState.READY
+                and known.name not in busy,
+            )
+            for known in self._parts.directory.upstreams().values()
+            if isinstance(known.service, core.Missing)
+        ]
+
+    def _demand(self) -> dict[tuple[str, str], control.PoolDemand]:
+        """Sums what all entries ask for, by model and version."""
+        in_force = self._parts.state.view().rules
+        if isinstance(in_force, core.Missing):
+            return {}
+        wanted: collections.Counter[tuple[str, str]] = collections.Counter()
+        for record in self._parts.soft_state.records(
+            membership.RecordKind.ENTRY
+        ).values():
+            for model, version, requests in entry.EntryState.decode(
+                record.payload
+            ).wanted:
+                wanted[(model, version)] += requests
+        return {
+            (model, known.version): control.PoolDemand(
+                wanted[(model, known.version)], not known.withdrawn
+            )
+            for model, versions in in_force.versions_by_model.items()
+            for known in versions
+        }
+
+    def _wants(
+        self, target: control.EngineTarget, order: control.Order
+    ) -> bool:
+        """Whether a half-done order still fits the rules in force."""
+        in_force = self._parts.state.view().rules
+        return isinstance(in_force, rules.Rules) and not in_force.is_withdrawn(
+            order.model, order.version
+        )
+
+
+def _pairs(known: membership.Upstream) -> frozenset[tuple[str, str]]:
+    return frozenset((item.model, item.version) for item in known.versions)
--- a/libs/daemon/mulberry_daemon/_instance.py
+++ b/libs/daemon/mulberry_daemon/_instance.py
@@ -16,6 +16,7 @@
     _backend,
     _decision_set,
     _drain,
+    _engine_orders,
     _operator,
     _replicated,
     _rollouts,
@@ -93,7 +94,9 @@
             ),
             self._grpc,
         )
-        self._sharing = _sharing.Sharing(self._parts, settings.http_address)
+        self._sharing = _sharing.Sharing(
+            self._parts, settings.http_address, self._app.wanted
+        )
         self._rollouts = _rollouts.RolloutController(
             self._state,
             self._parts.decisions,
@@ -114,6 +117,7 @@
         self._sharing.start(self._timers)
         self._rollouts.start(self._timers, self._tasks)
         self._watch_rule_file()
+        self._start_engine_orders()
 
     def stop(self, forced: threading.Event) -> None:
         """Drains and stops; `forced` ends the drain early."""
@@ -197,6 +201,15 @@
             path, source.submit, source.in_force(), self._tasks
         ).start(self._timers, self._settings.timing.watch_period_s)
 
+    def _start_engine_orders(self) -> None:
+        name = self._settings.policy.load_planner
+        node = self._replicated.node
+        if name == "none" or isinstance(node, core.Missing):
+            return
+        _engine_orders.EngineOrders(
+            self._parts, node, _engine_orders.PLANNERS[name]()
+        ).start(self._tasks)
+
     def _is_first_member(self) -> bool:
         """Whether this instance comes first among the live ones."""
         alive = [
--- a/libs/daemon/mulberry_daemon/_sharing.py
+++ b/libs/daemon/mulberry_daemon/_sharing.py
@@ -3,7 +3,7 @@
 import dataclasses
 import json
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import mulberry_core as core
 import mulberry_decisions as decisions
@@ -20,8 +20,14 @@
 class Sharing:
     """Publishes this entry's figures and takes over those of the others."""
 
-    def __init__(self, parts: entry.EntryParts, address: str) -> None:
+    def __init__(
+        self,
+        parts: entry.EntryParts,
+        address: str,
+        wanted: Callable[[], Sequence[tuple[str, str, int]]],
+    ) -> None:
         self._parts = parts
+        self._wanted = wanted
         self._address = address
         self._leaving = False
         self._published: dict[membership.RecordKind, bytes] = {}
@@ -59,6 +65,7 @@
             leaving=self._leaving,
             load=round(admission.running() / limits.max_streams, 1),
             running=admission.running(),
+            wanted=tuple(self._wanted()),
         )
         self._publish(
             membership.RecordKind.ENTRY, state.encode(), self._leaving
--- a/libs/daemon/mulberry_daemon/tests/test_choices.py
+++ b/libs/daemon/mulberry_daemon/tests/test_choices.py
@@ -1,18 +1,19 @@
 """Tests that settings and implementations agree."""
 
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Collection
 
 import pytest
 
 import mulberry_decisions as decisions
 import mulberry_rules as rules
+from mulberry_daemon import _engine_orders
 
-_TABLES: dict[str, Mapping[str, Any]] = {
+_TABLES: dict[str, Collection[str]] = {
     "model_chooser": decisions.MODEL_CHOOSERS,
     "upstream_chooser": decisions.UPSTREAM_CHOOSERS,
     "admission": decisions.ADMISSIONS,
     "version_judge": decisions.VERSION_JUDGES,
+    "load_planner": {"none", *_engine_orders.PLANNERS},
 }
 
 
--- a/libs/entry/mulberry_entry/_app.py
+++ b/libs/entry/mulberry_entry/_app.py
@@ -49,9 +49,9 @@
 
     def __init__(self, parts: _parts.EntryParts) -> None:
         self._parts = parts
-        dispatcher = _dispatch.Dispatcher(parts)
-        self._chat = _chat.ChatHandler(parts, dispatcher)
-        self._calls = _calls.CallHandler(parts, dispatcher)
+        self._dispatcher = _dispatch.Dispatcher(parts)
+        self._chat = _chat.ChatHandler(parts, self._dispatcher)
+        self._calls = _calls.CallHandler(parts, self._dispatcher)
         self._leaving = threading.Event()
         self._lock = threading.Lock()
         self._running = 0
@@ -83,6 +83,10 @@
         with self._lock:
             return self._running
 
+    def wanted(self) -> tuple[tuple[str, str, int], ...]:
+        """Returns model, version and requests of the last seconds."""
+        return self._dispatcher.wanted()
+
     def leave(self) -> None:
         """Answers from now on close their connections."""
         self._leaving.set()
--- /dev/null
+++ b/libs/entry/mulberry_entry/_demand.py
@@ -0,0 +1,43 @@
+"""Demand by model and version, for the planner of loads."""
+
+import collections
+import threading
+
+import mulberry_core as core
+
+#: Requests count as demand for this long, about the time of a short answer.
+_WINDOW_S = 5.0
+
+#: Requests remembered; more than this in one window changes no decision.
+_MAX_NOTES = 2_000
+
+
+class PairDemand:
+    """Counts the requests of the last seconds, answered or not."""
+
+    def __init__(self, clock: core.Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._notes: collections.deque[tuple[float, str, str]] = (
+            collections.deque(maxlen=_MAX_NOTES)
+        )
+
+    def note(self, model: str, version: str) -> None:
+        """Counts one request; plain calls have no version and no demand."""
+        if version:
+            with self._lock:
+                self._notes.append((self._clock.now(), model, version))
+
+    def rows(self) -> tuple[tuple[str, str, int], ...]:
+        """Returns model, version and number of requests."""
+        oldest_s = self._clock.now() - _WINDOW_S
+        with self._lock:
+            while self._notes and self._notes[0][0] < oldest_s:
+                self._notes.popleft()
+            counts = collections.Counter(
+                (model, version) for _, model, version in self._notes
+            )
+        return tuple(
+            (model, version, count)
+            for (model, version), count in sorted(counts.items())
+        )
--- a/libs/entry/mulberry_entry/_dispatch.py
+++ b/libs/entry/mulberry_entry/_dispatch.py
@@ -13,7 +13,7 @@
 import mulberry_membership as membership
 import mulberry_state as state
 import mulberry_upstream as upstream
-from mulberry_entry import _parts
+from mulberry_entry import _demand, _parts
 
 #: How often another choice is made when a place was taken meanwhile.
 _MAX_CHOICES = 4
@@ -75,6 +75,7 @@
         self._parts = parts
         self._lock = threading.Lock()
         self._in_flight: collections.Counter[str] = collections.Counter()
+        self._wanted = _demand.PairDemand(parts.clock)
         self._first_seen: dict[tuple[str, int], float] = {}
         # Records of crashes wait for a quorum, so they stay off the threads
         # that deliver timers and soft state.
@@ -107,6 +108,7 @@
                 only where there is no other.
         """
         refusal: core.Refusal | core.Missing = core.Missing.UNSET
+        self._wanted.note(destination.model, destination.version)
         for _ in range(_MAX_CHOICES):
             chosen = self._choose(work, destination, exclude)
             if isinstance(chosen, core.Refusal):
@@ -168,10 +170,9 @@
             "in flight after a broken connection",
         )
 
-    def in_flight(self) -> int:
-        """Returns how many sends are in flight."""
-        with self._lock:
-            return sum(self._in_flight.values())
+    def wanted(self) -> tuple[tuple[str, str, int], ...]:
+        """Returns model, version and requests of the last seconds."""
+        return self._wanted.rows()
 
     def _choose(
         self,
--- a/libs/entry/mulberry_entry/_entry_list.py
+++ b/libs/entry/mulberry_entry/_entry_list.py
@@ -3,7 +3,7 @@
 import dataclasses
 import json
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
 import mulberry_core as core
@@ -26,6 +26,8 @@
     load: float
     #: Requests that run through it now.
     running: int = 0
+    #: Rows of model, version and how many requests run or found no upstream.
+    wanted: Sequence[tuple[str, str, int]] = ()
 
     def encode(self) -> bytes:
         """Returns the payload of the `entry` soft-state record."""
--- a/libs/rules/mulberry_rules/_choices.py
+++ b/libs/rules/mulberry_rules/_choices.py
@@ -18,4 +18,5 @@
     ),
     "admission": ("priority", "first_come"),
     "version_judge": ("sequential", "error_threshold", "none"),
+    "load_planner": ("none", "hysteresis", "threshold"),
 }
--- a/libs/rules/mulberry_rules/_load_settings.py
+++ b/libs/rules/mulberry_rules/_load_settings.py
@@ -153,6 +153,7 @@
     upstream_chooser: str = _choice("upstream_chooser")
     admission: str = _choice("admission")
     version_judge: str = _choice("version_judge")
+    load_planner: str = _choice("load_planner")
 
 
 class _Tls(_File):
--- a/libs/rules/mulberry_rules/_settings.py
+++ b/libs/rules/mulberry_rules/_settings.py
@@ -56,6 +56,9 @@
     upstream_chooser: str = "two_choices"
     admission: str = "priority"
     version_judge: str = "sequential"
+    #: Gives orders to engines; `none` leaves them as they announce
+    #: themselves.
+    load_planner: str = "none"
 
 
 @dataclasses.dataclass(frozen=True)
