Test that a cut is noticed early, and a restart with the same incarnation

Two guards of the idle exchanges were not covered: waking the other links on the first failure, and counting as cut off only while all links fail. The case of an equal incarnation used a clock that only came close.

--- a/libs/membership/mulberry_membership/tests/test_failures.py
+++ b/libs/membership/mulberry_membership/tests/test_failures.py
@@ -125,6 +125,11 @@
     return run
 
 
+def _restart_with_the_same_incarnation(simulation: Simulation) -> None:
+    first_s = simulation.by_name["i3"].incarnation / 1000
+    _restart(first_s - simulation.clock.wall())(simulation)
+
+
 def _restart_of_all(simulation: Simulation) -> None:
     for name in list(simulation.by_name):
         simulation.crash(name)
@@ -167,7 +172,11 @@
     _Case("a partition of 3 minutes", _partition(180.0), True),
     _Case("a restart", _restart(0.0), False),
     _Case("a restart with an earlier clock", _restart(-3600.0), False),
-    _Case("a restart with the same clock", _restart(-4.0 * SPREAD_S), False),
+    _Case(
+        "a restart with the same incarnation",
+        _restart_with_the_same_incarnation,
+        False,
+    ),
     _Case("a restart with a later clock", _restart(3600.0), False),
     _Case("all restart one after the other", _restart_of_all, False),
     _Case("loss", _faulty_network(membership.Faults(loss=0.2)), False),
@@ -281,3 +290,19 @@
     simulation.seconds(SPREAD_S)
     for name in others:
         assert simulation.by_name["i0"].doubt_s(name) == 0.0, name
+
+
+def test_doubt_begins_soon_after_a_cut_and_only_then() -> None:
+    """Guards against links that are idle and hide that all others fail."""
+    simulation = _joined()
+    instance = simulation.by_name["i0"]
+    others = [name for name in simulation.by_name if name != "i0"]
+    for _ in range(5):
+        for _ in range(9):
+            simulation.round()
+            assert all(instance.doubt_s(name) == 0.0 for name in others)
+        simulation.cut_between(["i0"], others)
+        simulation.rounds(3)
+        assert all(instance.doubt_s(name) > 0.0 for name in others)
+        simulation.network.heal()
+        simulation.seconds(SPREAD_S)
