--- a/libs/daemon/mulberry_daemon/_backend.py
+++ b/libs/daemon/mulberry_daemon/_backend.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 import mulberry_core as core
+import mulberry_decisions as decisions
 import mulberry_entry as entry
 import mulberry_membership as membership
 import mulberry_rules as rules
@@ -35,15 +36,17 @@
         replicated: _replicated.Replicated,
         members: membership.Membership,
         directory: membership.UpstreamDirectory,
+        made: entry.DecisionSet,
         clock: core.Clock,
     ) -> None:
         self._instance = instance
+        self._made = made
         self._replicated = replicated
         self._members = members
         self._directory = directory
         self._clock = clock
         #: Unix time of the last change by member name.
-        self._since_by_name: dict[str, float] = {}
+        self._since_by_name: dict[str, float] = {instance: clock.wall()}
         members.subscribe_members(self._member_changed)
 
     def submit_rules(
@@ -153,6 +156,7 @@
                 rollout.model: entry.rollout_share(view, rollout)
                 for rollout in view.rules.rollouts_by_model.values()
             },
+            drawn_version_by_model=self._drawn(view, team, session),
             upstreams_by_target={
                 key: tuple(sorted(names))
                 for key, names in names_by_target.items()
@@ -160,6 +164,30 @@
         )
         return rules.explain(view.rules, team, target, situation)
 
+    def _drawn(
+        self, view: state.View, team: str, session: str | core.Missing
+    ) -> dict[str, str]:
+        """Returns the versions that a session without a pin would get."""
+        if isinstance(view.rules, core.Missing) or isinstance(
+            session, core.Missing
+        ):
+            return {}
+        work = decisions.Work(team, "", 1, 0.0, session=session)
+        drawn = {}
+        for model in view.rules.models_by_name:
+            offer = entry.version_offer(view, model, self._made.version_judge)
+            if isinstance(offer, core.Refusal):
+                continue
+            version = self._made.version_chooser.choose(
+                work,
+                offer,
+                entry.usable_versions(view, team, model),
+                core.Missing.UNSET,
+            )
+            if isinstance(version, str):
+                drawn[model] = version
+        return drawn
+
     def list_audit(
         self, limit: int, before: int | core.Missing
     ) -> tuple[backend.AuditEntry, ...] | core.Refusal:
--- a/libs/daemon/mulberry_daemon/_instance.py
+++ b/libs/daemon/mulberry_daemon/_instance.py
@@ -89,6 +89,7 @@
                     self._replicated,
                     self._membership,
                     self._directory,
+                    self._parts.decisions,
                     self._clock,
                 )
             ),
--- a/libs/entry/mulberry_entry/__init__.py
+++ b/libs/entry/mulberry_entry/__init__.py
@@ -9,7 +9,11 @@
 from mulberry_entry._requests import hash_key
 from mulberry_entry._server import HttpServer
 from mulberry_entry._sessions import SessionPins
-from mulberry_entry._versions import rollout_share
+from mulberry_entry._versions import (
+    rollout_share,
+    usable_versions,
+    version_offer,
+)
 
 __all__ = [
     "Biller",
@@ -25,4 +29,6 @@
     "entry_list_body",
     "hash_key",
     "rollout_share",
+    "usable_versions",
+    "version_offer",
 ]
--- a/libs/entry/mulberry_entry/_versions.py
+++ b/libs/entry/mulberry_entry/_versions.py
@@ -21,11 +21,8 @@
     ) -> str | core.Refusal:
         """Returns the version, pinned to the session if there is one."""
         view = self._parts.state.view()
-        in_force = view.rules
-        if isinstance(in_force, core.Missing):
-            return _refuse(core.ErrorKind.NO_RULES, "no rules are in force")
         allowed = usable_versions(view, request.team, model)
-        offer = self._offer(view, in_force, model)
+        offer = version_offer(view, model, self._parts.decisions.version_judge)
         if isinstance(offer, core.Refusal):
             return offer
         session = request.session
@@ -42,30 +39,34 @@
         kept = self._parts.pins.pin(request.team, session, model, version)
         return kept if kept in allowed else version
 
-    def _offer(
-        self, view: state.View, in_force: rules.Rules, model: str
-    ) -> decisions.VersionOffer | core.Refusal:
-        usual = in_force.default_version(model)
-        if isinstance(usual, core.Missing):
-            return _refuse(
-                core.ErrorKind.VERSION_WITHDRAWN,
-                f"every version of {model} is withdrawn",
-            )
-        rollout = in_force.rollouts_by_model.get(model)
-        if rollout is None:
-            return decisions.VersionOffer(model, usual)
-        target = rollout.to_version
-        judge = self._parts.decisions.version_judge
-        return decisions.VersionOffer(
-            model=model,
-            from_version=usual,
-            to_version=target,
-            share=rollout_share(view, rollout),
-            standing=standing_of(view, model, target),
-            exposed=judge.exposed(model, target),
-            max_exposed=rollout.max_exposed,
-            proven=judge.is_proven(model, target, usual),
+
+def version_offer(
+    view: state.View, model: str, judge: decisions.VersionJudge
+) -> decisions.VersionOffer | core.Refusal:
+    """Returns the versions between which the chooser decides."""
+    in_force = view.rules
+    if isinstance(in_force, core.Missing):
+        return _refuse(core.ErrorKind.NO_RULES, "no rules are in force")
+    usual = in_force.default_version(model)
+    if isinstance(usual, core.Missing):
+        return _refuse(
+            core.ErrorKind.VERSION_WITHDRAWN,
+            f"every version of {model} is withdrawn",
         )
+    rollout = in_force.rollouts_by_model.get(model)
+    if rollout is None:
+        return decisions.VersionOffer(model, usual)
+    target = rollout.to_version
+    return decisions.VersionOffer(
+        model=model,
+        from_version=usual,
+        to_version=target,
+        share=rollout_share(view, rollout),
+        standing=standing_of(view, model, target),
+        exposed=judge.exposed(model, target),
+        max_exposed=rollout.max_exposed,
+        proven=judge.is_proven(model, target, usual),
+    )
 
 
 def usable_versions(view: state.View, team: str, model: str) -> frozenset[str]:
--- a/libs/experiments/mulberry_experiments/_demo.py
+++ b/libs/experiments/mulberry_experiments/_demo.py
@@ -312,17 +312,19 @@
 
     def _wait_in_force(self, saved_s: float) -> bool:
         """Waits until no entry uses the withdrawn version any more."""
-        while time.monotonic() < saved_s + _IN_FORCE_S:
-            versions = {
-                self._chat_once(
-                    entry, "cedro-grande", "probe"
-                ).header_by_name.get("x-mulberry-version")
-                for entry in self._deployment.entries
-            }
-            if versions == {"2026-03"}:
-                return True
+        with futures.ThreadPoolExecutor() as pool:
+            while time.monotonic() < saved_s + _IN_FORCE_S:
+                versions = set(
+                    pool.map(self._version_at, self._deployment.entries)
+                )
+                if versions == {"2026-03"}:
+                    return True
         return False
 
+    def _version_at(self, entry: str) -> str:
+        reply = self._chat_once(entry, "cedro-grande", "probe")
+        return reply.header_by_name.get("x-mulberry-version", "")
+
     def _runs_of(self, version: str) -> list[str]:
         return [
             run
