--- a/libs/experiments/mulberry_experiments/_entry.py
+++ b/libs/experiments/mulberry_experiments/_entry.py
@@ -42,7 +42,7 @@
     name: str
     figure: float
     unit: str
-    #: What the design page asks for, empty where it asks for nothing.
+    #: `<= NUMBER` where the design page sets a bound, else empty.
     target: str = ""
 
 
