Test the direct path of streams with slow and vanished callers

Slow and vanished callers must hold back or end the upstream without a thread that waits, and without bytes lost; both cases run over real sockets.

--- /dev/null
+++ b/libs/entry/mulberry_entry/tests/test_direct.py
@@ -0,0 +1,124 @@
+"""Tests of the path of streams past the HTTP server."""
+
+import json
+import socket
+import threading
+import types
+from collections.abc import Iterator
+
+import pytest
+
+import mulberry_core as core
+from mulberry_entry import _direct
+from mulberry_entry.tests import harness
+
+
+@pytest.fixture
+def pair() -> Iterator[tuple[socket.socket, socket.socket]]:
+    server, caller = socket.socketpair()
+    server.settimeout(20)
+    caller.settimeout(20)
+    with server, caller:
+        yield server, caller
+
+
+def _request(server: socket.socket, chunked: bool) -> types.SimpleNamespace:
+    connection = types.SimpleNamespace(socket=server)
+    return types.SimpleNamespace(conn=connection, chunked_write=chunked)
+
+
+def _read_all(caller: socket.socket) -> bytes:
+    received = b""
+    while block := caller.recv(65_536):
+        received += block
+    return received
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_slow_caller_gets_every_byte(
+    pair: tuple[socket.socket, socket.socket], chunked: bool
+) -> None:
+    """Guards against bytes lost when a caller reads slowly."""
+    server, caller = pair
+    writer = _direct.direct_writer(_request(server, chunked))
+    assert isinstance(writer, _direct.DirectWriter)
+    blocks = [b"%07d" % number * 1000 for number in range(400)]
+    expected = b"".join(
+        b"%x\r\n%b\r\n" % (len(block), block) if chunked else block
+        for block in blocks
+    )
+    held_back = 0
+    reader: threading.Thread | None = None
+    received: list[bytes] = []
+    for block in blocks:
+        if not writer.write(block):
+            held_back += 1
+            if reader is None:
+                # Nothing is read until the first block is held back.
+                reader = threading.Thread(
+                    target=lambda: received.append(_read_all(caller))
+                )
+                reader.start()
+            writer.flush()
+    writer.close()
+    server.shutdown(socket.SHUT_WR)
+    assert reader is not None
+    reader.join()
+    assert held_back > 0
+    assert received == [expected]
+
+
+def test_caller_who_has_gone_is_an_error(
+    pair: tuple[socket.socket, socket.socket],
+) -> None:
+    """Guards against a stream that runs on for nobody."""
+    server, caller = pair
+    writer = _direct.direct_writer(_request(server, True))
+    assert isinstance(writer, _direct.DirectWriter)
+    caller.close()
+    with pytest.raises(OSError):
+        writer.write(b"x")
+
+
+def test_other_sockets_keep_the_path_of_the_server() -> None:
+    """Guards against bytes written past the encryption of a connection."""
+
+    class Encrypted(socket.socket):
+        """Stands for the socket of a TLS connection."""
+
+    with Encrypted() as encrypted, socket.socket() as blocking:
+        encrypted.settimeout(1)
+        for caller in (encrypted, blocking):
+            found = _direct.direct_writer(_request(caller, True))
+            assert found is core.Missing.UNSET
+    assert _direct.direct_writer(None) is core.Missing.UNSET
+
+
+def test_long_answer_to_a_slow_caller_is_whole() -> None:
+    """Guards against chunks lost between the loop and the caller."""
+    entry = harness.Harness()
+    tokens = 20_000
+    try:
+        entry.add_engine(
+            "engine-1", tokens=tokens, tokens_per_s=1e9, first_token_ms=0.0
+        )
+        host, port = entry.address.split(":")
+        messages = [{"role": "user", "content": "a long plan"}]
+        body = json.dumps({"model": "m", "stream": True, "messages": messages})
+        head = (
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+            "Content-Type: application/json\r\nConnection: close\r\n"
+            f"Authorization: Bearer {harness.KEY}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.settimeout(60)
+            caller.connect((host, int(port)))
+            caller.sendall((head + body).encode())
+            received = _read_all(caller)
+    finally:
+        entry.stop()
+    assert received.count(b'"delta":{"content":') == tokens
+    assert b"data: [DONE]" in received
+    assert received.endswith(b"0\r\n\r\n")
