Fetch the newest strikes before a retry after a lost upstream

Cause: strikes reached the other entries with the next lease renewal, up to 1 s late, and a request ending on a lost upstream could retry before another thread's record of that loss was committed. A content that a caller sent again over another entry half a second later took two more upstreams. Ruled out: a larger retry reserve, which broke the stated budget of 10%. Every request that ran on a lost upstream now waits for its record, then for those of the other entries, and reads the newest view. Retries wait up to 10 s for a place instead of giving up at once.

--- a/libs/entry/mulberry_entry/_chat_run.py
+++ b/libs/entry/mulberry_entry/_chat_run.py
@@ -1,6 +1,7 @@
 """One chat request on its way through models, upstreams and the bill."""
 
 import dataclasses
+import time
 from collections.abc import Callable, Mapping
 from typing import TypeVar
 
@@ -16,6 +17,10 @@
 #: Sends of one request to one model, the first included.
 _MAX_SENDS = 3
 
+#: How long a retry waits for a place, and between looks, seconds.
+_PLACE_WAIT_S = 10.0
+_PLACE_POLL_S = 0.1
+
 #: Bills get at least this long, also when the deadline is near: the answer
 #: is complete and only its bill is missing.
 _MIN_BILL_TIMEOUT_S = 1.0
@@ -197,6 +202,10 @@
         failure: core.Refusal | core.Missing = core.Missing.UNSET
         for _ in range(_MAX_SENDS):
             request = self._reserve(model, version, stream, exclude)
+            if isinstance(failure, core.Refusal):
+                request = self._wait_for_place(
+                    request, model, version, stream, exclude
+                )
             if isinstance(request, core.Refusal):
                 return request if isinstance(failure, core.Missing) else failure
             result = send(request)
@@ -224,6 +233,30 @@
         self._reservation = held
         return self._request(held, model, stream)
 
+    def _wait_for_place(
+        self,
+        request: upstream.ChatRequest | core.Refusal,
+        model: str,
+        version: str,
+        stream: bool,
+        exclude: set[str],
+    ) -> upstream.ChatRequest | core.Refusal:
+        """Tries again for a while to find a place for a retry.
+
+        Contents that ran on a lost upstream run apart from each other until
+        they have completed, so each may have to wait for its turn.
+        """
+        until_s = self.parts.clock.now() + min(_PLACE_WAIT_S, self.remaining_s)
+        while (
+            isinstance(request, core.Refusal)
+            and request.kind is core.ErrorKind.NO_UPSTREAM
+            and self.parts.clock.now() < until_s
+            and not self._is_abandoned()
+        ):
+            time.sleep(_PLACE_POLL_S)
+            request = self._reserve(model, version, stream, exclude)
+        return request
+
     def _request(
         self, held: _dispatch.Reservation, model: str, stream: bool
     ) -> upstream.ChatRequest:
@@ -301,6 +334,10 @@
             self._dispatcher.connection_broke(held)
             self._reservation = None
             return
+        if held is not None and refusal.kind in _BROKEN:
+            self._dispatcher.connection_failed(held)
+            self._reservation = None
+            return
         self._end(outcome_of(refusal))
 
     def _end(self, outcome: decisions.Outcome) -> None:
--- a/libs/entry/mulberry_entry/_dispatch.py
+++ b/libs/entry/mulberry_entry/_dispatch.py
@@ -4,6 +4,7 @@
 import dataclasses
 import socket
 import threading
+import time
 import uuid
 from collections.abc import Callable, Collection
 from concurrent import futures
@@ -28,6 +29,10 @@
 
 _CRASH_RECORD_TIMEOUT_S = 2.0
 
+#: Time for all entries to record the loss of an upstream, seconds. They see
+#: it at the same moment and a record takes a few milliseconds.
+_LOSS_SETTLE_S = 0.1
+
 
 @dataclasses.dataclass(frozen=True)
 class Destination:
@@ -77,6 +82,7 @@
         self._in_flight: collections.Counter[str] = collections.Counter()
         self._wanted = _demand.PairDemand(parts.clock)
         self._first_seen: dict[tuple[str, int], float] = {}
+        self._loss_lock = threading.Lock()
         # Records of crashes wait for a quorum, so they stay off the threads
         # that deliver timers and soft state.
         self._background = futures.ThreadPoolExecutor(
@@ -150,6 +156,15 @@
             )
         return self._start(before.work, before.chosen, permit)
 
+    def connection_failed(self, reservation: Reservation) -> None:
+        """Ends a send that reached nobody; the upstream may be lost.
+
+        The content may be what it was lost to, at another entry, so the
+        newest strikes are fetched before the next choice.
+        """
+        reservation.end(decisions.Outcome.FAILED)
+        self._parts.state.refresh(_CRASH_RECORD_TIMEOUT_S)
+
     def connection_broke(self, reservation: Reservation) -> None:
         """Ends a send whose connection broke before the answer was whole.
 
@@ -160,6 +175,10 @@
         chosen = reservation.chosen
         if not _is_listening(chosen.address):
             self._upstream_lost(chosen.name, chosen.incarnation)
+            # Other entries record what they had on the upstream; places are
+            # computed from the strikes of all of them.
+            time.sleep(_LOSS_SETTLE_S)
+            self._parts.state.refresh(_CRASH_RECORD_TIMEOUT_S)
             reservation.end(decisions.Outcome.CRASHED)
             return
         self._parts.timers.after(
@@ -304,21 +323,24 @@
         self._background.submit(function, *arguments)
 
     def _upstream_lost(self, name: str, incarnation: int) -> None:
-        report = self._parts.decisions.crash_guard.upstream_lost(
-            name, incarnation
-        )
-        if isinstance(report, core.Missing):
-            return
-        self._parts.counters.increment("entry.upstreams_lost")
-        self._parts.state.propose(
-            state.RecordCrash(
-                uuid.uuid4().hex,
-                report.upstream,
-                report.incarnation,
-                report.digests,
-            ),
-            _CRASH_RECORD_TIMEOUT_S,
-        )
+        # Every request that ran on the upstream waits here until the crash
+        # is recorded, whichever of them reports it.
+        with self._loss_lock:
+            report = self._parts.decisions.crash_guard.upstream_lost(
+                name, incarnation
+            )
+            if isinstance(report, core.Missing):
+                return
+            self._parts.counters.increment("entry.upstreams_lost")
+            self._parts.state.propose(
+                state.RecordCrash(
+                    uuid.uuid4().hex,
+                    report.upstream,
+                    report.incarnation,
+                    report.digests,
+                ),
+                _CRASH_RECORD_TIMEOUT_S,
+            )
 
 
 def _is_same_process(
--- a/libs/state/mulberry_state/_client.py
+++ b/libs/state/mulberry_state/_client.py
@@ -33,6 +33,15 @@
     def lease_remaining_s(self) -> float:
         """Returns how long this instance may trust its view, 0 if expired."""
 
+    @abc.abstractmethod
+    def refresh(self, timeout_s: float) -> bool:
+        """Fetches the newest view now, rather than with the next renewal.
+
+        Returns:
+            Whether `view` now holds every change that was committed before
+            this call.
+        """
+
     @abc.abstractmethod
     def subscribe(self, callback: Callable[[_view.View], None]) -> None:
         """Calls back with each new view, on a thread of the client."""
--- a/libs/state/mulberry_state/_local.py
+++ b/libs/state/mulberry_state/_local.py
@@ -50,6 +50,10 @@
         left_s = self._lease_ends_s - self._clock.now()
         return max(0.0, min(self._lease_term_s, left_s))
 
+    def refresh(self, timeout_s: float) -> bool:
+        """Returns true: the view is always the newest."""
+        return True
+
     def subscribe(self, callback: Callable[[_view.View], None]) -> None:
         """Calls back with each new view, on the proposing thread."""
         with self._lock:
--- a/libs/state/mulberry_state/_remote.py
+++ b/libs/state/mulberry_state/_remote.py
@@ -113,6 +113,10 @@
         with self._lock:
             return max(0.0, self._lease_ends_s - self._clock.now())
 
+    def refresh(self, timeout_s: float) -> bool:
+        """Renews the lease, which brings the newest view."""
+        return self.renew_once(timeout_s)
+
     def subscribe(self, callback: Callable[[_view.View], None]) -> None:
         """Calls back with each new view, on the renewing task."""
         with self._lock:
@@ -180,6 +184,9 @@
                 return False
         term_s = self._timing.lease_term_s * (1 - _holders.DRIFT)
         with self._lock:
+            if new.revision < self._view.revision:
+                # A renewal on another thread has brought a later view.
+                new = known = self._view
             # The view first: a lease is trust in the view held here.
             self._view = new
             self._lease_ends_s = max(self._lease_ends_s, sent_s + term_s)
