--- a/libs/entry/mulberry_entry/_app.py
+++ b/libs/entry/mulberry_entry/_app.py
@@ -15,8 +15,10 @@
 import mulberry_membership as membership
 import mulberry_rules as rules
 from mulberry_entry import (
+    _answer_stream,
     _calls,
     _chat,
+    _direct,
     _dispatch,
     _entry_list,
     _parts,
@@ -47,9 +49,9 @@
 
     def __init__(self, parts: _parts.EntryParts) -> None:
         self._parts = parts
-        dispatcher = _dispatch.Dispatcher(parts)
-        self._chat = _chat.ChatHandler(parts, dispatcher)
-        self._calls = _calls.CallHandler(parts, dispatcher)
+        self._dispatcher = _dispatch.Dispatcher(parts)
+        self._chat = _chat.ChatHandler(parts, self._dispatcher)
+        self._calls = _calls.CallHandler(parts, self._dispatcher)
         self._leaving = threading.Event()
         self._lock = threading.Lock()
         self._running = 0
@@ -81,6 +83,10 @@
         with self._lock:
             return self._running
 
+    def wanted(self) -> tuple[tuple[str, str, int], ...]:
+        """Returns model, version and requests of the last seconds."""
+        return self._dispatcher.wanted()
+
     def leave(self) -> None:
         """Answers from now on close their connections."""
         self._leaving.set()
@@ -155,7 +161,14 @@
         if isinstance(read, core.Refusal):
             return read
         request, in_force = read
-        return self._chat.handle(request, in_force, _gone_check(http))
+        answer = self._chat.handle(request, in_force, _gone_check(http))
+        if isinstance(answer, werkzeug.Response) and isinstance(
+            answer.response, _answer_stream.AnswerStream
+        ):
+            answer.response.write_past_server(
+                _direct.direct_writer(http.environ.get(_server.REQUEST_KEY))
+            )
+        return answer
 
     def _run_call(
         self,
