Judge versions by all kinds and signals together; weigh prefixes more

Errors and low ratings now also count together, and all kinds together, against the past as well.

When all versions and models turned bad at once, one model got a verdict because 8 of 8 runs of a kind were bad by chance, against which half good runs elsewhere looked sound. Others must now show that they are as before, against a share of at most one half; those of the same kind must not speak against it.

--- a/libs/decisions/mulberry_decisions/_evidence.py
+++ b/libs/decisions/mulberry_decisions/_evidence.py
@@ -103,6 +103,7 @@
         low = (
             not isinstance(rating, core.Missing)
             and rating < observation.quality
+            and observation.outcome not in _judge.FAILURES
         )
         timed = slow = False
         latency_s = observation.latency_s
@@ -166,10 +167,11 @@
         """Returns all keys with evidence."""
         return {key for known in self._by_instance.values() for key in known}
 
-    def starts(self, key: _judge.EvidenceKey) -> list[int]:
+    def starts(self, keys: Iterable[_judge.EvidenceKey]) -> list[int]:
         """Returns the spans from which evidence is counted."""
         spans = {
             span
+            for key in keys
             for series in self._series(key)
             for span in series.before_by_span
         }
--- a/libs/decisions/mulberry_decisions/_judge.py
+++ b/libs/decisions/mulberry_decisions/_judge.py
@@ -58,7 +58,7 @@
     #: Errors, truncated and garbled answers and missed deadlines.
     failed: int = 0
     rated: int = 0
-    #: Ratings below the quality target.
+    #: Ratings below the quality target of runs that did not fail.
     rated_low: int = 0
     #: Completed runs with a latency.
     timed: int = 0
--- a/libs/decisions/mulberry_decisions/_statistics.py
+++ b/libs/decisions/mulberry_decisions/_statistics.py
@@ -67,16 +67,18 @@
     return top + math.log(sum(math.exp(value - top) for value in values))
 
 
+def log_ratio(hits: int, total: int, share: float, other: float) -> float:
+    """Returns the log of the likelihood ratio of two shares."""
+    share, other = _clip(share), _clip(other)
+    return hits * math.log(share / other) + (total - hits) * math.log(
+        (1.0 - share) / (1.0 - other)
+    )
+
+
 def _log_mixture(
     hits: int, total: int, bound: float, alternatives: Sequence[float]
 ) -> float:
-    base = _clip(bound)
-    misses = total - hits
-    logs = [
-        hits * math.log(_clip(share) / base)
-        + misses * math.log((1.0 - _clip(share)) / (1.0 - base))
-        for share in alternatives
-    ]
+    logs = [log_ratio(hits, total, share, bound) for share in alternatives]
     return log_sum(logs) - math.log(len(logs))
 
 
--- a/libs/decisions/mulberry_decisions/_two_choices.py
+++ b/libs/decisions/mulberry_decisions/_two_choices.py
@@ -15,7 +15,7 @@
 #: Load, as a share of capacity, that another zone must be below.
 _ZONE_COST = 0.05
 #: Load that a completely cached prompt is worth.
-_AFFINITY = 0.5
+_AFFINITY = 1.5
 #: Time until an upstream that has just started gets its full share, seconds.
 _SLOW_START_S = 20.0
 #: Share that it gets at its start.
