Bound the memory of upstream choice and of merged evidence

At the design scale of 600 upstreams the prefix index could hold 2.4 million digests and the load feedback 300,000 changes, far beyond the 32 MB of a node; every restart of an instance left its evidence behind for good. There are now at most 20,000 digests, changes are dropped after 30 s, and the evidence of 512 lives of instances is kept.

--- a/libs/decisions/mulberry_decisions/_evidence.py
+++ b/libs/decisions/mulberry_decisions/_evidence.py
@@ -18,6 +18,10 @@
 #: Runs before the latency estimate is used.
 _FEWEST_TIMED = 20
 
+#: Lives of instances whose evidence is kept; the one that was heard of least
+#: recently goes first. Restarts would otherwise fill the memory.
+_MAX_INSTANCES = 512
+
 _EMPTY = _judge.EvidenceCounts()
 
 
@@ -148,7 +152,10 @@
 
     def merge(self, instance: str, evidence: _judge.Evidence) -> None:
         """Keeps, for each key, the series with more runs."""
-        known = self._by_instance.setdefault(instance, {})
+        known = self._by_instance.pop(instance, {})
+        self._by_instance[instance] = known
+        if len(self._by_instance) > _MAX_INSTANCES:
+            del self._by_instance[next(iter(self._by_instance))]
         for key, series in evidence.items():
             old = known.get(key)
             if old is None or old.now.runs <= series.now.runs:
--- a/libs/decisions/mulberry_decisions/_learned_models.py
+++ b/libs/decisions/mulberry_decisions/_learned_models.py
@@ -16,6 +16,9 @@
 _KIND_WEIGHT = 10.0
 #: Own counts are halved above this number, so that old ratings fade.
 _MAX_COUNT = 400.0
+#: Lives of instances whose counts are kept; the one that was heard of least
+#: recently goes first.
+_MAX_INSTANCES = 512
 #: Standard deviations below the mean for the lower bound (one-sided 95%).
 _LOWER_DEVIATIONS = 1.645
 #: Cost of an answer below the target, in costs of the dearest model. Two
@@ -143,9 +146,12 @@
     def merge(self, instance: str, counts: _models.RatingExport) -> None:
         """Replaces the counts of another instance."""
         with self._lock:
-            self._add_all(self._others.get(instance, {}), -1.0)
+            self._add_all(self._others.pop(instance, {}), -1.0)
             self._others[instance] = dict(counts)
             self._add_all(counts, 1.0)
+            if len(self._others) > _MAX_INSTANCES:
+                oldest = next(iter(self._others))
+                self._add_all(self._others.pop(oldest), -1.0)
 
     def _can_rate(self, now_s: float) -> bool:
         if self._rater.is_away() or self._rater.is_suspect(now_s):
--- a/libs/decisions/mulberry_decisions/_prefix_index.py
+++ b/libs/decisions/mulberry_decisions/_prefix_index.py
@@ -7,6 +7,8 @@
 
 #: Prefix digests remembered for each upstream; the least recent are dropped.
 _MAX_DIGESTS = 4096
+#: The same for all upstreams together, about 8 MB.
+_MAX_TOTAL_DIGESTS = 20_000
 #: Trust in what was known before a gap in the events, because the lost ones
 #: may have dropped it.
 _TRUST_AFTER_GAP = 0.5
@@ -90,7 +92,8 @@
             cache.digests[digest] = cache.gaps
             cache.digests.move_to_end(digest)
             self._holders.setdefault(digest, set()).add(upstream)
-        while len(cache.digests) > _MAX_DIGESTS:
+        bound = min(_MAX_DIGESTS, _MAX_TOTAL_DIGESTS // len(self._caches))
+        while len(cache.digests) > bound:
             self._drop(upstream, cache, (next(iter(cache.digests)),))
 
     def _drop(
--- a/libs/decisions/mulberry_decisions/_two_choices.py
+++ b/libs/decisions/mulberry_decisions/_two_choices.py
@@ -31,8 +31,9 @@
 #: Trust that even an old report keeps: a deep queue or a slow upstream lasts.
 _LEAST_TRUST = 0.2
 _RING_SIZE = 1 << 64
-#: Starts and ends kept for each upstream.
+#: Starts and ends kept for each upstream, and for how long, seconds.
 _MAX_CHANGES = 512
+_CHANGES_KEPT_S = 30.0
 
 _FAILURES = frozenset(
     {
@@ -54,6 +55,12 @@
     failures: float = 0.0
     failed_at_s: float = 0.0
 
+    def changed(self, now_s: float, change: int) -> None:
+        """Adds a start or an end and forgets old ones."""
+        self.changes.append((now_s, change))
+        while self.changes[0][0] < now_s - _CHANGES_KEPT_S:
+            self.changes.popleft()
+
 
 class TwoChoices(_upstreams.UpstreamChooser):
     """Takes the better of two random upstreams and one with the prefix.
@@ -82,7 +89,7 @@
         """Counts the request on top of the next reports."""
         with self._lock:
             feedback = self._feedback.setdefault(upstream.name, _Feedback())
-            feedback.changes.append((self._clock.now(), 1))
+            feedback.changed(self._clock.now(), 1)
             self._prefixes.ran(
                 upstream.name, upstream.incarnation, work.prefixes
             )
@@ -98,7 +105,7 @@
         with self._lock:
             now_s = self._clock.now()
             feedback = self._feedback.setdefault(upstream.name, _Feedback())
-            feedback.changes.append((now_s, -1))
+            feedback.changed(now_s, -1)
             if outcome in _FAILURES:
                 feedback.failures = self._failures(feedback, now_s) + 1.0
                 feedback.failed_at_s = now_s
--- /dev/null
+++ b/libs/experiments/mulberry_experiments/tests/test_measure.py
@@ -0,0 +1,52 @@
+"""Tests of the command line for measurements."""
+
+import json
+import pathlib
+
+import pytest
+
+from mulberry_experiments import _measure
+
+
+@pytest.mark.parametrize("name", sorted(_measure.EXPERIMENTS))
+def test_experiments_can_be_loaded(name: str) -> None:
+    """Guards against a table entry whose module or function was renamed."""
+    assert callable(_measure.load(name))
+
+
+def test_equal_seeds_give_equal_rows() -> None:
+    """Guards against figures that cannot be reproduced."""
+    run = _measure.load("hedging")
+    assert run(3) == run(3)
+
+
+@pytest.mark.parametrize(
+    ("figure", "target", "expected"),
+    [
+        (1.0, "", True),
+        (1.0, "<= 1", True),
+        (1.1, "<= 1", False),
+        (0.9, ">= 0.9", True),
+        (0.8, ">= 0.9", False),
+    ],
+)
+def test_targets(figure: float, target: str, expected: bool) -> None:
+    """Guards against a missed target that is reported as met."""
+    assert _measure.meets(figure, target) == expected
+
+
+def test_json_holds_all_rows(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against rows that the table shows and the file lacks."""
+    path = tmp_path / "rows.json"
+    status = _measure.main(["hedging", "--seed", "2", "--json", str(path)])
+    assert status == 0
+    rows = json.loads(path.read_text())
+    assert len(rows) == len(_measure.load("hedging")(2))
+    assert capsys.readouterr().out.count("hedging") == len(rows)
+
+
+def test_unknown_names_are_refused() -> None:
+    """Guards against a misspelt name that measures nothing."""
+    assert _measure.main(["no-such-experiment"]) == 2
