Add scripts/soak: seeded load and faults with invariants checked afterwards

Real processes behind TCP relays get chats, lookups, deposits and rule changes while instances and upstreams are killed, frozen, wiped, replaced, stopped and cut off. Afterwards the answers, the run records of the stand-ins and the ledger are compared.

mulberry_state.read_folder reads the state of a stopped voter, so that each bill can be compared; mulberry_standins.expected_text gives the answer that an engine without faults gives.

--- a/libs/experiments/mulberry_experiments/_entry_client.py
+++ b/libs/experiments/mulberry_experiments/_entry_client.py
@@ -18,6 +18,8 @@
     #: By name in lower case.
     header_by_name: Mapping[str, str]
     body: bytes
+    #: Whether the entry took the connection.
+    connected: bool = True
 
     @property
     def content(self) -> Any:
@@ -134,6 +136,8 @@
             except http.client.IncompleteRead as error:
                 return Reply(0, found, error.partial)
             return Reply(answer.status, found, read)
+        except ConnectionRefusedError:
+            return Reply(0, {}, b"", connected=False)
         except (OSError, http.client.HTTPException):
             return Reply(0, {}, read)
         finally:
--- /dev/null
+++ b/libs/experiments/mulberry_experiments/_soak/__init__.py
@@ -0,0 +1,1 @@
+"""Long randomised runs of a deployment under faults, with their checks."""
--- /dev/null
+++ b/libs/experiments/mulberry_experiments/_soak/_checks.py
@@ -0,0 +1,286 @@
+"""The invariants of a run, each with how much was checked."""
+
+import collections
+import dataclasses
+import itertools
+import re
+from collections.abc import Callable, Iterable, Mapping, Sequence
+
+import mulberry_standins as standins
+from mulberry_experiments._soak import _evidence, _history, _world
+
+#: Bound of the product for accepted rules, seconds.
+_IN_FORCE_S = 12.0
+
+_FAULT_LINE = re.compile(r"Traceback|AssertionError|InvariantError")
+_LINES_AROUND = 12
+
+
+@dataclasses.dataclass(frozen=True)
+class Finding:
+    """One invariant with its result."""
+
+    invariant: str
+    checked: int
+    violations: tuple[str, ...]
+
+
+def check_all(evidence: _evidence.Evidence) -> Sequence[Finding]:
+    """Checks every invariant."""
+    found = []
+    for invariant, check in _CHECKS.items():
+        results = list(check(evidence))
+        violations = tuple(item for item in results if item)
+        found.append(Finding(invariant, len(results), violations))
+    return found
+
+
+def _by_key(
+    evidence: _evidence.Evidence,
+) -> Mapping[tuple[str, str], list[_history.Attempt]]:
+    """Attempts whose key is known by team and key, in the order sent."""
+    attempts_by_key = collections.defaultdict(list)
+    for attempt in sorted(evidence.history.attempts, key=lambda a: a.began_s):
+        if attempt.key:
+            attempts_by_key[(attempt.team, attempt.key)].append(attempt)
+    return attempts_by_key
+
+
+def _said_not_run(attempt: _history.Attempt) -> bool:
+    reply = attempt.reply
+    return (
+        reply.connected and not reply.is_answer and reply.run == "not_run"
+    ) or not reply.connected
+
+
+# Each check yields one text for each thing checked, empty if it holds.
+
+
+def answered_is_billed(evidence: _evidence.Evidence) -> Iterable[str]:
+    """P4: an answer has a bill."""
+    for attempt in evidence.history.attempts:
+        if attempt.reply.is_answer:
+            billed = (attempt.team, attempt.key) in evidence.bill_by_key
+            yield "" if billed else f"no bill: {attempt}"
+
+
+def no_bill_twice(evidence: _evidence.Evidence) -> Iterable[str]:
+    """P4: no request has two bills; the sums are those of the rows."""
+    yield from evidence.ledger_differences
+    counted = collections.Counter(
+        row.bill.request_id for row in evidence.bill_by_key.values()
+    )
+    for request_id, bills in counted.items():
+        yield "" if bills == 1 else f"{request_id} has {bills} bills"
+
+
+def no_bill_without_run(evidence: _evidence.Evidence) -> Iterable[str]:
+    """P4, P6: what never ran has no bill."""
+    for key, attempts in _by_key(evidence).items():
+        if all(map(_said_not_run, attempts)):
+            billed = key in evidence.bill_by_key
+            yield f"billed but not run: {attempts[0]}" if billed else ""
+
+
+def not_run_is_true(evidence: _evidence.Evidence) -> Iterable[str]:
+    """P6: nothing ran before the first attempt that may have run."""
+    runs_by_key = collections.defaultdict(list)
+    for run in evidence.history.runs:
+        runs_by_key[run.key].append(run)
+    for (_, key), attempts in _by_key(evidence).items():
+        if not _said_not_run(attempts[0]):
+            continue
+        may_run_s = min(
+            (item.began_s for item in attempts if not _said_not_run(item)),
+            default=float("inf"),
+        )
+        early = [r for r in runs_by_key[key] if r.before_s < may_run_s]
+        yield f"ran {early[0]}: {attempts[0]}" if early else ""
+
+
+def deposit_runs_once(evidence: _evidence.Evidence) -> Iterable[str]:
+    """P7: a deposit key runs at most once."""
+    counted = collections.Counter(run.key for run in evidence.history.runs)
+    for (_, key), attempts in _by_key(evidence).items():
+        if attempts[0].work == _history.DEPOSIT:
+            told = "; ".join(map(str, attempts))
+            ran = counted[key]
+            yield "" if ran <= 1 else f"ran {ran} times: {told}"
+
+
+def deposit_keeps_answer(evidence: _evidence.Evidence) -> Iterable[str]:
+    """P7: a deposit that is sent again gets the same answer."""
+    for attempts in _by_key(evidence).values():
+        answered = [item for item in attempts if item.reply.is_answer]
+        if attempts[0].work == _history.DEPOSIT and len(answered) > 1:
+            bodies = {item.reply.body for item in answered}
+            told = "; ".join(map(str, answered))
+            yield "" if len(bodies) == 1 else f"answers differ: {told}"
+
+
+def session_keeps_version(evidence: _evidence.Evidence) -> Iterable[str]:
+    """P3: a session changes its version only if it must."""
+    attempts_by_session = collections.defaultdict(list)
+    for attempt in sorted(evidence.history.attempts, key=lambda a: a.began_s):
+        if attempt.session and attempt.reply.is_answer:
+            model = attempt.reply.header_by_name["x-mulberry-model"]
+            attempts_by_session[(attempt.session, model)].append(attempt)
+    for (session, model), attempts in attempts_by_session.items():
+        for later in attempts[1:]:
+            yield _version_change(evidence, session, model, attempts, later)
+
+
+def _version_change(
+    evidence: _evidence.Evidence,
+    session: str,
+    model: str,
+    attempts: Sequence[_history.Attempt],
+    later: _history.Attempt,
+) -> str:
+    before = [item for item in attempts if item.ended_s <= later.began_s]
+    if not before:
+        return ""
+    earlier = max(before, key=lambda item: item.ended_s)
+    old, new = map(_version_of, (earlier, later))
+    if old == new or (model, old) in evidence.bad_versions:
+        return ""
+    # A session that had to leave its version may go back once it is usable.
+    withdrawn = any(
+        item.version in (old, new)
+        and item.accepted_s <= later.ended_s
+        and item.ended_s + _IN_FORCE_S >= earlier.began_s
+        for item in evidence.withdrawals
+    )
+    if withdrawn:
+        return ""
+    return f"{session} of {model} from {old} to {new}: {earlier}; {later}"
+
+
+def _version_of(attempt: _history.Attempt) -> str:
+    return attempt.reply.header_by_name.get("x-mulberry-version", "")
+
+
+def withdrawn_runs_end(evidence: _evidence.Evidence) -> Iterable[str]:
+    """P2, P10: no run of a withdrawn version once the rules are in effect."""
+    for run in evidence.history.runs:
+        if run.model != _world.MODEL:
+            continue
+        late = [
+            item
+            for item in evidence.withdrawals
+            if item.version == run.version
+            and run.after_s > _bound_s(item)
+            and run.before_s < item.ended_s
+        ]
+        yield f"{run} in {late[0]}" if late else ""
+
+
+def _bound_s(item: _evidence.Withdrawal) -> float:
+    bound_s = item.accepted_s + _IN_FORCE_S
+    return min(bound_s, item.in_effect_s or bound_s)
+
+
+def rules_only_grow(evidence: _evidence.Evidence) -> Iterable[str]:
+    """P10: accepted numbers follow each other; no instance goes back."""
+    numbers = [item.number for item in evidence.accepted]
+    for before, after in itertools.pairwise(numbers):
+        yield "" if after == before + 1 else f"{after} follows {before}"
+    newest: dict[tuple[str, int], int] = {}
+    for name, pid, number in evidence.history.numbers:
+        seen = newest.get((name, pid), 0)
+        newest[(name, pid)] = number
+        yield "" if number >= seen else f"{name}: {number} after {seen}"
+
+
+def rules_in_force_in_the_end(
+    evidence: _evidence.Evidence,
+) -> Iterable[str]:
+    """P10: every instance has the last accepted rules."""
+    last = evidence.accepted[-1].number
+    for name, number in evidence.final_number_by_instance.items():
+        yield "" if number == last else f"{name} has {number}, not {last}"
+
+
+def submissions_are_true(evidence: _evidence.Evidence) -> Iterable[str]:
+    """Operators are told what became of their file, which counts once."""
+    for submission in evidence.submissions:
+        line = f"team {submission.mark} "
+        found = [item.number for item in evidence.accepted if line in item.text]
+        first = [n for n in found if n - 1 not in found or n == min(found)]
+        told = set(submission.accepted)
+        unsure = {"lost", "failed"} & set(submission.outcomes)
+        if len(first) > 1 or (told and told != set(first[:1])):
+            yield f"{submission} stands in {found}"
+        elif found and not told and not unsure:
+            yield f"{submission} was not told of {found}"
+        else:
+            yield ""
+
+
+def text_is_whole(evidence: _evidence.Evidence) -> Iterable[str]:
+    """P5: the caller has the whole answer to its own request."""
+    for attempt in evidence.history.attempts:
+        called = attempt.work in (_history.DEPOSIT, _history.LOOKUP)
+        if called or not attempt.reply.is_answer:
+            continue
+        expected = standins.expected_text(
+            attempt.reply.header_by_name["x-mulberry-model"],
+            _version_of(attempt),
+            [{"role": "user", "content": attempt.prompt}],
+            _world.TOKENS,
+            _world.QUALITY,
+        )
+        same = attempt.reply.text == expected
+        yield "" if same else f"{attempt}: {attempt.reply.text!r}"
+
+
+def graceful_stop_cuts_nothing(
+    evidence: _evidence.Evidence,
+) -> Iterable[str]:
+    """P9: no connection to an instance breaks while it stops."""
+    for stop in evidence.history.stops:
+        if stop.status != 0:
+            yield f"{stop.instance} ended with status {stop.status}"
+        for attempt in evidence.history.attempts:
+            if (
+                attempt.entry == stop.entry
+                and attempt.began_s <= stop.ended_s
+                and attempt.ended_s >= stop.began_s
+            ):
+                cut = attempt.outcome == "broken" and attempt.reply.connected
+                yield f"{stop} cut {attempt}" if cut else ""
+
+
+def logs_hold_no_fault(evidence: _evidence.Evidence) -> Iterable[str]:
+    """No process logged an error of the program."""
+    for name, text in evidence.log_by_name.items():
+        lines = text.splitlines()
+        found = [n for n, line in enumerate(lines) if _FAULT_LINE.search(line)]
+        yield (
+            "\n".join(
+                [
+                    f"{name}.log:",
+                    *lines[max(0, found[0] - 2) : found[0] + _LINES_AROUND],
+                ]
+            )
+            if found
+            else ""
+        )
+
+
+_CHECKS: Mapping[str, Callable[[_evidence.Evidence], Iterable[str]]] = {
+    "an answer has a bill": answered_is_billed,
+    "no request has two bills": no_bill_twice,
+    "what never ran has no bill": no_bill_without_run,
+    "not_run is true": not_run_is_true,
+    "a deposit runs at most once": deposit_runs_once,
+    "a deposit keeps its answer": deposit_keeps_answer,
+    "a session keeps its version": session_keeps_version,
+    "runs of a withdrawn version end": withdrawn_runs_end,
+    "rules numbers only grow": rules_only_grow,
+    "the last rules are in force": rules_in_force_in_the_end,
+    "operators are told the truth": submissions_are_true,
+    "answers are whole and own": text_is_whole,
+    "a graceful stop cuts nothing": graceful_stop_cuts_nothing,
+    "logs hold no program error": logs_hold_no_fault,
+}
--- /dev/null
+++ b/libs/experiments/mulberry_experiments/_soak/_evidence.py
@@ -0,0 +1,143 @@
+"""Everything that the checks compare, gathered after a run."""
+
+import dataclasses
+import pathlib
+import shutil
+from collections.abc import Mapping, Sequence
+
+import mulberry_rules as rules
+import mulberry_state as state
+from mulberry_experiments._soak import (
+    _history,
+    _operators,
+    _watcher,
+    _world,
+)
+from mulberry_wire import state_pb2
+
+
+@dataclasses.dataclass(frozen=True)
+class Withdrawal:
+    """A time in which a version was withdrawn."""
+
+    version: str
+    #: Unix time of acceptance, seconds.
+    accepted_s: float
+    #: Unix time of "in effect everywhere", seconds; 0 if never reported.
+    in_effect_s: float
+    #: Unix time from which it was usable again, seconds.
+    ended_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Evidence:
+    """The records of callers, upstreams, ledger and daemons."""
+
+    history: _history.History
+    submissions: Sequence[_operators.Submission]
+    #: By team and key.
+    bill_by_key: Mapping[tuple[str, str], state_pb2.BillRow]
+    #: What the ledger finds when it adds itself up.
+    ledger_differences: Sequence[str]
+    accepted: Sequence[state.RulesText]
+    withdrawals: Sequence[Withdrawal]
+    bad_versions: frozenset[tuple[str, str]]
+    #: Rules number that each instance reported in the end, by name.
+    final_number_by_instance: Mapping[str, int]
+    #: Log of each process by name.
+    log_by_name: Mapping[str, str]
+
+
+def final_numbers(world: _world.World) -> Mapping[str, int]:
+    """Asks every instance for the number of its rules."""
+    return {
+        name: _watcher.read_number(world, name)
+        for name in world.instances_by_name
+    }
+
+
+def read_state(
+    world: _world.World, scratch: pathlib.Path
+) -> state.StateMachine:
+    """Returns the state of the voter whose log is the newest.
+
+    All instances have ended, and nothing was proposed for some time before.
+    """
+    best: tuple[tuple[int, int], state.StateMachine] | None = None
+    for name in world.voters:
+        copy = scratch / name
+        shutil.copytree(world.settings(name)["data_dir"], copy)
+        machine, term = state.read_folder(copy, name)
+        rank = (term, machine.index)
+        if best is None or rank > best[0]:
+            best = (rank, machine)
+    assert best is not None
+    return best[1]
+
+
+def gather(
+    world: _world.World,
+    history: _history.History,
+    submissions: Sequence[_operators.Submission],
+    final_number_by_instance: Mapping[str, int],
+    scratch: pathlib.Path,
+) -> Evidence:
+    """Reads logs and data folders of a deployment that has ended."""
+    machine = read_state(world, scratch)
+    versions = (_world.OLD_VERSION, _world.NEW_VERSION)
+    models = ((_world.MODEL, versions), (_world.SMALL_MODEL, ("2026-01",)))
+    return Evidence(
+        history=history,
+        submissions=submissions,
+        bill_by_key={
+            (row.bill.team, row.bill.key): row for row in machine.ledger.rows()
+        },
+        ledger_differences=machine.ledger.check(),
+        accepted=machine.rulebook.texts(),
+        withdrawals=tuple(
+            item
+            for version in versions
+            for item in withdrawals_of(machine, version)
+        ),
+        bad_versions=frozenset(
+            (model, version)
+            for model, known in models
+            for version in known
+            if machine.versions.is_bad(model, version)
+        ),
+        final_number_by_instance=final_number_by_instance,
+        log_by_name={
+            path.stem: path.read_text(errors="replace")
+            for path in sorted(world.folder.glob("*.log"))
+        },
+    )
+
+
+def withdrawals_of(
+    machine: state.StateMachine, version: str
+) -> Sequence[Withdrawal]:
+    """Returns the times in which the accepted rules withdrew a version."""
+    found: list[Withdrawal] = []
+    began: state.RulesText | None = None
+    for text in machine.rulebook.texts():
+        parsed = rules.parse_rules(text.text)
+        assert isinstance(parsed, rules.Rules)
+        withdrawn = parsed.is_withdrawn(_world.MODEL, version)
+        if withdrawn and began is None:
+            began = text
+        elif not withdrawn and began is not None:
+            found.append(_withdrawal(machine, version, began, text.wall_s))
+            began = None
+    if began is not None:
+        found.append(_withdrawal(machine, version, began, float("inf")))
+    return found
+
+
+def _withdrawal(
+    machine: state.StateMachine,
+    version: str,
+    began: state.RulesText,
+    ended_s: float,
+) -> Withdrawal:
+    in_effect_s = machine.audit.in_effect_since(began.revision)
+    return Withdrawal(version, began.wall_s, in_effect_s, ended_s)
--- /dev/null
+++ b/libs/experiments/mulberry_experiments/_soak/_main.py
@@ -0,0 +1,59 @@
+"""The command `scripts/soak`."""
+
+import argparse
+import pathlib
+import sys
+
+from mulberry_experiments._soak import _run
+
+_MAX_SHOWN = 10
+
+
+def render(outcome: _run.Outcome) -> str:
+    """Returns the table of a run with the details of each violation."""
+    lines = [f"seed {outcome.seed}, {outcome.duration_s / 60:g} minutes", ""]
+    for title, counts in (
+        ("Faults", outcome.faults),
+        ("Requests", outcome.requests),
+    ):
+        lines.append(f"{title}: {counts.total()}")
+        lines += [f"  {counts[name]:6} {name}" for name in sorted(counts)]
+        lines.append("")
+    lines.append("Invariants: checked, violated")
+    lines += [
+        f"  {item.checked:6} {len(item.violations):4} {item.invariant}"
+        for item in outcome.findings
+    ]
+    for item in outcome.findings:
+        if item.violations:
+            lines += ["", f"{item.invariant}:"]
+            lines += [f"  {text}" for text in item.violations[:_MAX_SHOWN]]
+    if any(item.violations for item in outcome.findings):
+        lines += ["", "Events:", *(f"  {note}" for note in outcome.notes)]
+    return "\n".join(lines)
+
+
+def main() -> None:
+    """Runs once and exits with 1 if an invariant was violated."""
+    parser = argparse.ArgumentParser(prog="scripts/soak")
+    parser.add_argument("--seed", type=int, required=True)
+    parser.add_argument("--minutes", type=float, required=True)
+    parser.add_argument(
+        "--instances-per-zone", type=int, choices=(2, 3), default=2
+    )
+    parser.add_argument(
+        "--keep", type=pathlib.Path, help="leave logs and data in this folder"
+    )
+    options = parser.parse_args()
+    outcome = _run.run(
+        options.seed,
+        options.minutes * 60,
+        options.instances_per_zone,
+        options.keep,
+    )
+    print(render(outcome))
+    sys.exit(any(item.violations for item in outcome.findings))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/libs/experiments/mulberry_experiments/_soak/_operators.py
@@ -0,0 +1,144 @@
+"""Operators: change the rules, race each other and send again."""
+
+import dataclasses
+import json
+import pathlib
+import random
+import subprocess
+import threading
+import time
+from collections.abc import Sequence
+
+from mulberry_experiments._soak import _world
+
+_PAUSE_S = (2.0, 5.0)
+#: A command that is ended after this long may have been accepted or not.
+_LOST_AFTER_S = (0.3, 1.2)
+_CLI_TIMEOUT_S = 30.0
+_LOST_SHARE = 0.3
+_WITHDRAW_SHARE = 0.5
+_SENDS = 4
+
+
+@dataclasses.dataclass(frozen=True)
+class Submission:
+    """One change, sent until its outcome was known."""
+
+    #: Stands in the text, so that it can be found in accepted rules.
+    mark: str
+    #: Numbers that the command line reported as accepted.
+    accepted: tuple[int, ...]
+    #: All outcomes in order, `lost` where the command was ended.
+    outcomes: tuple[str, ...]
+
+
+class Operators:
+    """Two operators who edit the same rules."""
+
+    def __init__(
+        self, seed: int, world: _world.World, folder: pathlib.Path
+    ) -> None:
+        self._rng = random.Random(f"{seed} operators")
+        self._world = world
+        self._folder = folder
+        self._sent = 0
+        self._lock = threading.Lock()
+        self._submissions: list[Submission] = []
+
+    @property
+    def submissions(self) -> Sequence[Submission]:
+        """All changes so far."""
+        with self._lock:
+            return tuple(self._submissions)
+
+    def run(self, stop: threading.Event) -> None:
+        """Works until `stop` is set."""
+        while not stop.wait(self._rng.uniform(*_PAUSE_S)):
+            text = self._shown()
+            if not text:
+                continue
+            racing = self._rng.random() < 0.5
+            threads = [
+                threading.Thread(
+                    target=self._submit,
+                    args=(*self._edited(text), self._rng.random()),
+                )
+                for _ in range(2 if racing else 1)
+            ]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+
+    def _shown(self) -> str:
+        status, document = self._world.run_command(
+            self._instance(random.Random(self._rng.random())), "rules", "show"
+        )
+        return str(document["text"]) if status == 0 else ""
+
+    def _edited(self, text: str) -> tuple[str, str]:
+        """Returns a mark and the text with a change that holds it."""
+        self._sent += 1
+        mark = f"soak-{self._sent}"
+        lines = [
+            line
+            for line in text.splitlines()
+            if not line.startswith(
+                ("team soak-", f"withdraw {_world.MODEL} 2026-0")
+            )
+        ]
+        key = f"{self._sent:064x}"
+        lines.append(f"team {mark} key sha256:{key}  # asked by Inés Pop")
+        if self._rng.random() < _WITHDRAW_SHARE:
+            version = self._rng.choice((_world.OLD_VERSION, _world.NEW_VERSION))
+            lines.append(
+                f"withdraw {_world.MODEL} {version}  # asked by Tomás Xol"
+            )
+        return mark, "\n".join(lines) + "\n"
+
+    def _submit(self, mark: str, text: str, draw: float) -> None:
+        rng = random.Random(draw)
+        path = self._folder / f"{mark}.rules"
+        path.write_text(text)
+        accepted, outcomes = [], []
+        for attempt in range(_SENDS):
+            limit_s = _CLI_TIMEOUT_S
+            if attempt == 0 and rng.random() < _LOST_SHARE:
+                limit_s = rng.uniform(*_LOST_AFTER_S)
+            outcome, number = self._send(rng, path, limit_s)
+            outcomes.append(outcome)
+            if outcome == "accepted":
+                accepted.append(number)
+            if outcome in ("accepted", "conflict", "rejected"):
+                break
+            time.sleep(1.0)
+        with self._lock:
+            self._submissions.append(
+                Submission(mark, tuple(accepted), tuple(outcomes))
+            )
+
+    def _send(
+        self, rng: random.Random, path: pathlib.Path, limit_s: float
+    ) -> tuple[str, int]:
+        command = self._world.command(
+            self._instance(rng), "rules", "submit", str(path)
+        )
+        process = subprocess.Popen(
+            command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL
+        )
+        try:
+            printed, _ = process.communicate(timeout=limit_s)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.communicate()
+            return "lost", 0
+        try:
+            document = json.loads(printed)
+        except ValueError:
+            return "failed", 0
+        return str(document.get("outcome", "failed")), int(
+            document.get("number", 0)
+        )
+
+    def _instance(self, rng: random.Random) -> str:
+        return rng.choice(sorted(self._world.instances_by_name))
--- /dev/null
+++ b/libs/experiments/mulberry_experiments/_soak/_relay.py
@@ -0,0 +1,116 @@
+"""A TCP relay that plays a cut of the network in front of one address."""
+
+import contextlib
+import enum
+import socket
+import threading
+
+_BUFFER_BYTES = 65_536
+_CONNECT_TIMEOUT_S = 2.0
+
+
+class Cut(enum.Enum):
+    """Which bytes are held back until the cut ends.
+
+    TCP sends lost segments again, so bytes are delayed and not dropped.
+    """
+
+    NONE = "none"
+    REQUESTS = "requests"
+    REPLIES = "replies"
+    BOTH = "both"
+
+
+_HOLDS_REQUESTS = frozenset({Cut.REQUESTS, Cut.BOTH})
+_HOLDS_REPLIES = frozenset({Cut.REPLIES, Cut.BOTH})
+
+
+class Relay:
+    """Passes connections on to `target`."""
+
+    def __init__(self, target: str) -> None:
+        host, port = target.rsplit(":", 1)
+        self._target = (host, int(port))
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self._changed = threading.Condition()
+        self._cut = Cut.NONE
+        self._closed = False
+        self._sockets: set[socket.socket] = set()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        """`IP:PORT` to connect to in place of the target."""
+        host, port = self._listener.getsockname()
+        return f"{host}:{port}"
+
+    def cut(self, cut: Cut) -> None:
+        """Holds back what `cut` says; `NONE` ends the cut."""
+        with self._changed:
+            self._cut = cut
+            self._changed.notify_all()
+
+    def close(self) -> None:
+        """Ends all connections."""
+        with self._changed:
+            self._closed = True
+            self._changed.notify_all()
+            sockets = [self._listener, *self._sockets]
+        for item in sockets:
+            _close(item)
+
+    def _accept(self) -> None:
+        while not self._closed:
+            try:
+                caller, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._connect, args=(caller,), daemon=True
+            ).start()
+
+    def _connect(self, caller: socket.socket) -> None:
+        try:
+            callee = socket.create_connection(self._target, _CONNECT_TIMEOUT_S)
+        except OSError:
+            _close(caller)
+            return
+        callee.settimeout(None)
+        with self._changed:
+            self._sockets |= {caller, callee}
+        threading.Thread(
+            target=self._pump,
+            args=(callee, caller, _HOLDS_REPLIES),
+            daemon=True,
+        ).start()
+        self._pump(caller, callee, _HOLDS_REQUESTS)
+
+    def _pump(
+        self,
+        source: socket.socket,
+        sink: socket.socket,
+        held_by: frozenset[Cut],
+    ) -> None:
+        try:
+            while data := source.recv(_BUFFER_BYTES):
+                self._wait_while(held_by)
+                sink.sendall(data)
+        except OSError:
+            pass
+        finally:
+            with self._changed:
+                self._sockets -= {source, sink}
+            _close(source)
+            _close(sink)
+
+    def _wait_while(self, held_by: frozenset[Cut]) -> None:
+        with self._changed:
+            self._changed.wait_for(
+                lambda: self._closed or self._cut not in held_by
+            )
+
+
+def _close(item: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        item.shutdown(socket.SHUT_RDWR)
+    item.close()
--- /dev/null
+++ b/libs/experiments/mulberry_experiments/_soak/_run.py
@@ -0,0 +1,154 @@
+"""One long run from its start to its findings."""
+
+import collections
+import dataclasses
+import pathlib
+import tempfile
+import threading
+import time
+from collections.abc import Sequence
+
+from mulberry_experiments._soak import (
+    _callers,
+    _checks,
+    _evidence,
+    _faults,
+    _history,
+    _operators,
+    _watcher,
+    _world,
+)
+
+_CALLERS = 6
+#: Bound for a thread to end its present step: a request, a fault with its
+#: repair, or the sends of an operator.
+_JOIN_TIMEOUT_S = 180.0
+#: All instances agree within this time after the last repair: bound of the
+#: product for rules, and time for delayed settlements.
+_SETTLE_TIMEOUT_S = 20.0
+_QUIET_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """What a run showed."""
+
+    seed: int
+    #: Duration of the load, seconds.
+    duration_s: float
+    faults: collections.Counter[str]
+    requests: collections.Counter[str]
+    findings: Sequence[_checks.Finding]
+    notes: Sequence[str]
+
+
+def run(
+    seed: int,
+    duration_s: float,
+    instances_per_zone: int = 2,
+    keep: pathlib.Path | None = None,
+) -> Outcome:
+    """Runs load and faults, then checks.
+
+    Args:
+        seed: Decides what callers, operators and faults do.
+        duration_s: How long new work and faults begin, seconds.
+        instances_per_zone: The first of each zone votes.
+        keep: Folder to leave logs and data in; a temporary one otherwise.
+    """
+    if keep is not None:
+        return _run_in(keep, seed, duration_s, instances_per_zone)
+    with tempfile.TemporaryDirectory(prefix="mulberry-soak-") as folder:
+        return _run_in(
+            pathlib.Path(folder), seed, duration_s, instances_per_zone
+        )
+
+
+def _run_in(
+    folder: pathlib.Path, seed: int, duration_s: float, instances_per_zone: int
+) -> Outcome:
+    world = _world.World(folder, instances_per_zone)
+    history = _history.History()
+    edits = folder / "edits"
+    edits.mkdir(exist_ok=True)
+    operators = _operators.Operators(seed, world, edits)
+    try:
+        world.start()
+        _drive(world, history, operators, seed, duration_s)
+        final = _settle(world)
+    finally:
+        world.stop()
+    evidence = _evidence.gather(
+        world, history, operators.submissions, final, folder / "copies"
+    )
+    return Outcome(
+        seed,
+        duration_s,
+        history.faults,
+        collections.Counter(
+            f"{item.work}: {item.outcome}" for item in history.attempts
+        ),
+        _checks.check_all(evidence),
+        history.notes,
+    )
+
+
+def _drive(
+    world: _world.World,
+    history: _history.History,
+    operators: _operators.Operators,
+    seed: int,
+    duration_s: float,
+) -> None:
+    """Runs all threads; watchers end last, so that no run is missed."""
+    runs = _watcher.RunWatcher(world, history)
+    faults = _faults.Faults(seed, world, history, runs)
+    stop, stop_watching = threading.Event(), threading.Event()
+    watching = [
+        threading.Thread(target=runs.watch, args=(stop_watching,)),
+        threading.Thread(
+            target=_watcher.watch_numbers,
+            args=(world, history, stop_watching),
+        ),
+    ]
+    working = [
+        threading.Thread(target=faults.run, args=(stop,), name="faults"),
+        threading.Thread(target=operators.run, args=(stop,), name="operators"),
+        *(
+            threading.Thread(
+                target=_callers.Caller(number, seed, world, history).run,
+                args=(stop,),
+                name=f"caller {number}",
+            )
+            for number in range(_CALLERS)
+        ),
+    ]
+    try:
+        for thread in (*watching, *working):
+            thread.start()
+        stop.wait(duration_s)
+        stop.set()
+        deadline_s = time.monotonic() + _JOIN_TIMEOUT_S
+        for thread in working:
+            thread.join(max(0.0, deadline_s - time.monotonic()))
+            if thread.is_alive():
+                raise TimeoutError(f"the thread of {thread.name} hangs")
+        runs.read_all()
+    finally:
+        stop.set()
+        stop_watching.set()
+        for thread in watching:
+            thread.join()
+
+
+def _settle(world: _world.World) -> dict[str, int]:
+    """Waits until all instances report the same rules."""
+    deadline_s = time.monotonic() + _SETTLE_TIMEOUT_S
+    numbers: dict[str, int] = {}
+    while time.monotonic() < deadline_s:
+        numbers = dict(_evidence.final_numbers(world))
+        if len(set(numbers.values())) == 1 and 0 not in numbers.values():
+            break
+        time.sleep(0.5)
+    time.sleep(_QUIET_S)
+    return numbers
--- /dev/null
+++ b/libs/experiments/mulberry_experiments/_soak/_watcher.py
@@ -0,0 +1,89 @@
+"""Reads the run records of upstreams and the rules numbers of instances."""
+
+import contextlib
+import threading
+import time
+
+import grpc
+
+from mulberry_experiments import _demo
+from mulberry_experiments._soak import _history, _world
+from mulberry_wire import operator_pb2, operator_pb2_grpc
+
+_RUNS_PERIOD_S = 0.2
+_STATUS_PERIOD_S = 1.0
+_STATUS_TIMEOUT_S = 1.0
+
+
+class RunWatcher:
+    """Reads `/runs` of every upstream again and again.
+
+    The record of an upstream is lost with its process, and so are runs of
+    its last moments before a kill; this can hide a violation but never
+    shows a false one.
+    """
+
+    def __init__(self, world: _world.World, history: _history.History) -> None:
+        self._world = world
+        self._history = history
+        self._lock = threading.Lock()
+        #: Runs that were read, and when they were last asked for.
+        self._seen_by_pid: dict[int, tuple[int, float]] = {}
+
+    def watch(self, stop: threading.Event) -> None:
+        """Reads until `stop` is set."""
+        while not stop.wait(_RUNS_PERIOD_S):
+            self.read_all()
+
+    def read_all(self) -> None:
+        """Reads every running upstream once."""
+        for name in tuple(self._world.upstreams_by_name):
+            self.read(name)
+
+    def read(self, name: str) -> None:
+        """Reads one upstream, as before it is killed."""
+        with self._lock, contextlib.suppress(OSError, ValueError):
+            process = self._world.upstreams_by_name[name]
+            if process.popen.poll() is not None:
+                return
+            count, after_s = self._seen_by_pid.get(process.pid, (0, 0.0))
+            asked_s = time.time()
+            keys = _demo.runs(process)
+            answered_s = time.time()
+            for key in keys[count:]:
+                self._history.add_run(
+                    _history.Run(
+                        key,
+                        name,
+                        process.facts["model"],
+                        process.facts["version"],
+                        after_s,
+                        answered_s,
+                    )
+                )
+            self._seen_by_pid[process.pid] = (len(keys), asked_s)
+
+
+def watch_numbers(
+    world: _world.World, history: _history.History, stop: threading.Event
+) -> None:
+    """Notes the rules number of every instance until `stop` is set."""
+    while not stop.wait(_STATUS_PERIOD_S):
+        for name in tuple(world.instances_by_name):
+            pid = world.instances_by_name[name].pid
+            number = read_number(world, name)
+            if number > 0:
+                history.add_number(name, pid, number)
+
+
+def read_number(world: _world.World, name: str) -> int:
+    """Returns the rules number of an instance, 0 if it does not answer."""
+    with grpc.insecure_channel(world.grpc_address(name)) as channel:
+        stub = operator_pb2_grpc.OperatorStub(channel)  # type: ignore[no-untyped-call]
+        try:
+            status = stub.GetStatus(
+                operator_pb2.GetStatusRequest(), timeout=_STATUS_TIMEOUT_S
+            )
+        except grpc.RpcError:
+            return 0
+        return int(status.rules_number)
--- /dev/null
+++ b/libs/experiments/mulberry_experiments/_soak/_world.py
@@ -0,0 +1,150 @@
+"""The deployment of a long run: real processes behind relays."""
+
+import json
+import pathlib
+import shutil
+import subprocess
+import sys
+from typing import Any
+
+from mulberry_experiments import _deployment
+from mulberry_experiments._soak import _relay
+
+_ROOT = pathlib.Path(__file__).parents[4]
+_RULES = _ROOT / "examples" / "colmenas.rules"
+_CLI_TIMEOUT_S = 40.0
+
+TOKENS = 40
+QUALITY = 0.95
+
+MODEL = "cedro-grande"
+SMALL_MODEL = "cedro-chico"
+CASCADE = "planes"
+#: Versions of `MODEL`; one at a time is withdrawn and returned.
+OLD_VERSION = "2026-02"
+NEW_VERSION = "2026-03"
+SERVICE = "taller-app"
+
+
+class World(_deployment.Deployment):
+    """A deployment whose voters reach each other through relays.
+
+    The voter that forms the group enters its own address in place of its
+    relay's, so a cut of this one delays only what starts from settings.
+    """
+
+    def __init__(self, folder: pathlib.Path, instances_per_zone: int) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        rules = folder / "first.rules"
+        rules.write_text(_soak_rules(_RULES.read_text()))
+        super().__init__(
+            _deployment.Shape(
+                region="altaverapaz",
+                zones=("coban-a", "coban-b", "carcha-c"),
+                instances_per_zone=instances_per_zone,
+                rule_file=rules,
+                engines=(
+                    f"{SMALL_MODEL}@2026-01",
+                    f"{SMALL_MODEL}@2026-01",
+                    f"{MODEL}@{OLD_VERSION}",
+                    f"{MODEL}@{OLD_VERSION}",
+                    f"{MODEL}@{NEW_VERSION}",
+                    f"{MODEL}@{NEW_VERSION}",
+                ),
+                service=SERVICE,
+                service_workers=2,
+                engine_options=(
+                    "--tokens-per-s=80",
+                    f"--tokens={TOKENS}",
+                    f"--quality={QUALITY}",
+                ),
+            ),
+            folder / "run",
+        )
+        self.relays_by_name: dict[str, _relay.Relay] = {}
+
+    def stop(self) -> None:
+        """Ends every process and relay."""
+        super().stop()
+        for relay in self.relays_by_name.values():
+            relay.close()
+
+    def settings(self, name: str) -> dict[str, Any]:
+        """Returns the settings of an instance."""
+        path = self.folder / f"{name}.json"
+        read: dict[str, Any] = json.loads(path.read_text())
+        return read
+
+    def grpc_address(self, name: str) -> str:
+        """Returns the address for operators, past the relay."""
+        return str(self.settings(name)["grpc_address"])
+
+    @property
+    def voters(self) -> list[str]:
+        """Names of the instances with a disk."""
+        return sorted(self.relays_by_name)
+
+    @property
+    def cut_off_by_relay(self) -> list[str]:
+        """Names of the voters whose log traffic passes their relay."""
+        return self.voters[1:]
+
+    def wipe(self, name: str) -> None:
+        """Empties the disk of an instance that has ended."""
+        shutil.rmtree(self.settings(name)["data_dir"])
+
+    def command(self, name: str, *arguments: str) -> tuple[str, ...]:
+        """Returns a command line that asks an instance."""
+        program = pathlib.Path(sys.executable).parent / "mulberrystage"
+        return (
+            str(program),
+            f"--instance={self.grpc_address(name)}",
+            "--json",
+            *arguments,
+        )
+
+    def run_command(self, name: str, *arguments: str) -> tuple[int, Any]:
+        """Runs the command line; returns its status and document."""
+        done = subprocess.run(
+            self.command(name, *arguments),
+            capture_output=True,
+            check=False,
+            timeout=_CLI_TIMEOUT_S,
+        )
+        try:
+            return done.returncode, json.loads(done.stdout)
+        except ValueError:
+            return done.returncode, {"error": done.stderr.decode()[-300:]}
+
+    def _instance_settings(self) -> dict[str, dict[str, Any]]:
+        settings_by_name = super()._instance_settings()
+        for name, settings in settings_by_name.items():
+            if settings.get("voter"):
+                self.relays_by_name[name] = _relay.Relay(
+                    settings["grpc_address"]
+                )
+        relayed = {
+            name: relay.address for name, relay in self.relays_by_name.items()
+        }
+        for name, settings in settings_by_name.items():
+            voters = dict(relayed)
+            if name in voters:
+                # The daemon insists on its own address for itself.
+                voters[name] = settings["grpc_address"]
+            settings["voters"] = voters
+            settings["peers"] = list(voters.values())
+        return settings_by_name
+
+
+def _soak_rules(text: str) -> str:
+    """Gives the rollout steps that are reached within a run; no limits."""
+    kept = [
+        line
+        for line in text.splitlines()
+        if not line.startswith(("limit ", "rollout "))
+    ]
+    kept.append(
+        f"rollout {MODEL} from {OLD_VERSION} to {NEW_VERSION} steps 40% 100% "
+        "every 30m expose 1000000  # asked by Tomás Xol"
+    )
+    return "\n".join(kept) + "\n"
--- a/libs/standins/mulberry_standins/__init__.py
+++ b/libs/standins/mulberry_standins/__init__.py
@@ -1,6 +1,6 @@
 """Stand-in engine, plain service, rater and weight store."""
 
-from mulberry_standins._answers import quality_in
+from mulberry_standins._answers import expected_text, quality_in
 from mulberry_standins._faults import NO_FAULTS, Faults
 from mulberry_standins._main import create, main
 from mulberry_standins._options import Options, parse_options
@@ -12,6 +12,7 @@
     "Options",
     "Standin",
     "create",
+    "expected_text",
     "main",
     "parse_options",
     "quality_in",
--- a/libs/standins/mulberry_standins/_answers.py
+++ b/libs/standins/mulberry_standins/_answers.py
@@ -70,3 +70,20 @@
     """Returns the quality that an answer carries, unset if it has none."""
     found = _QUALITY.search(answer)
     return float(found.group(1)) if found else core.Missing.UNSET
+
+
+def expected_text(
+    model: str, version: str, messages: Any, tokens: int, quality: float
+) -> str:
+    """Returns the text of the answer that an engine without faults gives.
+
+    Args:
+        model: Name of the model.
+        version: Its version.
+        messages: The field `messages` of the request.
+        tokens: Tokens of one answer, as the engine was told.
+        quality: Mean quality of answers, as the engine was told.
+    """
+    text = json.dumps(messages, sort_keys=True)
+    prompt = Prompt(model, version, text, False, core.Missing.UNSET)
+    return "".join(tokens_of(prompt, tokens, quality))
--- a/libs/state/mulberry_state/__init__.py
+++ b/libs/state/mulberry_state/__init__.py
@@ -56,6 +56,7 @@
 from mulberry_state._local import LocalStateClient
 from mulberry_state._machine import Stamp, StateMachine
 from mulberry_state._node import SERVER_THREADS, StateNode
+from mulberry_state._offline import read_folder
 from mulberry_state._parser import FileRulesParser, RulesParser
 from mulberry_state._reader import StateReader
 from mulberry_state._remote import RemoteStateClient, new_command_id
@@ -137,4 +138,5 @@
     "VoterStatus",
     "new_command_id",
     "open_insecure",
+    "read_folder",
 ]
--- a/libs/state/mulberry_state/_applier.py
+++ b/libs/state/mulberry_state/_applier.py
@@ -23,6 +23,29 @@
 _MAX_RECORDS = 256
 
 
+def apply_record(
+    machine: _machine.StateMachine, record: log_pb2.LogRecord
+) -> object:
+    """Applies one committed record and returns the result of a command."""
+    stamp = _machine.Stamp(record.index, record.wall_s, record.log_s)
+    if record.kind == log_pb2.LogRecord.COMMAND:
+        command = _codec.decode_command(record.data)
+        return machine.apply(command, stamp)
+    if record.kind == log_pb2.LogRecord.VOTERS:
+        voters = log_pb2.LogVoters.FromString(record.data)
+        machine.set_voters(
+            {voter.name: voter.address for voter in voters.voters},
+            voters.who,
+            stamp,
+        )
+    elif record.kind == log_pb2.LogRecord.IN_EFFECT:
+        mark = log_pb2.LogInEffect.FromString(record.data)
+        machine.mark_in_effect(mark.revision, stamp)
+    else:
+        machine.pass_over(stamp)
+    return None
+
+
 class Applier:
     """Owns the state machine of a voter."""
 
@@ -78,7 +101,7 @@
                 records = [
                     shared.log.record(index) for index in range(first, last + 1)
                 ]
-            results = [self._apply(record) for record in records]
+            results = [apply_record(self.machine, record) for record in records]
             view = self.machine.view
             with shared.lock:
                 shared.applied_index = last
@@ -88,25 +111,6 @@
             for callback in tuple(self._callbacks):
                 callback(view)
 
-    def _apply(self, record: log_pb2.LogRecord) -> object:
-        stamp = _machine.Stamp(record.index, record.wall_s, record.log_s)
-        if record.kind == log_pb2.LogRecord.COMMAND:
-            command = _codec.decode_command(record.data)
-            return self.machine.apply(command, stamp)
-        if record.kind == log_pb2.LogRecord.VOTERS:
-            voters = log_pb2.LogVoters.FromString(record.data)
-            self.machine.set_voters(
-                {voter.name: voter.address for voter in voters.voters},
-                voters.who,
-                stamp,
-            )
-        elif record.kind == log_pb2.LogRecord.IN_EFFECT:
-            mark = log_pb2.LogInEffect.FromString(record.data)
-            self.machine.mark_in_effect(mark.revision, stamp)
-        else:
-            self.machine.pass_over(stamp)
-        return None
-
     def _answer(
         self, records: Sequence[log_pb2.LogRecord], results: Sequence[object]
     ) -> None:
