Let faults of the long run overlap, and freeze two of three voters

Faults came one after the other: 4 in half a minute. Two lanes with their own seeds now inject at once; process ends of two voters still do not overlap.

--- a/libs/experiments/mulberry_experiments/_soak/_faults.py
+++ b/libs/experiments/mulberry_experiments/_soak/_faults.py
@@ -47,7 +47,7 @@
         history: _history.History,
         runs: _watcher.RunWatcher,
     ) -> None:
-        self._rng = random.Random(f"{seed} faults")
+        self._seed = seed
         self._world = world
         self._history = history
         self._runs = runs
@@ -59,31 +59,21 @@
             "empty disk and replace": self._replace,
             "freeze": self._freeze,
             "cut of the network": self._cut,
+            "loss of the quorum": self._freeze_quorum,
             "graceful stop": self._stop_gracefully,
             "kill of an upstream": self._kill_upstream,
             "fault of an engine": self._break_engine,
         }
 
-    def run(self, stop: threading.Event) -> None:
-        """Injects faults until `stop` is set; all are repaired then."""
+    def run(self, lane: int, stop: threading.Event) -> None:
+        """Injects faults until `stop` is set; all are repaired then.
+
+        Lanes run at once, so that faults of several lanes overlap.
+        """
+        rng = random.Random(f"{self._seed} faults {lane}")
         names = tuple(self._singles)
-        while not stop.wait(self._rng.uniform(*_BETWEEN_S)):
-            chosen = [self._rng.choice(names)]
-            if self._rng.random() < 0.3:
-                chosen.append(self._rng.choice(names))
-                self._history.add_fault("two at once")
-            threads = [
-                threading.Thread(
-                    target=self._singles[name],
-                    args=(random.Random(self._rng.random()),),
-                    name=name,
-                )
-                for name in chosen
-            ]
-            for thread in threads:
-                thread.start()
-            for thread in threads:
-                thread.join()
+        while not stop.wait(rng.uniform(*_BETWEEN_S)):
+            self._singles[rng.choice(names)](random.Random(rng.random()))
 
     @contextlib.contextmanager
     def _taken(self, name: str, kind: str) -> Any:
@@ -97,29 +87,36 @@
             with self._lock:
                 self._busy.discard(name)
 
-    def _take(self, rng: random.Random, names: list[str]) -> str:
+    def _take(
+        self, rng: random.Random, names: list[str], spare_voters: bool = False
+    ) -> str:
         """Returns a name that no fault is at work on, empty if there is none.
 
-        At most one voter is down at a time by a fault that ends its process:
-        two of three make the quorum.
+        Args:
+            rng: Chooses.
+            names: Possible targets.
+            spare_voters: Takes no voter while a fault is at work on another:
+                two of three make the quorum.
         """
+        voters = set(self._world.voters)
         with self._lock:
-            free = sorted(set(names) - self._busy)
+            free = set(names) - self._busy
+            if spare_voters and self._busy & voters:
+                free -= voters
             if not free:
                 return ""
-            name = rng.choice(free)
+            name = rng.choice(sorted(free))
+            if self._busy:
+                self._history.add_fault("while another fault is at work")
             self._busy.add(name)
             return name
 
     def _take_instance(self, rng: random.Random) -> str:
         names = list(self._world.instances_by_name)
-        with self._lock:
-            if self._busy & set(self._world.voters):
-                names = [n for n in names if n not in self._world.voters]
         leader = self._leader() if rng.random() < _LEADER_SHARE else ""
-        if leader in names:
+        if leader:
             names = [leader]
-        return self._take(rng, names)
+        return self._take(rng, names, spare_voters=True)
 
     def _kill(self, rng: random.Random) -> None:
         name = self._take_instance(rng)
@@ -132,10 +129,7 @@
             time.sleep(_SETTLE_S)
 
     def _replace(self, rng: random.Random) -> None:
-        with self._lock:
-            if self._busy & set(self._world.voters):
-                return
-        name = self._take(rng, self._world.voters)
+        name = self._take(rng, self._world.voters, spare_voters=True)
         if not name:
             return
         with self._taken(name, "empty disk and replace"):
@@ -199,6 +193,29 @@
         with self._taken(name, "freeze"):
             self._freeze_for(name, rng.uniform(*_FROZEN_S))
 
+    def _freeze_quorum(self, rng: random.Random) -> None:
+        """Freezes two of three voters at once."""
+        first = self._take(rng, self._world.voters, spare_voters=True)
+        if not first:
+            return
+        others = [name for name in self._world.voters if name != first]
+        second = self._take(rng, others)
+        if not second:
+            with self._lock:
+                self._busy.discard(first)
+            return
+        for_s = rng.uniform(*_FROZEN_S)
+        with (
+            self._taken(first, "loss of the quorum"),
+            self._taken(second, "loss of the quorum, second voter"),
+        ):
+            other = threading.Thread(
+                target=self._freeze_for, args=(second, for_s)
+            )
+            other.start()
+            self._freeze_for(first, for_s)
+            other.join()
+
     def _freeze_for(self, name: str, for_s: float) -> None:
         process = self._world.instances_by_name[name]
         process.signal(signal.SIGSTOP)
--- a/libs/experiments/mulberry_experiments/_soak/_run.py
+++ b/libs/experiments/mulberry_experiments/_soak/_run.py
@@ -20,6 +20,8 @@
 )
 
 _CALLERS = 6
+#: Faults at work at once, at most; second faults of repairs come on top.
+_FAULT_LANES = 2
 #: Bound for a thread to end its present step: a request, a fault with its
 #: repair, or the sends of an operator.
 _JOIN_TIMEOUT_S = 180.0
@@ -112,7 +114,12 @@
         ),
     ]
     working = [
-        threading.Thread(target=faults.run, args=(stop,), name="faults"),
+        *(
+            threading.Thread(
+                target=faults.run, args=(lane, stop), name=f"faults {lane}"
+            )
+            for lane in range(_FAULT_LANES)
+        ),
         threading.Thread(target=operators.run, args=(stop,), name="operators"),
         *(
             threading.Thread(
