--- a/libs/decisions/mulberry_decisions/_evidence.py
+++ b/libs/decisions/mulberry_decisions/_evidence.py
@@ -18,6 +18,10 @@
 #: Runs before the latency estimate is used.
 _FEWEST_TIMED = 20
 
+#: Lives of instances whose evidence is kept; the one that was heard of least
+#: recently goes first. Restarts would otherwise fill the memory.
+_MAX_INSTANCES = 512
+
 _EMPTY = _judge.EvidenceCounts()
 
 
@@ -103,6 +107,7 @@
         low = (
             not isinstance(rating, core.Missing)
             and rating < observation.quality
+            and observation.outcome not in _judge.FAILURES
         )
         timed = slow = False
         latency_s = observation.latency_s
@@ -147,7 +152,10 @@
 
     def merge(self, instance: str, evidence: _judge.Evidence) -> None:
         """Keeps, for each key, the series with more runs."""
-        known = self._by_instance.setdefault(instance, {})
+        known = self._by_instance.pop(instance, {})
+        self._by_instance[instance] = known
+        if len(self._by_instance) > _MAX_INSTANCES:
+            del self._by_instance[next(iter(self._by_instance))]
         for key, series in evidence.items():
             old = known.get(key)
             if old is None or old.now.runs <= series.now.runs:
@@ -166,10 +174,11 @@
         """Returns all keys with evidence."""
         return {key for known in self._by_instance.values() for key in known}
 
-    def starts(self, key: _judge.EvidenceKey) -> list[int]:
+    def starts(self, keys: Iterable[_judge.EvidenceKey]) -> list[int]:
         """Returns the spans from which evidence is counted."""
         spans = {
             span
+            for key in keys
             for series in self._series(key)
             for span in series.before_by_span
         }
--- a/libs/state/mulberry_state/_applier.py
+++ b/libs/state/mulberry_state/_applier.py
@@ -17,12 +17,35 @@
 
 #: A snapshot is taken when the log has grown by this much since the last one,
 #: or by the size of the last one, whichever is more. Bytes.
-SNAPSHOT_BYTES = 16 << 20
+SNAPSHOT_BYTES = 4 << 20
 
 #: Records applied without a break, so that readers of the state get a turn.
 _MAX_RECORDS = 256
 
 
+def apply_record(
+    machine: _machine.StateMachine, record: log_pb2.LogRecord
+) -> object:
+    """Applies one committed record and returns the result of a command."""
+    stamp = _machine.Stamp(record.index, record.wall_s, record.log_s)
+    if record.kind == log_pb2.LogRecord.COMMAND:
+        command = _codec.decode_command(record.data)
+        return machine.apply(command, stamp)
+    if record.kind == log_pb2.LogRecord.VOTERS:
+        voters = log_pb2.LogVoters.FromString(record.data)
+        machine.set_voters(
+            {voter.name: voter.address for voter in voters.voters},
+            voters.who,
+            stamp,
+        )
+    elif record.kind == log_pb2.LogRecord.IN_EFFECT:
+        mark = log_pb2.LogInEffect.FromString(record.data)
+        machine.mark_in_effect(mark.revision, stamp)
+    else:
+        machine.pass_over(stamp)
+    return None
+
+
 class Applier:
     """Owns the state machine of a voter."""
 
@@ -78,35 +101,17 @@
                 records = [
                     shared.log.record(index) for index in range(first, last + 1)
                 ]
-            results = [self._apply(record) for record in records]
+            results = [apply_record(self.machine, record) for record in records]
             view = self.machine.view
             with shared.lock:
                 shared.applied_index = last
                 self._answer(records, results)
                 shared.lock.notify_all()
+                shared.acked.notify_all()
         if view.revision != before:
             for callback in tuple(self._callbacks):
                 callback(view)
 
-    def _apply(self, record: log_pb2.LogRecord) -> object:
-        stamp = _machine.Stamp(record.index, record.wall_s, record.log_s)
-        if record.kind == log_pb2.LogRecord.COMMAND:
-            command = _codec.decode_command(record.data)
-            return self.machine.apply(command, stamp)
-        if record.kind == log_pb2.LogRecord.VOTERS:
-            voters = log_pb2.LogVoters.FromString(record.data)
-            self.machine.set_voters(
-                {voter.name: voter.address for voter in voters.voters},
-                voters.who,
-                stamp,
-            )
-        elif record.kind == log_pb2.LogRecord.IN_EFFECT:
-            mark = log_pb2.LogInEffect.FromString(record.data)
-            self.machine.mark_in_effect(mark.revision, stamp)
-        else:
-            self.machine.pass_over(stamp)
-        return None
-
     def _answer(
         self, records: Sequence[log_pb2.LogRecord], results: Sequence[object]
     ) -> None:
--- a/libs/upstream/mulberry_upstream/_adapter.py
+++ b/libs/upstream/mulberry_upstream/_adapter.py
@@ -252,8 +252,9 @@
     first: bytes,
 ) -> core.Refusal:
     parts = [first]
-    while transfer.end is None:
-        parts.append(transfer.step())
+    # Bytes may still wait when the exchange has ended.
+    while (part := transfer.step()) or transfer.end is None:
+        parts.append(part)
     return _failures.refuse(request.record, attempt, transfer, b"".join(parts))
 
 
@@ -296,6 +297,7 @@
 
     def cancel(self) -> None:
         """See `ChatStream`."""
+        self._first = b""
         self._transfer.cancel()
 
     def __next__(self) -> bytes:
