Work the design size out from measured slopes; run membership by name

Targets stand in the form that the table checks. No figure yet: the machine is shared with other work at the moment.

--- a/libs/experiments/mulberry_experiments/_measure.py
+++ b/libs/experiments/mulberry_experiments/_measure.py
@@ -49,6 +49,8 @@
     },
     "entry": "mulberry_experiments._deployed:run_entry",
     "state": "mulberry_experiments._deployed:run_state",
+    "membership": "mulberry_experiments._deployed:run_membership",
+    "capacity": "mulberry_experiments._capacity:run",
 }
 
 
