Send a copy of a slow lookup to another upstream

The paying hedge policy was measured but not wired in: a lookup on a stalled upstream took its whole deadline. A copy now goes out after the delay that the policy has learned, within the retry budget; the first answer wins and the other send is ended. One bill either way. Failing without it: a lookup whose upstream stalls longer than the deadline (504), now answered by its copy.

--- a/libs/daemon/mulberry_daemon/_decision_set.py
+++ b/libs/daemon/mulberry_daemon/_decision_set.py
@@ -22,6 +22,6 @@
         ),
         team_limiter=decisions.TEAM_LIMITERS["shared"](clock),
         retry_budget=decisions.RETRY_BUDGETS["share"](clock),
-        hedge_policy=decisions.HEDGE_POLICIES["none"](),
+        hedge_policy=decisions.HEDGE_POLICIES["paying"](),
         crash_guard=decisions.CRASH_GUARDS["strikes"](clock),
     )
--- a/libs/entry/mulberry_entry/_calls.py
+++ b/libs/entry/mulberry_entry/_calls.py
@@ -11,7 +11,7 @@
 import mulberry_rules as rules
 import mulberry_state as state
 import mulberry_upstream as upstream
-from mulberry_entry import _dispatch, _parts, _requests, _work
+from mulberry_entry import _dispatch, _hedging, _parts, _requests, _work
 
 _CLAIM_TIMEOUT_S = 3.0
 _MIN_SETTLE_TIMEOUT_S = 1.0
@@ -64,6 +64,8 @@
         self.headers = headers
         self.is_abandoned = is_abandoned
         self.record = upstream.SendRecord()
+        #: Names of the upstreams that got the call.
+        self.tried: set[str] = set()
         content = f"{method} {service} {path}\n".encode() + request.body
         self.work = _work.call_work(request, kind, content)
         #: Names the whole call: the same key with another path is an error.
@@ -78,6 +80,9 @@
     ) -> None:
         self._parts = parts
         self._dispatcher = dispatcher
+        self._hedger = _hedging.Hedger(
+            parts.decisions.hedge_policy, parts.decisions.retry_budget
+        )
 
     def handle(
         self,
@@ -130,7 +135,11 @@
             ticket.release(outcome)
 
     def _repeatable(self, call: Call) -> werkzeug.Response | core.Refusal:
-        answer = self._send_with_retries(call)
+        answer = self._hedger.run(
+            call.work,
+            self._parts.clock,
+            lambda is_answered: self._send_with_retries(call, is_answered),
+        )
         if isinstance(answer, core.Refusal):
             return answer
         billed = self._parts.biller.bill(
@@ -145,7 +154,7 @@
         claimed = self._claim(call)
         if not isinstance(claimed, state.ClaimGranted):
             return claimed
-        answer = self._send_with_retries(call)
+        answer = self._send_with_retries(call, lambda: False)
         if isinstance(answer, core.Refusal):
             if call.record.run is core.RunState.NOT_RUN:
                 self._parts.biller.release(_release_of(call))
@@ -180,31 +189,33 @@
         return _claim_answer(call, result)
 
     def _send_with_retries(
-        self, call: Call
+        self, call: Call, is_answered: Callable[[], bool]
     ) -> upstream.ServiceAnswer | core.Refusal:
-        exclude: set[str] = set()
         failure: core.Refusal | core.Missing = core.Missing.UNSET
         for _ in range(_MAX_SENDS):
             held = self._dispatcher.reserve(
                 call.work,
                 _dispatch.Destination(call.request.team, call.service, ""),
                 call.record.run,
-                exclude,
+                frozenset(call.tried),
             )
             if isinstance(held, core.Refusal):
                 return held if isinstance(failure, core.Missing) else failure
-            answer = self._send(call, held)
+            call.tried.add(held.chosen.name)
+            answer = self._send(call, held, is_answered)
             if not isinstance(answer, core.Refusal):
                 return answer
             failure = answer
-            exclude.add(held.chosen.name)
-            if not self._may_retry(call, answer):
+            if is_answered() or not self._may_retry(call, answer):
                 break
         assert isinstance(failure, core.Refusal)
         return failure
 
     def _send(
-        self, call: Call, held: _dispatch.Reservation
+        self,
+        call: Call,
+        held: _dispatch.Reservation,
+        is_answered: Callable[[], bool],
     ) -> upstream.ServiceAnswer | core.Refusal:
         left_s = max(0.0, self._left_s(call))
         answer = self._parts.service.call(
@@ -221,9 +232,12 @@
                 idempotency_key=""
                 if isinstance(call.request.idempotency_key, core.Missing)
                 else call.request.idempotency_key,
-                is_abandoned=call.is_abandoned
-                if call.kind.idempotent
-                else lambda: False,
+                # A call that runs once goes on, so that its answer is
+                # recorded for the caller who comes back.
+                is_abandoned=lambda: (
+                    call.kind.idempotent
+                    and (is_answered() or call.is_abandoned())
+                ),
             )
         )
         if not isinstance(answer, core.Refusal):
--- /dev/null
+++ b/libs/entry/mulberry_entry/_hedging.py
@@ -0,0 +1,73 @@
+"""Sends a copy of a slow lookup to another upstream; the first answer wins."""
+
+import threading
+from collections.abc import Callable
+from concurrent import futures
+from typing import TypeVar
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+
+T = TypeVar("T")
+
+#: Lookups that are being watched for slowness at once.
+_THREADS = 32
+
+#: Runs the request on an upstream that no earlier send has used. The argument
+#: is asked whether another copy has answered.
+Send = Callable[[Callable[[], bool]], T | core.Refusal]
+
+
+class Hedger:
+    """Runs idempotent lookups with at most one copy each."""
+
+    def __init__(
+        self, made_policy: decisions.HedgePolicy, budget: decisions.RetryBudget
+    ) -> None:
+        self._policy = made_policy
+        self._budget = budget
+        self._executor = futures.ThreadPoolExecutor(
+            _THREADS, thread_name_prefix="hedged lookups"
+        )
+
+    def run(
+        self, work: decisions.Work, clock: core.Clock, send: Send[T]
+    ) -> T | core.Refusal:
+        """Returns the first answer, or the last refusal if there is none."""
+        began_s = clock.now()
+        delay_s = self._policy.delay_s(work)
+        if isinstance(delay_s, core.Missing):
+            answer = send(lambda: False)
+            self._policy.finished(work, clock.now() - began_s, False, False)
+            return answer
+        answered = threading.Event()
+        first = self._executor.submit(send, answered.is_set)
+        copies = [first]
+        futures.wait(copies, delay_s)
+        if not first.done() and self._budget.try_retry(
+            work, core.RunState.UNKNOWN
+        ):
+            copies.append(self._executor.submit(send, answered.is_set))
+        answer, winner = _first_answer(copies)
+        answered.set()
+        self._policy.finished(
+            work,
+            clock.now() - began_s,
+            len(copies) > 1,
+            winner is not first,
+        )
+        return answer
+
+    def stop(self) -> None:
+        """Lets no more lookups be watched."""
+        self._executor.shutdown(wait=False, cancel_futures=True)
+
+
+def _first_answer(
+    copies: list[futures.Future[T | core.Refusal]],
+) -> tuple[T | core.Refusal, futures.Future[T | core.Refusal]]:
+    done = copies[0]
+    for done in futures.as_completed(copies):
+        if not isinstance(done.result(), core.Refusal):
+            break
+    return done.result(), done
--- a/libs/entry/mulberry_entry/tests/harness.py
+++ b/libs/entry/mulberry_entry/tests/harness.py
@@ -72,7 +72,12 @@
 class Harness:
     """Starts an entry on a free port and stand-ins on theirs."""
 
-    def __init__(self, limits: rules.Limits | None = None) -> None:
+    def __init__(
+        self,
+        limits: rules.Limits | None = None,
+        hedge_policy: decisions.HedgePolicy | None = None,
+    ) -> None:
+        self._hedge_policy = hedge_policy or decisions.NoHedging()
         self.clock = core.SystemClock()
         self.counters = core.MemoryCounters()
         self.timers = core.TimerService(self.clock)
@@ -259,7 +264,7 @@
                 ),
                 decisions.TEAM_LIMITERS["shared"](self.clock),
                 decisions.RETRY_BUDGETS["unlimited"](self.clock),
-                decisions.HEDGE_POLICIES["none"](),
+                self._hedge_policy,
                 decisions.CRASH_GUARDS["strikes"](self.clock),
             ),
             engine=upstream.ChatEngineAdapter(pool),
--- a/libs/entry/mulberry_entry/tests/test_entry.py
+++ b/libs/entry/mulberry_entry/tests/test_entry.py
@@ -9,6 +9,7 @@
 import pytest
 
 import mulberry_core as core
+import mulberry_decisions as decisions
 import mulberry_rules as rules
 import mulberry_state as state
 from mulberry_entry.tests import harness
@@ -256,6 +257,24 @@
     assert _bills(entry) == 0
 
 
+def test_slow_lookup_is_answered_by_its_copy() -> None:
+    """Guards against lookups that wait for a stalled upstream.
+
+    The stall is longer than the deadline, so only a copy can answer.
+    """
+    entry = harness.Harness(_LIMITS, decisions.FixedDelayHedging(0.05))
+    try:
+        for name in ("taller-1", "taller-2"):
+            entry.add_service(name)
+        entry.set_faults("taller-1", first_token_s=5.0)
+        for _ in range(4):
+            answer = entry.send("GET", "/services/taller/stock/board")
+            assert answer[0] == 200
+        assert _bills(entry) == 4
+    finally:
+        entry.stop()
+
+
 def test_cut_stream_is_continued(entry: harness.Harness) -> None:
     """Guards against tokens lost or repeated after a cut."""
     expected = entry.chat(stream=True)[2].count(b"data: ")
