Count loads, not orders, against the rate of the weight store

Cause: any order counted as a load, because only the newest order of an engine is recorded. The unload that makes room for a load therefore blocked that load for a whole window and left the engine empty.

The recorded text of an order now carries the time of the engine's last load, so the count is exact and still holds across holders. The daemon asks before it plans: it passes the number of loads that the rate allows, leaves out engines that may not load yet, and does not load where the unload before did not succeed.

--- a/libs/control/mulberry_control/_executor.py
+++ b/libs/control/mulberry_control/_executor.py
@@ -1,6 +1,7 @@
 """Gives orders to engines: one holder at a time, no order out of turn."""
 
 import dataclasses
+import math
 import threading
 import uuid
 from collections.abc import Callable, Mapping
@@ -41,8 +42,9 @@
 
     order: _orders.Order
     is_open: bool
-    #: Not before the order was recorded last, seconds.
-    at_s: float
+    #: Not before the last load of the engine, seconds; minus infinity if
+    #: there was none.
+    loaded_s: float
 
 
 class OrderExecutor:
@@ -93,6 +95,18 @@
             self._take_over(held, recorded)
         return held
 
+    def loads_available(self) -> int:
+        """Returns how many loads the weight store can serve now."""
+        recent = self._recent_loads(self._clock.now())
+        return max(0, self._rate.loads - len(recent))
+
+    def may_load(self, engine: str) -> bool:
+        """Whether the rate allows a load of this engine now.
+
+        To be asked before an unload that makes room for a load.
+        """
+        return self._refuse_load(engine, self._clock.now()) is None
+
     def half_done(self) -> Mapping[str, _orders.Order]:
         """Returns the orders whose end is not recorded, by engine."""
         with self._lock:
@@ -208,8 +222,10 @@
     ) -> _orders.OrderOutcome:
         self._counters.increment(f"control.orders.{outcome.value}")
         logging.info(
-            "order %s to %s: %s",
-            _orders.encode_order(order),
+            "order to %s %s %s at %s: %s",
+            order.kind.value,
+            order.model,
+            order.version,
             target.name,
             outcome.value,
         )
@@ -255,20 +271,13 @@
     def _refuse_load(self, name: str, now_s: float) -> core.Refusal | None:
         """Applies the rate of the weight store.
 
-        Only the newest order of each engine is recorded. Each recent one
-        counts as a load, and an engine gets no second load in a window, so
-        the count is never too low, whoever gave the orders.
+        One load of each engine is recorded, its last. So an engine gets no
+        second one in a window, and the count is never too low, whoever gave
+        the orders.
         """
-        with self._lock:
-            recent = {
-                upstream: known.at_s + self._rate.window_s - now_s
-                for upstream, known in self._known_by_upstream.items()
-                if known.at_s + self._rate.window_s > now_s
-            }
+        recent = self._recent_loads(now_s)
         if name in recent:
-            return _wait(
-                f"{name} had an order within the rate window", recent[name]
-            )
+            return _wait(f"{name} has loaded within the window", recent[name])
         if len(recent) >= self._rate.loads:
             return _wait(
                 "the weight store's rate is used up",
@@ -276,6 +285,15 @@
             )
         return None
 
+    def _recent_loads(self, now_s: float) -> dict[str, float]:
+        """Returns how long each load counts from now on, by engine."""
+        with self._lock:
+            return {
+                upstream: known.loaded_s + self._rate.window_s - now_s
+                for upstream, known in self._known_by_upstream.items()
+                if known.loaded_s + self._rate.window_s > now_s
+            }
+
     def _take_over(
         self,
         held: _lease.HeldLease,
@@ -287,8 +305,7 @@
                 item.upstream: _Known(
                     order=item.order,
                     is_open=item.state is state.OrderState.BEGUN,
-                    at_s=now_s
-                    - max(0.0, wall_s - item.wall_s - MAX_CLOCK_SKEW_S),
+                    loaded_s=_loaded_s(item, now_s, wall_s),
                 )
                 for item in recorded
             }
@@ -329,7 +346,7 @@
                 lease_name=self._lease.name,
                 fencing_number=number,
                 upstream=name,
-                order=_orders.encode_order(order),
+                order=_orders.encode_order(order, self._loaded_wall_s(name)),
                 state=progress,
             ),
             _RECORD_TIMEOUT_S,
@@ -342,9 +359,20 @@
 
     def _note(self, name: str, order: _orders.Order, is_open: bool) -> None:
         with self._lock:
-            self._known_by_upstream[name] = _Known(
-                order, is_open, self._clock.now()
-            )
+            known = self._known_by_upstream.get(name)
+            loaded_s = known.loaded_s if known else -math.inf
+            if order.kind is _orders.OrderKind.LOAD:
+                loaded_s = self._clock.now()
+            self._known_by_upstream[name] = _Known(order, is_open, loaded_s)
+
+    def _loaded_wall_s(self, name: str) -> float:
+        """Returns the time of day of an engine's last load, 0 if long ago."""
+        with self._lock:
+            known = self._known_by_upstream.get(name)
+        age_s = self._clock.now() - known.loaded_s if known else math.inf
+        if age_s > self._rate.window_s + MAX_CLOCK_SKEW_S:
+            return 0.0
+        return self._clock.wall() - age_s
 
 
 def new_order_id() -> str:
@@ -356,3 +384,15 @@
     return core.Refusal(
         core.ErrorKind.LIMIT_EXCEEDED, core.RunState.NOT_RUN, reason, seconds
     )
+
+
+def _loaded_s(
+    item: _journal.RecordedOrder, now_s: float, wall_s: float
+) -> float:
+    """Returns the local time of an engine's last load, rather too late."""
+    loaded_wall_s = item.loaded_wall_s
+    if item.order.kind is _orders.OrderKind.LOAD:
+        loaded_wall_s = item.wall_s
+    if not loaded_wall_s:
+        return -math.inf
+    return now_s - max(0.0, wall_s - loaded_wall_s - MAX_CLOCK_SKEW_S)
--- a/libs/control/mulberry_control/_journal.py
+++ b/libs/control/mulberry_control/_journal.py
@@ -19,6 +19,9 @@
     state: state.OrderState
     #: Unix time of the record, seconds, by the clock of a leader.
     wall_s: float
+    #: Unix time of the last load before this order, 0 if there was none in
+    #: the rate window.
+    loaded_wall_s: float
 
 
 class OrderJournal(abc.ABC):
@@ -68,17 +71,20 @@
             )
         found = []
         for item in leases.orders():
-            order = _orders.decode_order(item.order)
-            if item.lease_name == lease_name and isinstance(
-                order, _orders.Order
+            decoded = _orders.decode_order(item.order)
+            if item.lease_name != lease_name or isinstance(
+                decoded, core.Missing
             ):
-                found.append(
-                    RecordedOrder(
-                        item.upstream,
-                        order,
-                        item.fencing_number,
-                        item.state,
-                        item.wall_s,
-                    )
+                continue
+            order, loaded_wall_s = decoded
+            found.append(
+                RecordedOrder(
+                    item.upstream,
+                    order,
+                    item.fencing_number,
+                    item.state,
+                    item.wall_s,
+                    loaded_wall_s,
                 )
+            )
         return tuple(found)
--- a/libs/control/mulberry_control/_orders.py
+++ b/libs/control/mulberry_control/_orders.py
@@ -6,7 +6,7 @@
 import mulberry_core as core
 
 #: Order ids and names have no spaces, so that a recorded order can be read.
-_FIELDS = 4
+_FIELDS = 5
 
 
 class OrderKind(enum.Enum):
@@ -59,21 +59,37 @@
     UNKNOWN = "unknown"
 
 
-def encode_order(order: Order) -> str:
-    """Returns the text under which an order is recorded."""
-    return f"{order.kind.value} {order.model} {order.version} {order.order_id}"
+def encode_order(order: Order, loaded_wall_s: float) -> str:
+    """Returns the text under which an order is recorded.
 
+    Args:
+        order: The order.
+        loaded_wall_s: Unix time of the last load of the engine, 0 if there
+            is none to remember. Only the newest order of an engine is
+            recorded, and the rate of the weight store must count the load
+            before an unload.
+    """
+    loaded_ms = int(loaded_wall_s * 1000)
+    return (
+        f"{order.kind.value} {order.model} {order.version} {order.order_id} "
+        f"{loaded_ms}"
+    )
 
-def decode_order(text: str) -> Order | core.Missing:
-    """Returns the order of a recorded text, unset if it is not one."""
+
+def decode_order(text: str) -> tuple[Order, float] | core.Missing:
+    """Returns the order of a recorded text and the time of the last load.
+
+    Unset if the text is no order.
+    """
     fields = text.split(" ")
     if len(fields) != _FIELDS:
         return core.Missing.UNSET
     try:
         kind = OrderKind(fields[0])
+        loaded_wall_s = int(fields[4]) / 1000
     except ValueError:
         return core.Missing.UNSET
-    return Order(kind, fields[1], fields[2], fields[3])
+    return Order(kind, fields[1], fields[2], fields[3]), loaded_wall_s
 
 
 def inverse(order: Order, order_id: str) -> Order | core.Missing:
--- a/libs/daemon/mulberry_daemon/_engine_orders.py
+++ b/libs/daemon/mulberry_daemon/_engine_orders.py
@@ -80,7 +80,7 @@
         planned = self._planner.plan(
             self._engines(),
             self._demand(),
-            _MAX_LOADS,
+            min(_MAX_LOADS, self._executor.loads_available()),
             self._parts.clock.now(),
         )
         orders_by_engine = collections.defaultdict(list)
@@ -104,7 +104,7 @@
         def give() -> None:
             try:
                 for planned in orders:
-                    self._executor.execute(
+                    outcome = self._executor.execute(
                         target,
                         control.Order(
                             planned.kind,
@@ -113,6 +113,9 @@
                             control.new_order_id(),
                         ),
                     )
+                    if outcome is not control.OrderOutcome.DONE:
+                        # A load without the unload before it has no room.
+                        return
             finally:
                 with self._lock:
                     self._busy.discard(target.name)
@@ -141,7 +144,8 @@
                 capacity=known.capacity,
                 max_versions=_MAX_VERSIONS,
                 available=known.state is membership.UpstreamState.READY
-                and known.name not in busy,
+                and known.name not in busy
+                and self._executor.may_load(known.name),
             )
             for known in self._parts.directory.upstreams().values()
             if isinstance(known.service, core.Missing)
