Confirm session pins again under other rules or verdicts

Cause: an entry trusted a remembered pin for as long as its version was allowed. While the version was withdrawn another entry moved the session; once the version was usable again, the first entry went back to it, and the session changed its version with each change of the entry.

After: the test passes. A remembered pin is still proposed, so that it is kept without a quorum.

--- a/libs/entry/mulberry_entry/_sessions.py
+++ b/libs/entry/mulberry_entry/_sessions.py
@@ -1,6 +1,7 @@
 """Sessions keep their version: pins, with a cache at the entry."""
 
 import collections
+import dataclasses
 import threading
 import uuid
 
@@ -15,8 +16,43 @@
 _Key = tuple[str, str, str]
 
 
+@dataclasses.dataclass(frozen=True)
+class Stamp:
+    """The rules and verdicts that a pin was confirmed under.
+
+    A pin moves only after one of them made its version unusable.
+    """
+
+    rules_number: int
+    #: Number of the newest verdict on each version that has one.
+    verdicts: frozenset[tuple[tuple[str, str], int]]
+
+
+@dataclasses.dataclass(frozen=True)
+class Pin:
+    """A version that the replicated state gave to a session."""
+
+    version: str
+    stamp: Stamp
+
+
+def stamp_of(view: state.View) -> Stamp:
+    """Returns the stamp of a view."""
+    return Stamp(
+        view.rules_number,
+        frozenset(
+            (key, verdict.number)
+            for key, verdict in view.verdicts_by_version.items()
+        ),
+    )
+
+
 class SessionPins:
-    """Asks the replicated state once for each session and model."""
+    """Asks the replicated state once for each session, model and stamp.
+
+    A remembered pin is not trusted under other rules or verdicts: another
+    entry may have moved the session while its version was unusable.
+    """
 
     def __init__(
         self, client: state.StateClient, counters: core.Counters
@@ -24,22 +60,31 @@
         self._client = client
         self._counters = counters
         self._lock = threading.Lock()
-        self._version_by_key: collections.OrderedDict[_Key, str] = (
+        self._pin_by_key: collections.OrderedDict[_Key, Pin] = (
             collections.OrderedDict()
         )
 
-    def known(self, team: str, session: str, model: str) -> str | core.Missing:
-        """Returns the pin if this entry remembers it."""
+    def known(self, team: str, session: str, model: str) -> Pin | core.Missing:
+        """Returns the pin if this entry remembers it, fresh or not."""
         key = (team, session, model)
         with self._lock:
-            if key not in self._version_by_key:
+            if key not in self._pin_by_key:
                 return core.Missing.UNSET
-            self._version_by_key.move_to_end(key)
-            return self._version_by_key[key]
+            self._pin_by_key.move_to_end(key)
+            return self._pin_by_key[key]
 
-    def pin(self, team: str, session: str, model: str, proposed: str) -> str:
+    def pin(
+        self, team: str, session: str, model: str, proposed: str, stamp: Stamp
+    ) -> str:
         """Returns the version that the session keeps.
 
+        Args:
+            team: Team of the caller.
+            session: Session of the caller.
+            model: Model that will run the request.
+            proposed: Used if the session has no usable version.
+            stamp: That of the view which `proposed` was chosen under.
+
         Without a quorum the proposal is used and the pin is left for the
         next request: lookups and plans go on while the rules lease lasts,
         and every entry derives the same proposal from the session id.
@@ -52,7 +97,9 @@
             self._counters.increment("entry.pin_not_recorded")
             return proposed
         with self._lock:
-            self._version_by_key[(team, session, model)] = result.version
-            if len(self._version_by_key) > _CACHED_PINS:
-                self._version_by_key.popitem(last=False)
+            self._pin_by_key[(team, session, model)] = Pin(
+                result.version, stamp
+            )
+            if len(self._pin_by_key) > _CACHED_PINS:
+                self._pin_by_key.popitem(last=False)
         return result.version
--- a/libs/entry/mulberry_entry/_versions.py
+++ b/libs/entry/mulberry_entry/_versions.py
@@ -4,7 +4,7 @@
 import mulberry_decisions as decisions
 import mulberry_rules as rules
 import mulberry_state as state
-from mulberry_entry import _parts, _requests
+from mulberry_entry import _parts, _requests, _sessions
 
 
 class VersionPicker:
@@ -26,17 +26,25 @@
         if isinstance(offer, core.Refusal):
             return offer
         session = request.session
-        pinned: str | core.Missing = core.Missing.UNSET
+        pin: _sessions.Pin | core.Missing = core.Missing.UNSET
         if not isinstance(session, core.Missing):
-            pinned = self._parts.pins.known(request.team, session, model)
+            pin = self._parts.pins.known(request.team, session, model)
         version = self._parts.decisions.version_chooser.choose(
-            work, offer, allowed, pinned
+            work,
+            offer,
+            allowed,
+            pin if isinstance(pin, core.Missing) else pin.version,
         )
-        if isinstance(version, core.Refusal) or version == pinned:
+        if isinstance(version, core.Refusal):
             return version
-        if isinstance(session, core.Missing):
+        stamp = _sessions.stamp_of(view)
+        if isinstance(session, core.Missing) or (
+            pin == _sessions.Pin(version, stamp)
+        ):
             return version
-        kept = self._parts.pins.pin(request.team, session, model, version)
+        kept = self._parts.pins.pin(
+            request.team, session, model, version, stamp
+        )
         return kept if kept in allowed else version
 
 
--- /dev/null
+++ b/libs/entry/mulberry_entry/tests/test_sessions.py
@@ -0,0 +1,87 @@
+"""Tests of session pins over several entries."""
+
+import dataclasses
+from collections.abc import Iterator
+
+import pytest
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+import mulberry_entry as entry
+import mulberry_state as state
+from mulberry_entry import _requests, _versions
+from mulberry_entry.tests import harness
+
+_BOTH = harness.RULES + "version m v2  # asked by test\n"
+_WITHOUT_V1 = _BOTH + "withdraw m v1  # asked by test\n"
+
+
+@pytest.fixture
+def started() -> Iterator[harness.Harness]:
+    made = harness.Harness()
+    yield made
+    made.stop()
+
+
+class _Entries:
+    """Entries with pins of their own over one replicated state."""
+
+    def __init__(self, started: harness.Harness, count: int) -> None:
+        self._state = started.state
+        self._now_s = started.clock.now()
+        self._pickers = []
+        for _ in range(count):
+            parts = dataclasses.replace(
+                started.parts,
+                pins=entry.SessionPins(started.state, started.counters),
+            )
+            self._pickers.append(_versions.VersionPicker(parts))
+
+    def accept(self, text: str) -> None:
+        number = self._state.view().rules_number
+        result = self._state.propose(
+            state.SubmitRules(f"rules {number}", text, number, "test"), 1.0
+        )
+        assert isinstance(result, state.RulesAccepted), result
+
+    def version_at(self, index: int) -> str | core.Refusal:
+        request = _requests.CallerRequest(
+            request_id="request",
+            team="equipo",
+            idempotency_key=core.Missing.UNSET,
+            session="session",
+            kind_name=core.Missing.UNSET,
+            deadline_s=core.Missing.UNSET,
+            arrived_s=self._now_s,
+            content_type="",
+            body=b"",
+        )
+        work = decisions.Work("equipo", "default", 2, self._now_s, "session")
+        return self._pickers[index].pick(request, work, "m")
+
+
+def test_entry_follows_a_pin_that_was_moved_elsewhere(
+    started: harness.Harness,
+) -> None:
+    """Guards against a session that changes its version with its entry.
+
+    An entry that had no request of the session while its version was
+    withdrawn must not go back to that version once it is usable again.
+    """
+    entries = _Entries(started, 2)
+    entries.accept(_BOTH)
+    assert [entries.version_at(0), entries.version_at(1)] == ["v1", "v1"]
+    entries.accept(_WITHOUT_V1)
+    assert entries.version_at(1) == "v2"
+    entries.accept(_BOTH)
+    assert [entries.version_at(1), entries.version_at(0)] == ["v2", "v2"]
+
+
+def test_pin_is_kept_without_a_quorum(started: harness.Harness) -> None:
+    """Guards against a new choice when a pin cannot be confirmed."""
+    entries = _Entries(started, 1)
+    entries.accept(_WITHOUT_V1)
+    assert entries.version_at(0) == "v2"
+    entries.accept(_BOTH)
+    started.state.failing = (state.PinSession,)
+    assert entries.version_at(0) == "v2"
