--- a/libs/experiments/mulberry_experiments/_soak/_callers.py
+++ b/libs/experiments/mulberry_experiments/_soak/_callers.py
@@ -14,7 +14,9 @@
 _LIST_TIMEOUT_S = 2.0
 _PAUSE_S = (0.02, 0.25)
 _SESSIONS = 12
-_CHAT_TEAM, _LOOKUP_TEAM, _DEPOSIT_TEAM = "ventas", "tiendas", "contabilidad"
+_LOOKUP_TEAM, _DEPOSIT_TEAM = "tiendas", "contabilidad"
+#: The second one may use one version of the dear model only.
+_CHAT_TEAMS = ("ventas", "ventas", _world.BOUND_TEAM)
 
 #: Sends of one deposit, the first included.
 _MAX_SENDS = 6
@@ -114,11 +116,10 @@
         key = f"{work}-{self._number}-{self._sent}"
         if self._rng.random() > _KEYED_SHARE:
             key = ""
-        attempt = self._send(
-            work, _CHAT_TEAM, target, prompt, stream, session, key
-        )
+        team = self._rng.choice(_CHAT_TEAMS)
+        attempt = self._send(work, team, target, prompt, stream, session, key)
         if key and attempt and not attempt.reply.is_answer:
-            self._send(work, _CHAT_TEAM, target, prompt, stream, session, key)
+            self._send(work, team, target, prompt, stream, session, key)
 
     def _lookup(self) -> None:
         item = self._rng.randrange(50)
--- a/libs/experiments/mulberry_experiments/_soak/_checks.py
+++ b/libs/experiments/mulberry_experiments/_soak/_checks.py
@@ -124,8 +124,9 @@
     for attempt in sorted(evidence.history.attempts, key=lambda a: a.began_s):
         if attempt.session and attempt.reply.is_answer:
             model = attempt.reply.header_by_name["x-mulberry-model"]
-            attempts_by_session[(attempt.session, model)].append(attempt)
-    for (session, model), attempts in attempts_by_session.items():
+            key = (attempt.team, attempt.session, model)
+            attempts_by_session[key].append(attempt)
+    for (_, session, model), attempts in attempts_by_session.items():
         for later in attempts[1:]:
             yield _version_change(evidence, session, model, attempts, later)
 
@@ -160,6 +161,27 @@
     return attempt.reply.header_by_name.get("x-mulberry-version", "")
 
 
+def versions_are_allowed(evidence: _evidence.Evidence) -> Iterable[str]:
+    """P1: a team that may use one version runs on no other."""
+    keys = {
+        attempt.key
+        for attempt in evidence.history.attempts
+        if attempt.team == _world.BOUND_TEAM and attempt.key
+    }
+    for run in evidence.history.runs:
+        if run.key in keys and run.model == _world.MODEL:
+            allowed = run.version == _world.OLD_VERSION
+            yield "" if allowed else f"{_world.BOUND_TEAM}: {run}"
+
+
+def left_upstreams_get_nothing(
+    evidence: _evidence.Evidence,
+) -> Iterable[str]:
+    """P8: no run begins more than 3 s after an upstream announced to leave."""
+    for leave in evidence.history.leaves:
+        yield str(leave) if leave.late else ""
+
+
 def withdrawn_runs_end(evidence: _evidence.Evidence) -> Iterable[str]:
     """P2, P10: no run of a withdrawn version once the rules are in effect."""
     for run in evidence.history.runs:
@@ -276,6 +298,8 @@
     "a deposit runs at most once": deposit_runs_once,
     "a deposit keeps its answer": deposit_keeps_answer,
     "a session keeps its version": session_keeps_version,
+    "teams run on what they may use": versions_are_allowed,
+    "upstreams that left get no work": left_upstreams_get_nothing,
     "runs of a withdrawn version end": withdrawn_runs_end,
     "rules numbers only grow": rules_only_grow,
     "the last rules are in force": rules_in_force_in_the_end,
--- a/libs/experiments/mulberry_experiments/_soak/_faults.py
+++ b/libs/experiments/mulberry_experiments/_soak/_faults.py
@@ -21,6 +21,7 @@
 _KILL_TIMEOUT_S = 10.0
 _REPLACE_TIMEOUT_S = 60.0
 _SETTLE_S = 3.0
+_LEAVE_POLL_S = 0.1
 _LEADER_SHARE = 0.5
 
 #: Faults of engines; each meets a share of the requests.
@@ -62,6 +63,7 @@
             "loss of the quorum": self._freeze_quorum,
             "graceful stop": self._stop_gracefully,
             "kill of an upstream": self._kill_upstream,
+            "leave of an upstream": self._leave_upstream,
             "fault of an engine": self._break_engine,
         }
 
@@ -267,6 +269,31 @@
             time.sleep(rng.uniform(*_DOWN_S))
             self._world.restart_standin(name)
 
+    def _leave_upstream(self, rng: random.Random) -> None:
+        name = self._take(rng, list(self._world.upstreams_by_name))
+        if not name:
+            return
+        with self._taken(name, "leave of an upstream"):
+            process = self._world.upstreams_by_name[name]
+            process.signal(signal.SIGTERM)
+            late: tuple[str, ...] = ()
+            while process.popen.poll() is None:
+                self._runs.read(name)
+                late = self._late_runs(name) or late
+                time.sleep(_LEAVE_POLL_S)
+            self._history.add_leave(_history.Leave(name, late))
+            self._world.restart_standin(name)
+
+    def _late_runs(self, name: str) -> tuple[str, ...]:
+        address = self._world.upstreams_by_name[name].address
+        try:
+            with urllib.request.urlopen(
+                f"http://{address}/status", timeout=1
+            ) as answer:
+                return tuple(json.load(answer)["late_runs"])
+        except (OSError, ValueError):
+            return ()
+
     def _break_engine(self, rng: random.Random) -> None:
         engines = [
             name
--- a/libs/experiments/mulberry_experiments/_soak/_history.py
+++ b/libs/experiments/mulberry_experiments/_soak/_history.py
@@ -89,6 +89,15 @@
     status: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Leave:
+    """One upstream that announced to leave and ended."""
+
+    upstream: str
+    #: Runs that began more than 3 s after the announcement.
+    late: tuple[str, ...]
+
+
 class History:
     """Collects the records of all threads."""
 
@@ -97,6 +106,7 @@
         self._attempts: list[Attempt] = []
         self._runs: list[Run] = []
         self._stops: list[GracefulStop] = []
+        self._leaves: list[Leave] = []
         self._numbers: list[tuple[str, int, int]] = []
         self._faults: collections.Counter[str] = collections.Counter()
         self._notes: list[str] = []
@@ -116,6 +126,11 @@
         with self._lock:
             self._stops.append(stop)
 
+    def add_leave(self, leave: Leave) -> None:
+        """Notes an upstream that left."""
+        with self._lock:
+            self._leaves.append(leave)
+
     def add_number(self, instance: str, pid: int, number: int) -> None:
         """Notes the number of the rules that an instance reported."""
         with self._lock:
@@ -149,6 +164,12 @@
         with self._lock:
             return tuple(self._stops)
 
+    @property
+    def leaves(self) -> Sequence[Leave]:
+        """All upstreams that left."""
+        with self._lock:
+            return tuple(self._leaves)
+
     @property
     def numbers(self) -> Sequence[tuple[str, int, int]]:
         """Instance, process id and rules number, in the order seen."""
--- a/libs/experiments/mulberry_experiments/_soak/_main.py
+++ b/libs/experiments/mulberry_experiments/_soak/_main.py
@@ -2,6 +2,7 @@
 
 import argparse
 import pathlib
+import signal
 import sys
 
 from mulberry_experiments._soak import _run
@@ -33,6 +34,10 @@
     return "\n".join(lines)
 
 
+def _exit(number: int, frame: object) -> None:
+    sys.exit(128 + number)
+
+
 def main() -> None:
     """Runs once and exits with 1 if an invariant was violated."""
     parser = argparse.ArgumentParser(prog="scripts/soak")
@@ -45,6 +50,9 @@
         "--keep", type=pathlib.Path, help="leave logs and data in this folder"
     )
     options = parser.parse_args()
+    # Without this the processes of the deployment would outlive the script.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _exit)
     outcome = _run.run(
         options.seed,
         options.minutes * 60,
--- a/libs/experiments/mulberry_experiments/_soak/_world.py
+++ b/libs/experiments/mulberry_experiments/_soak/_world.py
@@ -24,6 +24,8 @@
 OLD_VERSION = "2026-02"
 NEW_VERSION = "2026-03"
 SERVICE = "taller-app"
+#: A team that the rules allow `OLD_VERSION` of `MODEL` only.
+BOUND_TEAM = "formacion"
 
 
 class World(_deployment.Deployment):
--- /dev/null
+++ b/libs/experiments/mulberry_experiments/tests/test_soak.py
@@ -0,0 +1,24 @@
+"""A bounded share of the long run, and proof that its checks see faults."""
+
+import collections
+
+from mulberry_experiments._soak import _run
+
+_SEED = 7
+_DURATION_S = 20.0
+
+
+def test_short_run_violates_nothing() -> None:
+    """Guards against any broken guarantee under a few overlapping faults."""
+    outcome = _run.run(_SEED, _DURATION_S)
+    violations = {
+        item.invariant: item.violations
+        for item in outcome.findings
+        if item.violations
+    }
+    assert not violations, "\n".join([str(violations), *outcome.notes])
+    assert outcome.faults.total() > 0
+    answered = collections.Counter(
+        name.rpartition(": ")[2] for name in outcome.requests.elements()
+    )
+    assert answered["answered"] > 0
