--- a/libs/entry/mulberry_entry/_app.py
+++ b/libs/entry/mulberry_entry/_app.py
@@ -248,8 +248,12 @@
 
     def is_gone() -> bool:
         try:
-            readable, _, _ = select.select([caller_socket], [], [], 0)
-            return bool(readable) and not caller_socket.recv(1, socket.MSG_PEEK)
+            # select cannot watch file descriptors from 1024 on.
+            poll = select.poll()
+            poll.register(caller_socket, select.POLLIN)
+            return bool(poll.poll(0)) and not caller_socket.recv(
+                1, socket.MSG_PEEK
+            )
         except (OSError, ValueError):
             return True
 
--- a/libs/upstream/mulberry_upstream/_gate.py
+++ b/libs/upstream/mulberry_upstream/_gate.py
@@ -11,6 +11,9 @@
 #: suspended in between from sending on an outdated check.
 PERMIT_VALID_S = 0.5
 
+#: Services that the router calls for itself, whatever the rules say.
+PLATFORM_SERVICES = frozenset({"rater"})
+
 _MINT = object()
 
 
@@ -149,6 +152,11 @@
         upstream is checked.
         """
         failure = self._check_upstream(upstream)
+        if upstream.serves or upstream.service not in PLATFORM_SERVICES:
+            failure = _Failure(
+                core.ErrorKind.NOT_ALLOWED,
+                f"{upstream.name} is no service of the platform",
+            )
         if failure:
             return failure.refusal(core.RunState.NOT_RUN)
         return self._issue(upstream, upstream.service, "", PERMIT_VALID_S)
--- a/libs/upstream/mulberry_upstream/tests/test_gate.py
+++ b/libs/upstream/mulberry_upstream/tests/test_gate.py
@@ -131,3 +131,22 @@
     assert not first.redeem()
     clock.advance(min(lease_s, upstream.PERMIT_VALID_S))
     assert not second.redeem()
+
+
+@pytest.mark.parametrize(
+    ("changes", "allowed"),
+    [
+        ({"service": "rater", "serves": frozenset()}, True),
+        ({"service": "taller-app", "serves": frozenset()}, False),
+        ({"service": "rater"}, False),
+        ({"service": "rater", "serves": frozenset(), "leaving": True}, False),
+    ],
+)
+def test_only_platform_services_pass_without_rules(
+    bench: Any, changes: dict[str, Any], allowed: bool
+) -> None:
+    """Guards against a way around the rules of teams."""
+    gate = upstream.SendGate(core.ManualClock(100.0))
+    target = dataclasses.replace(bench.target("127.0.0.1:9"), **changes)
+    permit = gate.check_platform(target)
+    assert isinstance(permit, upstream.SendPermit) == allowed
