Refuse calls on closed channels before gRPC crashes on them

A voter closes its channels when it stops, so that calls that wait end. An election that ran at that moment made a stub on a closed channel, which ends the process with a segmentation fault inside gRPC: seen twice in the whole test run, in the test that kills two voters. Channels now refuse under their lock once they are closed.

--- a/libs/state/mulberry_state/_channels.py
+++ b/libs/state/mulberry_state/_channels.py
@@ -41,11 +41,19 @@
         self._lock = threading.Lock()
         self._channel_by_address: dict[str, grpc.Channel] = {}
         self._stub_by_key: dict[tuple[str, Any], Any] = {}
+        self._closed = False
 
     def stub(self, address: str, stub_type: Any) -> Any:
-        """Returns the stub of a service at an address."""
+        """Returns the stub of a service at an address.
+
+        Raises:
+            ValueError: The channels are closed. Making a stub on a closed
+                channel ends the process with a segmentation fault in gRPC.
+        """
         key = (address, stub_type)
         with self._lock:
+            if self._closed:
+                raise ValueError("the channels are closed")
             if key not in self._stub_by_key:
                 channel = self._channel_by_address.get(address)
                 if channel is None:
@@ -73,8 +81,9 @@
             return _peers.Unreachable(str(error))
 
     def close(self) -> None:
-        """Closes all channels; running calls fail."""
+        """Closes all channels; running calls fail, and later ones too."""
         with self._lock:
+            self._closed = True
             for channel in self._channel_by_address.values():
                 channel.close()
 
