Require sound others for every verdict, at all recent starts

Cause: the new version was compared with the old one's runs of a while ago, because after the last step the old one hardly runs, and the good runs since a start far back hid that others had turned bad too. Every finding now needs others that are as before from its start on, and none of the later starts may speak against them.

--- a/libs/decisions/mulberry_decisions/_sequential_judge.py
+++ b/libs/decisions/mulberry_decisions/_sequential_judge.py
@@ -21,6 +21,8 @@
 _PROBATION_LOG_EVIDENCE = 3.0
 #: Log of the evidence that something else is as good as before, 20 to 1.
 _SOUND_LOG_EVIDENCE = 3.0
+#: Log of the evidence below which it counts as changed, 1 to 7.
+_CHANGED_LOG_EVIDENCE = -2.0
 #: Time from a verdict to the first probation, doubled with each relapse.
 _FIRST_PROBATION_AFTER_S = 900.0
 _LONGEST_PROBATION_AFTER_S = 14_400.0
@@ -183,8 +185,16 @@
     def _worst(self, name: _Name) -> _verdict_tests.Finding:
         """Returns the strongest evidence against the version."""
         findings = self._against_siblings(name, self._established(name))
-        findings.append(self._against_past(name))
-        return max(findings, key=lambda finding: finding.log_evidence)
+        findings += self._against_past(name)
+        best = max(findings, key=lambda finding: finding.log_evidence)
+        if best.log_evidence < _PROBATION_LOG_EVIDENCE:
+            return best
+        # All versions and models worse at once point to the rater or to the
+        # work. This also holds against siblings: one that hardly runs any
+        # more is compared by its runs of a while ago.
+        if self._others_are_sound(name, best):
+            return best
+        return dataclasses.replace(best, log_evidence=float("-inf"))
 
     def _against_siblings(
         self, name: _Name, siblings: list[_Name]
@@ -209,9 +219,8 @@
             ]
         return _verdict_tests.all_findings(by_kind)
 
-    def _against_past(self, name: _Name) -> _verdict_tests.Finding:
-        """Compares a version that runs alone with its own past."""
-        nothing = _verdict_tests.worse(_verdict_tests.Signal.ERRORS, "", [])
+    def _against_past(self, name: _Name) -> list[_verdict_tests.Finding]:
+        """Compares a version with its own past."""
         keys = self._keys(name)
         starts = self._all.starts(keys)
         by_kind = {}
@@ -225,34 +234,39 @@
                     starts, recents, pasts, strict=True
                 )
             ]
-        best = max(
-            _verdict_tests.all_findings(by_kind),
-            key=lambda finding: finding.log_evidence,
-            default=nothing,
-        )
-        if best.log_evidence < _PROBATION_LOG_EVIDENCE:
-            return best
-        # All models worse at once points to the rater or to the work.
-        return best if self._others_are_sound(name, best) else nothing
+        return _verdict_tests.all_findings(by_kind)
 
     def _others_are_sound(
         self, name: _Name, finding: _verdict_tests.Finding
     ) -> bool:
         """Whether other versions and models run and have not changed.
 
-        Those that serve the finding's kind must not speak against it.
+        Looking only from the finding's start on would not do: it may lie far
+        back, and the good runs of that time would hide that all versions
+        have turned bad since. So no later start may speak against the
+        others, neither all kinds together nor the finding's kind.
         """
-        log_evidence = of_kind = 0.0
+        starts = [
+            start
+            for start in self._all.starts(self._keys(name))
+            if start >= finding.start
+        ]
+        logs = [0.0] * len(starts)
+        of_kind = [0.0] * len(starts)
         for key in self._all.all_keys():
             if (key.model, key.version) == name or not self._is_current(key):
                 continue
-            (recent,) = self._all.since([key], [finding.start])
-            past = _evidence.add(self._all.total([key]), recent, -1)
-            evidence = _verdict_tests.soundness(finding, recent, past)
-            log_evidence += evidence
-            if key.kind == finding.kind:
-                of_kind += evidence
-        return of_kind >= 0.0 and log_evidence >= _SOUND_LOG_EVIDENCE
+            recents = self._all.since([key], starts)
+            past = _evidence.add(self._all.total([key]), recents[0], -1)
+            for index, recent in enumerate(recents):
+                log = _verdict_tests.soundness(finding, recent, past)
+                logs[index] += log
+                if key.kind == finding.kind:
+                    of_kind[index] += log
+        return (
+            logs[0] >= _SOUND_LOG_EVIDENCE
+            and min(logs + of_kind) >= _CHANGED_LOG_EVIDENCE
+        )
 
     def _is_proven(self, name: _Name, reference: _Name) -> bool:
         others = self._counts(reference)
--- a/libs/decisions/mulberry_decisions/_verdict_tests.py
+++ b/libs/decisions/mulberry_decisions/_verdict_tests.py
@@ -241,12 +241,15 @@
 ) -> float:
     """Returns the log of the evidence that something else is as before.
 
-    It compares the runs since the finding's start under the past share of
-    bad runs with those under the share in the finding.
+    It compares the recent runs under the past share of bad runs, or the
+    share of all runs if there is hardly any past, with those under the share
+    in the finding.
     """
     hits, total = finding.signal.of(recent)
     past_hits, past_total = finding.signal.of(past)
     if past_total < FEWEST_REFERENCE:
+        past_hits, past_total = past_hits + hits, past_total + total
+    if past_total == 0:
         return 0.0
     changed = min(_CHANGED_SHARE, finding.hits / finding.total)
     return _statistics.log_ratio(hits, total, past_hits / past_total, changed)
