--- a/libs/daemon/mulberry_daemon/_instance.py
+++ b/libs/daemon/mulberry_daemon/_instance.py
@@ -56,15 +56,24 @@
             futures.ThreadPoolExecutor(_GRPC_THREADS, "grpc"),
             options=membership.SERVER_OPTIONS,
         )
+        timing = settings.timing
+        self._peer_transport = membership.GrpcTransport(
+            self._channel_credentials()
+        )
         self._membership = membership.Membership(
             settings.name,
             settings.grpc_address,
             settings.zone,
             settings.region,
             settings.peers,
-            membership.GrpcTransport(self._channel_credentials()),
+            self._peer_transport,
             self._clock,
             self._counters,
+            membership.Timing(
+                exchange_period_s=timing.exchange_period_s,
+                suspect_after_s=timing.suspect_after_s,
+                dead_after_s=timing.dead_after_s,
+            ),
         )
         membership.add_peers_service(self._grpc, self._membership)
         self._directory = membership.UpstreamDirectory(
@@ -130,6 +139,7 @@
         self._replicated.stop()
         self._membership.leave()
         self._membership.stop()
+        self._peer_transport.close()
         self._timers.stop()
         self._grpc.stop(grace=0.5).wait()
 
