Test the checks of the long run; count refused connections and base numbers

A connection refused while an instance stops now counts unless an instance was cut off or restarted near that time, and each accepted file must have been edited from its predecessor.

--- a/libs/experiments/mulberry_experiments/_soak/_checks.py
+++ b/libs/experiments/mulberry_experiments/_soak/_checks.py
@@ -6,6 +6,7 @@
 import re
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
+import mulberry_rules as rules
 import mulberry_standins as standins
 from mulberry_experiments._soak import _evidence, _history, _world
 
@@ -15,6 +16,9 @@
 _FAULT_LINE = re.compile(r"Traceback|AssertionError|InvariantError")
 _LINES_AROUND = 12
 
+#: Faults during which an instance hears nothing of the others.
+_SILENT_KINDS = ("freeze", "cut", "loss", "second", "kill -9", "empty")
+
 
 @dataclasses.dataclass(frozen=True)
 class Finding:
@@ -207,6 +211,10 @@
     numbers = [item.number for item in evidence.accepted]
     for before, after in itertools.pairwise(numbers):
         yield "" if after == before + 1 else f"{after} follows {before}"
+    for item in evidence.accepted:
+        base = rules.edited_from(item.text)
+        same = base == item.number - 1
+        yield "" if same else f"{item.number} was edited from {base}"
     newest: dict[tuple[str, int], int] = {}
     for name, pid, number in evidence.history.numbers:
         seen = newest.get((name, pid), 0)
@@ -269,10 +277,26 @@
                 and attempt.began_s <= stop.ended_s
                 and attempt.ended_s >= stop.began_s
             ):
-                cut = attempt.outcome == "broken" and attempt.reply.connected
+                cut = attempt.outcome == "broken" or (
+                    not attempt.reply.connected
+                    and not _lists_may_be_old(evidence, stop)
+                )
                 yield f"{stop} cut {attempt}" if cut else ""
 
 
+def _lists_may_be_old(
+    evidence: _evidence.Evidence, stop: _history.GracefulStop
+) -> bool:
+    """Whether an instance that was cut off or frozen may list the entry."""
+    return any(
+        item.target != stop.instance
+        and item.kind.startswith(_SILENT_KINDS)
+        and item.began_s <= stop.ended_s
+        and item.ended_s + _IN_FORCE_S >= stop.began_s
+        for item in evidence.history.times
+    )
+
+
 def logs_hold_no_fault(evidence: _evidence.Evidence) -> Iterable[str]:
     """No process logged an error of the program."""
     for name, text in evidence.log_by_name.items():
--- a/libs/experiments/mulberry_experiments/_soak/_faults.py
+++ b/libs/experiments/mulberry_experiments/_soak/_faults.py
@@ -82,9 +82,13 @@
         """Keeps other faults off the target, and counts and notes this."""
         self._history.add_fault(kind)
         self._note(f"{kind}: {name} begins")
+        began_s = time.time()
         try:
             yield
         finally:
+            self._history.add_time(
+                _history.FaultTime(kind, name, began_s, time.time())
+            )
             self._note(f"{kind}: {name} ends")
             with self._lock:
                 self._busy.discard(name)
--- a/libs/experiments/mulberry_experiments/_soak/_history.py
+++ b/libs/experiments/mulberry_experiments/_soak/_history.py
@@ -89,6 +89,17 @@
     status: int
 
 
+@dataclasses.dataclass(frozen=True)
+class FaultTime:
+    """When a fault was at work."""
+
+    kind: str
+    target: str
+    #: Unix time, seconds.
+    began_s: float
+    ended_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Leave:
     """One upstream that announced to leave and ended."""
@@ -106,6 +117,7 @@
         self._attempts: list[Attempt] = []
         self._runs: list[Run] = []
         self._stops: list[GracefulStop] = []
+        self._times: list[FaultTime] = []
         self._leaves: list[Leave] = []
         self._numbers: list[tuple[str, int, int]] = []
         self._faults: collections.Counter[str] = collections.Counter()
@@ -126,6 +138,11 @@
         with self._lock:
             self._stops.append(stop)
 
+    def add_time(self, time: FaultTime) -> None:
+        """Notes when a fault was at work."""
+        with self._lock:
+            self._times.append(time)
+
     def add_leave(self, leave: Leave) -> None:
         """Notes an upstream that left."""
         with self._lock:
@@ -164,6 +181,12 @@
         with self._lock:
             return tuple(self._stops)
 
+    @property
+    def times(self) -> Sequence[FaultTime]:
+        """When each fault was at work."""
+        with self._lock:
+            return tuple(self._times)
+
     @property
     def leaves(self) -> Sequence[Leave]:
         """All upstreams that left."""
