--- a/libs/experiments/mulberry_experiments/_decisions/_versions.py
+++ b/libs/experiments/mulberry_experiments/_decisions/_versions.py
@@ -89,7 +89,11 @@
         self._policy = policy
         self._faults = {"new": new, "old": others}
         self._others = others
-        self._chooser = decisions.VERSION_CHOOSERS[policy.chooser]()
+        self._chooser = (
+            decisions.FixedShare(seed)
+            if policy.chooser == "fixed_share"
+            else decisions.VERSION_CHOOSERS[policy.chooser]()
+        )
         self._advancer = decisions.ROLLOUT_ADVANCERS[policy.advancer]()
         self._judges = [
             decisions.VERSION_JUDGES[policy.judge](self._clock)
