--- a/libs/daemon/mulberry_daemon/_sharing.py
+++ b/libs/daemon/mulberry_daemon/_sharing.py
@@ -94,8 +94,10 @@
         )
         for record in self._others(membership.RecordKind.EVIDENCE):
             evidence, ratings = _decode_evidence(record.payload)
-            made.version_judge.merge(record.id, evidence)
-            made.model_chooser.merge(record.id, ratings)
+            # Counts begin anew with each life of an instance.
+            life = f"{record.id}/{record.epoch}"
+            made.version_judge.merge(life, evidence)
+            made.model_chooser.merge(life, ratings)
 
     def _others(
         self, kind: membership.RecordKind
--- a/libs/daemon/mulberry_daemon/_watch.py
+++ b/libs/daemon/mulberry_daemon/_watch.py
@@ -174,8 +174,10 @@
             return True
         if self._in_force.number() in (0, core.Missing.UNSET):
             return False
-        known = _DIGEST.search(self._written)
-        waiting = f"\n{_WAITING}" in self._written
+        # Another instance that watches the file may have written it.
+        written = self._read_status()
+        known = _DIGEST.search(written)
+        waiting = f"\n{_WAITING}" in written
         return bool(known and known.group(1) == digest and not waiting)
 
     def _outcome(self, content: bytes) -> str | core.Refusal:
@@ -211,6 +213,8 @@
         outcome = self._submit(renewed)
         if renewed == text or isinstance(outcome, core.Refusal):
             return outcome
+        if not outcome.startswith("accepted"):
+            return outcome
         return (
             f"{outcome}\nThe file says `edited-from {rules.edited_from(text)}`. "
             f"It holds every change up to rules {number} and was taken as "
--- a/libs/entry/mulberry_entry/_app.py
+++ b/libs/entry/mulberry_entry/_app.py
@@ -120,6 +120,7 @@
             )
             return _responses.refusal_response(answer, request_id)
         self._parts.counters.increment("entry.answers")
+        answer.headers.setdefault("X-Request-Id", request_id)
         return answer
 
     def _entries(self, http: werkzeug.Request, request_id: str) -> _Answer:
--- a/libs/entry/mulberry_entry/_billing.py
+++ b/libs/entry/mulberry_entry/_billing.py
@@ -56,7 +56,9 @@
             )
         self._counters.increment("entry.bills_failed")
         return core.Refusal(
-            core.ErrorKind.BILL_NOT_RECORDED, core.RunState.RAN, str(result)
+            core.ErrorKind.BILL_NOT_RECORDED,
+            core.RunState.RAN,
+            _reason(result),
         )
 
     def settle(
@@ -75,7 +77,9 @@
         self._counters.increment("entry.settlements_delayed")
         self._queue(command)
         return core.Refusal(
-            core.ErrorKind.BILL_NOT_RECORDED, core.RunState.RAN, str(result)
+            core.ErrorKind.BILL_NOT_RECORDED,
+            core.RunState.RAN,
+            _reason(result),
         )
 
     def release(self, command: state.ReleaseClaim) -> None:
@@ -121,3 +125,9 @@
                 return
             with self._lock:
                 self._waiting.remove(command)
+
+
+def _reason(result: state.Result | core.Refusal) -> str:
+    if isinstance(result, core.Refusal):
+        return result.reason
+    return type(result).__name__
--- a/libs/entry/mulberry_entry/_calls.py
+++ b/libs/entry/mulberry_entry/_calls.py
@@ -13,7 +13,8 @@
 import mulberry_upstream as upstream
 from mulberry_entry import _dispatch, _hedging, _parts, _requests, _work
 
-_CLAIM_TIMEOUT_S = 3.0
+#: Outlasts an election, which takes up to 2 s after the loss of a leader.
+_CLAIM_TIMEOUT_S = 2.0
 _MIN_SETTLE_TIMEOUT_S = 1.0
 _MAX_SENDS = 3
 
--- a/libs/entry/mulberry_entry/_chat.py
+++ b/libs/entry/mulberry_entry/_chat.py
@@ -140,7 +140,7 @@
             model,
             version,
             release,
-            lambda text: self._sample(run, text, plan.quality),
+            lambda text: self._sample(run, text),
         )
         return _responses.stream_response(
             events, answer_headers(run, model, version)
@@ -160,7 +160,7 @@
         if isinstance(billed, core.Refusal):
             return billed
         if not plan.is_cascade:
-            self._sample(run, finished.answer.text, plan.quality)
+            self._sample(run, finished.answer.text)
         return finished
 
     def _run_model(
@@ -218,29 +218,12 @@
         made = self._parts.decisions
         if not isinstance(rating, core.Missing):
             made.model_chooser.learn(run.work, finished.model, rating, quality)
-        made.version_judge.observe(run.completed_observation(rating, quality))
+        made.version_judge.observe(run.completed_observation(rating))
         return rating
 
-    def _sample(
-        self, run: _chat_run.ChatRun, text: str, quality: float
-    ) -> None:
-        observation = run.completed_observation(core.Missing.UNSET, quality)
-        view = self._parts.state.view()
-        standing = _versions.standing_of(
-            view, observation.model, observation.version
-        )
-        in_force = view.rules
-        rollout = (
-            None
-            if isinstance(in_force, core.Missing)
-            else in_force.rollouts_by_model.get(observation.model)
-        )
-        is_new = standing is not decisions.Standing.GOOD or (
-            rollout is not None and rollout.to_version == observation.version
-        )
-        self._parts.ratings.completed(
-            observation, run.chat.prompt, text, is_new
-        )
+    def _sample(self, run: _chat_run.ChatRun, text: str) -> None:
+        observation = run.completed_observation(core.Missing.UNSET)
+        self._parts.ratings.completed(observation, run.chat.prompt, text)
 
 
 def plan_models(
--- a/libs/entry/mulberry_entry/_chat_run.py
+++ b/libs/entry/mulberry_entry/_chat_run.py
@@ -26,6 +26,12 @@
 _MIN_BILL_TIMEOUT_S = 1.0
 _MAX_BILL_TIMEOUT_S = 5.0
 
+#: A rating is the probability that an answer is good; the judge of versions
+#: counts answers that are more likely bad. With the quality of the model's rule
+#: as the bound, half of the answers of a sound version counted as bad, and
+#: such a reference never showed that only the other version had changed.
+_GOOD_RATING = 0.5
+
 #: Failures after which another upstream may do better.
 _RETRYABLE = frozenset(
     {
@@ -142,7 +148,7 @@
         self._end(decisions.Outcome.COMPLETED)
 
     def completed_observation(
-        self, rating: float | core.Missing, quality: float
+        self, rating: float | core.Missing
     ) -> decisions.Observation:
         """Returns what the last completed run shows of its version."""
         last = self._charges[-1]
@@ -152,7 +158,7 @@
             kind=self.kind.name,
             outcome=decisions.Outcome.COMPLETED,
             rating=rating,
-            quality=quality,
+            quality=_GOOD_RATING,
             latency_s=self._latency_s,
         )
 
--- a/libs/entry/mulberry_entry/_entry_list.py
+++ b/libs/entry/mulberry_entry/_entry_list.py
@@ -35,8 +35,14 @@
 
     @classmethod
     def decode(cls, payload: bytes) -> "EntryState":
-        """Returns the state in a payload that another instance encoded."""
-        return cls(**json.loads(payload))
+        """Returns the state in a payload that another instance encoded.
+
+        Fields of later versions are left out, so that a list stays readable
+        while instances are upgraded one by one.
+        """
+        known = {field.name for field in dataclasses.fields(cls)}
+        content = json.loads(payload)
+        return cls(**{key: content[key] for key in known & content.keys()})
 
 
 def preferred_entries(
--- a/libs/entry/mulberry_entry/_ratings.py
+++ b/libs/entry/mulberry_entry/_ratings.py
@@ -1,7 +1,6 @@
-"""Rating a share of the answers after they were delivered."""
+"""Rating answers after they were delivered."""
 
 import dataclasses
-import random
 import threading
 from concurrent import futures
 
@@ -9,10 +8,6 @@
 import mulberry_decisions as decisions
 from mulberry_entry import _rater
 
-#: Share of the answers of settled versions that are rated, 0 to 1. Answers of
-#: versions that are being rolled out or are on probation are all rated.
-_USUAL_SHARE = 0.2
-
 #: Ratings that wait; beyond this answers go unrated rather than pile up.
 _MAX_WAITING = 200
 
@@ -22,7 +17,12 @@
 
 
 class RatingSampler:
-    """Feeds the version judge with runs and, for a sample, their ratings."""
+    """Feeds the version judge with runs and their ratings.
+
+    All versions are rated alike, always. When only new versions were rated in
+    full, they showed more low ratings for each run than settled ones, and a
+    sound version was held to be bad.
+    """
 
     def __init__(
         self,
@@ -43,11 +43,9 @@
         observation: decisions.Observation,
         prompt: str,
         answer: str,
-        is_new_version: bool,
     ) -> None:
-        """Observes a completed run, with a rating if it is sampled."""
-        sampled = is_new_version or random.random() < _USUAL_SHARE
-        if not sampled or not self._waiting.acquire(blocking=False):
+        """Observes a completed run, with a rating unless too many wait."""
+        if not self._waiting.acquire(blocking=False):
             self._judge.observe(observation)
             return
         self._executor.submit(self._rate, observation, prompt, answer)
--- /dev/null
+++ b/libs/entry/mulberry_entry/tests/test_ratings.py
@@ -0,0 +1,48 @@
+"""Tests of the ratings that the version judge gets."""
+
+import threading
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+import mulberry_entry as entry
+
+_RUNS = 50
+
+
+class _Rater(entry.Rater):
+    def rate(
+        self, prompt: str, answer: str, timeout_s: float
+    ) -> float | core.Missing:
+        return 0.9
+
+
+class _Judge(decisions.NoJudge):
+    def __init__(self) -> None:
+        super().__init__()
+        self.rated: list[str] = []
+        self.done = threading.Event()
+
+    def observe(self, observation: decisions.Observation) -> None:
+        super().observe(observation)
+        if not isinstance(observation.rating, core.Missing):
+            self.rated.append(observation.version)
+        if len(self.rated) == 2 * _RUNS:
+            self.done.set()
+
+
+def test_all_versions_are_rated_alike() -> None:
+    """Guards against a sound version that is judged by more ratings."""
+    judge = _Judge()
+    sampler = entry.RatingSampler(_Rater(), judge, core.MemoryCounters())
+    for version in ("old", "new"):
+        for _ in range(_RUNS):
+            sampler.completed(
+                decisions.Observation(
+                    "m", version, "quote", decisions.Outcome.COMPLETED
+                ),
+                "prompt",
+                "answer",
+            )
+    assert judge.done.wait(10)
+    sampler.stop()
+    assert judge.rated.count("old") == judge.rated.count("new") == _RUNS
