--- a/libs/experiments/mulberry_experiments/_capacity.py
+++ b/libs/experiments/mulberry_experiments/_capacity.py
@@ -29,9 +29,10 @@
     "daemon": "import mulberry_daemon",
 }
 
+#: The peak that getrusage gives is inherited from the starting process.
 _RSS_CODE = (
-    "import resource; "
-    "print(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1000)"
+    "print([int(line.split()[1]) / 1000 for line in open('/proc/self/status')"
+    " if line.startswith('VmRSS')][0])"
 )
 
 
