--- a/libs/experiments/mulberry_experiments/_capacity.py
+++ b/libs/experiments/mulberry_experiments/_capacity.py
@@ -23,6 +23,9 @@
 #: peak: at most one a second is published.
 _CHANGES_PER_WORKER_S = 1.0
 
+#: How long idle daemons are watched, seconds.
+_IDLE_S = 10.0
+
 _IMPORTS = {
     "interpreter": "",
     "grpcio": "import grpc",
@@ -38,7 +41,12 @@
 
 def run(seed: int) -> Sequence[_measure.Row]:
     """Measures slopes and works out the figures of one node."""
-    return [*_memory_rows(), *_entry_rows(), *_membership_rows(seed)]
+    return [
+        *_memory_rows(),
+        *_idle_rows(),
+        *_entry_rows(),
+        *_membership_rows(seed),
+    ]
 
 
 def _row(name: str, figure: float, unit: str, target: str = "") -> _measure.Row:
@@ -60,6 +68,26 @@
     return rows
 
 
+def _idle_rows() -> list[_measure.Row]:
+    """Measures whole daemons that serve no caller, with ten upstreams."""
+    rows = []
+    for role, usages in _deployed.measure_idle(_IDLE_S).items():
+        for what, unit, target in (
+            ("processor", "% of a core", "<= 1.8"),
+            ("resident memory", "MB", ""),
+        ):
+            figure = max(usage[what] for usage in usages)
+            rows.append(
+                _row(
+                    f"idle {role}, most of {len(usages)}: {what}",
+                    figure,
+                    unit,
+                    target,
+                )
+            )
+    return rows
+
+
 def _entry_rows() -> list[_measure.Row]:
     measured = [
         {row.name: row.figure for row in _deployed.measure_load(*load)}
--- a/libs/experiments/mulberry_experiments/_demo.py
+++ b/libs/experiments/mulberry_experiments/_demo.py
@@ -18,7 +18,8 @@
 
 _ROOT = pathlib.Path(__file__).parents[3]
 
-_SHAPE = _deployment.Shape(
+#: Six instances in the three zones of Colmenas, half of them with disks.
+SHAPE = _deployment.Shape(
     region="altaverapaz",
     zones=("coban-a", "coban-b", "carcha-c"),
     instances_per_zone=2,
@@ -372,7 +373,7 @@
         _serve(pathlib.Path(options.serve).resolve())
         return
     with tempfile.TemporaryDirectory(prefix="mulberry-demo-") as folder:
-        deployment = _deployment.Deployment(_SHAPE, pathlib.Path(folder))
+        deployment = _deployment.Deployment(SHAPE, pathlib.Path(folder))
         try:
             deployment.start()
             failures = Demo(deployment).run()
@@ -386,7 +387,7 @@
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopping.set())
-    deployment = _deployment.Deployment(_SHAPE, folder)
+    deployment = _deployment.Deployment(SHAPE, folder)
     try:
         deployment.start()
         described = json.dumps(deployment.describe(), indent=2)
--- a/libs/experiments/mulberry_experiments/_deployed.py
+++ b/libs/experiments/mulberry_experiments/_deployed.py
@@ -1,11 +1,14 @@
 """Experiments on real processes, in the form that `scripts/measure` runs."""
 
 import dataclasses
+import os
 import pathlib
 import tempfile
-from collections.abc import Sequence
+import time
+from collections.abc import Mapping, Sequence
 
 from mulberry_experiments import (
+    _demo,
     _deployment,
     _entry,
     _measure,
@@ -17,6 +20,9 @@
 
 _MODEL, _VERSION = "cedro-chico", "2026-01"
 
+#: Until instances have joined and the first rules are in force, seconds.
+_SETTLE_S = 12.0
+
 #: One engine process takes 100 streams only with several of them at hand.
 _ENGINES = 6
 
@@ -81,6 +87,49 @@
             deployment.stop()
 
 
+def measure_idle(
+    seconds: float,
+) -> Mapping[str, Sequence[Mapping[str, float]]]:
+    """Measures the daemons of six instances without load.
+
+    Returns:
+        Processor (% of a core) and resident memory (MB) of each instance, by
+        role.
+    """
+    usages: dict[str, list[Mapping[str, float]]] = {}
+    with tempfile.TemporaryDirectory(prefix="mulberry-measure-") as folder:
+        deployment = _deployment.Deployment(_demo.SHAPE, pathlib.Path(folder))
+        try:
+            deployment.start()
+            time.sleep(_SETTLE_S)
+            instances = list(deployment.instances_by_name.values())
+            before = [_cpu_s(item.pid) for item in instances]
+            time.sleep(seconds)
+            for item, used_s in zip(instances, before, strict=True):
+                role = "voter" if item.facts["has_disk"] else "other instance"
+                spent_s = _cpu_s(item.pid) - used_s
+                usages.setdefault(role, []).append(
+                    {
+                        "processor": 100.0 * spent_s / seconds,
+                        "resident memory": _resident_mb(item.pid),
+                    }
+                )
+        finally:
+            deployment.stop()
+    return usages
+
+
+def _cpu_s(pid: int) -> float:
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1]
+    user, system = fields.split()[11:13]
+    return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
+
+
+def _resident_mb(pid: int) -> float:
+    pages = pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1]
+    return int(pages) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
 def _load_of(deployment: _deployment.Deployment) -> _entry.EntryLoad:
     instance = next(iter(deployment.instances_by_name.values()))
     return _entry.EntryLoad(
