Measure the entry with random arrivals and contents of their own

Cause of part of the measured delay: all requests had one content, so the entry sent all streams to the pair of engines which that content draws, while the direct run used six; and even spacing put all tokens in step. Both kinds of arrivals are measured from now on.

--- a/libs/experiments/mulberry_experiments/_deployed.py
+++ b/libs/experiments/mulberry_experiments/_deployed.py
@@ -47,19 +47,33 @@
 
 def run_entry(seed: int) -> Sequence[_measure.Row]:
     """Measures one entry of three under load, against its engines directly."""
-    del seed
     return [
-        _measure.Row("entry", "", row.name, row.figure, row.unit, row.target)
-        for row in measure_load(20.0, 200)
+        _measure.Row(
+            "entry",
+            f"{arrivals.value} arrivals",
+            row.name,
+            row.figure,
+            row.unit,
+            row.target,
+        )
+        for arrivals in _entry.Arrivals
+        for row in measure_load(20.0, 200, arrivals, seed)
     ]
 
 
-def measure_load(requests_per_s: float, tokens: int) -> Sequence[_entry.Row]:
+def measure_load(
+    requests_per_s: float,
+    tokens: int,
+    arrivals: _entry.Arrivals = _entry.Arrivals.RANDOM,
+    seed: int = 1,
+) -> Sequence[_entry.Row]:
     """Measures one entry of three under a given load.
 
     Args:
         requests_per_s: Streams that begin each second.
         tokens: Tokens of each answer, at 40 tokens/s.
+        arrivals: How requests follow each other.
+        seed: Of random arrivals.
     """
     shape = _deployment.Shape(
         region="altaverapaz",
@@ -81,6 +95,8 @@
                     requests_per_s=requests_per_s,
                     tokens=tokens,
                     stream_s=tokens / 40.0,
+                    arrivals=arrivals,
+                    seed=seed,
                 )
             )
         finally:
--- a/libs/experiments/mulberry_experiments/_entry.py
+++ b/libs/experiments/mulberry_experiments/_entry.py
@@ -6,10 +6,12 @@
 """
 
 import dataclasses
+import enum
 import json
 import multiprocessing
 import os
 import pathlib
+import random
 import threading
 import time
 from collections.abc import Iterator, Mapping, Sequence
@@ -46,6 +48,14 @@
     target: str = ""
 
 
+class Arrivals(enum.Enum):
+    """How requests follow each other."""
+
+    EVEN = "even"
+    #: Independent of each other, as those of many callers.
+    RANDOM = "random"
+
+
 @dataclasses.dataclass(frozen=True)
 class EntryLoad:
     """What is measured, and with which load."""
@@ -70,6 +80,9 @@
     #: Requests are sent for this long, seconds.
     duration_s: float = 20.0
     processes: int = 4
+    arrivals: Arrivals = Arrivals.RANDOM
+    #: Of random arrivals.
+    seed: int = 1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -78,7 +91,8 @@
 
     urls: tuple[str, ...]
     header_lines: tuple[str, ...]
-    body: bytes
+    #: One for each request.
+    bodies: tuple[bytes, ...]
     #: Seconds of CLOCK_MONOTONIC, which all processes share.
     send_at_s: tuple[float, ...]
     end_at_s: float
@@ -179,13 +193,8 @@
 
 def _split(load: EntryLoad, urls: Sequence[str], start_s: float) -> list[_Part]:
     count = int(load.requests_per_s * load.duration_s)
-    times = [start_s + index / load.requests_per_s for index in range(count)]
-    body = {
-        "model": load.model,
-        "messages": [{"role": "user", "content": "Measure the entry."}],
-        "stream": True,
-        "max_tokens": load.tokens,
-    }
+    times = _arrival_times(load, start_s, count)
+    bodies = [_body(load, index) for index in range(count)]
     return [
         _Part(
             urls=tuple(f"{url}/v1/chat/completions" for url in urls),
@@ -195,7 +204,7 @@
                 f"X-Mulberry-Version: {load.version}",
                 "Expect:",
             ),
-            body=json.dumps(body).encode(),
+            bodies=tuple(bodies[place :: load.processes]),
             send_at_s=tuple(times[place :: load.processes]),
             end_at_s=start_s + load.duration_s + load.stream_s + _DRAIN_S,
         )
@@ -203,6 +212,36 @@
     ]
 
 
+def _arrival_times(load: EntryLoad, start_s: float, count: int) -> list[float]:
+    """Returns when requests are sent.
+
+    Even spacing puts the tokens of all streams in step, so that they come in
+    bursts of one token of every stream; random arrivals spread them.
+    """
+    if load.arrivals is Arrivals.EVEN:
+        return [start_s + index / load.requests_per_s for index in range(count)]
+    source = random.Random(load.seed)
+    gaps = [source.expovariate(load.requests_per_s) for _ in range(count)]
+    return [start_s + sum(gaps[:index]) for index in range(count)]
+
+
+def _body(load: EntryLoad, index: int) -> bytes:
+    """Returns a request with a content of its own.
+
+    Equal contents share a pair of upstreams, which would then be overloaded
+    behind the entry but not when called directly.
+    """
+    content = f"Measure the entry, request {index}."
+    return json.dumps(
+        {
+            "model": load.model,
+            "messages": [{"role": "user", "content": content}],
+            "stream": True,
+            "max_tokens": load.tokens,
+        }
+    ).encode()
+
+
 class _Stream:
     """One request of the load."""
 
@@ -218,7 +257,7 @@
         easy.setopt(pycurl.NOSIGNAL, 1)
         request_id = f"X-Request-Id: load-{os.getpid()}-{index}"
         easy.setopt(pycurl.HTTPHEADER, [*part.header_lines, request_id])
-        easy.setopt(pycurl.POSTFIELDS, part.body)
+        easy.setopt(pycurl.POSTFIELDS, part.bodies[index])
         easy.setopt(pycurl.WRITEFUNCTION, self._on_data)
         self._sent_s = time.monotonic()
 
