--- a/libs/caller/mulberry_caller/_http.py
+++ b/libs/caller/mulberry_caller/_http.py
@@ -23,7 +23,7 @@
 
 
 class Exchange:
-    """Sends a request and gives back its answer piece by piece."""
+    """Sends a request and returns its answer piece by piece."""
 
     def __init__(
         self, entry: str, request: HttpRequest, timeout_s: float
--- a/libs/control/mulberry_control/_executor.py
+++ b/libs/control/mulberry_control/_executor.py
@@ -122,7 +122,7 @@
         """Finishes the half-done orders that are wanted and undoes others.
 
         Returns:
-            What became of each, by engine.
+            The outcome of each, by engine.
         """
         outcomes: dict[str, _orders.OrderOutcome | core.Refusal] = {}
         for name, order in self.half_done().items():
--- a/libs/control/mulberry_control/_orders.py
+++ b/libs/control/mulberry_control/_orders.py
@@ -1,4 +1,4 @@
-"""Orders to engines and what became of them."""
+"""Orders to engines and their outcomes."""
 
 import dataclasses
 import enum
--- a/libs/core/mulberry_core/_errors.py
+++ b/libs/core/mulberry_core/_errors.py
@@ -14,7 +14,7 @@
     NOT_RUN = "not_run"
     #: An upstream has run it, wholly or in part.
     RAN = "ran"
-    #: It was sent, and what became of it is not known.
+    #: It was sent and its outcome is not known.
     UNKNOWN = "unknown"
 
 
--- a/libs/daemon/mulberry_daemon/_sharing.py
+++ b/libs/daemon/mulberry_daemon/_sharing.py
@@ -94,7 +94,7 @@
         )
         for record in self._others(membership.RecordKind.EVIDENCE):
             evidence, ratings = _decode_evidence(record.payload)
-            # Counts begin anew with each life of an instance.
+            # Counts restart with each process of an instance.
             life = f"{record.id}/{record.epoch}"
             made.version_judge.merge(life, evidence)
             made.model_chooser.merge(life, ratings)
--- a/libs/decisions/mulberry_decisions/_error_threshold.py
+++ b/libs/decisions/mulberry_decisions/_error_threshold.py
@@ -38,7 +38,7 @@
         number: int,
         standing: _versions.Standing,
     ) -> None:
-        """Starts to count anew."""
+        """Resets the counts."""
         with self._lock:
             key = (model, version)
             if number > self._numbers.get(key, 0):
--- a/libs/decisions/mulberry_decisions/_limits.py
+++ b/libs/decisions/mulberry_decisions/_limits.py
@@ -113,7 +113,7 @@
         return Taken(team, tokens)
 
     def settle(self, taken: Taken, used_tokens: int) -> None:
-        """Gives back what was not used."""
+        """Returns the tokens that were not used."""
         with self._lock:
             if taken.team in self._left:
                 self._left[taken.team][1] += taken.tokens - used_tokens
--- a/libs/decisions/mulberry_decisions/_versions.py
+++ b/libs/decisions/mulberry_decisions/_versions.py
@@ -91,7 +91,7 @@
 
 
 class FixedShare(VersionChooser):
-    """Draws each request anew at the share of the step."""
+    """Draws each request independently at the share of the step."""
 
     def __init__(self, seed: int | None = None) -> None:
         self._lock = threading.Lock()
--- a/libs/entry/mulberry_entry/_answer_stream.py
+++ b/libs/entry/mulberry_entry/_answer_stream.py
@@ -12,7 +12,7 @@
     """Passes events on and holds the end back until the bill is durable.
 
     A class rather than a generator: the server calls `close` also when the
-    caller has gone before the first event, and the place must be given back.
+    caller has gone before the first event, and the place must be released.
     """
 
     def __init__(
--- a/libs/entry/mulberry_entry/_calls.py
+++ b/libs/entry/mulberry_entry/_calls.py
@@ -185,7 +185,7 @@
         )
         if isinstance(result, core.Refusal):
             # Nothing was sent. The claim may still be committed later; it
-            # is given back so that the key can be used again.
+            # is released so that the key can be used again.
             self._parts.biller.release_later(_release_of(call))
         return _claim_answer(call, result)
 
--- a/libs/entry/mulberry_entry/_chat.py
+++ b/libs/entry/mulberry_entry/_chat.py
@@ -29,7 +29,7 @@
 
     #: Allowed models, cheapest first.
     options: tuple[decisions.ModelOption, ...]
-    #: Quality that was promised, 0 where the caller named a model.
+    #: Quality target, that of the model where the caller named a model.
     quality: float
     #: Whether the caller named a cascade.
     is_cascade: bool
--- a/libs/experiments/mulberry_experiments/_decisions/_admission.py
+++ b/libs/experiments/mulberry_experiments/_decisions/_admission.py
@@ -22,7 +22,7 @@
 
 @dataclasses.dataclass
 class _Result:
-    """What became of the requests that came after the warm-up.
+    """Outcomes of the requests that came after the warm-up.
 
     Places and answers are counted by the time of the answer, the rest by the
     time of arrival.
--- a/libs/experiments/mulberry_experiments/_demo.py
+++ b/libs/experiments/mulberry_experiments/_demo.py
@@ -379,7 +379,7 @@
             failures = Demo(deployment).run()
         finally:
             deployment.stop()
-    print("every promise held" if not failures else f"{len(failures)} failed")
+    print("every guarantee held" if not failures else f"{len(failures)} failed")
     sys.exit(1 if failures else 0)
 
 
--- a/libs/experiments/mulberry_experiments/_soak/_checks.py
+++ b/libs/experiments/mulberry_experiments/_soak/_checks.py
@@ -232,7 +232,7 @@
 
 
 def submissions_are_true(evidence: _evidence.Evidence) -> Iterable[str]:
-    """Operators are told what became of their file, which counts once."""
+    """Operators are told the outcome of their file, which counts once."""
     for submission in evidence.submissions:
         line = f"team {submission.mark} "
         found = [item.number for item in evidence.accepted if line in item.text]
--- a/libs/membership/mulberry_membership/_directory.py
+++ b/libs/membership/mulberry_membership/_directory.py
@@ -41,7 +41,7 @@
 
 
 class AnnounceOutcome(enum.Enum):
-    """What became of an announcement."""
+    """How an announcement was handled."""
 
     #: It is the newest of its upstream.
     ACCEPTED = "accepted"
--- a/libs/rules/mulberry_rules/_model.py
+++ b/libs/rules/mulberry_rules/_model.py
@@ -126,7 +126,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Kind:
-    """A kind of work with its promises."""
+    """A kind of work with its priority, deadline and idempotency."""
 
     name: str
     target: ChatTarget | CallTarget
--- a/libs/rules/mulberry_rules/_rebase.py
+++ b/libs/rules/mulberry_rules/_rebase.py
@@ -10,7 +10,7 @@
 #: Kinds and versions are tried in the order of the file.
 _ORDERED_KEYWORDS = ("kind", "version", "withdraw")
 #: Accepted files that are compared at most; a file that is further behind
-#: must be edited anew.
+#: must be edited again.
 _MAX_STEPS = 64
 
 
--- a/libs/upstream/mulberry_upstream/_exchange.py
+++ b/libs/upstream/mulberry_upstream/_exchange.py
@@ -235,7 +235,7 @@
         self._end = end
         self._error = message or _TEXT_BY_END.get(end, "")
         # The size also counts a send on a kept connection that libcurl gave
-        # up before it failed to connect anew.
+        # up before it failed to connect again.
         sent_bytes = self._easy.getinfo(pycurl.REQUEST_SIZE)
         self._no_byte_sent = sent_bytes == 0 and not self._status
 
--- a/libs/upstream/mulberry_upstream/_resume.py
+++ b/libs/upstream/mulberry_upstream/_resume.py
@@ -21,7 +21,7 @@
     cause: core.Refusal
 
 
-#: Chooses the upstream, asks the gate anew and sends.
+#: Chooses the upstream, asks the gate again and sends.
 Reopen = Callable[[ReopenPlan], "_adapter.ChatStream | core.Refusal"]
 
 
--- a/libs/upstream/mulberry_upstream/_sse.py
+++ b/libs/upstream/mulberry_upstream/_sse.py
@@ -7,7 +7,7 @@
 
 
 class SseSplitter:
-    """Collects bytes and gives back whole events, byte for byte as received.
+    """Collects bytes and returns whole events, byte for byte as received.
 
     Any split of the input gives the same events.
     """
