Handle termination signals off the main thread

Cause: handlers set the event that the main thread waits for. The daemon and the stand-ins did the same. Handlers now only put into a queue and a thread of its own calls back.

--- a/libs/daemon/mulberry_daemon/_main.py
+++ b/libs/daemon/mulberry_daemon/_main.py
@@ -1,11 +1,11 @@
 """The daemon `mulberrystaged`."""
 
-import signal
 import sys
 import threading
 
 from absl import app, flags, logging
 
+import mulberry_core as core
 import mulberry_rules as rules
 from mulberry_daemon import _instance
 
@@ -36,12 +36,11 @@
     sys.setswitchinterval(_THREAD_SWITCH_S)
     stopping, forced = threading.Event(), threading.Event()
 
-    def on_signal(number: int, frame: object) -> None:
+    def on_termination(count: int) -> None:
         # A second signal ends the drain at once.
-        (forced if stopping.is_set() else stopping).set()
+        (stopping if count == 1 else forced).set()
 
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGINT, on_signal)
+    core.call_on_termination(on_termination)
     instance = _instance.Instance(settings)
     instance.start()
     logging.info("instance %s serves", settings.name)
--- a/libs/experiments/mulberry_experiments/_demo.py
+++ b/libs/experiments/mulberry_experiments/_demo.py
@@ -4,7 +4,6 @@
 import collections
 import json
 import pathlib
-import signal
 import subprocess
 import sys
 import tempfile
@@ -14,6 +13,7 @@
 from collections.abc import Callable, Sequence
 from concurrent import futures
 
+import mulberry_core as core
 from mulberry_experiments import _deployment, _entry_client
 
 _ROOT = pathlib.Path(__file__).parents[3]
@@ -385,8 +385,7 @@
 
 def _serve(folder: pathlib.Path) -> None:
     stopping = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopping.set())
+    core.call_on_termination(lambda count: stopping.set())
     deployment = _deployment.Deployment(SHAPE, folder)
     try:
         deployment.start()
--- a/libs/experiments/mulberry_experiments/_state_voter.py
+++ b/libs/experiments/mulberry_experiments/_state_voter.py
@@ -5,7 +5,6 @@
 
 import json
 import pathlib
-import signal
 import sys
 import threading
 from concurrent import futures
@@ -20,7 +19,7 @@
     """Runs the voter that the argument describes."""
     spec = json.loads(sys.argv[1])
     stop = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: stop.set())
+    core.call_on_termination(lambda count: stop.set())
     threads = futures.ThreadPoolExecutor(state.SERVER_THREADS)
     server = grpc.server(threads, options=state.CHANNEL_OPTIONS)
     server.add_insecure_port(spec["listen"])
--- a/libs/standins/mulberry_standins/_standin.py
+++ b/libs/standins/mulberry_standins/_standin.py
@@ -3,11 +3,11 @@
 import abc
 import json
 import os
-import signal
 import threading
 import time
 from typing import Any
 
+import mulberry_core as core
 from mulberry_standins import _announcer, _faults, _http, _load, _options
 
 #: Exit status after a crash marker.
@@ -76,8 +76,7 @@
     def run_process(self) -> None:
         """Serves until SIGTERM or SIGINT; the whole life of a process."""
         leaving = threading.Event()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: leaving.set())
+        core.call_on_termination(lambda count: leaving.set())
         self.start()
         line = {
             "name": self._name,
