--- a/libs/core/mulberry_core/__init__.py
+++ b/libs/core/mulberry_core/__init__.py
@@ -6,6 +6,7 @@
 
 from mulberry_core._clock import Clock, ManualClock, SystemClock
 from mulberry_core._counters import Counters, MemoryCounters, StatsdCounters
+from mulberry_core._decision_log import DecisionLog
 from mulberry_core._errors import (
     ANSWER_BY_KIND,
     ErrorAnswer,
@@ -16,6 +17,7 @@
 from mulberry_core._hashing import bucket, digest128, ring_position
 from mulberry_core._sentinels import Missing
 from mulberry_core._signals import call_on_termination
+from mulberry_core._sse import SseSplitter
 from mulberry_core._tasks import TaskPool
 from mulberry_core._timers import Subscription, TimerService
 
@@ -23,6 +25,7 @@
     "ANSWER_BY_KIND",
     "Clock",
     "Counters",
+    "DecisionLog",
     "ErrorAnswer",
     "ErrorKind",
     "ManualClock",
@@ -30,6 +33,7 @@
     "Missing",
     "Refusal",
     "RunState",
+    "SseSplitter",
     "StatsdCounters",
     "Subscription",
     "SystemClock",
--- /dev/null
+++ b/libs/core/mulberry_core/_decision_log.py
@@ -0,0 +1,107 @@
+"""Structured log lines of decisions, never blocking and bounded in volume."""
+
+import collections
+import json
+import os
+import sys
+import threading
+from typing import Any
+
+from mulberry_core import _clock
+
+#: Lines waiting to be written; more are dropped and counted. About 2 MB.
+_MAX_WAITING = 8_192
+#: Between two writes, seconds: one system call for many lines.
+_WRITE_PERIOD_S = 0.2
+#: Ordinary lines in one second; failures are not counted against it.
+_MAX_PER_S = 400
+
+
+class DecisionLog:
+    """Writes one JSON object per line to standard output.
+
+    `note` only appends to a queue. A thread writes it out, so that a reader
+    that does not read stops the log and nothing else.
+    """
+
+    def __init__(self, clock: _clock.Clock, fd: int | None = None) -> None:
+        self._clock = clock
+        self._fd = sys.stdout.fileno() if fd is None else fd
+        self._lock = threading.Lock()
+        self._waiting: collections.deque[dict[str, Any]] = collections.deque()
+        self._dropped = 0
+        self._second = 0
+        self._in_second = 0
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="decision log", daemon=True
+        )
+
+    def start(self) -> None:
+        """Starts the writing thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Writes what is waiting and ends."""
+        self._stopping.set()
+        if self._thread.is_alive():
+            self._thread.join(timeout=1.0)
+        self._write()
+
+    def note(self, event: str, /, *, keep: bool = False, **fields: Any) -> None:
+        """Queues one line.
+
+        Args:
+            event: What was decided, for example `request`.
+            keep: Never dropped to bound the volume, as failures must not be.
+            **fields: Inputs, their age or version, and the outcome.
+        """
+        now_s = self._clock.now()
+        with self._lock:
+            if int(now_s) != self._second:
+                self._second, self._in_second = int(now_s), 0
+            self._in_second += 1
+            if len(self._waiting) >= _MAX_WAITING or (
+                not keep and self._in_second > _MAX_PER_S
+            ):
+                self._dropped += 1
+                return
+            self._waiting.append(
+                {
+                    "at": round(self._clock.wall(), 3),
+                    "t": round(now_s, 4),
+                    "event": event,
+                    **fields,
+                }
+            )
+
+    def _run(self) -> None:
+        while not self._stopping.wait(_WRITE_PERIOD_S):
+            self._write()
+
+    def _write(self) -> None:
+        with self._lock:
+            lines = list(self._waiting)
+            self._waiting.clear()
+            dropped, self._dropped = self._dropped, 0
+        if dropped:
+            lines.append(
+                {
+                    "at": round(self._clock.wall(), 3),
+                    "event": "log_lines_dropped",
+                    "count": dropped,
+                }
+            )
+        if not lines:
+            return
+        text = "".join(
+            json.dumps(line, separators=(",", ":"), default=str) + "\n"
+            for line in lines
+        )
+        data = text.encode()
+        try:
+            while data:
+                data = data[os.write(self._fd, data) :]
+        except OSError:
+            # Nobody reads the log any more; there is nowhere to say so.
+            return
--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -41,6 +41,7 @@
     TeamLimit,
     TeamLimiter,
 )
+from mulberry_decisions._load_book import LoadBook, LoadReport
 from mulberry_decisions._models import (
     Attempt,
     Deliver,
@@ -55,6 +56,12 @@
 from mulberry_decisions._paying_hedges import (
     PayingHedges,
 )
+from mulberry_decisions._placement import (
+    LeastLoad,
+    Place,
+    Placement,
+    SessionAffinity,
+)
 from mulberry_decisions._priority_admission import (
     PriorityAdmission,
 )
@@ -105,6 +112,7 @@
 from mulberry_decisions._two_choices import (
     TwoChoices,
 )
+from mulberry_decisions._upstream_health import UpstreamHealth
 from mulberry_decisions._upstreams import (
     CacheEvent,
     LeastReportedLoad,
@@ -159,7 +167,10 @@
     "FixedShare",
     "HedgePolicy",
     "LearnedCascade",
+    "LeastLoad",
     "LeastReportedLoad",
+    "LoadBook",
+    "LoadReport",
     "ModelChooser",
     "ModelOption",
     "Move",
@@ -170,6 +181,8 @@
     "Observation",
     "Outcome",
     "PayingHedges",
+    "Place",
+    "Placement",
     "PriorityAdmission",
     "Proposal",
     "ProvenSteps",
@@ -183,6 +196,7 @@
     "RolloutState",
     "RoundRobin",
     "SequentialJudge",
+    "SessionAffinity",
     "SessionShare",
     "ShareRetryBudget",
     "SharedLimiter",
@@ -199,6 +213,7 @@
     "TwoRandomChoices",
     "UnlimitedRetries",
     "UpstreamChooser",
+    "UpstreamHealth",
     "UpstreamState",
     "VersionChooser",
     "VersionJudge",
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/_placement.py
@@ -0,0 +1,118 @@
+"""Where a request runs: placement over upstreams that many entries share."""
+
+import abc
+import dataclasses
+import random
+from collections.abc import Sequence
+
+import mulberry_core as core
+
+#: Load that an upstream in another zone must be below to be taken instead of
+#: one in the own zone, as a share of its slots.
+_ZONE_COST = 0.1
+#: Load that a share of failures of 1 counts for.
+_FAILURE_COST = 4.0
+#: An upstream takes a session's requests while its load is below this
+#: multiple of the mean, plus `_SPILL_SLACK`.
+_SPILL_FACTOR = 1.25
+#: As a share of its slots: small numbers vary without any overload.
+_SPILL_SLACK = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class Place:
+    """One upstream that could run a request."""
+
+    name: str
+    zone: str
+    #: Requests that it runs at once.
+    slots: int
+    #: Requests believed to be running or waiting there.
+    load: float
+    #: Recent share of failures, 0 to 1.
+    failed_share: float = 0.0
+
+    @property
+    def load_share(self) -> float:
+        """Load as a share of the slots."""
+        return self.load / max(1, self.slots)
+
+
+class Placement(abc.ABC):
+    """Chooses one of several places."""
+
+    def choose(
+        self, places: Sequence[Place], session: str
+    ) -> Place | core.Missing:
+        """Returns the place to send to, unset if there is none.
+
+        Args:
+            places: Upstreams that may run the request.
+            session: Requests of one session share work that an upstream
+                keeps; empty for none.
+        """
+        return self._choose(places, session) if places else core.Missing.UNSET
+
+    @abc.abstractmethod
+    def _choose(self, places: Sequence[Place], session: str) -> Place:
+        """Chooses one of at least one places."""
+
+
+class LeastLoad(Placement):
+    """Takes the better of two random places.
+
+    Answers many entries that decide on the same reports: with the least
+    loaded of all they would all send to the same upstream.
+    """
+
+    def __init__(self, zone: str, rng: random.Random | None = None) -> None:
+        self._zone = zone
+        self._random = rng or random.Random()
+
+    def _choose(self, places: Sequence[Place], session: str) -> Place:
+        pair = self._random.sample(places, min(2, len(places)))
+        return min(pair, key=self._cost)
+
+    def _cost(self, place: Place) -> float:
+        return (
+            place.load_share
+            + _FAILURE_COST * place.failed_share
+            + (_ZONE_COST if place.zone != self._zone else 0.0)
+        )
+
+
+class SessionAffinity(Placement):
+    """Sends a session to the same upstream from every entry, within bounds.
+
+    Answers prompts with shared parts: all entries compute the same order of
+    upstreams for a session, so its prompt is read on one of them. A session
+    that gets much of the traffic spills over to the next in its order once
+    its upstream has more than its part of the load.
+    """
+
+    def __init__(self, otherwise: Placement) -> None:
+        self._otherwise = otherwise
+
+    def _choose(self, places: Sequence[Place], session: str) -> Place:
+        if not session:
+            chosen = self._otherwise.choose(places, session)
+            return chosen if isinstance(chosen, Place) else places[0]
+        mean = sum(place.load_share for place in places) / len(places)
+        limit = _SPILL_FACTOR * mean + _SPILL_SLACK
+        ranked = sorted(
+            places, key=lambda place: _rank(session, place.name), reverse=True
+        )
+        for place in ranked:
+            if place.load_share + place.failed_share <= limit:
+                return place
+        return min(
+            places,
+            key=lambda place: (
+                place.load_share + _FAILURE_COST * place.failed_share
+            ),
+        )
+
+
+def _rank(session: str, name: str) -> int:
+    """Highest-random-weight hashing: few sessions move when one is lost."""
+    return core.ring_position(f"{session}\x00{name}")
--- a/libs/decisions/mulberry_decisions/_shared_retries.py
+++ b/libs/decisions/mulberry_decisions/_shared_retries.py
@@ -15,19 +15,33 @@
 
 
 class ShareRetryBudget(_retries.RetryBudget):
-    """Allows retries up to a tenth of the requests plus a small floor."""
-
-    def __init__(self, clock: core.Clock) -> None:
+    """Allows retries up to a share of the requests plus a small floor."""
+
+    def __init__(
+        self,
+        clock: core.Clock,
+        share: float = _RETRY_SHARE,
+        max_saved: float = _MAX_SAVED,
+    ) -> None:
+        """Creates a budget with one retry in it.
+
+        Args:
+            clock: Source of time.
+            share: Retries for each first attempt.
+            max_saved: Most retries that can be saved up.
+        """
         self._clock = clock
+        self._share = share
+        self._max_saved = max_saved
         self._lock = threading.Lock()
         self._left = 1.0
         self._filled_at_s = clock.now()
 
     def request_started(self, work: _work.Work) -> None:
-        """Adds a tenth of a retry."""
+        """Adds the share of a retry."""
         with self._lock:
             self._fill()
-            self._left = min(_MAX_SAVED, self._left + _RETRY_SHARE)
+            self._left = min(self._max_saved, self._left + self._share)
 
     def try_retry(self, work: _work.Work, run: core.RunState) -> bool:
         """Takes one retry if the work may be repeated and one is left."""
@@ -44,4 +58,4 @@
         now_s = self._clock.now()
         gained = (now_s - self._filled_at_s) * _FLOOR_PER_S
         self._filled_at_s = now_s
-        self._left = min(_MAX_SAVED, self._left + gained)
+        self._left = min(self._max_saved, self._left + gained)
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/_upstream_health.py
@@ -0,0 +1,89 @@
+"""Which upstreams to avoid for a while, from how requests ended there."""
+
+import dataclasses
+import threading
+
+import mulberry_core as core
+
+#: First pause after an upstream could not be reached, seconds; it doubles
+#: with each failure in a row. About the time of a restart is the longest.
+FIRST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 4.0
+#: Weight of the newest outcome in the share of failures.
+_NEWEST_WEIGHT = 0.15
+#: Time in which a share of failures halves without any outcome, seconds; an
+#: upstream that is avoided must come back into use to show that it recovered.
+_HALF_LIFE_S = 4.0
+
+
+@dataclasses.dataclass
+class _Entry:
+    failed_share: float = 0.0
+    updated_s: float = 0.0
+    failures_in_row: int = 0
+    paused_until_s: float = 0.0
+
+
+class UpstreamHealth:
+    """Remembers outcomes for each upstream; safe for many threads.
+
+    Answers two load patterns: an upstream that cannot be reached gets a
+    pause, so that requests do not queue up behind connection attempts; one
+    that fails part of its requests while its health check is good keeps
+    getting fewer, instead of attracting more because it answers fast.
+    """
+
+    def __init__(self, clock: core.Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._entry_by_name: dict[str, _Entry] = {}
+
+    def succeeded(self, name: str) -> None:
+        """The upstream answered a request properly."""
+        with self._lock:
+            entry = self._note(name, 0.0)
+            entry.failures_in_row = 0
+            entry.paused_until_s = 0.0
+
+    def failed(self, name: str) -> None:
+        """The upstream failed a request that it had taken."""
+        with self._lock:
+            self._note(name, 1.0)
+
+    def unreachable(self, name: str) -> None:
+        """The upstream took no connection, or went silent."""
+        with self._lock:
+            entry = self._note(name, 1.0)
+            pause_s = FIRST_PAUSE_S * 2.0**entry.failures_in_row
+            entry.failures_in_row += 1
+            entry.paused_until_s = self._clock.now() + min(
+                LONGEST_PAUSE_S, pause_s
+            )
+
+    def is_paused(self, name: str) -> bool:
+        """Whether the upstream should get no request now."""
+        with self._lock:
+            entry = self._entry_by_name.get(name)
+            return (
+                entry is not None and entry.paused_until_s > self._clock.now()
+            )
+
+    def failed_share(self, name: str) -> float:
+        """Returns the recent share of failures, 0 to 1."""
+        with self._lock:
+            entry = self._entry_by_name.get(name)
+            if entry is None:
+                return 0.0
+            return self._faded(entry)
+
+    def _note(self, name: str, failure: float) -> _Entry:
+        entry = self._entry_by_name.setdefault(name, _Entry())
+        entry.failed_share = (1 - _NEWEST_WEIGHT) * self._faded(
+            entry
+        ) + _NEWEST_WEIGHT * failure
+        entry.updated_s = self._clock.now()
+        return entry
+
+    def _faded(self, entry: _Entry) -> float:
+        age_s = self._clock.now() - entry.updated_s
+        return float(entry.failed_share * 0.5 ** (age_s / _HALF_LIFE_S))
--- a/libs/entry/mulberry_entry/__init__.py
+++ b/libs/entry/mulberry_entry/__init__.py
@@ -2,7 +2,6 @@
 
 from mulberry_entry._app import EntryApp
 from mulberry_entry._billing import Biller
-from mulberry_entry._entry_list import EntryState, entry_list_body
 from mulberry_entry._parts import DecisionSet, EntryParts
 from mulberry_entry._rater import Rater, ServiceRater
 from mulberry_entry._ratings import RatingSampler
@@ -14,6 +13,7 @@
     usable_versions,
     version_offer,
 )
+from mulberry_membership import EntryState, entry_list_body
 
 __all__ = [
     "Biller",
--- a/libs/entry/mulberry_entry/_app.py
+++ b/libs/entry/mulberry_entry/_app.py
@@ -20,7 +20,6 @@
     _chat,
     _direct,
     _dispatch,
-    _entry_list,
     _parts,
     _requests,
     _responses,
@@ -128,9 +127,9 @@
         records = self._parts.soft_state.records(membership.RecordKind.ENTRY)
         return _responses.json_response(
             200,
-            _entry_list.entry_list_body(
+            membership.entry_list_body(
                 [
-                    _entry_list.EntryState.decode(record.payload)
+                    membership.EntryState.decode(record.payload)
                     for record in records.values()
                 ],
                 zone,
--- /dev/null
+++ b/libs/gateway/mulberry_gateway/_control.py
@@ -0,0 +1,164 @@
+"""What operators and upstreams ask of an instance."""
+
+import mulberry_core as core
+import mulberry_membership as membership
+import mulberry_state as state
+
+#: For a change to be committed, seconds. The caller waits about a second
+#: before it asks another instance, under the same number.
+_PROPOSE_TIMEOUT_S = 0.9
+#: For the newest state to be confirmed by a quorum, seconds.
+_READ_TIMEOUT_S = 0.9
+#: Sequence of a record that says that an upstream has left: none that it
+#: sent before can be newer.
+_LEFT_SEQUENCE = 2**62
+
+
+class Control:
+    """Changes and reads the replicated state; takes announcements."""
+
+    def __init__(
+        self,
+        client: state.StateClient,
+        directory: membership.UpstreamDirectory,
+        soft_state: membership.SoftState,
+        log: core.DecisionLog,
+    ) -> None:
+        self._client = client
+        self._directory = directory
+        self._soft_state = soft_state
+        self._log = log
+
+    def replace_routing(
+        self, version: int, document: bytes, operator: str
+    ) -> state.RoutingReplaced | core.Refusal:
+        """Puts a valid document in force unless a newer one is."""
+        command = state.ReplaceRouting(
+            state.new_command_id(), version, document, operator
+        )
+        result = self._client.propose(command, _PROPOSE_TIMEOUT_S)
+        if isinstance(result, state.RoutingReplaced):
+            self._log.note(
+                "routing_replaced",
+                keep=True,
+                version=version,
+                in_force=result.version,
+                changed=result.changed,
+            )
+            return result
+        return self._refusal("routing_not_replaced", result, version=version)
+
+    def read_routing(self) -> state.RoutingDocument | core.Refusal:
+        """Returns the newest document, confirmed by a quorum."""
+        if not self._client.refresh(_READ_TIMEOUT_S):
+            return _no_quorum()
+        document = self._client.view().routing
+        if not document.version:
+            return core.Refusal(
+                core.ErrorKind.NO_RULES,
+                core.RunState.NOT_RUN,
+                "no routing was accepted yet",
+            )
+        return document
+
+    def begin_rollout(
+        self, service: str, target: str, duration_s: float
+    ) -> state.ServiceRolloutBegun | core.Refusal:
+        """Begins a rollout, or confirms one that was begun before."""
+        command = state.BeginServiceRollout(
+            state.new_command_id(), service, target, duration_s
+        )
+        result = self._client.propose(command, _PROPOSE_TIMEOUT_S)
+        if isinstance(result, state.ServiceRolloutBegun):
+            self._log.note(
+                "rollout_begun",
+                keep=True,
+                service=service,
+                target=target,
+                number=result.number,
+            )
+            return result
+        return self._refusal("rollout_not_begun", result, service=service)
+
+    def rollout(
+        self, service: str
+    ) -> state.ServiceRollout | core.Missing | core.Refusal:
+        """Returns the newest rollout of a service, unset if there is none."""
+        if not self._client.refresh(_READ_TIMEOUT_S):
+            return _no_quorum()
+        rollouts = self._client.view().service_rollouts_by_service
+        return rollouts.get(service, core.Missing.UNSET)
+
+    def announce(
+        self, announcement: membership.Announcement
+    ) -> membership.AnnounceOutcome:
+        """Takes what an upstream says of itself."""
+        outcome = self._directory.announce(announcement)
+        if (
+            announcement.state is membership.UpstreamState.LEAVING
+            or outcome is not membership.AnnounceOutcome.ACCEPTED
+        ):
+            self._log.note(
+                "announcement",
+                name=announcement.name,
+                state=announcement.state.value,
+                incarnation=announcement.incarnation,
+                sequence=announcement.sequence,
+                outcome=outcome.value,
+            )
+        return outcome
+
+    def upstream_left(self, name: str, incarnation: int) -> None:
+        """Takes that an upstream leaves; what it sent before is outdated.
+
+        Args:
+            name: Name of the upstream.
+            incarnation: Of the start that leaves; 0 for the newest known.
+        """
+        record = self._soft_state.latest(membership.RecordKind.UPSTREAM, name)
+        if isinstance(record, core.Missing):
+            if not incarnation:
+                return
+        elif not incarnation:
+            incarnation = record.incarnation
+        self._soft_state.put(
+            membership.RecordKind.UPSTREAM,
+            name,
+            incarnation,
+            _LEFT_SEQUENCE,
+            b"",
+            removed=True,
+            urgent=True,
+        )
+        self._log.note(
+            "announcement", name=name, state="left", incarnation=incarnation
+        )
+
+    def _refusal(
+        self, event: str, result: object, **fields: object
+    ) -> core.Refusal:
+        refusal = (
+            result
+            if isinstance(result, core.Refusal)
+            else core.Refusal(
+                core.ErrorKind.INTERNAL,
+                core.RunState.UNKNOWN,
+                f"unexpected result {type(result).__name__}",
+            )
+        )
+        self._log.note(
+            event,
+            keep=True,
+            kind=refusal.kind.value,
+            reason=refusal.reason,
+            **fields,
+        )
+        return refusal
+
+
+def _no_quorum() -> core.Refusal:
+    return core.Refusal(
+        core.ErrorKind.QUORUM_UNAVAILABLE,
+        core.RunState.NOT_RUN,
+        "no quorum of voters confirms the newest state",
+    )
--- /dev/null
+++ b/libs/gateway/mulberry_gateway/_exchange.py
@@ -0,0 +1,97 @@
+"""One request on its way: what is known of it and what was sent."""
+
+import dataclasses
+from typing import Any
+
+import mulberry_core as core
+import mulberry_routing as routing
+from mulberry_gateway import _connection, _dialect, _messages
+
+
+@dataclasses.dataclass
+class Attempt:
+    """One upstream that the request was sent to, for the log."""
+
+    upstream: str
+    began_s: float
+    model: str = ""
+    outcome: str = "running"
+    #: Inputs of the placement.
+    load: float = 0.0
+    candidates: int = 0
+
+
+@dataclasses.dataclass
+class Exchange:
+    """A request, its caller and its attempts; owned by one thread."""
+
+    request: _messages.Request
+    facts: _dialect.CallFacts
+    route: routing.Route
+    table: routing.RoutingTable
+    service: str
+    #: Name of the team, empty on public routes.
+    team: str
+    #: 0 is the most urgent.
+    priority: int
+    caller: _connection.Connection
+    keep_alive: bool
+    #: `Clock.now` by which the answer must be there, seconds.
+    deadline_s: float
+    attempts: list[Attempt] = dataclasses.field(default_factory=list)
+    #: Whether the request may have run or has run, over all attempts.
+    run: core.RunState = core.RunState.NOT_RUN
+    #: Whether any part of the answer was forwarded.
+    answered: bool = False
+    #: `Clock.now` when the first part of the answer was forwarded, seconds.
+    first_byte_s: float = 0.0
+    status: int = 0
+    #: Id of the last whole event that was forwarded; empty before the first.
+    last_event_id: str = ""
+
+    @property
+    def tried(self) -> frozenset[str]:
+        """Names of the upstreams that it was sent to."""
+        return frozenset(attempt.upstream for attempt in self.attempts)
+
+    def note_run(self, run: core.RunState) -> None:
+        """Takes the outcome of an attempt; knowledge only grows."""
+        if _RUN_RANK[run] > _RUN_RANK[self.run]:
+            self.run = run
+
+    def summary(self, now_s: float) -> dict[str, Any]:
+        """Returns the fields of its log line."""
+        return {
+            "id": self.facts.request_id,
+            "route": self.route.name,
+            "routing": self.table.version,
+            "service": self.service,
+            "team": self.team,
+            "status": self.status,
+            "run": self.run.value,
+            "ms": round((now_s - self.request.received_s) * 1000),
+            "first_ms": round(
+                (self.first_byte_s - self.request.received_s) * 1000
+            )
+            if self.first_byte_s
+            else -1,
+            "left_ms": round((self.deadline_s - now_s) * 1000),
+            "tries": [
+                [
+                    attempt.upstream,
+                    attempt.outcome,
+                    round((attempt.began_s - self.request.received_s) * 1000),
+                    round(attempt.load, 1),
+                    attempt.candidates,
+                    attempt.model,
+                ]
+                for attempt in self.attempts
+            ],
+        }
+
+
+_RUN_RANK = {
+    core.RunState.NOT_RUN: 0,
+    core.RunState.UNKNOWN: 1,
+    core.RunState.RAN: 2,
+}
--- /dev/null
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -0,0 +1,264 @@
+"""One instance of the gateway: all parts, wired together."""
+
+import json
+import threading
+import time
+from collections.abc import Sequence
+from concurrent import futures
+
+import grpc
+from absl import logging
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+import mulberry_membership as membership
+import mulberry_routing as routing
+import mulberry_state as state
+from mulberry_gateway import (
+    _catalog,
+    _control,
+    _dialect,
+    _forwarder,
+    _founding,
+    _listener,
+    _model_choice,
+    _placing,
+    _releases,
+    _routing_book,
+    _settings,
+)
+
+#: Threads for exchanges of peers, beside those of a voter.
+_PEER_THREADS = 24
+#: Part of the grace period that is left for the last steps of a stop, so that
+#: the process has ended before it is killed.
+_STOP_SHARE = 0.94
+#: Part of the grace period after which no new connection is accepted. Callers
+#: keep a list for up to three times its term.
+_ACCEPT_SHARE = 0.8
+#: Largest part of the allowed retries that this instance saves up.
+_MAX_SAVED_RETRIES = 5.0
+#: Part of the allowed ratio of retries that is used; the instances' windows
+#: do not line up.
+_RETRY_SHARE_USED = 0.8
+
+
+class GatewayInstance:
+    """Starts, serves and stops in the order that cuts no request."""
+
+    def __init__(
+        self,
+        settings: _settings.GatewaySettings,
+        dialect: _dialect.Dialect,
+        parser: routing.RoutingParser,
+        log: core.DecisionLog,
+        clock: core.Clock,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._log = log
+        self.counters = core.MemoryCounters()
+        self.timers = core.TimerService(clock)
+        self._grpc = grpc.server(
+            futures.ThreadPoolExecutor(
+                _PEER_THREADS + state.SERVER_THREADS, "grpc"
+            ),
+            options=membership.SERVER_OPTIONS,
+        )
+        self._transport = membership.GrpcTransport()
+        timing = settings.timing
+        self.membership = membership.Membership(
+            settings.name,
+            settings.grpc_address,
+            settings.zone,
+            settings.region,
+            settings.seeds,
+            self._transport,
+            clock,
+            self.counters,
+            membership.Timing(
+                exchange_period_s=timing.exchange_period_s,
+                suspect_after_s=timing.suspect_after_s,
+                dead_after_s=timing.dead_after_s,
+            ),
+        )
+        membership.add_peers_service(self._grpc, self.membership)
+        self.directory = membership.UpstreamDirectory(
+            self.membership, clock, self.counters
+        )
+        self.client = state.RemoteStateClient(
+            settings.name,
+            settings.seeds,
+            clock,
+            timing,
+            counters=self.counters,
+        )
+        self._node = self._open_node()
+        self._founding = _founding.Founding(
+            settings, self.membership, self._node, self.client, clock
+        )
+        self.control = _control.Control(
+            self.client, self.directory, self.membership, log
+        )
+        catalog = _catalog.Catalog(self.directory, self.membership, clock, log)
+        placer = _placing.Placer(
+            settings.zone,
+            catalog,
+            _releases.Releases(self.client, clock),
+            clock,
+        )
+        self.parts = _forwarder.GatewayParts(
+            zone=settings.zone,
+            clock=clock,
+            counters=self.counters,
+            log=log,
+            state=self.client,
+            routing=_routing_book.RoutingBook(self.client, parser, log),
+            placer=placer,
+            models=_model_choice.ModelChoice(),
+            dialect=dialect,
+            retries=decisions.ShareRetryBudget(
+                clock,
+                settings.bounds.retry_ratio * _RETRY_SHARE_USED,
+                _MAX_SAVED_RETRIES,
+            ),
+            observe=_ignore_observation,
+        )
+        self._entry = _listener.Listener(
+            "entry",
+            settings.entry_address,
+            _forwarder.Forwarder(self.parts),
+            clock,
+        )
+        self._draining = threading.Event()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should use this instance."""
+        return not self._draining.is_set() and not isinstance(
+            self.parts.routing.table, core.Missing
+        )
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the instance was told to stop."""
+        return self._draining.is_set()
+
+    def start(self) -> None:
+        """Joins the others and begins to serve."""
+        self.timers.start()
+        self._grpc.add_insecure_port(self._settings.grpc_address)
+        self._grpc.start()
+        if isinstance(self._node, state.StateNode):
+            self._node.start()
+        self.client.start()
+        self.membership.start(self.timers)
+        self._founding.start(self.timers)
+        self.directory.start(self.timers)
+        self._entry.start()
+        self._publish_entry()
+        self.timers.every(1.0, self._publish_entry, "entry")
+        self._log.note(
+            "started",
+            keep=True,
+            name=self._settings.name,
+            zone=self._settings.zone,
+            first_start=self._settings.is_first_start,
+            votes=isinstance(self._node, state.StateNode),
+            cpu_s=round(time.process_time(), 3),
+        )
+
+    def entries(self, zone: str) -> Sequence[membership.EntryState]:
+        """Returns the entries that callers of a zone should use."""
+        found = [
+            membership.EntryState.decode(record.payload)
+            for record in self.membership.records(
+                membership.RecordKind.ENTRY
+            ).values()
+            if self.membership.doubt_s(record.owner) <= 0.0
+        ]
+        return membership.preferred_entries(found, zone)
+
+    def stop(self) -> None:
+        """Leaves the entry list, waits for running requests, then stops."""
+        began_s = self._clock.now()
+        self._log.note("stopping", keep=True, busy=self._entry.busy)
+        self._draining.set()
+        self._entry.draining.set()
+        self._publish_entry()
+        grace_s = self._settings.bounds.grace_s
+        listed_s = began_s + min(3 * self.entry_list_s, grace_s * _ACCEPT_SHARE)
+        last_s = began_s + grace_s * _STOP_SHARE
+        self._wait_until(listed_s)
+        self._entry.stop_accepting()
+        while self._entry.busy and self._clock.now() < last_s:
+            time.sleep(0.05)
+        self._log.note(
+            "stopped",
+            keep=True,
+            busy=self._entry.busy,
+            took_s=round(self._clock.now() - began_s, 2),
+        )
+        self._log.stop()
+        self.membership.leave()
+        if isinstance(self._node, state.StateNode):
+            self._node.stop(transfer_timeout_s=0.5)
+
+    @property
+    def entry_list_s(self) -> float:
+        """How long callers may use an entry list, seconds."""
+        bounds = self._settings.bounds
+        return min(bounds.entry_list_s, bounds.grace_s / 4)
+
+    def _wait_until(self, until_s: float) -> None:
+        while (left_s := until_s - self._clock.now()) > 0:
+            time.sleep(min(left_s, 0.25))
+
+    def _publish_entry(self) -> None:
+        entry = membership.EntryState(
+            address=self._settings.entry_address,
+            zone=self._settings.zone,
+            leaving=not self.is_ready,
+            load=0.0,
+        )
+        payload = entry.encode()
+        held = self.membership.latest(
+            membership.RecordKind.ENTRY, self._settings.name
+        )
+        if isinstance(held, core.Missing) or held.payload != payload:
+            self.membership.publish(
+                membership.RecordKind.ENTRY,
+                self._settings.name,
+                payload,
+                urgent=True,
+            )
+
+    def _open_node(self) -> state.StateNode | core.Missing:
+        settings = self._settings
+        if isinstance(settings.data_dir, core.Missing):
+            return core.Missing.UNSET
+        try:
+            node = state.StateNode(
+                settings.name,
+                settings.grpc_address,
+                {},
+                settings.data_dir,
+                self._clock,
+                settings.timing,
+            )
+        except state.StorageError as error:
+            logging.error("the data folder cannot be used: %s", error)
+            self._log.note("storage_failed", keep=True, reason=str(error))
+            return core.Missing.UNSET
+        node.add_to(self._grpc)
+        return node
+
+    def metrics(self) -> str:
+        """Returns counters and gauges as text, one a line."""
+        return json.dumps(self.counters.snapshot())
+
+
+def _ignore_observation(
+    service: str, release: str, good: bool, took_s: float
+) -> None:
+    del service, release, good, took_s
--- /dev/null
+++ b/libs/gateway/mulberry_gateway/_listener.py
@@ -0,0 +1,161 @@
+"""Accepts connections and serves each on a task of its own."""
+
+import abc
+import socket
+import threading
+from collections.abc import Callable
+from concurrent import futures
+
+from absl import logging
+
+import mulberry_core as core
+import mulberry_routing as routing
+from mulberry_gateway import _connection, _messages, _request_reader
+
+#: Connections that wait to be accepted; many callers come at once after a
+#: restart, and a lost opening packet costs a second.
+_BACKLOG = 512
+#: Connections served at once; beyond it a new one waits.
+_MAX_CONNECTIONS = 1_024
+_ACCEPT_PERIOD_S = 1.0
+
+
+class Handler(abc.ABC):
+    """Answers the requests of one listener."""
+
+    @abc.abstractmethod
+    def handle(
+        self,
+        request: _messages.Request,
+        caller: _connection.Connection,
+        keep_alive: bool,
+    ) -> bool:
+        """Answers a request on the caller's connection.
+
+        Returns:
+            Whether the connection can carry another request.
+        """
+
+    @abc.abstractmethod
+    def reject(
+        self, fault: _request_reader.Malformed, caller: _connection.Connection
+    ) -> None:
+        """Answers bytes that are no proper request."""
+
+    def limits(self) -> routing.Limits:
+        """Returns what callers may send at present."""
+        return routing.Limits()
+
+
+class Listener:
+    """Serves one address until stopped."""
+
+    def __init__(
+        self, name: str, address: str, handler: Handler, clock: core.Clock
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self._name = name
+        self._handler = handler
+        self._clock = clock
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.bind((host, int(port)))
+        self._pool = futures.ThreadPoolExecutor(
+            _MAX_CONNECTIONS, thread_name_prefix=name
+        )
+        self._lock = threading.Lock()
+        self._busy = 0
+        self._open: set[_connection.Connection] = set()
+        self._stopping = threading.Event()
+        #: Set while connections end after their next answer.
+        self.draining = threading.Event()
+
+    @property
+    def port(self) -> int:
+        """The port that is listened on."""
+        return int(self._sock.getsockname()[1])
+
+    @property
+    def busy(self) -> int:
+        """Requests being answered now."""
+        with self._lock:
+            return self._busy
+
+    def start(self) -> None:
+        """Begins to accept."""
+        self._sock.listen(_BACKLOG)
+        self._sock.settimeout(_ACCEPT_PERIOD_S)
+        threading.Thread(
+            target=self._accept, name=f"{self._name}-accept", daemon=True
+        ).start()
+
+    def stop_accepting(self) -> None:
+        """Refuses new connections; open ones are served on."""
+        self._stopping.set()
+        self._sock.close()
+
+    def close_idle(self, is_idle: Callable[[], bool]) -> None:
+        """Closes all connections once nothing is being answered."""
+        if not is_idle():
+            return
+        with self._lock:
+            connections = list(self._open)
+        for connection in connections:
+            connection.close()
+
+    def _accept(self) -> None:
+        while not self._stopping.is_set():
+            try:
+                sock, _ = self._sock.accept()
+            except TimeoutError:
+                continue
+            except OSError as error:
+                if not self._stopping.is_set():
+                    logging.warning("%s: accept failed: %s", self._name, error)
+                    self._stopping.wait(0.05)
+                continue
+            self._pool.submit(self._serve, sock)
+
+    def _serve(self, sock: socket.socket) -> None:
+        try:
+            connection = _connection.Connection(sock)
+        except OSError:
+            # Reset before it was served.
+            sock.close()
+            return
+        with self._lock:
+            self._open.add(connection)
+        try:
+            self._serve_connection(connection)
+        except Exception:
+            logging.exception("%s: connection task failed", self._name)
+            connection.close()
+        finally:
+            with self._lock:
+                self._open.discard(connection)
+
+    def _serve_connection(self, connection: _connection.Connection) -> None:
+        reader = _request_reader.RequestReader(
+            connection, self._handler.limits(), self._clock
+        )
+        while True:
+            reader.limits = self._handler.limits()
+            request = reader.read()
+            if isinstance(request, _connection.Ended):
+                connection.close()
+                return
+            if isinstance(request, _request_reader.Malformed):
+                self._handler.reject(request, connection)
+                connection.finish()
+                return
+            keep = request.keep_alive and not self.draining.is_set()
+            with self._lock:
+                self._busy += 1
+            try:
+                keep = self._handler.handle(request, connection, keep) and keep
+            finally:
+                with self._lock:
+                    self._busy -= 1
+            if not keep:
+                connection.finish()
+                return
--- /dev/null
+++ b/libs/gateway/mulberry_gateway/_pages.py
@@ -0,0 +1,75 @@
+"""Small JSON pages of an instance: everything but callers' requests."""
+
+import dataclasses
+from collections.abc import Callable, Sequence
+
+from absl import logging
+
+import mulberry_core as core
+from mulberry_gateway import (
+    _connection,
+    _listener,
+    _messages,
+    _request_reader,
+)
+
+JSON = (("Content-Type", "application/json"),)
+
+
+@dataclasses.dataclass(frozen=True)
+class Page:
+    """One page, or all pages below a path."""
+
+    method: str
+    #: Exact, or a prefix if it ends with a slash.
+    path: str
+    #: Gets the request and the rest of the path after a prefix.
+    answer: Callable[[_messages.Request, str], _messages.Response]
+
+
+class Pages(_listener.Handler):
+    """Finds the page for a request."""
+
+    def __init__(self, pages: Sequence[Page], counters: core.Counters) -> None:
+        self._pages = tuple(pages)
+        self._counters = counters
+
+    def reject(
+        self, fault: _request_reader.Malformed, caller: _connection.Connection
+    ) -> None:
+        """Answers bytes that are no proper request."""
+        status = core.ANSWER_BY_KIND[fault.kind].status
+        response = _messages.Response(status, body=fault.reason.encode())
+        caller.send_all(_messages.write_response(response, keep_alive=False))
+
+    def handle(
+        self,
+        request: _messages.Request,
+        caller: _connection.Connection,
+        keep_alive: bool,
+    ) -> bool:
+        """Answers one request; returns whether the connection can go on."""
+        response = self._answer(request)
+        data = _messages.write_response(
+            response, keep_alive, head_only=request.method == "HEAD"
+        )
+        return caller.send_all(data)
+
+    def _answer(self, request: _messages.Request) -> _messages.Response:
+        for page in self._pages:
+            if page.method != request.method:
+                continue
+            rest = ""
+            if page.path.endswith("/"):
+                if not request.path.startswith(page.path):
+                    continue
+                rest = request.path[len(page.path) :]
+            elif request.path != page.path:
+                continue
+            try:
+                return page.answer(request, rest)
+            except Exception:
+                logging.exception("page %s failed", page.path)
+                self._counters.increment("pages.failed")
+                return _messages.Response(500)
+        return _messages.Response(404)
--- /dev/null
+++ b/libs/gateway/mulberry_gateway/_placing.py
@@ -0,0 +1,90 @@
+"""Chooses the upstream of an attempt from what the instance knows."""
+
+import dataclasses
+from collections.abc import Sequence
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+import mulberry_membership as membership
+from mulberry_gateway import _catalog, _exchange, _releases
+
+
+@dataclasses.dataclass(frozen=True)
+class Chosen:
+    """Where an attempt goes, with the inputs that decided."""
+
+    upstream: membership.Upstream
+    load: float
+    candidates: int
+
+
+class Placer:
+    """Joins catalog, load, health and rollouts for the decisions."""
+
+    def __init__(
+        self,
+        zone: str,
+        catalog: _catalog.Catalog,
+        releases: _releases.Releases,
+        clock: core.Clock,
+    ) -> None:
+        self._catalog = catalog
+        self._releases = releases
+        self.load = decisions.LoadBook(clock)
+        self.health = decisions.UpstreamHealth(clock)
+        self._least_load = decisions.LeastLoad(zone)
+        self._affinity = decisions.SessionAffinity(self._least_load)
+
+    def choose(self, exchange: _exchange.Exchange) -> Chosen | core.Refusal:
+        """Returns the upstream of the next attempt, or why there is none."""
+        usable = self._usable(exchange)
+        if not usable:
+            return core.Refusal(
+                core.ErrorKind.NO_UPSTREAM,
+                exchange.run,
+                f"service {exchange.service} has no upstream for this request",
+            )
+        places = [
+            decisions.Place(
+                name=upstream.name,
+                zone=upstream.zone,
+                slots=upstream.capacity,
+                load=self.load.estimate(upstream.name),
+                failed_share=self.health.failed_share(upstream.name),
+            )
+            for upstream in usable
+        ]
+        placement = (
+            self._affinity if exchange.route.is_sticky else self._least_load
+        )
+        place = placement.choose(places, exchange.facts.session)
+        chosen = next(
+            upstream
+            for upstream in usable
+            if not isinstance(place, core.Missing)
+            and upstream.name == place.name
+        )
+        return Chosen(
+            chosen,
+            0.0 if isinstance(place, core.Missing) else place.load,
+            len(usable),
+        )
+
+    def _usable(
+        self, exchange: _exchange.Exchange
+    ) -> Sequence[membership.Upstream]:
+        ready = [
+            upstream
+            for upstream in self._catalog.of(exchange.service)
+            if upstream.state is membership.UpstreamState.READY
+            and upstream.name not in exchange.tried
+        ]
+        allowed = self._releases.filter(
+            exchange.service, exchange.facts.session, ready
+        )
+        healthy = [
+            upstream
+            for upstream in allowed
+            if not self.health.is_paused(upstream.name)
+        ]
+        return healthy or allowed
--- /dev/null
+++ b/libs/gateway/mulberry_gateway/_routing_book.py
@@ -0,0 +1,56 @@
+"""The routing table in force, parsed once per version."""
+
+import threading
+
+from absl import logging
+
+import mulberry_core as core
+import mulberry_routing as routing
+import mulberry_state as state
+
+
+class RoutingBook:
+    """Turns the replicated document into a table; never goes back."""
+
+    def __init__(
+        self,
+        client: state.StateClient,
+        parser: routing.RoutingParser,
+        log: core.DecisionLog,
+    ) -> None:
+        self._parser = parser
+        self._log = log
+        self._lock = threading.Lock()
+        self._table: routing.RoutingTable | core.Missing = core.Missing.UNSET
+        client.subscribe(self.take)
+
+    @property
+    def table(self) -> routing.RoutingTable | core.Missing:
+        """The table in force, unset before the first."""
+        return self._table
+
+    def take(self, view: state.View) -> None:
+        """Puts the document of a view in force if its version is higher."""
+        document = view.routing
+        with self._lock:
+            held = self._table
+            version = 0 if isinstance(held, core.Missing) else held.version
+            if document.version <= version:
+                return
+            parsed = self._parser.parse(document.document)
+            if isinstance(parsed, routing.RoutingErrors):
+                logging.error(
+                    "routing %d cannot be read by this version: %s",
+                    document.version,
+                    parsed.errors[0],
+                )
+                return
+            self._table = parsed
+        self._log.note(
+            "routing_in_force",
+            keep=True,
+            version=document.version,
+            replaced=version,
+            revision=view.revision,
+            routes=len(parsed.routes),
+        )
--- /dev/null
+++ b/libs/gateway/mulberry_gateway/_stream_relay.py
@@ -0,0 +1,102 @@
+"""Forwards a stream of events as they arrive, only whole ones."""
+
+import dataclasses
+import re
+
+import mulberry_core as core
+from mulberry_gateway import (
+    _dialect,
+    _exchange,
+    _messages,
+    _upstream_call,
+)
+
+_EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+
+
+@dataclasses.dataclass(frozen=True)
+class Relayed:
+    """The answer went to the caller, whole or as far as it went."""
+
+    #: Whether the caller's connection can carry another request.
+    keep_alive: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Broken:
+    """The stream ended before its end."""
+
+    fault: _upstream_call.Fault
+
+
+class StreamRelay:
+    """Copies events from an upstream to the caller."""
+
+    def __init__(self, dialect: _dialect.Dialect, clock: core.Clock) -> None:
+        self._dialect = dialect
+        self._clock = clock
+
+    def relay(
+        self,
+        exchange: _exchange.Exchange,
+        attempt: _exchange.Attempt,
+        call: _upstream_call.UpstreamCall,
+        head: _messages.ResponseHead,
+    ) -> Relayed | Broken:
+        """Forwards the stream until it ends or breaks.
+
+        A stream that goes on at another upstream keeps the head of the first
+        one; events that the caller has are left out.
+        """
+        splitter = core.SseSplitter()
+        if not exchange.answered and not self._begin(exchange, head):
+            return Broken(_upstream_call.Fault.CALLER_GONE)
+        while True:
+            left_s = exchange.deadline_s - self._clock.now()
+            data = call.read_some(left_s)
+            if isinstance(data, _upstream_call.Fault):
+                return Broken(data)
+            if not data:
+                break
+            events = _unseen(exchange, splitter.feed(data))
+            if events and not self._forward(exchange, events):
+                return Broken(_upstream_call.Fault.CALLER_GONE)
+        if splitter.pending_bytes:
+            return Broken(_upstream_call.Fault.TRUNCATED)
+        attempt.outcome = str(head.status)
+        sent = exchange.caller.send_all(_messages.LAST_CHUNK)
+        return Relayed(sent and exchange.keep_alive)
+
+    def _begin(
+        self, exchange: _exchange.Exchange, head: _messages.ResponseHead
+    ) -> bool:
+        headers = [
+            *self._dialect.answer_headers(head),
+            ("Transfer-Encoding", "chunked"),
+        ]
+        if not exchange.keep_alive:
+            headers.append(("Connection", "close"))
+        exchange.status = head.status
+        exchange.answered = True
+        data = _messages.write_head(head.status, head.reason, headers)
+        return exchange.caller.send_all(data)
+
+    def _forward(self, exchange: _exchange.Exchange, events: bytes) -> bool:
+        if not exchange.first_byte_s:
+            exchange.first_byte_s = self._clock.now()
+        return exchange.caller.send_all(_messages.write_chunk(events))
+
+
+def _unseen(exchange: _exchange.Exchange, events: list[bytes]) -> bytes:
+    """Returns the events that follow the last forwarded one."""
+    kept = []
+    for event in events:
+        found = _EVENT_ID.search(event)
+        event_id = found.group(1).decode("latin-1") if found else ""
+        last = exchange.last_event_id
+        if event_id.isdigit() and last.isdigit() and int(event_id) <= int(last):
+            continue
+        if event_id:
+            exchange.last_event_id = event_id
+        kept.append(event)
+    return b"".join(kept)
--- /dev/null
+++ b/libs/gateway/mulberry_gateway/_upstream_call.py
@@ -0,0 +1,227 @@
+"""One attempt of a request at one upstream, on a connection of its own.
+
+A connection per attempt costs a round trip, but a kept one may be closed by
+the upstream just as the request is sent, and then nobody knows whether the
+request ran. It also cannot carry a late answer to an earlier request.
+"""
+
+import enum
+import time
+
+import httptools
+
+import mulberry_core as core
+from mulberry_gateway import _connection, _messages
+
+#: An upstream in the same region accepts within milliseconds; a first lost
+#: packet would be sent again after a second. Seconds.
+CONNECT_TIMEOUT_S = 0.4
+_NO_BODY = frozenset({204, 304})
+
+
+class Fault(enum.Enum):
+    """How an attempt failed."""
+
+    #: The connection was refused or reset while it was opened.
+    REFUSED = "refused"
+    #: No connection in time.
+    UNREACHABLE = "unreachable"
+    #: The connection ended before a response began.
+    NO_ANSWER = "no_answer"
+    #: The response ended early.
+    TRUNCATED = "truncated"
+    #: The bytes are no response, or one to another request.
+    GARBLED = "garbled"
+    #: Nothing arrived in the time that the caller gave.
+    SILENT = "silent"
+    #: The caller of the gateway is gone.
+    CALLER_GONE = "caller_gone"
+
+
+#: Faults after which the request cannot have reached the upstream.
+NOT_SENT = frozenset({Fault.REFUSED, Fault.UNREACHABLE})
+
+
+class UpstreamCall:
+    """Sends a request and reads its response; used by one thread."""
+
+    def __init__(self, address: str, caller: _connection.Connection) -> None:
+        self._address = address
+        self._caller = caller
+        self._connection: _connection.Connection | None = None
+        self._unsent = b""
+        self._parser = httptools.HttpResponseParser(self)
+        self._reason = b""
+        self._headers: list[_messages.Header] = []
+        self._head: _messages.ResponseHead | None = None
+        self._body: list[bytes] = []
+        self._complete = False
+        self._head_only = False
+        #: Whether the end of the connection is the end of the body.
+        self._ends_with_connection = False
+        #: `time.monotonic` when the last bytes arrived, seconds.
+        self.heard_s = 0.0
+
+    def send(self, data: bytes, head_only: bool) -> Fault | core.Missing:
+        """Opens the connection and begins to send.
+
+        Args:
+            data: The whole request.
+            head_only: Whether the response has no body, as for `HEAD`.
+        """
+        connection = _connection.Connection.connect(
+            self._address, CONNECT_TIMEOUT_S
+        )
+        if connection is _connection.Ended.TIMEOUT:
+            return Fault.UNREACHABLE
+        if isinstance(connection, _connection.Ended):
+            return Fault.REFUSED
+        self._connection = connection
+        self._head_only = head_only
+        self.heard_s = time.monotonic()
+        sent = connection.send(data)
+        if isinstance(sent, _connection.Ended):
+            return Fault.NO_ANSWER
+        self._unsent = data[sent:]
+        return core.Missing.UNSET
+
+    def read_head(self, timeout_s: float) -> _messages.ResponseHead | Fault:
+        """Waits for status and headers of the response."""
+        until_s = time.monotonic() + timeout_s
+        while self._head is None:
+            fault = self._read(until_s)
+            if isinstance(fault, Fault):
+                return fault
+        return self._head
+
+    def read_some(self, timeout_s: float) -> bytes | Fault:
+        """Returns the next part of the body, empty at its end."""
+        until_s = time.monotonic() + timeout_s
+        while not self._body:
+            if self._complete:
+                return b""
+            fault = self._read(until_s)
+            if isinstance(fault, Fault):
+                return fault
+        data = b"".join(self._body)
+        self._body.clear()
+        return data
+
+    def read_body(self, timeout_s: float) -> bytes | Fault:
+        """Returns the whole body."""
+        until_s = time.monotonic() + timeout_s
+        while not self._complete:
+            fault = self._read(until_s)
+            if isinstance(fault, Fault):
+                return fault
+        data = b"".join(self._body)
+        self._body.clear()
+        return data
+
+    def close(self) -> None:
+        """Closes the connection, which also cancels a running request."""
+        if self._connection is not None:
+            self._connection.close()
+
+    def _read(self, until_s: float) -> Fault | core.Missing:
+        connection = self._connection
+        if connection is None:
+            return Fault.REFUSED
+        if self._unsent:
+            fault = self._send_rest(connection, until_s)
+            if isinstance(fault, Fault):
+                return fault
+        data = connection.receive(until_s - time.monotonic(), self._caller)
+        if not isinstance(data, bytes):
+            return self._ended(data)
+        self.heard_s = time.monotonic()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            # Bytes after a complete response belong to no request.
+            if not self._complete:
+                return Fault.GARBLED
+        return core.Missing.UNSET
+
+    def _send_rest(
+        self, connection: _connection.Connection, until_s: float
+    ) -> Fault | core.Missing:
+        """Sends on; an early response is looked for in between."""
+        while self._unsent:
+            sent = connection.send(self._unsent)
+            if isinstance(sent, _connection.Ended):
+                # A response may have come before the connection broke.
+                self._unsent = b""
+                break
+            self._unsent = self._unsent[sent:]
+            if sent:
+                continue
+            early = connection.receive(0.0, self._caller)
+            if early is _connection.Ended.TIMEOUT:
+                if time.monotonic() >= until_s:
+                    return Fault.SILENT
+                connection.wait_writable(0.02)
+                continue
+            if not isinstance(early, bytes):
+                return self._ended(early)
+            # The rest of the body is not owed once a response has begun; the
+            # connection is closed after it.
+            self._unsent = b""
+            try:
+                self._parser.feed_data(early)
+            except httptools.HttpParserError:
+                if not self._complete:
+                    return Fault.GARBLED
+        return core.Missing.UNSET
+
+    def _ended(self, ended: _connection.Ended) -> Fault | core.Missing:
+        if ended is _connection.Ended.PARTNER_GONE:
+            return Fault.CALLER_GONE
+        if ended is _connection.Ended.TIMEOUT:
+            return Fault.SILENT
+        if self._complete:
+            return core.Missing.UNSET
+        if (
+            ended is _connection.Ended.CLOSED
+            and self._head is not None
+            and self._ends_with_connection
+        ):
+            self._complete = True
+            return core.Missing.UNSET
+        return Fault.NO_ANSWER if self._head is None else Fault.TRUNCATED
+
+    # Callbacks of the parser.
+
+    def on_status(self, reason: bytes) -> None:
+        """Part of the reason phrase."""
+        self._reason += reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """One header."""
+        self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Status and headers are here."""
+        status = self._parser.get_status_code()
+        headers, self._headers = tuple(self._headers), []
+        reason, self._reason = self._reason.decode("latin-1"), b""
+        if self._head is not None or status < 200:
+            return
+        self._head = _messages.ResponseHead(status, reason, headers)
+        names = {key.lower() for key, _ in headers}
+        if self._head_only or status in _NO_BODY:
+            self._complete = True
+        self._ends_with_connection = not names & {
+            "content-length",
+            "transfer-encoding",
+        }
+
+    def on_body(self, body: bytes) -> None:
+        """Part of the body."""
+        if not self._complete:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """The response is complete."""
+        if self._head is not None:
+            self._complete = True
--- a/libs/membership/mulberry_membership/__init__.py
+++ b/libs/membership/mulberry_membership/__init__.py
@@ -8,6 +8,11 @@
     parse_announcement,
 )
 from mulberry_membership._directory import AnnounceOutcome, UpstreamDirectory
+from mulberry_membership._entry_list import (
+    EntryState,
+    entry_list_body,
+    preferred_entries,
+)
 from mulberry_membership._fake_network import FakeNetwork, Faults
 from mulberry_membership._grpc_transport import (
     SERVER_OPTIONS,
@@ -30,6 +35,7 @@
     "AnnounceOutcome",
     "Announcement",
     "Callback",
+    "EntryState",
     "FakeNetwork",
     "Faults",
     "GrpcTransport",
@@ -49,5 +55,7 @@
     "UpstreamDirectory",
     "UpstreamState",
     "add_peers_service",
+    "entry_list_body",
     "parse_announcement",
+    "preferred_entries",
 ]
--- a/libs/membership/mulberry_membership/_announcements.py
+++ b/libs/membership/mulberry_membership/_announcements.py
@@ -63,6 +63,8 @@
     checks_fencing: bool
     #: Seconds for which the announcement holds.
     valid_s: float
+    #: Version of the software that the upstream runs; empty if not told.
+    release: str = ""
 
     @property
     def order(self) -> tuple[int, int]:
--- a/libs/membership/mulberry_membership/_records.py
+++ b/libs/membership/mulberry_membership/_records.py
@@ -15,6 +15,12 @@
     #: Counts of one version at one instance; ids are `INSTANCE/MODEL/VERSION`.
     EVIDENCE = "evidence"
     SUSPICION = "suspicion"
+    #: An instance with a data folder, which may vote; ids are its name.
+    STORAGE = "storage"
+    #: Which instances form the first group of voters.
+    FOUNDING = "founding"
+    #: Counts of a service's versions at one instance; ids are `INSTANCE`.
+    ROLLOUT = "rollout"
 
 
 #: Kinds whose (incarnation, sequence) is not counted by the owner.
--- a/libs/membership/mulberry_membership/_upstreams.py
+++ b/libs/membership/mulberry_membership/_upstreams.py
@@ -41,6 +41,8 @@
     #: report while the load changes by less than the publication threshold,
     #: so an old report of a live upstream is still close to the truth.
     load_age_s: float
+    #: Version of the software that it runs; empty if not told.
+    release: str = ""
 
     def serves(self, model: str, version: str) -> bool:
         """Whether the upstream has this version loaded."""
@@ -59,6 +61,7 @@
         running=announcement.running,
         queued=announcement.queued,
         checks_fencing=announcement.checks_fencing,
+        release=announcement.release,
     )
     for served in announcement.versions:
         payload.versions.add(model=served.model, version=served.version)
@@ -93,4 +96,5 @@
         checks_fencing=payload.checks_fencing,
         home=record.owner,
         load_age_s=load_age_s,
+        release=payload.release,
     )
--- /dev/null
+++ b/libs/routing/mulberry_routing/__init__.py
@@ -0,0 +1,28 @@
+"""Routes, services, teams and limits, as the operator configured them."""
+
+from mulberry_routing._parser import RoutingErrors, RoutingParser
+from mulberry_routing._routes import NO_ROUTE, Route, RouteKind
+from mulberry_routing._services import Engine, EngineModel, Service
+from mulberry_routing._table import (
+    UNKNOWN_KEY,
+    Limits,
+    RoutingTable,
+    Team,
+    hash_key,
+)
+
+__all__ = [
+    "NO_ROUTE",
+    "UNKNOWN_KEY",
+    "Engine",
+    "EngineModel",
+    "Limits",
+    "Route",
+    "RouteKind",
+    "RoutingErrors",
+    "RoutingParser",
+    "RoutingTable",
+    "Service",
+    "Team",
+    "hash_key",
+]
--- /dev/null
+++ b/libs/routing/mulberry_routing/_table.py
@@ -0,0 +1,95 @@
+"""The routing table and its look-ups."""
+
+import dataclasses
+import functools
+import hashlib
+from collections.abc import Mapping
+
+import mulberry_core as core
+from mulberry_routing import _routes, _services
+
+#: Result of a look-up of a key that belongs to no team.
+UNKNOWN_KEY = core.Missing.UNSET
+
+
+@dataclasses.dataclass(frozen=True)
+class Team:
+    """Who calls, known by keys."""
+
+    name: str
+    #: `hash_key` of each of its keys.
+    key_hashes: frozenset[str]
+    #: Takes precedence over the priority of the route; unset for none.
+    priority: int | core.Missing = core.Missing.UNSET
+
+
+@dataclasses.dataclass(frozen=True)
+class Limits:
+    """What a caller may send, and how long it may take or stay idle."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4 << 20
+    #: For a whole header, seconds.
+    header_timeout_s: float = 3.0
+    #: Between two requests of one connection, seconds.
+    idle_timeout_s: float = 15.0
+
+
+@dataclasses.dataclass(frozen=True)
+class RoutingTable:
+    """One version of the operator's routing; immutable."""
+
+    version: int
+    routes: tuple[_routes.Route, ...]
+    services_by_name: Mapping[str, _services.Service]
+    teams_by_name: Mapping[str, Team] = dataclasses.field(default_factory=dict)
+    limits: Limits = Limits()
+
+    def match(self, host: str, path: str) -> _routes.Route | core.Missing:
+        """Returns the route with the longest prefix, `NO_ROUTE` for none.
+
+        Args:
+            host: As in the `Host` header, with or without a port.
+            path: Path of the request target, without the query.
+        """
+        prefixes = self._route_by_prefix_by_host.get(_without_port(host))
+        if not prefixes:
+            return _routes.NO_ROUTE
+        # Every prefix ends with a slash, so only those places can match.
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return _routes.NO_ROUTE
+
+    def team_of(self, key: str) -> Team | core.Missing:
+        """Returns the team that holds a key, `UNKNOWN_KEY` for none."""
+        return self._team_by_key_hash.get(hash_key(key), UNKNOWN_KEY)
+
+    @functools.cached_property
+    def _route_by_prefix_by_host(
+        self,
+    ) -> Mapping[str, Mapping[str, _routes.Route]]:
+        found: dict[str, dict[str, _routes.Route]] = {}
+        for route in self.routes:
+            found.setdefault(route.host.lower(), {})[route.path_prefix] = route
+        return found
+
+    @functools.cached_property
+    def _team_by_key_hash(self) -> Mapping[str, Team]:
+        return {
+            key_hash: team
+            for team in self.teams_by_name.values()
+            for key_hash in team.key_hashes
+        }
+
+
+def hash_key(key: str) -> str:
+    """Returns the form in which a key is kept."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def _without_port(host: str) -> str:
+    name, colon, port = host.rpartition(":")
+    return (name if colon and port.isdigit() else host).lower()
--- a/libs/state/mulberry_state/_caller.py
+++ b/libs/state/mulberry_state/_caller.py
@@ -11,6 +11,8 @@
 #: A voter that takes longer is passed over; the leader answers in
 #: milliseconds, or within a heartbeat after a fault.
 ATTEMPT_TIMEOUT_S = 1.0
+#: Addresses remembered; those of machines that are gone drop out.
+_MAX_ADDRESSES = 16
 
 
 class VoterCaller:
@@ -42,6 +44,16 @@
                 )
             )
 
+    def learn(self, addresses: Iterable[str]) -> None:
+        """Adds addresses that may be those of voters."""
+        with self._lock:
+            self._first_addresses = tuple(
+                dict.fromkeys((*self._first_addresses, *addresses))
+            )[-_MAX_ADDRESSES:]
+            self._addresses = tuple(
+                dict.fromkeys((*self._addresses, *self._first_addresses))
+            )[:_MAX_ADDRESSES]
+
     def note_leader(self, address: str) -> None:
         """Asks this voter first from now on; empty for none."""
         with self._lock:
--- a/libs/state/mulberry_state/_commands.py
+++ b/libs/state/mulberry_state/_commands.py
@@ -194,6 +194,51 @@
     state: OrderState
 
 
+class RolloutPhase(enum.Enum):
+    """Where the rollout of a service stands."""
+
+    RUNNING = "running"
+    COMPLETED = "completed"
+    ROLLED_BACK = "rolled_back"
+
+
+@dataclasses.dataclass(frozen=True)
+class ReplaceRouting:
+    """Replaces the routing document if the version is higher."""
+
+    command_id: str
+    version: int
+    #: As the operator sent it; validated before it is proposed.
+    document: bytes
+    operator: str
+
+
+@dataclasses.dataclass(frozen=True)
+class BeginServiceRollout:
+    """Moves a service to upstreams of another version."""
+
+    command_id: str
+    service: str
+    #: Version to move to.
+    target: str
+    #: Seconds in which the operator wants it done.
+    duration_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class MoveServiceRollout:
+    """Changes the share of a rollout, or ends it."""
+
+    command_id: str
+    service: str
+    #: Of the rollout; a later one is not touched.
+    number: int
+    phase: RolloutPhase
+    #: Share of the sessions that the target gets, 0 to 1.
+    share: float
+    reason: str
+
+
 Command = (
     SubmitRules
     | ClaimCall
@@ -207,6 +252,9 @@
     | ClearStrikes
     | AcquireLease
     | RecordOrder
+    | ReplaceRouting
+    | BeginServiceRollout
+    | MoveServiceRollout
 )
 
 
@@ -362,6 +410,30 @@
     fencing_number: int
 
 
+@dataclasses.dataclass(frozen=True)
+class RoutingReplaced:
+    """A routing document at least as new is in force."""
+
+    #: Version in force.
+    version: int
+    #: Whether the command put it in force.
+    changed: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceRolloutBegun:
+    """The rollout is recorded, now or by an earlier command."""
+
+    number: int
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceRolloutMoved:
+    """The rollout stands as asked for, unless it had ended before."""
+
+    changed: bool
+
+
 Result = (
     RulesAccepted
     | RulesConflict
@@ -386,6 +458,9 @@
     | LeaseHeld
     | OrderRecorded
     | LeaseLost
+    | RoutingReplaced
+    | ServiceRolloutBegun
+    | ServiceRolloutMoved
 )
 
 #: Value of `AdvanceRollout.step` for a roll-out that has not begun or that
--- a/libs/state/mulberry_state/_group.py
+++ b/libs/state/mulberry_state/_group.py
@@ -49,6 +49,10 @@
                 voters=shared.voters.message,
             )
 
+    def form_with(self, first_voters: Mapping[str, str]) -> None:
+        """Names the first voters, if they were not known at the start."""
+        self._first_voters = first_voters
+
     def run_forming(self, stop: threading.Event) -> None:
         """Task: ends once this voter is part of a group."""
         shared = self._shared
--- a/libs/state/mulberry_state/_machine.py
+++ b/libs/state/mulberry_state/_machine.py
@@ -21,6 +21,7 @@
     _ledger,
     _parser,
     _pins,
+    _routing,
     _rulebook,
     _versions,
     _view,
@@ -90,6 +91,7 @@
         self.claims = _claims.Claims()
         self.pins = _pins.Pins()
         self.leases = _leases.Leases()
+        self.routing = _routing.RoutingState()
         self.audit = _audit.AuditTrail()
         self._results = _dedup.ResultTable(_claims.CLAIM_RETENTION_S)
         self._short_results = _dedup.ResultTable(SHORT_RETENTION_S)
@@ -107,6 +109,9 @@
             _commands.ClearStrikes: self._clear_strikes,
             _commands.AcquireLease: self._acquire_lease,
             _commands.RecordOrder: self._record_order,
+            _commands.ReplaceRouting: self._replace_routing,
+            _commands.BeginServiceRollout: self._begin_service_rollout,
+            _commands.MoveServiceRollout: self._move_service_rollout,
         }
 
     @property
@@ -191,6 +196,7 @@
         self.claims.write(out)
         self.pins.write(out)
         self.leases.write(out)
+        self.routing.write(out)
         self.audit.write(out)
         self._results.write(out.results)
         self._short_results.write(out.short_results)
@@ -225,6 +231,7 @@
         self.claims.restore(source.claims)
         self.pins.restore(source.pins)
         self.leases.restore(source)
+        self.routing.restore(source)
         self.audit.restore(source.audit)
         self._results.restore(source.results)
         self._short_results.restore(source.short_results)
@@ -259,7 +266,8 @@
     def _build_view(self) -> None:
         _invariants.require(
             self._revision >= self._view.revision
-            and self.rulebook.number >= self._view.rules_number,
+            and self.rulebook.number >= self._view.rules_number
+            and self.routing.document.version >= self._view.routing.version,
             "the view would go back",
         )
         versions = self.versions
@@ -275,6 +283,8 @@
                 for digest in versions.strikes_by_digest
             },
             voters_by_name=dict(self._voters_by_name),
+            routing=self.routing.document,
+            service_rollouts_by_service=dict(self.routing.rollout_by_service),
         )
 
     def _note(self, who: str, what: str, in_view: bool = False) -> None:
@@ -461,3 +471,43 @@
                 f"{command.state.value}",
             )
         return result
+
+    def _replace_routing(
+        self, command: _commands.ReplaceRouting
+    ) -> _commands.Result:
+        result = self.routing.replace(command)
+        if result.changed:
+            self._change_view()
+            self._note(
+                command.operator, f"routing {command.version}", in_view=True
+            )
+        return result
+
+    def _begin_service_rollout(
+        self, command: _commands.BeginServiceRollout
+    ) -> _commands.Result:
+        result, changed = self.routing.begin(command)
+        if changed:
+            self._change_view()
+            self._note(
+                "operator",
+                f"rollout {result.number} of {command.service} to "
+                f"{command.target} within {command.duration_s:g} s",
+                in_view=True,
+            )
+        return result
+
+    def _move_service_rollout(
+        self, command: _commands.MoveServiceRollout
+    ) -> _commands.Result:
+        result = self.routing.move(command)
+        if result.changed:
+            self._change_view()
+            self._note(
+                "roll-out",
+                f"rollout {command.number} of {command.service} "
+                f"{command.phase.value}, share {command.share:.2f}: "
+                f"{command.reason}",
+                in_view=True,
+            )
+        return result
--- a/libs/state/mulberry_state/_node.py
+++ b/libs/state/mulberry_state/_node.py
@@ -2,7 +2,7 @@
 
 import pathlib
 import threading
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import grpc
 from absl import logging
@@ -23,6 +23,7 @@
     _rulebook,
     _service,
     _shared,
+    _upkeep,
 )
 from mulberry_wire import log_pb2_grpc, state_pb2_grpc
 
@@ -33,6 +34,8 @@
 _EFFECT_PERIOD_S = 0.5
 _IDLE_PERIOD_S = 5.0
 _MARK_TIMEOUT_S = 2.0
+#: Marking changes in effect, and the upkeep of the voters.
+_MAX_TASKS = 2
 
 
 class StateNode:
@@ -85,7 +88,7 @@
             timing,
         )
         self.holders = _holders.Holders(clock, timing.lease_term_s)
-        self._pool = core.TaskPool(f"state-{name}", 1)
+        self._pool = core.TaskPool(f"state-{name}", _MAX_TASKS)
         #: Set when a lease was renewed while a change is not in effect.
         self.effect_event = threading.Event()
 
@@ -103,6 +106,41 @@
         self.replica.start()
         self._pool.spawn("in effect", self._run_effect)
 
+    def form_with(self, first_voters: Mapping[str, str]) -> None:
+        """Names the first voters, if they were not known at the start."""
+        self.replica.group.form_with(first_voters)
+
+    def keep_voters(
+        self,
+        get_candidates: Callable[[], Mapping[str, _upkeep.Candidate]],
+        min_voters: int,
+    ) -> None:
+        """Adds and replaces voters from now on, while this voter leads.
+
+        Args:
+            get_candidates: Returns the living instances with a data folder.
+            min_voters: See `next_change`.
+        """
+        upkeep = _upkeep.VoterUpkeep(
+            self.replica.shared,
+            self.replica.group,
+            self._voters,
+            get_candidates,
+            min_voters,
+        )
+        self._pool.spawn("voters", upkeep.run)
+
+    @property
+    def candidate(self) -> _upkeep.Candidate:
+        """What the leader needs to let this instance vote."""
+        shared = self.replica.shared
+        return _upkeep.Candidate(shared.name, shared.address, shared.identity)
+
+    @property
+    def leads(self) -> bool:
+        """Whether this voter believes that it leads."""
+        return self.replica.shared.role is _shared.Role.LEADER
+
     def stop(self, transfer_timeout_s: float = 2.0) -> None:
         """Hands leadership over, ends all tasks and closes the folder.
 
--- a/libs/state/mulberry_state/_remote.py
+++ b/libs/state/mulberry_state/_remote.py
@@ -139,6 +139,7 @@
                     instance=self._instance,
                     revision=view.revision,
                     rules_number=view.rules_number,
+                    routing_version=view.routing.version,
                 ),
                 attempt_s,
             )
--- /dev/null
+++ b/libs/state/mulberry_state/_routing.py
@@ -0,0 +1,116 @@
+"""The operator's routing document and the rollouts of services."""
+
+import zlib
+from typing import Any
+
+from mulberry_state import _codec, _commands, _invariants, _view
+
+#: Routing documents repeat their field names; level 1 already shrinks a
+#: document of 350 routes by a factor of about ten.
+_ZLIB_LEVEL = 1
+
+
+class RoutingState:
+    """What commands change; part of the state machine."""
+
+    def __init__(self) -> None:
+        self.document = _view.NO_ROUTING
+        self.rollout_by_service: dict[str, _view.ServiceRollout] = {}
+
+    def replace(
+        self, command: _commands.ReplaceRouting
+    ) -> _commands.RoutingReplaced:
+        """Takes a document of a higher version; another changes nothing."""
+        changed = command.version > self.document.version
+        if changed:
+            self.document = _view.RoutingDocument(
+                command.version, command.document
+            )
+        return _commands.RoutingReplaced(self.document.version, changed)
+
+    def begin(
+        self, command: _commands.BeginServiceRollout
+    ) -> tuple[_commands.ServiceRolloutBegun, bool]:
+        """Records a rollout; the one that is recorded is begun once only."""
+        old = self.rollout_by_service.get(command.service)
+        if old and old.target == command.target:
+            return _commands.ServiceRolloutBegun(old.number), False
+        number = old.number + 1 if old else 1
+        self.rollout_by_service[command.service] = _view.ServiceRollout(
+            number,
+            command.target,
+            command.duration_s,
+            _commands.RolloutPhase.RUNNING,
+            0.0,
+            "ordered",
+        )
+        return _commands.ServiceRolloutBegun(number), True
+
+    def move(
+        self, command: _commands.MoveServiceRollout
+    ) -> _commands.ServiceRolloutMoved:
+        """Changes a running rollout; one that has ended stays as it is."""
+        old = self.rollout_by_service.get(command.service)
+        if (
+            old is None
+            or old.number != command.number
+            or old.phase is not _commands.RolloutPhase.RUNNING
+        ):
+            return _commands.ServiceRolloutMoved(False)
+        self.rollout_by_service[command.service] = _view.ServiceRollout(
+            old.number,
+            old.target,
+            old.duration_s,
+            command.phase,
+            command.share,
+            command.reason,
+        )
+        return _commands.ServiceRolloutMoved(True)
+
+    def write(self, snapshot: Any) -> None:
+        """Copies the state into a snapshot."""
+        fill_document(self.document, snapshot.routing)
+        fill_rollouts(
+            self.rollout_by_service, snapshot.service_rollouts_by_service
+        )
+
+    def restore(self, snapshot: Any) -> None:
+        """Replaces the state by that of a snapshot."""
+        document = read_document(snapshot.routing)
+        _invariants.require(
+            document.version >= self.document.version,
+            "the routing document would go back",
+        )
+        self.document = document
+        self.rollout_by_service = read_rollouts(
+            snapshot.service_rollouts_by_service
+        )
+
+
+def fill_document(document: _view.RoutingDocument, target: Any) -> None:
+    """Copies a document into its message."""
+    target.version = document.version
+    target.packed = zlib.compress(document.document, _ZLIB_LEVEL)
+
+
+def read_document(source: Any) -> _view.RoutingDocument:
+    """Reads a document from its message."""
+    if not source.packed:
+        return _view.RoutingDocument(source.version, b"")
+    return _view.RoutingDocument(source.version, zlib.decompress(source.packed))
+
+
+def fill_rollouts(
+    rollouts: dict[str, _view.ServiceRollout], target: Any
+) -> None:
+    """Copies rollouts into a map field."""
+    for service, rollout in rollouts.items():
+        _codec.fill(rollout, target[service])
+
+
+def read_rollouts(source: Any) -> dict[str, _view.ServiceRollout]:
+    """Reads rollouts by service."""
+    return {
+        service: _codec.read(_view.ServiceRollout, message)
+        for service, message in source.items()
+    }
--- a/libs/state/mulberry_state/_service.py
+++ b/libs/state/mulberry_state/_service.py
@@ -153,7 +153,9 @@
             granted=True, leader_address=self._leader_address()
         )
         if request.revision != view.revision:
-            message = _view_codec.encode_view(view, request.rules_number)
+            message = _view_codec.encode_view(
+                view, request.rules_number, request.routing_version
+            )
             reply.view.CopyFrom(message)
         return reply
 
--- a/libs/state/mulberry_state/_view.py
+++ b/libs/state/mulberry_state/_view.py
@@ -29,6 +29,34 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True)
+class RoutingDocument:
+    """The operator's routing document in force; opaque here."""
+
+    #: 0 before the first.
+    version: int
+    document: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceRollout:
+    """Where the rollout of a service stands."""
+
+    #: Counts the rollouts of the service.
+    number: int
+    #: Version to move to.
+    target: str
+    #: Seconds in which the operator wants it done.
+    duration_s: float
+    phase: _commands.RolloutPhase
+    #: Share of the sessions that the target gets, 0 to 1.
+    share: float
+    reason: str
+
+
+NO_ROUTING = RoutingDocument(0, b"")
+
+
 @dataclasses.dataclass(frozen=True)
 class View:
     """A consistent, immutable picture of the small state."""
@@ -45,6 +73,10 @@
     strikes_by_digest: Mapping[str, int]
     #: gRPC address by instance name.
     voters_by_name: Mapping[str, str]
+    routing: RoutingDocument = NO_ROUTING
+    service_rollouts_by_service: Mapping[str, ServiceRollout] = (
+        dataclasses.field(default_factory=dict)
+    )
 
 
 EMPTY_VIEW = View(
--- a/libs/state/mulberry_state/_view_codec.py
+++ b/libs/state/mulberry_state/_view_codec.py
@@ -2,14 +2,14 @@
 
 import mulberry_core as core
 import mulberry_rules as rules
-from mulberry_state import _parser, _versions, _view
+from mulberry_state import _parser, _routing, _versions, _view
 from mulberry_wire import state_pb2
 
 
 def encode_view(
-    view: _view.View, known_rules_number: int
+    view: _view.View, known_rules_number: int, known_routing_version: int = 0
 ) -> state_pb2.ViewMessage:
-    """Returns the message of a view, without rules that are known."""
+    """Returns the message of a view, without documents that are known."""
     message = state_pb2.ViewMessage(
         revision=view.revision,
         rules_number=view.rules_number,
@@ -18,6 +18,14 @@
     )
     if view.rules_number != known_rules_number:
         message.rules_text = view.rules_text
+    if view.routing.version != known_routing_version:
+        _routing.fill_document(view.routing, message.routing)
+    else:
+        message.routing.version = view.routing.version
+    _routing.fill_rollouts(
+        dict(view.service_rollouts_by_service),
+        message.service_rollouts_by_service,
+    )
     _versions.fill_verdicts(view.verdicts_by_version, message.verdicts)
     _versions.fill_rollouts(view.rollout_steps_by_model, message.rollouts)
     return message
@@ -43,6 +51,9 @@
                 f"rules {message.rules_number} cannot be parsed: {result[0]}"
             )
         parsed = result
+    routing = known.routing
+    if message.routing.version != known.routing.version:
+        routing = _routing.read_document(message.routing)
     return _view.View(
         revision=message.revision,
         rules_number=message.rules_number,
@@ -52,4 +63,8 @@
         rollout_steps_by_model=_versions.read_rollouts(message.rollouts),
         strikes_by_digest=dict(message.strikes_by_digest),
         voters_by_name=dict(message.voters_by_name),
+        routing=routing,
+        service_rollouts_by_service=_routing.read_rollouts(
+            message.service_rollouts_by_service
+        ),
     )
--- /dev/null
+++ b/libs/state/mulberry_state/tests/test_upkeep.py
@@ -0,0 +1,91 @@
+"""Voters are kept complete without a command.
+
+Guards against a group that loses its tolerance after a lost disk or a
+replaced machine, because nobody is there to run `voters replace`.
+"""
+
+import pytest
+
+import mulberry_core as core
+from mulberry_state import _reports, _upkeep
+
+_NONE = core.Missing.UNSET
+
+
+def _voter(name: str, silent_s: float = 0.0) -> _reports.VoterStatus:
+    return _reports.VoterStatus(name, f"{name}:1", f"id-{name}", 9, silent_s)
+
+
+def _candidates(*names: str) -> dict[str, _upkeep.Candidate]:
+    return {
+        name: _upkeep.Candidate(name, f"{name}:1", f"id-{name}")
+        for name in names
+    }
+
+
+_LOST_S = _upkeep.LOST_AFTER_S + 0.1
+
+
+@pytest.mark.parametrize(
+    ("voters", "candidates", "wanted"),
+    [
+        pytest.param(
+            [_voter("a"), _voter("b"), _voter("c")],
+            _candidates("a", "b", "c"),
+            _NONE,
+            id="complete",
+        ),
+        pytest.param(
+            [_voter("a"), _voter("b"), _voter("c", _LOST_S)],
+            _candidates("a", "b"),
+            _NONE,
+            id="lost without a replacement: kept, it may come back",
+        ),
+        pytest.param(
+            [_voter("a"), _voter("b"), _voter("c", _LOST_S)],
+            _candidates("a", "b", "d"),
+            ("d", "c"),
+            id="lost, and another machine came",
+        ),
+        pytest.param(
+            [_voter("a"), _voter("b"), _voter("c")],
+            _candidates("a", "b", "c", "d"),
+            ("d", ""),
+            id="planned replacement: the new one comes first",
+        ),
+        pytest.param(
+            [_voter("a"), _voter("b"), _voter("c", _LOST_S), _voter("d")],
+            _candidates("a", "b", "d"),
+            (_NONE, "c"),
+            id="planned replacement: the old one is gone",
+        ),
+        pytest.param(
+            [_voter("a"), _voter("b"), _voter("c", _LOST_S)],
+            {
+                **_candidates("a", "b"),
+                "c": _upkeep.Candidate("c", "c:1", "id-other"),
+            },
+            ("c", "c"),
+            id="emptied disk at the same address",
+        ),
+        pytest.param(
+            [_voter("a", _LOST_S), _voter("b"), _voter("c"), _voter("d")],
+            _candidates("b", "c", "d"),
+            _NONE,
+            id="the leader never removes itself",
+        ),
+    ],
+)
+def test_next_change(
+    voters: list[_reports.VoterStatus],
+    candidates: dict[str, _upkeep.Candidate],
+    wanted: tuple[str | core.Missing, str] | core.Missing,
+) -> None:
+    change = _upkeep.next_change(voters, candidates, 3, "a")
+    if isinstance(change, core.Missing):
+        assert wanted is _NONE
+        return
+    added = (
+        change.add.name if isinstance(change.add, _upkeep.Candidate) else _NONE
+    )
+    assert (added, change.remove) == wanted
--- a/libs/upstream/mulberry_upstream/__init__.py
+++ b/libs/upstream/mulberry_upstream/__init__.py
@@ -1,5 +1,6 @@
 """Client of upstreams, answer checks and the send gate."""
 
+from mulberry_core import SseSplitter
 from mulberry_upstream._adapter import (
     ChatAnswer,
     ChatEngineAdapter,
@@ -37,7 +38,6 @@
     ServiceAnswer,
     ServiceRequest,
 )
-from mulberry_upstream._sse import SseSplitter
 from mulberry_upstream._transfer import HandlePool
 
 __all__ = [
--- a/libs/upstream/mulberry_upstream/_adapter.py
+++ b/libs/upstream/mulberry_upstream/_adapter.py
@@ -13,7 +13,6 @@
     _gate,
     _loop,
     _send_record,
-    _sse,
     _transfer,
 )
 
@@ -272,7 +271,7 @@
         self._transfer = transfer
         self._attempt = attempt
         self._first = first
-        self._splitter = _sse.SseSplitter()
+        self._splitter = core.SseSplitter()
         self._outcome: ChatOutcome | None = None
         given = request.checker
         self._checker = (
