Decide rollouts of services on the evidence of all entries

Each instance counts answers by version and route and publishes them; the leader moves the share, completes or takes the version back.

--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -82,6 +82,15 @@
     RolloutState,
     TimedSteps,
 )
+from mulberry_decisions._rollout_plan import (
+    AnswerCounts,
+    RolloutDecision,
+    RolloutEvidence,
+    RolloutPlan,
+    RolloutVerdict,
+    find_fault,
+    may_change_version,
+)
 from mulberry_decisions._sequential_judge import (
     SequentialJudge,
 )
@@ -149,6 +158,7 @@
     "VERSION_CHOOSERS",
     "VERSION_JUDGES",
     "Admission",
+    "AnswerCounts",
     "Attempt",
     "CacheEvent",
     "ConfidenceLadder",
@@ -195,7 +205,11 @@
     "RetryBudget",
     "RolloutAdvancer",
     "RolloutAdvice",
+    "RolloutDecision",
+    "RolloutEvidence",
+    "RolloutPlan",
     "RolloutState",
+    "RolloutVerdict",
     "RoundRobin",
     "Rung",
     "SequentialJudge",
@@ -222,4 +236,6 @@
     "VersionJudge",
     "VersionOffer",
     "Work",
+    "find_fault",
+    "may_change_version",
 ]
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/tests/test_rollout_plan.py
@@ -0,0 +1,104 @@
+"""Rollouts of services: bad versions are taken back, good ones complete."""
+
+import random
+
+import pytest
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+
+_SHARE = 0.15
+_DURATION_S = 24.0
+
+
+def _evidence(
+    target: tuple[int, int], others: tuple[int, int]
+) -> decisions.RolloutEvidence:
+    return decisions.RolloutEvidence(
+        {"chat": decisions.AnswerCounts(*target)},
+        {"chat": decisions.AnswerCounts(*others)},
+    )
+
+
+@pytest.mark.parametrize(
+    ("elapsed_s", "share", "target", "verdict", "wanted"),
+    [
+        (0.0, 0.0, (0, 0), decisions.RolloutVerdict.MOVE, _SHARE * 0.7),
+        (12.1, 0.1, (20, 0), decisions.RolloutVerdict.MOVE, 0.3),
+        (16.0, 0.6, (60, 0), decisions.RolloutVerdict.MOVE, 1.0),
+        (20.5, 1.0, (99, 0), decisions.RolloutVerdict.COMPLETE, 1.0),
+        (3.0, 0.1, (6, 5), decisions.RolloutVerdict.ROLL_BACK, 0.0),
+    ],
+)
+def test_steps(
+    elapsed_s: float,
+    share: float,
+    target: tuple[int, int],
+    verdict: decisions.RolloutVerdict,
+    wanted: float,
+) -> None:
+    plan = decisions.RolloutPlan(_SHARE)
+    decision = plan.decide(
+        share, elapsed_s, _DURATION_S, _evidence(target, (500, 2))
+    )
+    assert isinstance(decision, decisions.RolloutDecision)
+    assert decision.verdict is verdict
+    assert decision.share == pytest.approx(wanted)
+
+
+def test_no_more_traffic_without_evidence() -> None:
+    plan = decisions.RolloutPlan(_SHARE)
+    decision = plan.decide(0.2, 12.5, _DURATION_S, _evidence((3, 0), (500, 2)))
+    assert decision is core.Missing.UNSET
+
+
+def test_a_fault_on_one_route_is_found_among_good_ones() -> None:
+    evidence = decisions.RolloutEvidence(
+        {
+            "chat": decisions.AnswerCounts(90, 0),
+            "tags": decisions.AnswerCounts(9, 5),
+        },
+        {
+            "chat": decisions.AnswerCounts(900, 0),
+            "tags": decisions.AnswerCounts(90, 1),
+        },
+    )
+    assert decisions.find_fault(evidence).startswith("tags")
+
+
+@pytest.mark.parametrize("usual_share", [0.0, 0.02, 0.14])
+def test_sound_versions_are_seldom_taken_back(usual_share: float) -> None:
+    """A false alarm costs the operator a rollout: at most one in 100."""
+    rng = random.Random(7)
+    alarms = 0
+    for _ in range(400):
+        target = others = decisions.AnswerCounts()
+        for _ in range(200):
+            others += decisions.AnswerCounts(5, _bad(rng, 5, usual_share))
+            target += decisions.AnswerCounts(1, _bad(rng, 1, usual_share))
+            evidence = decisions.RolloutEvidence(
+                {"chat": target}, {"chat": others}
+            )
+            if decisions.find_fault(evidence):
+                alarms += 1
+                break
+    assert alarms <= 4
+
+
+@pytest.mark.parametrize("bad_share", [0.32, 0.5])
+def test_bad_versions_are_found_within_the_slack(bad_share: float) -> None:
+    """The exposure bound leaves 30 requests beyond the share."""
+    rng = random.Random(8)
+    for _ in range(100):
+        target = decisions.AnswerCounts()
+        others = decisions.AnswerCounts(100, 1)
+        while not decisions.find_fault(
+            decisions.RolloutEvidence({"chat": target}, {"chat": others})
+        ):
+            target += decisions.AnswerCounts(1, _bad(rng, 1, bad_share))
+            others += decisions.AnswerCounts(9, 0)
+        assert target.answers <= 45
+
+
+def _bad(rng: random.Random, answers: int, share: float) -> int:
+    return sum(rng.random() < share for _ in range(answers))
--- a/libs/gateway/mulberry_gateway/_exchange.py
+++ b/libs/gateway/mulberry_gateway/_exchange.py
@@ -53,6 +53,12 @@
     #: Id of the last whole event that was forwarded; empty before the first.
     last_event_id: str = ""
 
+    @property
+    def session(self) -> str:
+        """Names the session on its route; empty for none."""
+        session = self.facts.session
+        return f"{self.route.name}/{session}" if session else ""
+
     @property
     def tried(self) -> frozenset[str]:
         """Names of the upstreams that failed it."""
--- a/libs/gateway/mulberry_gateway/_forwarder.py
+++ b/libs/gateway/mulberry_gateway/_forwarder.py
@@ -15,7 +15,9 @@
     _messages,
     _model_choice,
     _placing,
+    _releases,
     _request_reader,
+    _rollout_watch,
     _routing_book,
     _stream_relay,
     _upstream_call,
@@ -41,9 +43,8 @@
     models: _model_choice.ModelChoice
     dialect: _dialect.Dialect
     retries: decisions.RetryBudget
-    #: Told of each finished attempt: service, version, whether it was good,
-    #: seconds to the head of the answer.
-    observe: Callable[[str, str, bool, float], None]
+    watch: _rollout_watch.RolloutWatch
+    releases: _releases.Releases
 
 
 @dataclasses.dataclass(frozen=True)
@@ -169,6 +170,7 @@
         """Tries upstreams until one answers; returns whether to keep."""
         self._parts.retries.request_started(_work(exchange))
         kept = self._try_upstreams(exchange)
+        self._parts.releases.request_ended(exchange.service, exchange.session)
         self._finish(exchange)
         return kept
 
@@ -317,7 +319,7 @@
             exchange.route.kind is routing.RouteKind.STREAMING
             and head.status < 300
         ):
-            parts.observe(exchange.service, release, True, took_s)
+            parts.watch.observe(exchange, release, True, took_s)
             parts.placer.health.succeeded(attempt.upstream)
             return self._relay_stream(exchange, attempt, call, head, release)
         body = call.read_body(self._left_s(exchange))
@@ -331,7 +333,7 @@
             head.reason,
         )
         good = head.status < 500 and not exchange.answered
-        parts.observe(exchange.service, release, good, took_s)
+        parts.watch.observe(exchange, release, good, took_s)
         if good:
             parts.placer.health.succeeded(attempt.upstream)
             return self._send_answer(exchange, answer)
@@ -387,9 +389,9 @@
         if fault not in _upstream_call.NOT_SENT:
             exchange.note_run(core.RunState.UNKNOWN)
         _HEALTH_NOTE[fault](parts.placer.health, attempt.upstream)
-        if fault is not _upstream_call.Fault.CALLER_GONE:
-            parts.observe(
-                exchange.service,
+        if fault not in _NOT_THE_VERSIONS_FAULT:
+            parts.watch.observe(
+                exchange,
                 release,
                 False,
                 parts.clock.now() - attempt.began_s,
@@ -556,6 +558,12 @@
 }
 
 
+#: Say nothing of the version that an upstream runs.
+_NOT_THE_VERSIONS_FAULT = _upstream_call.NOT_SENT | {
+    _upstream_call.Fault.CALLER_GONE
+}
+
+
 def _ignore(health: decisions.UpstreamHealth, name: str) -> None:
     del health, name
 
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -24,6 +24,7 @@
     _model_choice,
     _placing,
     _releases,
+    _rollout_watch,
     _routing_book,
     _settings,
 )
@@ -101,12 +102,23 @@
             self.client, self.directory, self.membership, log
         )
         catalog = _catalog.Catalog(self.directory, self.membership, clock, log)
-        placer = _placing.Placer(
-            settings.zone,
-            catalog,
-            _releases.Releases(self.client, clock),
+        self._watch = _rollout_watch.RolloutWatch(
+            settings.name,
+            self.client,
+            self._node,
+            self.membership,
+            decisions.RolloutPlan(settings.bounds.exposure_share),
+            clock,
+            log,
+        )
+        releases = _releases.Releases(
+            self.client,
+            self._watch,
+            self.membership,
+            settings.bounds.session_s,
             clock,
         )
+        placer = _placing.Placer(settings.zone, catalog, releases, clock)
         self.parts = _forwarder.GatewayParts(
             zone=settings.zone,
             clock=clock,
@@ -122,7 +134,8 @@
                 settings.bounds.retry_ratio * _RETRY_SHARE_USED,
                 _MAX_SAVED_RETRIES,
             ),
-            observe=_ignore_observation,
+            watch=self._watch,
+            releases=releases,
         )
         self._entry = _listener.Listener(
             "entry",
@@ -155,6 +168,7 @@
         self.membership.start(self.timers)
         self._founding.start(self.timers)
         self.directory.start(self.timers)
+        self._watch.start()
         self._entry.start()
         self._publish_entry()
         self.timers.every(1.0, self._publish_entry, "entry")
@@ -256,9 +270,3 @@
     def metrics(self) -> str:
         """Returns counters and gauges as text, one a line."""
         return json.dumps(self.counters.snapshot())
-
-
-def _ignore_observation(
-    service: str, release: str, good: bool, took_s: float
-) -> None:
-    del service, release, good, took_s
--- a/libs/gateway/mulberry_gateway/_placing.py
+++ b/libs/gateway/mulberry_gateway/_placing.py
@@ -80,7 +80,9 @@
             and upstream.name not in exchange.tried
         ]
         allowed = self._releases.filter(
-            exchange.service, exchange.facts.session, ready
+            exchange.service,
+            exchange.session or exchange.facts.request_id,
+            ready,
         )
         healthy = [
             upstream
--- a/libs/gateway/mulberry_gateway/_releases.py
+++ b/libs/gateway/mulberry_gateway/_releases.py
@@ -5,21 +5,44 @@
 from collections.abc import Mapping, Sequence
 
 import mulberry_core as core
+import mulberry_decisions as decisions
 import mulberry_membership as membership
 import mulberry_state as state
+from mulberry_gateway import _rollout_watch
 
 #: Buckets that sessions are spread over for shares of a rollout.
 _BUCKETS = 1_000
 #: A version that appears beside others is held back for this long, so that
 #: the order that brings it can arrive first. Seconds.
 HOLD_BACK_S = 2.0
+#: How long a note on a session is ahead of the rule's time, seconds: notes
+#: need a moment to reach the other instances.
+_NOTE_MARGIN_S = 0.5
+#: A request that runs keeps its session's note for this long, seconds.
+_RUNNING_S = 20.0
 
 
 class Releases:
-    """Filters upstreams by the rollouts of the replicated view."""
+    """Filters upstreams by the rollouts of the replicated view.
 
-    def __init__(self, client: state.StateClient, clock: core.Clock) -> None:
+    In the first half of a rollout only sessions that were idle move to the
+    target. Instances tell each other, by short-lived notes, which version
+    the sessions in question have met; these are the small share that the
+    target may get at most.
+    """
+
+    def __init__(
+        self,
+        client: state.StateClient,
+        watch: _rollout_watch.RolloutWatch,
+        soft_state: membership.SoftState,
+        session_s: float,
+        clock: core.Clock,
+    ) -> None:
         self._client = client
+        self._watch = watch
+        self._soft_state = soft_state
+        self._session_s = session_s
         self._clock = clock
         self._lock = threading.Lock()
         #: `Clock.now` when each version was first seen, by service.
@@ -42,18 +65,106 @@
         """
         versions = {upstream.release for upstream in upstreams}
         rollout = self._client.view().service_rollouts_by_service.get(service)
-        if len(versions) < 2 and rollout is None:
-            self._note(service, versions)
-            return upstreams
         if rollout is None:
+            if len(versions) < 2:
+                self._note_seen(service, versions)
+                return upstreams
             wanted = self._settled(service, versions)
+        elif rollout.phase is state.RolloutPhase.RUNNING:
+            wanted = self._running(service, session, rollout, versions)
         else:
-            wanted = _by_rollout(rollout, session, versions)
+            wanted = _ended(rollout, versions)
         return [
             upstream for upstream in upstreams if upstream.release in wanted
         ]
 
-    def _note(self, service: str, versions: set[str]) -> Mapping[str, float]:
+    def request_ended(self, service: str, session: str) -> None:
+        """Lets the note on a session run out after the rule's time."""
+        running = self._watch.running(service)
+        if running is None or not session:
+            return
+        rollout, age_s = running
+        if decisions.may_change_version(age_s, rollout.duration_s):
+            return
+        record = self._soft_state.latest(
+            membership.RecordKind.SESSION, _note_id(service, rollout, session)
+        )
+        if not isinstance(record, core.Missing) and not record.removed:
+            self._write_note(
+                service,
+                rollout,
+                session,
+                record.payload.decode(),
+                self._session_s + _NOTE_MARGIN_S,
+            )
+
+    def _running(
+        self,
+        service: str,
+        session: str,
+        rollout: state.ServiceRollout,
+        versions: set[str],
+    ) -> set[str]:
+        others = versions - {rollout.target}
+        target = versions & {rollout.target}
+        if not others or not target:
+            return versions
+        salt = f"{service}/{rollout.target}/{rollout.number}"
+        point = core.bucket(session, salt, _BUCKETS) / _BUCKETS
+        if point >= rollout.share:
+            return others
+        running = self._watch.running(service)
+        if running is None or decisions.may_change_version(
+            running[1], rollout.duration_s
+        ):
+            return target
+        return target if self._may_begin(service, session, running) else others
+
+    def _may_begin(
+        self,
+        service: str,
+        session: str,
+        running: tuple[state.ServiceRollout, float],
+    ) -> bool:
+        """Whether the session is on the target, or idle and moves to it."""
+        rollout, age_s = running
+        note_id = _note_id(service, rollout, session)
+        noted = self._soft_state.records(membership.RecordKind.SESSION).get(
+            note_id
+        )
+        if noted is not None:
+            moves = noted.payload == b"target"
+        else:
+            # Before, requests of this session may have run without a note.
+            moves = age_s > self._session_s + 2 * _NOTE_MARGIN_S
+        self._write_note(
+            service,
+            rollout,
+            session,
+            "target" if moves else "other",
+            _RUNNING_S,
+        )
+        return moves
+
+    def _write_note(
+        self,
+        service: str,
+        rollout: state.ServiceRollout,
+        session: str,
+        version: str,
+        ttl_s: float,
+    ) -> None:
+        self._soft_state.publish(
+            membership.RecordKind.SESSION,
+            _note_id(service, rollout, session),
+            version.encode(),
+            ttl_s=ttl_s,
+            urgent=True,
+        )
+
+    def _note_seen(
+        self, service: str, versions: set[str]
+    ) -> Mapping[str, float]:
         now_s = self._clock.now()
         with self._lock:
             seen_s = self._seen_s[service]
@@ -63,7 +174,7 @@
 
     def _settled(self, service: str, versions: set[str]) -> set[str]:
         """Returns the versions that were there before the newest came."""
-        seen_s = self._note(service, versions)
+        seen_s = self._note_seen(service, versions)
         first_s = min(seen_s[version] for version in versions)
         now_s = self._clock.now()
         return {
@@ -74,17 +185,12 @@
         }
 
 
-def _by_rollout(
-    rollout: state.ServiceRollout, session: str, versions: set[str]
-) -> set[str]:
+def _ended(rollout: state.ServiceRollout, versions: set[str]) -> set[str]:
     others = versions - {rollout.target}
     if rollout.phase is state.RolloutPhase.ROLLED_BACK:
         return others
-    if rollout.phase is state.RolloutPhase.COMPLETED:
-        return {rollout.target} & versions or others
-    if not others:
-        return versions
-    salt = f"{rollout.target}/{rollout.number}"
-    if core.bucket(session, salt, _BUCKETS) < rollout.share * _BUCKETS:
-        return {rollout.target} & versions or others
-    return others
+    return {rollout.target} & versions or others
+
+
+def _note_id(service: str, rollout: state.ServiceRollout, session: str) -> str:
+    return f"{service}/{rollout.number}/{session}"
--- a/libs/membership/mulberry_membership/_records.py
+++ b/libs/membership/mulberry_membership/_records.py
@@ -21,6 +21,9 @@
     FOUNDING = "founding"
     #: Counts of a service's versions at one instance; ids are `INSTANCE`.
     ROLLOUT = "rollout"
+    #: Which version a session has met during a rollout; ids are
+    #: `SERVICE/ROLLOUT/SESSION`.
+    SESSION = "session"
 
 
 #: Kinds whose (incarnation, sequence) is not counted by the owner.
