--- /dev/null
+++ b/libs/gateway/mulberry_gateway/tests/test_upstream_call.py
@@ -0,0 +1,154 @@
+"""Answers of upstreams: whole, or known not to be."""
+
+import socket
+import threading
+from collections.abc import Callable
+
+import pytest
+
+import mulberry_core as core
+import mulberry_gateway as gateway
+from mulberry_gateway import _upstream_call
+
+Fault = _upstream_call.Fault
+_REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+def _serve(act: Callable[[socket.socket], None]) -> str:
+    """Accepts one connection, reads the request and acts on it."""
+    server = socket.create_server(("127.0.0.1", 0))
+
+    def run() -> None:
+        connection, _ = server.accept()
+        connection.recv(65_536)
+        act(connection)
+        connection.close()
+        server.close()
+
+    threading.Thread(target=run, daemon=True).start()
+    host, port = server.getsockname()
+    return f"{host}:{port}"
+
+
+def _caller() -> tuple[gateway.Connection, socket.socket]:
+    host = socket.create_server(("127.0.0.1", 0))
+    remote = socket.create_connection(host.getsockname())
+    accepted, _ = host.accept()
+    host.close()
+    return gateway.Connection(accepted), remote
+
+
+def _reset(connection: socket.socket) -> None:
+    connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00"
+    )
+    connection.close()
+
+
+def _answer(data: bytes, then_reset: bool = False) -> bytes | Fault:
+    def act(connection: socket.socket) -> None:
+        connection.sendall(data)
+        if then_reset:
+            _reset(connection)
+
+    caller, remote = _caller()
+    call = _upstream_call.UpstreamCall(_serve(act), caller)
+    assert call.send(_REQUEST, head_only=False) is core.Missing.UNSET
+    head = call.read_head(1.0)
+    result = head if isinstance(head, Fault) else call.read_body(1.0)
+    call.close()
+    caller.close()
+    remote.close()
+    return result
+
+
+@pytest.mark.parametrize(
+    ("data", "then_reset", "wanted"),
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", False, b"ab"),
+        (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabEXTRA BYTES",
+            False,
+            b"ab",
+        ),
+        (
+            b"HTTP/1.1 100 Continue\r\n\r\n"
+            b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
+            False,
+            b"a",
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"1\r\na\r\n0\r\n\r\n",
+            False,
+            b"a",
+        ),
+        (b"HTTP/1.1 200 OK\r\n\r\nto the end", False, b"to the end"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab", False, "truncated"),
+        (b"HTTP/1.1 200 OK\r\n\r\nto the", True, "truncated"),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n",
+            False,
+            "truncated",
+        ),
+        (b"not an answer at all\r\n\r\n", False, "garbled"),
+        (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
+            False,
+            "garbled",
+        ),
+        (b"", False, "no_answer"),
+    ],
+)
+def test_answers(data: bytes, then_reset: bool, wanted: bytes | str) -> None:
+    result = _answer(data, then_reset)
+    assert (result.value if isinstance(result, Fault) else result) == wanted
+
+
+def test_a_port_without_listener_is_known_not_to_have_run() -> None:
+    caller, remote = _caller()
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        port = server.getsockname()[1]
+    call = _upstream_call.UpstreamCall(f"127.0.0.1:{port}", caller)
+    assert call.send(_REQUEST, head_only=False) in _upstream_call.NOT_SENT
+    caller.close()
+    remote.close()
+
+
+def test_a_caller_that_leaves_ends_the_wait() -> None:
+    """A request of nobody would keep the upstream at work."""
+    caller, remote = _caller()
+    release = threading.Event()
+
+    def stay_silent(connection: socket.socket) -> None:
+        del connection
+        release.wait(5.0)
+
+    address = _serve(stay_silent)
+    call = _upstream_call.UpstreamCall(address, caller)
+    assert call.send(_REQUEST, head_only=False) is core.Missing.UNSET
+    remote.close()
+    assert call.read_head(5.0) is Fault.CALLER_GONE
+    release.set()
+    call.close()
+    caller.close()
+
+
+def test_an_upstream_that_answers_early_need_not_take_the_whole_body() -> None:
+    caller, remote = _caller()
+    address = _serve(
+        lambda connection: connection.sendall(
+            b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+        )
+    )
+    call = _upstream_call.UpstreamCall(address, caller)
+    body = b"x" * 8_000_000
+    data = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8000000\r\n\r\n"
+    assert call.send(data + body, head_only=False) is core.Missing.UNSET
+    head = call.read_head(2.0)
+    assert isinstance(head, gateway.ResponseHead)
+    assert head.status == 503
+    call.close()
+    caller.close()
+    remote.close()
