Ask the voter that failed longest ago; open the entry once routing is known

Each renewal spent its 0.4 s at the first address of the list, the frozen voter, and never asked another one. Ruled out: the election (1.1 s) and the forwarding voter, which both worked in the log.

--- a/libs/core/mulberry_core/_errors.py
+++ b/libs/core/mulberry_core/_errors.py
@@ -158,7 +158,7 @@
     ErrorKind.DEADLINE_EXCEEDED: _again(
         504, 1.0, "The deadline passed before the answer was complete."
     ),
-    ErrorKind.NO_RULES: _again(503, 5.0, "No rule file has been accepted yet."),
+    ErrorKind.NO_RULES: _again(503, 0.5, "No rule file has been accepted yet."),
     ErrorKind.RULES_LEASE_EXPIRED: _again(
         503,
         2.0,
--- a/libs/gateway/mulberry_gateway/_forwarder.py
+++ b/libs/gateway/mulberry_gateway/_forwarder.py
@@ -43,6 +43,8 @@
     models: _model_choice.ModelChoice
     dialect: _dialect.Dialect
     retries: decisions.RetryBudget
+    #: Age of the view up to which a missing route or key is final, seconds.
+    max_view_age_s: float
     watch: _rollout_watch.RolloutWatch
     releases: _releases.Releases
 
@@ -119,7 +121,7 @@
             return _not_run(core.ErrorKind.NO_RULES, "no routing is known yet")
         route = table.match(request.header("host"), request.path)
         if isinstance(route, core.Missing):
-            return _not_run(
+            return self._unless_outdated(
                 core.ErrorKind.NOT_FOUND,
                 f"routing {table.version} has no route for this host and path",
             )
@@ -160,12 +162,28 @@
             )
         team = table.team_of(facts.key)
         if isinstance(team, core.Missing):
-            return _not_run(
+            return self._unless_outdated(
                 core.ErrorKind.UNAUTHENTICATED,
                 f"routing {table.version} has no team with this key",
             )
         return team
 
+    def _unless_outdated(
+        self, kind: core.ErrorKind, reason: str
+    ) -> core.Refusal:
+        """Returns a final refusal only where the routing is surely newest.
+
+        A route or key that this instance does not know yet may have been
+        confirmed to the operator; the caller should ask another instance.
+        """
+        age_s = self._parts.state.view_age_s()
+        if age_s <= self._parts.max_view_age_s:
+            return _not_run(kind, reason)
+        return _not_run(
+            core.ErrorKind.RULES_LEASE_EXPIRED,
+            f"{reason}, and has not been confirmed for {age_s:.1f} s",
+        )
+
     def _run(self, exchange: _exchange.Exchange) -> bool:
         """Tries upstreams until one answers; returns whether to keep."""
         self._parts.retries.request_started(_work(exchange))
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -29,6 +29,10 @@
     _settings,
 )
 
+#: Longest wait for a routing table before callers are accepted, seconds; from
+#: then on they get answers that say why they are not served.
+_WAIT_FOR_ROUTING_S = 15.0
+_LOOK_PERIOD_S = 0.05
 #: Threads for exchanges of peers, beside those of a voter.
 _PEER_THREADS = 24
 #: Part of the grace period that is left for the last steps of a stop, so that
@@ -39,6 +43,9 @@
 _ACCEPT_SHARE = 0.8
 #: Largest part of the allowed retries that this instance saves up.
 _MAX_SAVED_RETRIES = 5.0
+#: Part of the time in which a change must be in force during which a view
+#: counts as newest.
+_FINAL_VIEW_SHARE = 0.8
 #: Part of the allowed ratio of retries that is used; the instances' windows
 #: do not line up.
 _RETRY_SHARE_USED = 0.8
@@ -134,6 +141,7 @@
                 settings.bounds.retry_ratio * _RETRY_SHARE_USED,
                 _MAX_SAVED_RETRIES,
             ),
+            max_view_age_s=settings.bounds.apply_s * _FINAL_VIEW_SHARE,
             watch=self._watch,
             releases=releases,
         )
@@ -143,14 +151,14 @@
             _forwarder.Forwarder(self.parts),
             clock,
         )
+        self._tasks = core.TaskPool("instance", 1)
+        self._serving = threading.Event()
         self._draining = threading.Event()
 
     @property
     def is_ready(self) -> bool:
         """Whether callers should use this instance."""
-        return not self._draining.is_set() and not isinstance(
-            self.parts.routing.table, core.Missing
-        )
+        return self._serving.is_set() and not self._draining.is_set()
 
     @property
     def is_stopping(self) -> bool:
@@ -169,8 +177,7 @@
         self._founding.start(self.timers)
         self.directory.start(self.timers)
         self._watch.start()
-        self._entry.start()
-        self._publish_entry()
+        self._tasks.spawn("entry", self._open_entry)
         self.timers.every(1.0, self._publish_entry, "entry")
         self._log.note(
             "started",
@@ -182,6 +189,24 @@
             cpu_s=round(time.process_time(), 3),
         )
 
+    def _open_entry(self, stop: threading.Event) -> None:
+        """Task: accepts callers once the routing is known.
+
+        Until then a refused connection sends them to another instance at
+        once, which an answer that asks them to come back would not.
+        """
+        until_s = self._clock.now() + _WAIT_FOR_ROUTING_S
+        while not stop.wait(_LOOK_PERIOD_S):
+            known = not isinstance(self.parts.routing.table, core.Missing)
+            if known or self._clock.now() > until_s:
+                break
+        self._entry.start()
+        self._serving.set()
+        self._publish_entry()
+        self._log.note(
+            "serving", keep=True, revision=self.client.view().revision
+        )
+
     def entries(self, zone: str) -> Sequence[membership.EntryState]:
         """Returns the entries that callers of a zone should use."""
         found = [
--- a/libs/state/mulberry_state/_caller.py
+++ b/libs/state/mulberry_state/_caller.py
@@ -30,6 +30,8 @@
         self._first_addresses = tuple(dict.fromkeys(addresses))
         self._addresses = self._first_addresses
         self._leader = ""
+        #: When each address last failed to answer, by `Clock.now`.
+        self._failed_s: dict[str, float] = {}
 
     def set_voters(self, voters_by_name: Mapping[str, str]) -> None:
         """Takes the voters of a new view.
@@ -90,7 +92,10 @@
             with self._lock:
                 if self._leader == address:
                     self._leader = ""
+                self._failed_s[address] = self._clock.now()
         else:
+            with self._lock:
+                self._failed_s.pop(address, None)
             leader = getattr(reply, "leader_address", "")
             if leader:
                 self.note_leader(leader)
@@ -98,7 +103,11 @@
 
     def _next(self, tried: list[str]) -> str:
         with self._lock:
-            for address in (self._leader, *self._addresses):
-                if address and address not in tried:
-                    return address
-        return ""
+            if self._leader and self._leader not in tried:
+                return self._leader
+            left = [a for a in self._addresses if a not in tried]
+            # The one that failed longest ago comes first: a call may take
+            # all the time that the caller has.
+            return min(
+                left, key=lambda a: self._failed_s.get(a, -1.0), default=""
+            )
--- a/libs/state/mulberry_state/_client.py
+++ b/libs/state/mulberry_state/_client.py
@@ -33,6 +33,14 @@
     def lease_remaining_s(self) -> float:
         """Returns how long this instance may trust its view, 0 if expired."""
 
+    @abc.abstractmethod
+    def view_age_s(self) -> float:
+        """Returns for how long the view may have been outdated, seconds.
+
+        Counts from the sending of the last renewal that was granted, and is
+        infinite before the first.
+        """
+
     @abc.abstractmethod
     def refresh(self, timeout_s: float) -> bool:
         """Fetches the newest view now, rather than with the next renewal.
--- a/libs/state/mulberry_state/_remote.py
+++ b/libs/state/mulberry_state/_remote.py
@@ -63,6 +63,8 @@
         self._lock = threading.Lock()
         self._view = _view.EMPTY_VIEW
         self._lease_ends_s = float("-inf")
+        #: When the last granted renewal was sent, by `Clock.now`.
+        self._renewed_s = float("-inf")
         self._callbacks: list[Callable[[_view.View], None]] = []
         self._pool = core.TaskPool(f"state-client-{instance}", 1)
 
@@ -117,6 +119,11 @@
         with self._lock:
             return max(0.0, self._lease_ends_s - self._clock.now())
 
+    def view_age_s(self) -> float:
+        """Returns for how long the view may have been outdated, seconds."""
+        with self._lock:
+            return self._clock.now() - self._renewed_s
+
     def refresh(self, timeout_s: float) -> bool:
         """Renews the lease, which brings the newest view."""
         return self.renew_once(timeout_s)
@@ -195,6 +202,7 @@
             # The view first: a lease is trust in the view held here.
             self._view = new
             self._lease_ends_s = max(self._lease_ends_s, sent_s + term_s)
+            self._renewed_s = max(self._renewed_s, sent_s)
             callbacks = tuple(self._callbacks)
         if new is not known:
             self.caller.set_voters(new.voters_by_name)
