--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -42,7 +42,7 @@
     TeamLimiter,
 )
 from mulberry_decisions._load_book import LoadBook, LoadReport
-from mulberry_decisions._model_ladder import ConfidenceLadder, Rung
+from mulberry_decisions._model_ladder import KEEP_FROM, ConfidenceLadder, Rung
 from mulberry_decisions._models import (
     Attempt,
     Deliver,
@@ -148,6 +148,7 @@
     "CRASH_GUARDS",
     "FAILURES",
     "HEDGE_POLICIES",
+    "KEEP_FROM",
     "MAX_STRIKES",
     "MODEL_CHOOSERS",
     "NO_STEP",
--- a/libs/decisions/mulberry_decisions/_model_ladder.py
+++ b/libs/decisions/mulberry_decisions/_model_ladder.py
@@ -7,6 +7,11 @@
 
 #: An answer of a smaller model is kept from this confidence on.
 KEEP_FROM = 0.6
+#: Share of the engines' places in use from which less is asked of answers.
+#: Streams on engines fuller than that ran into their aims.
+_BUSY_FROM = 0.3
+#: Share of the places in use at which every answer is kept.
+_FULL_AT = 0.75
 
 
 @dataclasses.dataclass(frozen=True)
@@ -25,6 +30,9 @@
     requests: the smallest takes a tenth of the engine time of the largest,
     so asking it in vain costs little. Steps between the two are left out,
     since each one more is a wait for the caller.
+
+    Answers a burst as well: the fuller the engines are, the less confidence
+    is asked for, since second answers would make everyone late.
     """
 
     def __init__(self, keep_from: float = KEEP_FROM) -> None:
@@ -34,11 +42,24 @@
         """Returns the model to begin with; the smallest comes first."""
         return models[0]
 
-    def next(self, models: Sequence[str], rung: Rung) -> str | core.Missing:
-        """Returns the model to ask instead, unset to keep the answer."""
+    def next(
+        self, models: Sequence[str], rung: Rung, load_share: float = 0.0
+    ) -> str | core.Missing:
+        """Returns the model to ask instead, unset to keep the answer.
+
+        Args:
+            models: The smallest first.
+            rung: The attempt whose answer has begun.
+            load_share: Share of the engines' places in use.
+        """
         largest = models[-1]
         if rung.model == largest or isinstance(rung.confidence, core.Missing):
             return core.Missing.UNSET
-        if rung.confidence >= self._keep_from:
+        if rung.confidence >= self.threshold(load_share):
             return core.Missing.UNSET
         return largest
+
+    def threshold(self, load_share: float) -> float:
+        """Returns the confidence from which an answer is kept."""
+        spare = (_FULL_AT - load_share) / (_FULL_AT - _BUSY_FROM)
+        return self._keep_from * min(1.0, max(0.0, spare))
--- a/libs/decisions/mulberry_decisions/_placement.py
+++ b/libs/decisions/mulberry_decisions/_placement.py
@@ -14,9 +14,9 @@
 _FAILURE_COST = 4.0
 #: An upstream takes a session's requests while its load is below this
 #: multiple of the mean, plus `_SPILL_SLACK`.
-_SPILL_FACTOR = 1.25
+_SPILL_FACTOR = 1.15
 #: As a share of its slots: small numbers vary without any overload.
-_SPILL_SLACK = 0.1
+_SPILL_SLACK = 0.05
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/gateway/mulberry_gateway/_exchange.py
+++ b/libs/gateway/mulberry_gateway/_exchange.py
@@ -19,6 +19,8 @@
     #: Inputs of the placement.
     load: float = 0.0
     candidates: int = 0
+    #: Share of the places of all candidates in use.
+    load_share: float = 0.0
     #: The model's opinion of its answer, 0 to 1; -1 if it gave none.
     confidence: float = -1.0
 
--- a/libs/gateway/mulberry_gateway/_forwarder.py
+++ b/libs/gateway/mulberry_gateway/_forwarder.py
@@ -239,6 +239,7 @@
             model=model,
             load=chosen.load,
             candidates=chosen.candidates,
+            load_share=chosen.load_share,
         )
         exchange.attempts.append(attempt)
         call = _upstream_call.UpstreamCall(upstream.address, exchange.caller)
@@ -315,7 +316,10 @@
         if not isinstance(facts.confidence, core.Missing):
             attempt.confidence = facts.confidence
         model = self._parts.models.escalates_to(
-            exchange, attempt.model, facts.confidence
+            exchange,
+            attempt.model,
+            facts.confidence,
+            attempt.load_share,
         )
         if isinstance(model, core.Missing) or not self._may_retry(exchange):
             return False
--- a/libs/gateway/mulberry_gateway/_model_choice.py
+++ b/libs/gateway/mulberry_gateway/_model_choice.py
@@ -25,10 +25,13 @@
         exchange: _exchange.Exchange,
         model: str,
         confidence: float | core.Missing,
+        load_share: float,
     ) -> str | core.Missing:
         """Returns the model to ask instead, unset to keep the answer."""
         if not model or exchange.answered:
             return core.Missing.UNSET
         return self._ladder.next(
-            exchange.route.model_names, decisions.Rung(model, confidence)
+            exchange.route.model_names,
+            decisions.Rung(model, confidence),
+            load_share,
         )
--- a/libs/gateway/mulberry_gateway/_placing.py
+++ b/libs/gateway/mulberry_gateway/_placing.py
@@ -16,6 +16,8 @@
     upstream: membership.Upstream
     load: float
     candidates: int
+    #: Share of the places of all candidates in use.
+    load_share: float
 
 
 class Placer:
@@ -68,6 +70,8 @@
             chosen,
             0.0 if isinstance(place, core.Missing) else place.load,
             len(usable),
+            sum(place.load for place in places)
+            / sum(place.slots for place in places),
         )
 
     def _usable(
