--- a/libs/decisions/mulberry_decisions/_model_ladder.py
+++ b/libs/decisions/mulberry_decisions/_model_ladder.py
@@ -5,11 +5,8 @@
 
 import mulberry_core as core
 
-#: An answer of a smaller model is kept from this confidence on, on the most
-#: urgent routes, and from less by this much for each rank below.
-KEEP_FROM = 0.7
-_LESS_FOR_RANK = 0.1
-_LAST_RANK = 3
+#: An answer of a smaller model is kept from this confidence on.
+KEEP_FROM = 0.6
 #: Share of the engines' places in use from which less is asked of answers.
 #: Streams on engines fuller than that ran into their aims.
 _BUSY_FROM = 0.3
@@ -46,31 +43,23 @@
         return models[0]
 
     def next(
-        self,
-        models: Sequence[str],
-        rung: Rung,
-        rank: int = 0,
-        load_share: float = 0.0,
+        self, models: Sequence[str], rung: Rung, load_share: float = 0.0
     ) -> str | core.Missing:
         """Returns the model to ask instead, unset to keep the answer.
 
         Args:
             models: The smallest first.
             rung: The attempt whose answer has begun.
-            rank: Priority of the route, 0 for the most urgent.
             load_share: Share of the engines' places in use.
         """
         largest = models[-1]
         if rung.model == largest or isinstance(rung.confidence, core.Missing):
             return core.Missing.UNSET
-        if rung.confidence >= self.threshold(rank, load_share):
+        if rung.confidence >= self.threshold(load_share):
             return core.Missing.UNSET
         return largest
 
-    def threshold(self, rank: int, load_share: float) -> float:
+    def threshold(self, load_share: float) -> float:
         """Returns the confidence from which an answer is kept."""
-        keep_from = self._keep_from - _LESS_FOR_RANK * min(
-            max(rank, 0), _LAST_RANK
-        )
         spare = (_FULL_AT - load_share) / (_FULL_AT - _BUSY_FROM)
-        return keep_from * min(1.0, max(0.0, spare))
+        return self._keep_from * min(1.0, max(0.0, spare))
--- a/libs/decisions/mulberry_decisions/tests/test_model_ladder.py
+++ b/libs/decisions/mulberry_decisions/tests/test_model_ladder.py
@@ -31,7 +31,7 @@
     wanted: str | core.Missing,
 ) -> None:
     rung = decisions.Rung(model, confidence)
-    assert _LADDER.next(_MODELS, rung, 1, load_share) == wanted
+    assert _LADDER.next(_MODELS, rung, load_share) == wanted
 
 
 def test_a_burst_does_not_make_everyone_late() -> None:
@@ -40,7 +40,7 @@
     Guards against second answers that fill the engines: with a fixed
     threshold the queue grows for as long as the burst lasts.
     """
-    fixed = _replay(lambda rank, load_share: decisions.KEEP_FROM)
+    fixed = _replay(lambda load_share: decisions.KEEP_FROM)
     adaptive = _replay(_LADDER.threshold)
     assert max(fixed) > 1.0
     assert max(adaptive) < 1.0
@@ -60,7 +60,7 @@
         load_share = len(running) / places
         shares.append(load_share)
         for _ in range(int(per_s / 10 + rng.random())):
-            is_unsure = rng.random() < threshold(0, load_share)
+            is_unsure = rng.random() < threshold(load_share)
             # A batch slows down with each request that it holds.
             slowed = 1.0 + load_share
             took_s = (large_s if is_unsure else small_s) * slowed
--- a/libs/gateway/mulberry_gateway/_model_choice.py
+++ b/libs/gateway/mulberry_gateway/_model_choice.py
@@ -33,6 +33,5 @@
         return self._ladder.next(
             exchange.route.model_names,
             decisions.Rung(model, confidence),
-            exchange.route.priority,
             load_share,
         )
