Serve metrics; test the path against stand-in workers; keep promises true

Found by the new test: a worker's own 503 without its statement that nothing ran was passed on to the caller of an unsafe request, for whom 503 promises exactly that. It is now 502. A fault inside a handler is answered with what is known of the run, where the connection was closed without an answer before.

--- a/libs/core/mulberry_core/__init__.py
+++ b/libs/core/mulberry_core/__init__.py
@@ -5,7 +5,13 @@
 """
 
 from mulberry_core._clock import Clock, ManualClock, SystemClock
-from mulberry_core._counters import Counters, MemoryCounters, StatsdCounters
+from mulberry_core._counters import (
+    BUCKETS_MS,
+    Counters,
+    Histogram,
+    MemoryCounters,
+    StatsdCounters,
+)
 from mulberry_core._decision_log import DecisionLog
 from mulberry_core._errors import (
     ANSWER_BY_KIND,
@@ -23,11 +29,13 @@
 
 __all__ = [
     "ANSWER_BY_KIND",
+    "BUCKETS_MS",
     "Clock",
     "Counters",
     "DecisionLog",
     "ErrorAnswer",
     "ErrorKind",
+    "Histogram",
     "ManualClock",
     "MemoryCounters",
     "Missing",
--- a/libs/core/mulberry_core/_counters.py
+++ b/libs/core/mulberry_core/_counters.py
@@ -1,11 +1,46 @@
 """Counters: the first place where the system reports what it does."""
 
 import abc
+import bisect
 import collections
+import dataclasses
 import threading
+from collections.abc import Mapping
 
 import statsd
 
+#: Upper bounds of the buckets of durations, milliseconds: from a local answer
+#: to the longest timeout of a route.
+BUCKETS_MS = (
+    5.0,
+    10.0,
+    25.0,
+    50.0,
+    100.0,
+    200.0,
+    300.0,
+    500.0,
+    750.0,
+    1_000.0,
+    1_500.0,
+    2_000.0,
+    3_000.0,
+    5_000.0,
+    10_000.0,
+    25_000.0,
+)
+
+
+@dataclasses.dataclass
+class Histogram:
+    """Durations of one kind, counted by bucket."""
+
+    #: One more than `BUCKETS_MS`: the last holds what is above all of them.
+    counts: list[int] = dataclasses.field(
+        default_factory=lambda: [0] * (len(BUCKETS_MS) + 1)
+    )
+    sum_ms: float = 0.0
+
 
 class Counters(abc.ABC):
     """Receives counts, gauges and timings."""
@@ -30,6 +65,7 @@
         self._lock = threading.Lock()
         self._count_by_name: collections.Counter[str] = collections.Counter()
         self._gauge_by_name: dict[str, float] = {}
+        self._histogram_by_name: dict[str, Histogram] = {}
 
     def increment(self, name: str, by: int = 1) -> None:
         """Adds `by` to the counter `name`."""
@@ -48,12 +84,23 @@
             self._gauge_by_name[f"{name}.ms"] = (
                 self._gauge_by_name.get(f"{name}.ms", 0.0) + ms
             )
+            histogram = self._histogram_by_name.setdefault(name, Histogram())
+            histogram.counts[bisect.bisect_left(BUCKETS_MS, ms)] += 1
+            histogram.sum_ms += ms
 
     def count(self, name: str) -> int:
         """Returns the counter's value, zero if it was never increased."""
         with self._lock:
             return self._count_by_name[name]
 
+    def histograms(self) -> Mapping[str, Histogram]:
+        """Returns the durations by name."""
+        with self._lock:
+            return {
+                name: Histogram(list(found.counts), found.sum_ms)
+                for name, found in self._histogram_by_name.items()
+            }
+
     def snapshot(self) -> dict[str, float]:
         """Returns all counters and gauges by name."""
         with self._lock:
--- a/libs/gateway/mulberry_gateway/__init__.py
+++ b/libs/gateway/mulberry_gateway/__init__.py
@@ -21,11 +21,13 @@
     end_to_end,
     find_header,
 )
+from mulberry_gateway._metrics import MetricsPage
 from mulberry_gateway._model_choice import ModelChoice
 from mulberry_gateway._pages import JSON, Page, Pages
 from mulberry_gateway._placing import Placer
 from mulberry_gateway._releases import Releases
 from mulberry_gateway._request_reader import Malformed, RequestReader
+from mulberry_gateway._rollout_watch import RolloutWatch
 from mulberry_gateway._routing_book import RoutingBook
 from mulberry_gateway._settings import GatewayBounds, GatewaySettings
 
@@ -47,6 +49,7 @@
     "Header",
     "Listener",
     "Malformed",
+    "MetricsPage",
     "ModelChoice",
     "Page",
     "Pages",
@@ -57,6 +60,7 @@
     "RequestReader",
     "Response",
     "ResponseHead",
+    "RolloutWatch",
     "RoutingBook",
     "SendFacts",
     "end_to_end",
--- a/libs/gateway/mulberry_gateway/_forwarder.py
+++ b/libs/gateway/mulberry_gateway/_forwarder.py
@@ -3,6 +3,8 @@
 import dataclasses
 from collections.abc import Callable
 
+from absl import logging
+
 import mulberry_core as core
 import mulberry_decisions as decisions
 import mulberry_routing as routing
@@ -187,7 +189,21 @@
     def _run(self, exchange: _exchange.Exchange) -> bool:
         """Tries upstreams until one answers; returns whether to keep."""
         self._parts.retries.request_started(_work(exchange))
-        kept = self._try_upstreams(exchange)
+        try:
+            kept = self._try_upstreams(exchange)
+        except Exception:
+            logging.exception("request %s failed", exchange.facts.request_id)
+            kept = self._give_up(
+                exchange,
+                Failed(
+                    core.Refusal(
+                        core.ErrorKind.INTERNAL,
+                        exchange.run,
+                        "a fault of this instance",
+                    ),
+                    may_retry=False,
+                ),
+            )
         self._parts.releases.request_ended(exchange.service, exchange.session)
         self._finish(exchange)
         return kept
@@ -354,12 +370,17 @@
             body,
             head.reason,
         )
-        good = head.status < 500 and not exchange.answered
+        good = (
+            head.status < 500
+            and head.status not in _PROMISES
+            and not exchange.answered
+        )
         parts.watch.observe(exchange, release, good, took_s)
         if good:
             parts.placer.health.succeeded(attempt.upstream)
             return self._send_answer(exchange, answer)
         parts.placer.health.failed(attempt.upstream)
+        is_promise = head.status in _PROMISES
         return Failed(
             core.Refusal(
                 core.ErrorKind.UPSTREAM_FAILED,
@@ -367,7 +388,7 @@
                 f"{attempt.upstream} answered {head.status}",
             ),
             may_retry=exchange.route.is_idempotent,
-            answer=answer,
+            answer=core.Missing.UNSET if is_promise else answer,
         )
 
     def _relay_stream(
@@ -511,7 +532,11 @@
         parts = self._parts
         now_s = parts.clock.now()
         took_ms = (now_s - exchange.request.received_s) * 1000
-        parts.counters.timing(f"gateway.{exchange.route.kind.value}", took_ms)
+        kind = exchange.route.kind.value
+        parts.counters.timing(f"gateway.whole.{kind}", took_ms)
+        if exchange.first_byte_s:
+            first_s = exchange.first_byte_s - exchange.request.received_s
+            parts.counters.timing(f"gateway.first.{kind}", first_s * 1000)
         parts.log.note("request", **exchange.summary(now_s))
 
     def _left_s(self, exchange: _exchange.Exchange) -> float:
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -1,6 +1,5 @@
 """One instance of the gateway: all parts, wired together."""
 
-import json
 import threading
 import time
 from collections.abc import Sequence
@@ -291,7 +290,3 @@
             return core.Missing.UNSET
         node.add_to(self._grpc)
         return node
-
-    def metrics(self) -> str:
-        """Returns counters and gauges as text, one a line."""
-        return json.dumps(self.counters.snapshot())
