Leave upstreams that went silent, wait for slow ones

A silent upstream is probed by a connection after 0.6 of the expected time; one that accepts it but answers nobody is left after 2.5 times.

--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -103,6 +103,7 @@
 from mulberry_decisions._shared_retries import (
     ShareRetryBudget,
 )
+from mulberry_decisions._silence import SilencePolicy, SilenceStep
 from mulberry_decisions._strikes import (
     MAX_STRIKES,
     StrikeGuard,
@@ -218,6 +219,8 @@
     "SessionShare",
     "ShareRetryBudget",
     "SharedLimiter",
+    "SilencePolicy",
+    "SilenceStep",
     "StableVersion",
     "Standing",
     "StrikeGuard",
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/_silence.py
@@ -0,0 +1,52 @@
+"""When an upstream that sends nothing is left for another one."""
+
+import dataclasses
+import enum
+
+#: Part of the time in which a sign of life is expected after which the
+#: upstream is probed.
+_PROBE_AT = 0.6
+#: Multiple of that time after which an upstream that answers nobody is left.
+_LEAVE_AT = 2.5
+
+
+class SilenceStep(enum.Enum):
+    """What to do about an upstream that sends nothing."""
+
+    WAIT = "wait"
+    #: Look whether it still accepts connections.
+    PROBE = "probe"
+    LEAVE = "leave"
+
+
+@dataclasses.dataclass(frozen=True)
+class SilencePolicy:
+    """Tells a slow upstream from a lost one.
+
+    Answers upstreams that vanish without a reset while requests run on them:
+    a connection attempt fails there. One that accepts connections but
+    answers nobody is left later. One that is slow under load answers others
+    meanwhile and is waited for: leaving it would run the work twice just
+    when there is too much of it.
+    """
+
+    #: Time in which a sign of life is expected, seconds.
+    expected_s: float
+
+    @property
+    def first_look_s(self) -> float:
+        """Silence after which `next_step` is asked first, seconds."""
+        return self.expected_s * _PROBE_AT
+
+    def next_step(self, silent_s: float, answered_others: bool) -> SilenceStep:
+        """Returns what to do.
+
+        Args:
+            silent_s: For how long nothing came for this request, seconds.
+            answered_others: Whether other requests got answers meanwhile.
+        """
+        if silent_s < self.first_look_s:
+            return SilenceStep.WAIT
+        if silent_s >= self.expected_s * _LEAVE_AT and not answered_others:
+            return SilenceStep.LEAVE
+        return SilenceStep.PROBE
--- a/libs/decisions/mulberry_decisions/_upstream_health.py
+++ b/libs/decisions/mulberry_decisions/_upstream_health.py
@@ -22,6 +22,7 @@
     updated_s: float = 0.0
     failures_in_row: int = 0
     paused_until_s: float = 0.0
+    heard_s: float = float("-inf")
 
 
 class UpstreamHealth:
@@ -44,6 +45,7 @@
             entry = self._note(name, 0.0)
             entry.failures_in_row = 0
             entry.paused_until_s = 0.0
+            entry.heard_s = self._clock.now()
 
     def failed(self, name: str) -> None:
         """The upstream failed a request that it had taken."""
@@ -68,6 +70,12 @@
                 entry is not None and entry.paused_until_s > self._clock.now()
             )
 
+    def heard_s(self, name: str) -> float:
+        """Returns `Clock.now` of the last proper answer, -inf for none."""
+        with self._lock:
+            entry = self._entry_by_name.get(name)
+            return entry.heard_s if entry else float("-inf")
+
     def failed_share(self, name: str) -> float:
         """Returns the recent share of failures, 0 to 1."""
         with self._lock:
--- a/libs/gateway/mulberry_gateway/_forwarder.py
+++ b/libs/gateway/mulberry_gateway/_forwarder.py
@@ -16,6 +16,7 @@
     _listener,
     _messages,
     _model_choice,
+    _patience,
     _placing,
     _releases,
     _request_reader,
@@ -297,7 +298,14 @@
         fault = call.send(data, request.method == "HEAD")
         if isinstance(fault, _upstream_call.Fault):
             return self._fault(exchange, attempt, fault, release)
-        head = call.read_head(self._left_s(exchange))
+        patience = _patience.Patience(
+            call, attempt.upstream, parts.placer.health, parts.clock
+        )
+        head = patience.read(
+            call.read_head,
+            exchange.deadline_s,
+            self._silence_policy(exchange, exchange.route.target_latency_s),
+        )
         if isinstance(head, _upstream_call.Fault):
             return self._fault(exchange, attempt, head, release)
         facts = parts.dialect.read_answer(head, exchange.facts.request_id)
@@ -320,7 +328,20 @@
                 may_retry=True,
                 granted=True,
             )
-        return self._take_answer(exchange, attempt, call, head, release)
+        return self._take_answer(
+            exchange, attempt, call, head, release, patience
+        )
+
+    def _silence_policy(
+        self, exchange: _exchange.Exchange, expected_s: float
+    ) -> decisions.SilencePolicy | core.Missing:
+        """Returns when to leave a silent upstream; unset for never."""
+        route = exchange.route
+        if not route.is_idempotent or (
+            len(exchange.attempts) >= route.max_attempts
+        ):
+            return core.Missing.UNSET
+        return decisions.SilencePolicy(expected_s)
 
     def _escalates(
         self,
@@ -350,6 +371,7 @@
         call: _upstream_call.UpstreamCall,
         head: _messages.ResponseHead,
         release: str,
+        patience: _patience.Patience,
     ) -> _stream_relay.Relayed | Failed:
         parts = self._parts
         took_s = parts.clock.now() - attempt.began_s
@@ -359,8 +381,12 @@
         ):
             parts.watch.observe(exchange, release, True, took_s)
             parts.placer.health.succeeded(attempt.upstream)
-            return self._relay_stream(exchange, attempt, call, head, release)
-        body = call.read_body(self._left_s(exchange))
+            return self._relay_stream(
+                exchange, attempt, call, head, release, patience
+            )
+        body = patience.read(
+            call.read_body, exchange.deadline_s, core.Missing.UNSET
+        )
         if isinstance(body, _upstream_call.Fault):
             return self._fault(exchange, attempt, body, release)
         attempt.outcome = str(head.status)
@@ -398,8 +424,14 @@
         call: _upstream_call.UpstreamCall,
         head: _messages.ResponseHead,
         release: str,
+        patience: _patience.Patience,
     ) -> _stream_relay.Relayed | Failed:
-        relayed = self._relay.relay(exchange, attempt, call, head)
+        policy = self._silence_policy(exchange, exchange.route.max_pause_s)
+
+        def read() -> bytes | _upstream_call.Fault:
+            return patience.read(call.read_some, exchange.deadline_s, policy)
+
+        relayed = self._relay.relay(exchange, attempt, read, head)
         if isinstance(relayed, _stream_relay.Relayed):
             return relayed
         failed = self._fault(exchange, attempt, relayed.fault, release)
@@ -601,6 +633,7 @@
     _upstream_call.Fault.TRUNCATED: core.ErrorKind.ANSWER_INCOMPLETE,
     _upstream_call.Fault.GARBLED: core.ErrorKind.ANSWER_INCOMPLETE,
     _upstream_call.Fault.SILENT: core.ErrorKind.DEADLINE_EXCEEDED,
+    _upstream_call.Fault.LOST: core.ErrorKind.UPSTREAM_FAILED,
     _upstream_call.Fault.CALLER_GONE: core.ErrorKind.CALLER_GONE,
 }
 
@@ -623,6 +656,7 @@
     _upstream_call.Fault.NO_ANSWER: decisions.UpstreamHealth.failed,
     _upstream_call.Fault.TRUNCATED: decisions.UpstreamHealth.failed,
     _upstream_call.Fault.GARBLED: decisions.UpstreamHealth.failed,
-    _upstream_call.Fault.SILENT: decisions.UpstreamHealth.unreachable,
+    _upstream_call.Fault.SILENT: decisions.UpstreamHealth.failed,
+    _upstream_call.Fault.LOST: decisions.UpstreamHealth.unreachable,
     _upstream_call.Fault.CALLER_GONE: _ignore,
 }
--- a/libs/gateway/mulberry_gateway/_stream_relay.py
+++ b/libs/gateway/mulberry_gateway/_stream_relay.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import re
+from collections.abc import Callable
 
 import mulberry_core as core
 from mulberry_gateway import (
@@ -40,20 +41,25 @@
         self,
         exchange: _exchange.Exchange,
         attempt: _exchange.Attempt,
-        call: _upstream_call.UpstreamCall,
+        read: Callable[[], bytes | _upstream_call.Fault],
         head: _messages.ResponseHead,
     ) -> Relayed | Broken:
         """Forwards the stream until it ends or breaks.
 
         A stream that goes on at another upstream keeps the head of the first
         one; events that the caller has are left out.
+
+        Args:
+            exchange: The request.
+            attempt: The attempt that answers.
+            read: Returns the next part of the body, empty at its end.
+            head: Of the attempt's response.
         """
         splitter = core.SseSplitter()
         if not exchange.answered and not self._begin(exchange, head):
             return Broken(_upstream_call.Fault.CALLER_GONE)
         while True:
-            left_s = exchange.deadline_s - self._clock.now()
-            data = call.read_some(left_s)
+            data = read()
             if isinstance(data, _upstream_call.Fault):
                 return Broken(data)
             if not data:
--- a/libs/gateway/mulberry_gateway/_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/_upstream_call.py
@@ -34,6 +34,8 @@
     GARBLED = "garbled"
     #: Nothing arrived in the time that the caller gave.
     SILENT = "silent"
+    #: The upstream was given up while the request was there.
+    LOST = "lost"
     #: The caller of the gateway is gone.
     CALLER_GONE = "caller_gone"
 
@@ -118,6 +120,14 @@
         self._body.clear()
         return data
 
+    def accepts_connections(self) -> bool:
+        """Whether the upstream accepts another connection."""
+        probe = _connection.Connection.connect(self._address, CONNECT_TIMEOUT_S)
+        if isinstance(probe, _connection.Ended):
+            return False
+        probe.close()
+        return True
+
     def close(self) -> None:
         """Closes the connection, which also cancels a running request."""
         if self._connection is not None:
