--- a/libs/cli/mulberry_cli/_commands.py
+++ b/libs/cli/mulberry_cli/_commands.py
@@ -154,6 +154,28 @@
     ] = ""
 
 
+@cappa.command(
+    name="trace",
+    help="Tells one request's story out of the logs of many processes.",
+    description="Prints every line about the request, what the processes "
+    "that served it believed, and what was said of the upstreams that it "
+    "tried. Needs no instance. Exits with 1 if no line names the request.",
+    epilog=_examples(
+        "mulberrystage trace 9c41d07be2a35f68 front-*.log",
+        "mulberrystage trace 9c41d07be2a35f68 day.log --json",
+    ),
+)
+@dataclasses.dataclass(frozen=True)
+class Trace:
+    """`trace`."""
+
+    request_id: Annotated[str, cappa.Arg(help="Id of the request.")]
+    files: Annotated[
+        list[str],
+        cappa.Arg(help="Logs, one or more processes in each.", num_args=-1),
+    ]
+
+
 @cappa.command(
     name="audit",
     help="Lists the audit trail, the newest entry first.",
@@ -273,7 +295,7 @@
     """The whole program with the options of every command."""
 
     command: cappa.Subcommands[
-        Rules | Status | Explain | Audit | Ledger | Voters
+        Rules | Status | Explain | Trace | Audit | Ledger | Voters
     ]
     instance: Annotated[
         str,
--- a/libs/cli/mulberry_cli/_main.py
+++ b/libs/cli/mulberry_cli/_main.py
@@ -15,6 +15,7 @@
     _report_commands,
     _rules_commands,
     _status_command,
+    _trace_command,
     _voter_commands,
 )
 
@@ -28,6 +29,7 @@
     _commands.RulesHistory: _rules_commands.history,
     _commands.Status: _status_command.status,
     _commands.Explain: _report_commands.explain,
+    _commands.Trace: _trace_command.trace,
     _commands.Audit: _report_commands.audit,
     _commands.Ledger: _report_commands.ledger,
     _commands.VotersList: _voter_commands.list_voters,
--- a/libs/experiments/mulberry_experiments/tests/test_pages.py
+++ b/libs/experiments/mulberry_experiments/tests/test_pages.py
@@ -10,7 +10,7 @@
 import mulberry_core as core
 
 _ROOT = pathlib.Path(__file__).parents[4]
-_PAGE = (_ROOT / "docs" / "OPERATING.md").read_text(encoding="utf-8")
+_PAGE = (_ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
 _CALLS = frozenset({"increment", "gauge", "timing"})
 #: The counters themselves pass names on and have none of their own.
 _PASSES_NAMES_ON = "_counters.py"
