--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -61,6 +61,8 @@
     LeastLoad,
     Place,
     Placement,
+    PlacementRequest,
+    PromptLanes,
     SessionAffinity,
 )
 from mulberry_decisions._priority_admission import (
@@ -197,7 +199,9 @@
     "PayingHedges",
     "Place",
     "Placement",
+    "PlacementRequest",
     "PriorityAdmission",
+    "PromptLanes",
     "Proposal",
     "ProvenSteps",
     "QueuePlace",
