--- a/libs/decisions/mulberry_decisions/_placement.py
+++ b/libs/decisions/mulberry_decisions/_placement.py
@@ -24,6 +24,9 @@
 #: Tokens over which the mix of prompts is averaged, about ten seconds of one
 #: entry's share of the traffic.
 _MIX_TOKENS = 400_000
+#: Upstreams for long prompts in proportion to their share of the tokens; they
+#: also generate longer answers.
+_LONG_WEIGHT = 1.25
 #: With fewer upstreams a lane would be lost with one of them.
 _FEWEST_FOR_LANES = 4
 #: A lane is left for all upstreams when its load is above this multiple of
@@ -180,7 +183,7 @@
         ordered = sorted(
             places, key=lambda place: core.ring_position(f"lane/{place.name}")
         )
-        count = round(self._long_share * len(ordered))
+        count = round(_LONG_WEIGHT * self._long_share * len(ordered))
         count = min(max(count, 1), len(ordered) - 1)
         own, other = ordered[:count], ordered[count:]
         if not is_long:
