--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -61,8 +61,6 @@
     LeastLoad,
     Place,
     Placement,
-    PlacementRequest,
-    PromptLanes,
     SessionAffinity,
 )
 from mulberry_decisions._priority_admission import (
@@ -199,9 +197,7 @@
     "PayingHedges",
     "Place",
     "Placement",
-    "PlacementRequest",
     "PriorityAdmission",
-    "PromptLanes",
     "Proposal",
     "ProvenSteps",
     "QueuePlace",
--- a/libs/gateway/mulberry_gateway/_placing.py
+++ b/libs/gateway/mulberry_gateway/_placing.py
@@ -35,9 +35,7 @@
         self.load = decisions.LoadBook(clock)
         self.health = decisions.UpstreamHealth(clock)
         self._least_load = decisions.LeastLoad(zone)
-        self._engines = decisions.PromptLanes(
-            decisions.SessionAffinity(self._least_load)
-        )
+        self._affinity = decisions.SessionAffinity(self._least_load)
 
     def choose(self, exchange: _exchange.Exchange) -> Chosen | core.Refusal:
         """Returns the upstream of the next attempt, or why there is none."""
@@ -59,14 +57,9 @@
             for upstream in usable
         ]
         placement = (
-            self._engines if exchange.route.is_sticky else self._least_load
-        )
-        place = placement.choose(
-            places,
-            decisions.PlacementRequest(
-                exchange.facts.session, exchange.facts.prompt_tokens
-            ),
+            self._affinity if exchange.route.is_sticky else self._least_load
         )
+        place = placement.choose(places, exchange.facts.session)
         chosen = next(
             upstream
             for upstream in usable
