Refuse requests that a stopping instance could not finish

The caller had used an entry list of 2 s three times as long. Streams are taken for 0.35 of the grace period, other requests while their time fits, and entry lists last an eighth of it.

--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -12,6 +12,7 @@
     CrashReport,
     NoCrashGuard,
 )
+from mulberry_decisions._drain import Drain
 from mulberry_decisions._error_threshold import (
     ErrorThreshold,
 )
@@ -169,6 +170,7 @@
     "Decided",
     "Deliver",
     "Demand",
+    "Drain",
     "EqualShares",
     "ErrorThreshold",
     "Evidence",
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/_drain.py
@@ -0,0 +1,49 @@
+"""Which requests an instance still takes while it stops."""
+
+import threading
+
+import mulberry_core as core
+
+#: Part of the grace period after which a new stream would most likely be cut
+#: at its end; streams last a few seconds.
+_STREAMS_UNTIL = 0.35
+
+
+class Drain:
+    """Refuses what cannot end before the process does.
+
+    Answers callers that keep an outdated list or an open connection while an
+    instance stops: a request that is taken too late is cut, although another
+    instance would have served it.
+    """
+
+    def __init__(self, grace_s: float, clock: core.Clock) -> None:
+        self._grace_s = grace_s
+        self._clock = clock
+        self._began_s: float | core.Missing = core.Missing.UNSET
+        self._begun = threading.Event()
+
+    def begin(self) -> None:
+        """Notes that the instance was told to stop, just now."""
+        self._began_s = self._clock.now()
+        self._begun.set()
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the instance was told to stop."""
+        return self._begun.is_set()
+
+    def may_take(self, is_stream: bool, longest_s: float) -> bool:
+        """Whether a request can be expected to end in time.
+
+        Args:
+            is_stream: Whether the answer is a stream of events.
+            longest_s: Time within which other requests end, seconds.
+        """
+        began_s = self._began_s
+        if isinstance(began_s, core.Missing):
+            return True
+        passed_s = self._clock.now() - began_s
+        if is_stream:
+            return passed_s < self._grace_s * _STREAMS_UNTIL
+        return passed_s + longest_s < self._grace_s
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/tests/test_drain.py
@@ -0,0 +1,28 @@
+"""Requests during a planned stop: served whole or refused at once."""
+
+import pytest
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+
+
+@pytest.mark.parametrize(
+    ("passed_s", "is_stream", "longest_s", "taken"),
+    [
+        (0.0, True, 25.0, True),
+        (2.7, True, 25.0, True),
+        # Seen: a stream taken 4.8 s after SIGTERM was cut at 7.6 s.
+        (4.8, True, 25.0, False),
+        (4.8, False, 0.8, True),
+        (7.5, False, 0.8, False),
+    ],
+)
+def test_drain(
+    passed_s: float, is_stream: bool, longest_s: float, taken: bool
+) -> None:
+    clock = core.ManualClock()
+    drain = decisions.Drain(8.0, clock)
+    assert drain.may_take(is_stream, 100.0)
+    drain.begin()
+    clock.advance(passed_s)
+    assert drain.may_take(is_stream, longest_s) is taken
--- a/libs/gateway/mulberry_gateway/_forwarder.py
+++ b/libs/gateway/mulberry_gateway/_forwarder.py
@@ -28,6 +28,8 @@
 
 #: Part of the time before the deadline kept for the way back, seconds.
 ANSWER_MARGIN_S = 0.02
+#: Wait told to a caller that should ask another instance, seconds.
+_ELSEWHERE_AT_ONCE_S = 0.02
 #: Shortest time that is worth an attempt, seconds.
 LEAST_TIME_S = 0.03
 
@@ -46,6 +48,7 @@
     models: _model_choice.ModelChoice
     dialect: _dialect.Dialect
     retries: decisions.RetryBudget
+    drain: decisions.Drain
     #: Age of the view up to which a missing route or key is final, seconds.
     max_view_age_s: float
     watch: _rollout_watch.RolloutWatch
@@ -128,10 +131,18 @@
                 core.ErrorKind.NOT_FOUND,
                 f"routing {table.version} has no route for this host and path",
             )
+        patience_s = min(facts.patience_s, route.timeout_s)
+        is_stream = route.kind is routing.RouteKind.STREAMING
+        if not self._parts.drain.may_take(is_stream, patience_s):
+            return core.Refusal(
+                core.ErrorKind.ENTRY_LEAVING,
+                core.RunState.NOT_RUN,
+                "this instance stops before the answer would be complete",
+                retry_after_s=_ELSEWHERE_AT_ONCE_S,
+            )
         team = self._check_key(table, route, facts)
         if isinstance(team, core.Refusal):
             return team
-        patience_s = min(facts.patience_s, route.timeout_s)
         team_name, priority = "", route.priority
         if isinstance(team, routing.Team):
             team_name = team.name
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -37,6 +37,9 @@
 #: Part of the grace period that is left for the last steps of a stop, so that
 #: the process has ended before it is killed.
 _STOP_SHARE = 0.94
+#: Part of the grace period for which callers may use an entry list. Some use
+#: it three times as long, and a stream that they send then must still end.
+_LIST_SHARE = 0.125
 #: Part of the grace period after which no new connection is accepted. Callers
 #: keep a list for up to three times its term.
 _ACCEPT_SHARE = 0.8
@@ -140,6 +143,7 @@
                 settings.bounds.retry_ratio * _RETRY_SHARE_USED,
                 _MAX_SAVED_RETRIES,
             ),
+            drain=decisions.Drain(settings.bounds.grace_s, clock),
             max_view_age_s=settings.bounds.apply_s * _FINAL_VIEW_SHARE,
             watch=self._watch,
             releases=releases,
@@ -152,17 +156,17 @@
         )
         self._tasks = core.TaskPool("instance", 1)
         self._serving = threading.Event()
-        self._draining = threading.Event()
+        self._drain = self.parts.drain
 
     @property
     def is_ready(self) -> bool:
         """Whether callers should use this instance."""
-        return self._serving.is_set() and not self._draining.is_set()
+        return self._serving.is_set() and not self._drain.has_begun
 
     @property
     def is_stopping(self) -> bool:
         """Whether the instance was told to stop."""
-        return self._draining.is_set()
+        return self._drain.has_begun
 
     def start(self) -> None:
         """Joins the others and begins to serve."""
@@ -221,7 +225,7 @@
         """Leaves the entry list, waits for running requests, then stops."""
         began_s = self._clock.now()
         self._log.note("stopping", keep=True, busy=self._entry.busy)
-        self._draining.set()
+        self._drain.begin()
         self._entry.draining.set()
         self._publish_entry()
         grace_s = self._settings.bounds.grace_s
@@ -246,7 +250,7 @@
     def entry_list_s(self) -> float:
         """How long callers may use an entry list, seconds."""
         bounds = self._settings.bounds
-        return min(bounds.entry_list_s, bounds.grace_s / 4)
+        return min(bounds.entry_list_s, bounds.grace_s * _LIST_SHARE)
 
     def _wait_until(self, until_s: float) -> None:
         while (left_s := until_s - self._clock.now()) > 0:
