--- a/libs/core/mulberry_core/_hashing.py
+++ b/libs/core/mulberry_core/_hashing.py
@@ -4,6 +4,8 @@
 instances must agree on may use it.
 """
 
+import hashlib
+
 import xxhash
 
 _RING_BITS = 64
@@ -14,6 +16,11 @@
     return str(xxhash.xxh3_128_hexdigest(data))
 
 
+def hash_key(key: str) -> str:
+    """Returns the form in which rules, settings and tables hold a key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
 def bucket(key: str, salt: str, buckets: int) -> int:
     """Maps `key` to one of `buckets` numbers, evenly and for ever the same.
 
--- a/libs/entry/mulberry_entry/__init__.py
+++ b/libs/entry/mulberry_entry/__init__.py
@@ -1,11 +1,11 @@
 """HTTP for callers and upstream announcements."""
 
+from mulberry_core import hash_key
 from mulberry_entry._app import EntryApp
 from mulberry_entry._billing import Biller
 from mulberry_entry._parts import DecisionSet, EntryParts
 from mulberry_entry._rater import Rater, ServiceRater
 from mulberry_entry._ratings import RatingSampler
-from mulberry_entry._requests import hash_key
 from mulberry_entry._server import HttpServer
 from mulberry_entry._sessions import SessionPins
 from mulberry_entry._versions import (
--- a/libs/entry/mulberry_entry/_app.py
+++ b/libs/entry/mulberry_entry/_app.py
@@ -207,7 +207,7 @@
             return True
         key = _requests.bearer_key(http)
         return not isinstance(key, core.Missing) and hmac.compare_digest(
-            _requests.hash_key(key), expected
+            core.hash_key(key), expected
         )
 
     def _read(
--- a/libs/entry/mulberry_entry/_requests.py
+++ b/libs/entry/mulberry_entry/_requests.py
@@ -1,7 +1,6 @@
 """Reading and identifying a request of a caller."""
 
 import dataclasses
-import hashlib
 import re
 import uuid
 from typing import Any
@@ -58,11 +57,6 @@
     return f"req-{uuid.uuid4().hex}"
 
 
-def hash_key(key: str) -> str:
-    """Returns the form in which rule files and settings hold a key."""
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
 def bearer_key(request: werkzeug.Request) -> str | core.Missing:
     """Returns the key of the `Authorization` header."""
     header = request.headers.get("Authorization", "")
@@ -121,7 +115,7 @@
     team: str | core.Missing = core.Missing.UNSET
     if not isinstance(key, core.Missing):
         team = in_force.team_name_by_key_hash.get(
-            hash_key(key), core.Missing.UNSET
+            core.hash_key(key), core.Missing.UNSET
         )
     body = read_body(request, max_body_bytes)
     if isinstance(body, core.Refusal):
--- a/libs/routing/mulberry_routing/__init__.py
+++ b/libs/routing/mulberry_routing/__init__.py
@@ -8,7 +8,6 @@
     Limits,
     RoutingTable,
     Team,
-    hash_key,
 )
 
 __all__ = [
@@ -24,5 +23,4 @@
     "RoutingTable",
     "Service",
     "Team",
-    "hash_key",
 ]
--- a/libs/routing/mulberry_routing/_table.py
+++ b/libs/routing/mulberry_routing/_table.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import functools
-import hashlib
 from collections.abc import Mapping
 
 import mulberry_core as core
@@ -17,7 +16,7 @@
     """Who calls, known by keys."""
 
     name: str
-    #: `hash_key` of each of its keys.
+    #: `core.hash_key` of each of its keys.
     key_hashes: frozenset[str]
     #: Takes precedence over the priority of the route; unset for none.
     priority: int | core.Missing = core.Missing.UNSET
@@ -65,7 +64,7 @@
 
     def team_of(self, key: str) -> Team | core.Missing:
         """Returns the team that holds a key, `UNKNOWN_KEY` for none."""
-        return self._team_by_key_hash.get(hash_key(key), UNKNOWN_KEY)
+        return self._team_by_key_hash.get(core.hash_key(key), UNKNOWN_KEY)
 
     @functools.cached_property
     def _route_by_prefix_by_host(
@@ -85,11 +84,6 @@
         }
 
 
-def hash_key(key: str) -> str:
-    """Returns the form in which a key is kept."""
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
 def _without_port(host: str) -> str:
     name, colon, port = host.rpartition(":")
     return (name if colon and port.isdigit() else host).lower()
--- a/libs/routing/mulberry_routing/tests/test_table.py
+++ b/libs/routing/mulberry_routing/tests/test_table.py
@@ -24,7 +24,7 @@
     services_by_name={"pool": routing.Service("pool")},
     teams_by_name={
         "ventas": routing.Team(
-            "ventas", frozenset({routing.hash_key("k1")}), priority=2
+            "ventas", frozenset({core.hash_key("k1")}), priority=2
         )
     },
 )
