Split the forwarder by what it does; one handler for routing commands

Checks of a request, attempts, tables of faults and the parts handed around stand in files of their own; behaviour is unchanged. The routing state returns its audit record with the result.

--- a/libs/gateway/mulberry_gateway/__init__.py
+++ b/libs/gateway/mulberry_gateway/__init__.py
@@ -10,7 +10,7 @@
     PromptPart,
     SendFacts,
 )
-from mulberry_gateway._forwarder import Forwarder, GatewayParts
+from mulberry_gateway._forwarder import Forwarder
 from mulberry_gateway._instance import GatewayInstance
 from mulberry_gateway._listener import Handler, Listener
 from mulberry_gateway._messages import (
@@ -24,6 +24,7 @@
 from mulberry_gateway._metrics import MetricsPage
 from mulberry_gateway._model_choice import ModelChoice
 from mulberry_gateway._pages import JSON, Page, Pages
+from mulberry_gateway._parts import GatewayParts
 from mulberry_gateway._placing import Placer
 from mulberry_gateway._releases import Releases
 from mulberry_gateway._request_reader import Malformed, RequestReader
--- /dev/null
+++ b/libs/gateway/mulberry_gateway/_faults.py
@@ -0,0 +1,49 @@
+"""What each fault of an attempt means for the request and the upstream."""
+
+from collections.abc import Callable, Mapping
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+from mulberry_gateway import _upstream_call
+
+#: Callers read these as a promise that the request has not run.
+PROMISES = frozenset({408, 421, 429, 503})
+
+#: Say nothing of the version that an upstream runs.
+NOT_THE_VERSIONS_FAULT = _upstream_call.NOT_SENT | {
+    _upstream_call.Fault.CALLER_GONE
+}
+
+KIND_BY_FAULT = {
+    _upstream_call.Fault.REFUSED: core.ErrorKind.UPSTREAM_REFUSED,
+    _upstream_call.Fault.UNREACHABLE: core.ErrorKind.UPSTREAM_REFUSED,
+    _upstream_call.Fault.NO_ANSWER: core.ErrorKind.UPSTREAM_FAILED,
+    _upstream_call.Fault.TRUNCATED: core.ErrorKind.ANSWER_INCOMPLETE,
+    _upstream_call.Fault.GARBLED: core.ErrorKind.ANSWER_INCOMPLETE,
+    _upstream_call.Fault.SILENT: core.ErrorKind.DEADLINE_EXCEEDED,
+    _upstream_call.Fault.LOST: core.ErrorKind.UPSTREAM_FAILED,
+    _upstream_call.Fault.CALLER_GONE: core.ErrorKind.CALLER_GONE,
+}
+
+
+def _ignore(health: decisions.UpstreamHealth, name: str) -> None:
+    del health, name
+
+
+HEALTH_NOTE: Mapping[
+    _upstream_call.Fault, Callable[[decisions.UpstreamHealth, str], None]
+] = {
+    _upstream_call.Fault.REFUSED: decisions.UpstreamHealth.unreachable,
+    _upstream_call.Fault.UNREACHABLE: decisions.UpstreamHealth.unreachable,
+    _upstream_call.Fault.NO_ANSWER: decisions.UpstreamHealth.failed,
+    _upstream_call.Fault.TRUNCATED: decisions.UpstreamHealth.failed,
+    _upstream_call.Fault.GARBLED: decisions.UpstreamHealth.failed,
+    _upstream_call.Fault.SILENT: decisions.UpstreamHealth.failed,
+    _upstream_call.Fault.LOST: decisions.UpstreamHealth.unreachable,
+    _upstream_call.Fault.CALLER_GONE: _ignore,
+}
+
+
+def not_run(kind: core.ErrorKind, reason: str) -> core.Refusal:
+    """Returns a refusal of a request that was not sent."""
+    return core.Refusal(kind, core.RunState.NOT_RUN, reason)
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -21,6 +21,7 @@
     _founding,
     _listener,
     _model_choice,
+    _parts,
     _placing,
     _releases,
     _rollout_watch,
@@ -128,7 +129,7 @@
             clock,
         )
         placer = _placing.Placer(settings.zone, catalog, releases, clock)
-        self.parts = _forwarder.GatewayParts(
+        self.parts = _parts.GatewayParts(
             zone=settings.zone,
             clock=clock,
             counters=self.counters,
--- a/libs/state/mulberry_state/_machine.py
+++ b/libs/state/mulberry_state/_machine.py
@@ -109,9 +109,9 @@
             _commands.ClearStrikes: self._clear_strikes,
             _commands.AcquireLease: self._acquire_lease,
             _commands.RecordOrder: self._record_order,
-            _commands.ReplaceRouting: self._replace_routing,
-            _commands.BeginServiceRollout: self._begin_service_rollout,
-            _commands.MoveServiceRollout: self._move_service_rollout,
+            _commands.ReplaceRouting: self._change_routing,
+            _commands.BeginServiceRollout: self._change_routing,
+            _commands.MoveServiceRollout: self._change_routing,
         }
 
     @property
@@ -472,42 +472,9 @@
             )
         return result
 
-    def _replace_routing(
-        self, command: _commands.ReplaceRouting
-    ) -> _commands.Result:
-        result = self.routing.replace(command)
-        if result.changed:
-            self._change_view()
-            self._note(
-                command.operator, f"routing {command.version}", in_view=True
-            )
-        return result
-
-    def _begin_service_rollout(
-        self, command: _commands.BeginServiceRollout
-    ) -> _commands.Result:
-        result, changed = self.routing.begin(command)
-        if changed:
-            self._change_view()
-            self._note(
-                "operator",
-                f"rollout {result.number} of {command.service} to "
-                f"{command.target} within {command.duration_s:g} s",
-                in_view=True,
-            )
-        return result
-
-    def _move_service_rollout(
-        self, command: _commands.MoveServiceRollout
-    ) -> _commands.Result:
-        result = self.routing.move(command)
-        if result.changed:
+    def _change_routing(self, command: _routing.Command) -> _commands.Result:
+        change = self.routing.apply(command)
+        if change.what:
             self._change_view()
-            self._note(
-                "roll-out",
-                f"rollout {command.number} of {command.service} "
-                f"{command.phase.value}, share {command.share:.2f}: "
-                f"{command.reason}",
-                in_view=True,
-            )
-        return result
+            self._note(change.who, change.what, in_view=True)
+        return change.result
--- a/libs/state/mulberry_state/_routing.py
+++ b/libs/state/mulberry_state/_routing.py
@@ -1,6 +1,8 @@
 """The operator's routing document and the rollouts of services."""
 
+import dataclasses
 import zlib
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from mulberry_state import _codec, _commands, _invariants, _view
@@ -10,31 +12,57 @@
 _ZLIB_LEVEL = 1
 
 
+Command = (
+    _commands.ReplaceRouting
+    | _commands.BeginServiceRollout
+    | _commands.MoveServiceRollout
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """The result of a command, and its audit record if it changed the view."""
+
+    result: _commands.Result
+    who: str = ""
+    #: Empty if nothing changed.
+    what: str = ""
+
+
 class RoutingState:
     """What commands change; part of the state machine."""
 
     def __init__(self) -> None:
         self.document = _view.NO_ROUTING
         self.rollout_by_service: dict[str, _view.ServiceRollout] = {}
+        self._handlers: Mapping[type, Callable[[Any], Change]] = {
+            _commands.ReplaceRouting: self._replace,
+            _commands.BeginServiceRollout: self._begin,
+            _commands.MoveServiceRollout: self._move,
+        }
 
-    def replace(
-        self, command: _commands.ReplaceRouting
-    ) -> _commands.RoutingReplaced:
+    def apply(self, command: Command) -> "Change":
+        """Applies a command of the operator or of the rollout watch."""
+        return self._handlers[type(command)](command)
+
+    def _replace(self, command: _commands.ReplaceRouting) -> "Change":
         """Takes a document of a higher version; another changes nothing."""
         changed = command.version > self.document.version
         if changed:
             self.document = _view.RoutingDocument(
                 command.version, command.document
             )
-        return _commands.RoutingReplaced(self.document.version, changed)
+        return Change(
+            _commands.RoutingReplaced(self.document.version, changed),
+            command.operator,
+            f"routing {command.version}" if changed else "",
+        )
 
-    def begin(
-        self, command: _commands.BeginServiceRollout
-    ) -> tuple[_commands.ServiceRolloutBegun, bool]:
+    def _begin(self, command: _commands.BeginServiceRollout) -> "Change":
         """Records a rollout; the one that is recorded is begun once only."""
         old = self.rollout_by_service.get(command.service)
         if old and old.target == command.target:
-            return _commands.ServiceRolloutBegun(old.number), False
+            return Change(_commands.ServiceRolloutBegun(old.number))
         number = old.number + 1 if old else 1
         self.rollout_by_service[command.service] = _view.ServiceRollout(
             number,
@@ -44,11 +72,14 @@
             0.0,
             "ordered",
         )
-        return _commands.ServiceRolloutBegun(number), True
+        return Change(
+            _commands.ServiceRolloutBegun(number),
+            "operator",
+            f"rollout {number} of {command.service} to {command.target} "
+            f"within {command.duration_s:g} s",
+        )
 
-    def move(
-        self, command: _commands.MoveServiceRollout
-    ) -> _commands.ServiceRolloutMoved:
+    def _move(self, command: _commands.MoveServiceRollout) -> "Change":
         """Changes a running rollout; one that has ended stays as it is."""
         old = self.rollout_by_service.get(command.service)
         if (
@@ -56,16 +87,20 @@
             or old.number != command.number
             or old.phase is not _commands.RolloutPhase.RUNNING
         ):
-            return _commands.ServiceRolloutMoved(False)
-        self.rollout_by_service[command.service] = _view.ServiceRollout(
-            old.number,
-            old.target,
-            old.duration_s,
-            command.phase,
-            command.share,
-            command.reason,
+            return Change(_commands.ServiceRolloutMoved(False))
+        self.rollout_by_service[command.service] = dataclasses.replace(
+            old,
+            phase=command.phase,
+            share=command.share,
+            reason=command.reason,
+        )
+        return Change(
+            _commands.ServiceRolloutMoved(True),
+            "roll-out",
+            f"rollout {command.number} of {command.service} "
+            f"{command.phase.value}, share {command.share:.2f}: "
+            f"{command.reason}",
         )
-        return _commands.ServiceRolloutMoved(True)
 
     def write(self, snapshot: Any) -> None:
         """Copies the state into a snapshot."""
