--- a/libs/core/mulberry_core/__init__.py
+++ b/libs/core/mulberry_core/__init__.py
@@ -22,7 +22,7 @@
 )
 from mulberry_core._hashing import bucket, digest128, hash_key, ring_position
 from mulberry_core._sentinels import Missing
-from mulberry_core._signals import call_on_termination
+from mulberry_core._signals import call_on_hangup, call_on_termination
 from mulberry_core._sse import SseSplitter
 from mulberry_core._tasks import TaskPool
 from mulberry_core._timers import Subscription, TimerService
@@ -48,6 +48,7 @@
     "TaskPool",
     "TimerService",
     "bucket",
+    "call_on_hangup",
     "call_on_termination",
     "digest128",
     "hash_key",
--- a/libs/decisions/mulberry_decisions/_load_book.py
+++ b/libs/decisions/mulberry_decisions/_load_book.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import threading
-from collections.abc import Mapping
+from collections.abc import Container
 
 import mulberry_core as core
 
@@ -61,7 +61,7 @@
             entry.reported_s = self._clock.now()
             entry.own_at_report = entry.own
 
-    def keep_only(self, names: Mapping[str, object]) -> None:
+    def keep_only(self, names: Container[str]) -> None:
         """Forgets upstreams that are gone and have no request left."""
         with self._lock:
             for name in list(self._entry_by_name):
--- a/libs/decisions/mulberry_decisions/_upstream_health.py
+++ b/libs/decisions/mulberry_decisions/_upstream_health.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import threading
+from collections.abc import Container
 
 import mulberry_core as core
 
@@ -84,6 +85,13 @@
                 return 0.0
             return self._faded(entry)
 
+    def keep_only(self, names: Container[str]) -> None:
+        """Forgets upstreams that are gone."""
+        with self._lock:
+            for name in list(self._entry_by_name):
+                if name not in names:
+                    del self._entry_by_name[name]
+
     def _note(self, name: str, failure: float) -> _Entry:
         entry = self._entry_by_name.setdefault(name, _Entry())
         entry.failed_share = (1 - _NEWEST_WEIGHT) * self._faded(
--- a/libs/decisions/mulberry_decisions/tests/test_placement.py
+++ b/libs/decisions/mulberry_decisions/tests/test_placement.py
@@ -124,3 +124,18 @@
     assert pauses == [0.5, 1.0, 2.0, 4.0]
     health.succeeded("w")
     assert not health.is_paused("w")
+
+
+def test_what_is_gone_is_forgotten_unless_it_still_runs() -> None:
+    """Upstreams get a new name with each start: what is kept must not grow."""
+    clock = core.ManualClock()
+    health, book = decisions.UpstreamHealth(clock), decisions.LoadBook(clock)
+    for name in ("gone", "busy", "here"):
+        health.unreachable(name)
+        book.started(name)
+    book.ended("gone")
+    health.keep_only({"here"})
+    book.keep_only({"here"})
+    assert not health.is_paused("gone")
+    assert health.is_paused("here")
+    assert [book.own(name) for name in ("busy", "here")] == [1, 1]
--- a/libs/gateway/mulberry_gateway/_catalog.py
+++ b/libs/gateway/mulberry_gateway/_catalog.py
@@ -52,25 +52,10 @@
                 self._rebuild(source)
             return self._by_service.get(service, ())
 
-    def names(self) -> Mapping[str, object]:
+    def names(self) -> frozenset[str]:
         """Returns the names of all upstreams in use."""
         with self._lock:
-            return dict(self._known_by_name)
-
-    def is_current(self, upstream: membership.Upstream) -> bool:
-        """Whether it may still get work, by the newest record."""
-        record = self._soft_state.latest(
-            membership.RecordKind.UPSTREAM, upstream.name
-        )
-        if isinstance(record, core.Missing):
-            return True
-        if record.removed:
-            return False
-        found = self._directory.find(upstream.name)
-        return (
-            isinstance(found, core.Missing)
-            or found.state is not membership.UpstreamState.LEAVING
-        )
+            return frozenset(self._known_by_name)
 
     def _rebuild(self, source: Mapping[str, membership.Upstream]) -> None:
         now_s = self._clock.now()
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -33,6 +33,8 @@
 #: then on they get answers that say why they are not served.
 _WAIT_FOR_ROUTING_S = 15.0
 _LOOK_PERIOD_S = 0.05
+#: Between looks for upstreams that are gone for good, seconds.
+_FORGET_PERIOD_S = 60.0
 #: Threads for exchanges of peers, beside those of a voter.
 _PEER_THREADS = 24
 #: Part of the grace period that is left for the last steps of a stop, so that
@@ -130,7 +132,6 @@
         )
         placer = _placing.Placer(settings.zone, catalog, releases, clock)
         self.parts = _parts.GatewayParts(
-            zone=settings.zone,
             clock=clock,
             counters=self.counters,
             log=log,
@@ -183,6 +184,9 @@
         self._watch.start()
         self._tasks.spawn("entry", self._open_entry)
         self.timers.every(1.0, self._publish_entry, "entry")
+        self.timers.every(
+            _FORGET_PERIOD_S, self.parts.placer.forget_lost, "forget"
+        )
         self._log.note(
             "started",
             keep=True,
--- a/libs/gateway/mulberry_gateway/_listener.py
+++ b/libs/gateway/mulberry_gateway/_listener.py
@@ -3,7 +3,6 @@
 import abc
 import socket
 import threading
-from collections.abc import Callable
 from concurrent import futures
 
 from absl import logging
@@ -65,7 +64,6 @@
         )
         self._lock = threading.Lock()
         self._busy = 0
-        self._open: set[_connection.Connection] = set()
         self._stopping = threading.Event()
         #: Set while connections end after their next answer.
         self.draining = threading.Event()
@@ -94,15 +92,6 @@
         self._stopping.set()
         self._sock.close()
 
-    def close_idle(self, is_idle: Callable[[], bool]) -> None:
-        """Closes all connections once nothing is being answered."""
-        if not is_idle():
-            return
-        with self._lock:
-            connections = list(self._open)
-        for connection in connections:
-            connection.close()
-
     def _accept(self) -> None:
         while not self._stopping.is_set():
             try:
@@ -123,16 +112,11 @@
             # Reset before it was served.
             sock.close()
             return
-        with self._lock:
-            self._open.add(connection)
         try:
             self._serve_connection(connection)
         except Exception:
             logging.exception("%s: connection task failed", self._name)
             connection.close()
-        finally:
-            with self._lock:
-                self._open.discard(connection)
 
     def _serve_connection(self, connection: _connection.Connection) -> None:
         reader = _request_reader.RequestReader(
--- a/libs/gateway/mulberry_gateway/_parts.py
+++ b/libs/gateway/mulberry_gateway/_parts.py
@@ -19,7 +19,6 @@
 class GatewayParts:
     """What the forwarder works with."""
 
-    zone: str
     clock: core.Clock
     counters: core.Counters
     log: core.DecisionLog
--- a/libs/gateway/mulberry_gateway/_placing.py
+++ b/libs/gateway/mulberry_gateway/_placing.py
@@ -74,6 +74,12 @@
             / sum(place.slots for place in places),
         )
 
+    def forget_lost(self) -> None:
+        """Drops what is known of upstreams that are gone."""
+        names = self._catalog.names()
+        self.load.keep_only(names)
+        self.health.keep_only(names)
+
     def _usable(
         self, exchange: _exchange.Exchange
     ) -> Sequence[membership.Upstream]:
