Decision log: a stop no longer waits for a reader that does not read

Cause: `stop` wrote the last lines on the thread that stops the process. With standard output full and unread, that write never returned and the process lived until SIGKILL. Ruled out: a non-blocking descriptor; it is shared with other writers of the same standard output, whose writes would fail. Before: the new test of a full pipe hangs past its 20 s. After: the writing thread does the last write, the stop waits 0.2 s for it at most. The log has tests of its own now: form of a line, bound per second, failures kept, bound of the queue.

--- a/libs/core/mulberry_core/_decision_log.py
+++ b/libs/core/mulberry_core/_decision_log.py
@@ -10,11 +10,14 @@
 from mulberry_core import _clock
 
 #: Lines waiting to be written; more are dropped and counted. About 2 MB.
-_MAX_WAITING = 8_192
+MAX_WAITING = 8_192
 #: Between two writes, seconds: one system call for many lines.
 _WRITE_PERIOD_S = 0.2
+#: Longest wait of a stop for the last write, seconds; well within the time
+#: that a stop keeps for its last steps.
+_LAST_WRITE_S = 0.2
 #: Ordinary lines in one second; failures are not counted against it.
-_MAX_PER_S = 400
+MAX_PER_S = 400
 
 
 class DecisionLog:
@@ -42,11 +45,10 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Writes what is waiting and ends."""
+        """Lets the thread write what is waiting, for a bounded time."""
         self._stopping.set()
         if self._thread.is_alive():
-            self._thread.join(timeout=1.0)
-        self._write()
+            self._thread.join(timeout=_LAST_WRITE_S)
 
     def note(self, event: str, /, *, keep: bool = False, **fields: Any) -> None:
         """Queues one line.
@@ -61,8 +63,8 @@
             if int(now_s) != self._second:
                 self._second, self._in_second = int(now_s), 0
             self._in_second += 1
-            if len(self._waiting) >= _MAX_WAITING or (
-                not keep and self._in_second > _MAX_PER_S
+            if len(self._waiting) >= MAX_WAITING or (
+                not keep and self._in_second > MAX_PER_S
             ):
                 self._dropped += 1
                 return
@@ -78,6 +80,7 @@
     def _run(self) -> None:
         while not self._stopping.wait(_WRITE_PERIOD_S):
             self._write()
+        self._write()
 
     def _write(self) -> None:
         with self._lock:
--- /dev/null
+++ b/libs/core/mulberry_core/tests/test_decision_log.py
@@ -0,0 +1,105 @@
+"""Tests of the decision log: bounded volume, and no caller ever waits."""
+
+import json
+import os
+import threading
+
+import pytest
+
+import mulberry_core as core
+from mulberry_core import _decision_log
+
+#: Longest wait for a thread that is expected to end, seconds.
+_PATIENCE_S = 20.0
+
+
+@pytest.fixture(name="pipe")
+def fixture_pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def _fill(writer: int) -> None:
+    """Fills a pipe, so that the next write of a blocking writer waits."""
+    os.set_blocking(writer, False)
+    try:
+        while True:
+            os.write(writer, b"x" * 4096)
+    except BlockingIOError:
+        os.set_blocking(writer, True)
+
+
+def _read(reader: int) -> bytes:
+    os.set_blocking(reader, False)
+    data = b""
+    try:
+        while chunk := os.read(reader, 1 << 20):
+            data += chunk
+    except BlockingIOError:
+        pass
+    return data
+
+
+def _lines(reader: int) -> list[dict[str, object]]:
+    return [json.loads(line) for line in _read(reader).splitlines()]
+
+
+def test_lines_carry_event_fields_and_both_clocks(pipe):
+    reader, writer = pipe
+    log = core.DecisionLog(core.ManualClock(5.0, 100.0), writer)
+    log.start()
+    log.note("request", id="r-1", status=200)
+    log.stop()
+    assert _lines(reader) == [
+        {"at": 100.0, "t": 5.0, "event": "request", "id": "r-1", "status": 200}
+    ]
+
+
+def test_stop_does_not_wait_for_a_reader_that_does_not_read(pipe):
+    """Guards against a planned stop held up until the process is killed."""
+    _, writer = pipe
+    _fill(writer)
+    log = core.DecisionLog(core.ManualClock(), writer)
+    log.start()
+    log.note("stopped", keep=True)
+    stopping = threading.Thread(target=log.stop, daemon=True)
+    stopping.start()
+    stopping.join(timeout=_PATIENCE_S)
+    assert not stopping.is_alive()
+
+
+def test_ordinary_lines_are_bounded_per_second_and_failures_are_kept(pipe):
+    """Guards against failures lost among the lines of sound requests."""
+    reader, writer = pipe
+    clock = core.ManualClock()
+    log = core.DecisionLog(clock, writer)
+    for _ in range(_decision_log.MAX_PER_S + 50):
+        log.note("request")
+    log.note("refused", keep=True)
+    log.start()
+    log.stop()
+    lines = _lines(reader)
+    kinds = [line["event"] for line in lines]
+    assert kinds.count("request") == _decision_log.MAX_PER_S
+    assert kinds.count("refused") == 1
+    assert lines[-1]["event"] == "log_lines_dropped"
+    assert lines[-1]["count"] == 50
+
+
+def test_full_queue_drops_and_counts(pipe):
+    """Guards against memory that grows while nobody reads the log."""
+    reader, writer = pipe
+    log = core.DecisionLog(core.ManualClock(), writer)
+    for number in range(_decision_log.MAX_WAITING + 3):
+        log.note("refused", keep=True, number=number)
+    log.start()
+    stopping = threading.Thread(target=log.stop, daemon=True)
+    stopping.start()
+    data = b""
+    while stopping.is_alive():
+        data += _read(reader)
+    data += _read(reader)
+    last = json.loads(data.splitlines()[-1])
+    assert (last["event"], last["count"]) == ("log_lines_dropped", 3)
