Tell engines which requests are urgent

Cause: requests of all routes waited in the engines' queues in the order of arrival; a chat behind a burst of labels missed its aim although labels had time left. A second attempt goes before others of its priority.

--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -133,6 +133,7 @@
     UpstreamChooser,
     UpstreamState,
 )
+from mulberry_decisions._urgency import LEAST_URGENT, urgency
 from mulberry_decisions._versions import (
     FixedShare,
     StableVersion,
@@ -183,6 +184,7 @@
     "FixedShare",
     "HedgePolicy",
     "LearnedCascade",
+    "LEAST_URGENT",
     "LeastLoad",
     "LeastReportedLoad",
     "LoadBook",
@@ -244,4 +246,5 @@
     "Work",
     "find_fault",
     "may_change_version",
+    "urgency",
 ]
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/tests/test_urgency.py
@@ -0,0 +1,78 @@
+"""Urgency replays a burst on one engine whose places are all taken."""
+
+import dataclasses
+import heapq
+import random
+
+import pytest
+
+import mulberry_decisions as decisions
+
+
+@pytest.mark.parametrize(
+    ("priority", "attempts", "wanted"),
+    [(0, 1, 1), (0, 2, 0), (1, 1, 3), (2, 3, 4), (4, 1, 9), (9, 2, 9)],
+)
+def test_levels(priority: int, attempts: int, wanted: int) -> None:
+    assert decisions.urgency(priority, attempts) == wanted
+
+
+@dataclasses.dataclass(frozen=True)
+class _Kind:
+    priority: int
+    per_s: float
+    run_s: float
+    aim_s: float
+
+
+_CHAT = _Kind(priority=0, per_s=14.0, run_s=0.4, aim_s=1.0)
+_PLAN = _Kind(priority=1, per_s=9.0, run_s=0.9, aim_s=2.0)
+_TAG = _Kind(priority=2, per_s=34.0, run_s=0.2, aim_s=1.5)
+_PLACES = 16
+_BURST_S = 8.0
+
+
+def _in_aim(by_urgency: bool) -> dict[_Kind, float]:
+    """Returns the share of each kind that begins within its aim.
+
+    The load is 1.3 times what the places can run, for eight seconds.
+    """
+    rng = random.Random(7)
+    arrivals = sorted(
+        (at_s, kind.priority, kind)
+        for kind in (_CHAT, _PLAN, _TAG)
+        for at_s in _arrivals(rng, kind.per_s)
+    )
+    ends_s = [0.0] * _PLACES
+    waiting: list[tuple[int, float, int, _Kind]] = []
+    begun: dict[_Kind, list[bool]] = {_CHAT: [], _PLAN: [], _TAG: []}
+    number = 0
+    while arrivals or waiting:
+        free_s = heapq.heappop(ends_s)
+        while arrivals and (not waiting or arrivals[0][0] <= free_s):
+            at_s, _, kind = arrivals.pop(0)
+            level = decisions.urgency(kind.priority, 1) if by_urgency else 0
+            heapq.heappush(waiting, (level, at_s, number, kind))
+            number += 1
+        _, at_s, _, kind = heapq.heappop(waiting)
+        start_s = max(free_s, at_s)
+        begun[kind].append(start_s - at_s <= kind.aim_s)
+        heapq.heappush(ends_s, start_s + kind.run_s)
+    return {kind: sum(done) / len(done) for kind, done in begun.items()}
+
+
+def _arrivals(rng: random.Random, per_s: float) -> list[float]:
+    times = []
+    at_s = rng.expovariate(per_s)
+    while at_s < _BURST_S:
+        times.append(at_s)
+        at_s += rng.expovariate(per_s)
+    return times
+
+
+def test_a_burst_leaves_the_urgent_kinds_in_time() -> None:
+    """Guards against chats that wait behind everything that came before."""
+    without, with_levels = _in_aim(False), _in_aim(True)
+    assert with_levels[_CHAT] == 1.0
+    assert with_levels[_PLAN] >= 0.95
+    assert without[_CHAT] < 0.9
--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -135,6 +135,9 @@
                 team=exchange.team,
                 model=attempt.model,
                 last_event_id=exchange.last_event_id,
+                urgency=decisions.urgency(
+                    exchange.priority, len(exchange.attempts)
+                ),
             ),
         )
         data = _messages.write_request(
