Ask for less confidence only on engines that are nearly full

Cause: the ladder began to keep poor answers at 0.3 of the places in use. Now: from 0.6 of the places, everything is kept at 1.0.

--- a/libs/decisions/mulberry_decisions/_model_ladder.py
+++ b/libs/decisions/mulberry_decisions/_model_ladder.py
@@ -13,11 +13,12 @@
 #: A model that is short of the threshold by no more than this is followed by
 #: the next larger one, otherwise by the largest.
 _NEXT_WITHIN = 0.2
-#: Share of the engines' places in use from which less is asked of answers.
-#: Streams on engines fuller than that ran into their aims.
-_BUSY_FROM = 0.3
-#: Share of the places in use at which every answer is kept.
-_FULL_AT = 0.75
+#: Share of the engines' places in use from which less is asked of answers. An
+#: answer of too small a model is worth less to its caller than a late one.
+_BUSY_FROM = 0.6
+#: Share of the places in use at which every answer is kept: another one would
+#: make those wait that are not begun.
+_FULL_AT = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/decisions/mulberry_decisions/tests/test_model_ladder.py
+++ b/libs/decisions/mulberry_decisions/tests/test_model_ladder.py
@@ -23,10 +23,11 @@
         ("small", core.Missing.UNSET, 0.0, core.Missing.UNSET),
         ("large", 0.1, 0.0, core.Missing.UNSET),
         # Busy engines: less is asked, and nothing once they are full.
-        ("small", 0.5, 0.6, core.Missing.UNSET),
-        ("small", 0.1, 0.6, "middle"),
-        ("small", 0.0, 0.5, "large"),
-        ("small", 0.0, 0.8, core.Missing.UNSET),
+        ("small", 0.5, 0.6, "middle"),
+        ("small", 0.5, 0.8, core.Missing.UNSET),
+        ("small", 0.15, 0.8, "middle"),
+        ("small", 0.0, 0.7, "large"),
+        ("small", 0.0, 1.0, core.Missing.UNSET),
     ],
 )
 def test_next_model(
