--- a/libs/experiments/mulberry_experiments/_soak/_faults.py
+++ b/libs/experiments/mulberry_experiments/_soak/_faults.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from mulberry_experiments._soak import _history, _relay, _watcher, _world
+import mulberry_standins as standins
+from mulberry_experiments._soak import _history, _watcher, _world
 
 _BETWEEN_S = (1.0, 4.0)
 _DOWN_S = (0.5, 3.0)
@@ -236,14 +237,14 @@
             return
         relay = self._world.relays_by_name[name]
         cut = rng.choice(
-            (_relay.Cut.REQUESTS, _relay.Cut.REPLIES, _relay.Cut.BOTH)
+            (standins.Cut.REQUESTS, standins.Cut.REPLIES, standins.Cut.BOTH)
         )
         with self._taken(name, f"cut of {cut.value} to a voter"):
             relay.cut(cut)
             try:
                 time.sleep(rng.uniform(*_CUT_S))
             finally:
-                relay.cut(_relay.Cut.NONE)
+                relay.cut(standins.Cut.NONE)
 
     def _stop_gracefully(self, rng: random.Random) -> None:
         name = self._take_instance(rng)
--- a/libs/experiments/mulberry_experiments/_soak/_world.py
+++ b/libs/experiments/mulberry_experiments/_soak/_world.py
@@ -7,8 +7,8 @@
 import sys
 from typing import Any
 
+import mulberry_standins as standins
 from mulberry_experiments import _deployment
-from mulberry_experiments._soak import _relay
 
 _ROOT = pathlib.Path(__file__).parents[4]
 _RULES = _ROOT / "examples" / "colmenas.rules"
@@ -63,7 +63,7 @@
             ),
             folder / "run",
         )
-        self.relays_by_name: dict[str, _relay.Relay] = {}
+        self.relays_by_name: dict[str, standins.Relay] = {}
 
     def stop(self) -> None:
         """Ends every process and relay."""
@@ -122,7 +122,7 @@
         settings_by_name = super()._instance_settings()
         for name, settings in settings_by_name.items():
             if settings.get("voter"):
-                self.relays_by_name[name] = _relay.Relay(
+                self.relays_by_name[name] = standins.Relay(
                     settings["grpc_address"]
                 )
         relayed = {
--- a/libs/standins/mulberry_standins/__init__.py
+++ b/libs/standins/mulberry_standins/__init__.py
@@ -1,15 +1,18 @@
-"""Stand-in engine, plain service, rater and weight store."""
+"""Stand-in engine, plain service, rater, weight store, and a faulty network."""
 
 from mulberry_standins._answers import expected_text, quality_in
 from mulberry_standins._faults import NO_FAULTS, Faults
 from mulberry_standins._main import create, main
 from mulberry_standins._options import Options, parse_options
+from mulberry_standins._relay import Cut, Relay
 from mulberry_standins._standin import Standin
 
 __all__ = [
     "NO_FAULTS",
+    "Cut",
     "Faults",
     "Options",
+    "Relay",
     "Standin",
     "create",
     "expected_text",
--- a/libs/standins/mulberry_standins/_relay.py
+++ b/libs/standins/mulberry_standins/_relay.py
@@ -1,9 +1,11 @@
-"""A TCP relay that plays a cut of the network in front of one address."""
+"""A TCP relay that plays faults of the network in front of one address."""
 
 import contextlib
 import enum
 import socket
+import struct
 import threading
+import time
 
 _BUFFER_BYTES = 65_536
 _CONNECT_TIMEOUT_S = 2.0
@@ -34,6 +36,10 @@
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
         self._changed = threading.Condition()
         self._cut = Cut.NONE
+        #: Added to everything that passes, seconds.
+        self.delay_s = 0.0
+        #: Connections opened before this time pass nothing any more.
+        self._silent_before_s = 0.0
         self._closed = False
         self._sockets: set[socket.socket] = set()
         threading.Thread(target=self._accept, daemon=True).start()
@@ -50,6 +56,28 @@
             self._cut = cut
             self._changed.notify_all()
 
+    def silence(self) -> None:
+        """Lets open connections pass nothing for good; new ones work."""
+        self._silent_before_s = time.monotonic()
+
+    def reset(self) -> None:
+        """Resets all open connections."""
+        with self._changed:
+            sockets = list(self._sockets)
+        for item in sockets:
+            with contextlib.suppress(OSError):
+                item.setsockopt(
+                    socket.SOL_SOCKET,
+                    socket.SO_LINGER,
+                    struct.pack("ii", 1, 0),
+                )
+            _close(item)
+
+    def retarget(self, target: str) -> None:
+        """Sends new connections to another address."""
+        host, port = target.rsplit(":", 1)
+        self._target = (host, int(port))
+
     def close(self) -> None:
         """Ends all connections."""
         with self._changed:
@@ -91,9 +119,14 @@
         sink: socket.socket,
         held_by: frozenset[Cut],
     ) -> None:
+        opened_s = time.monotonic()
         try:
             while data := source.recv(_BUFFER_BYTES):
+                if self.delay_s:
+                    time.sleep(self.delay_s)
                 self._wait_while(held_by)
+                if opened_s < self._silent_before_s:
+                    continue
                 sink.sendall(data)
         except OSError:
             pass
