Spread the callers that are turned away at the same moment

Cause: all callers that were refused during an outage were told the same wait and would come back together, to upstreams that have room for some of them. Ruled out: longer waits for all (callers with time left would lose it), and holding requests (they get their answer at once). Replay (`test_returns.py`): 300 callers refused within 0.1 s return at more than 50 in the busiest tenth of a second before, within room for 50 after.

--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -75,6 +75,7 @@
     RetryBudget,
     UnlimitedRetries,
 )
+from mulberry_decisions._returns import ReturnTimes
 from mulberry_decisions._rollout import (
     NO_STEP,
     Move,
@@ -209,6 +210,7 @@
     "RatingExport",
     "RatingKey",
     "RetryBudget",
+    "ReturnTimes",
     "RolloutAdvancer",
     "RolloutAdvice",
     "RolloutDecision",
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/tests/test_returns.py
@@ -0,0 +1,39 @@
+"""Return times replay an outage that ends."""
+
+import collections
+import random
+
+import pytest
+
+import mulberry_decisions as decisions
+
+
+@pytest.mark.parametrize("after_s", [0.0, 0.02, 0.1])
+def test_another_instance_is_asked_at_once(after_s: float) -> None:
+    assert decisions.ReturnTimes().spread(after_s) == after_s
+
+
+@pytest.mark.parametrize("after_s", [0.5, 1.0, 4.0])
+def test_nobody_returns_early_or_much_too_late(after_s: float) -> None:
+    returns = decisions.ReturnTimes(random.Random(1))
+    waits = [returns.spread(after_s) for _ in range(200)]
+    assert after_s <= min(waits)
+    assert max(waits) <= 2.0 * after_s
+
+
+def test_callers_do_not_return_together() -> None:
+    """Replays 300 callers that are turned away within a tenth of a second.
+
+    The upstreams then have room for 50 in a tenth of a second. Guards
+    against a second refusal for most of them.
+    """
+    rng = random.Random(2)
+    returns = decisions.ReturnTimes(rng)
+    refused_s = [rng.uniform(0.0, 0.1) for _ in range(300)]
+    assert _busiest_tenth([at_s + 1.0 for at_s in refused_s]) > 50
+    spread = [at_s + returns.spread(1.0) for at_s in refused_s]
+    assert _busiest_tenth(spread) <= 50
+
+
+def _busiest_tenth(times_s: list[float]) -> int:
+    return max(collections.Counter(int(at * 10) for at in times_s).values())
--- a/libs/gateway/mulberry_gateway/_forwarder.py
+++ b/libs/gateway/mulberry_gateway/_forwarder.py
@@ -198,6 +198,7 @@
         refusal = dataclasses.replace(failed.refusal, run=exchange.run)
         if exchange.run is not core.RunState.NOT_RUN:
             refusal = _truthful(refusal)
+        refusal = self._with_return_time(refusal)
         response = self._parts.dialect.refuse(
             refusal, exchange.facts.request_id
         )
@@ -206,6 +207,15 @@
         data = _messages.write_response(response, exchange.keep_alive)
         return exchange.caller.send_all(data) and exchange.keep_alive
 
+    def _with_return_time(self, refusal: core.Refusal) -> core.Refusal:
+        """Returns the refusal with the wait that this caller is told."""
+        after_s = refusal.resend_after_s
+        if isinstance(after_s, core.Missing):
+            return refusal
+        return dataclasses.replace(
+            refusal, retry_after_s=self._parts.returns.spread(after_s)
+        )
+
     def _note_refusal(
         self, exchange: _exchange.Exchange, refusal: core.Refusal
     ) -> None:
@@ -228,6 +238,7 @@
         refusal: core.Refusal,
     ) -> bool:
         parts = self._parts
+        refusal = self._with_return_time(refusal)
         parts.counters.increment(f"gateway.refused.{refusal.kind.value}")
         parts.log.note(
             "refused",
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -143,6 +143,7 @@
                 _MAX_SAVED_RETRIES,
             ),
             drain=decisions.Drain(settings.bounds.grace_s, clock),
+            returns=decisions.ReturnTimes(),
             max_view_age_s=settings.bounds.apply_s * _FINAL_VIEW_SHARE,
             watch=self._watch,
             releases=releases,
