Replace a channel to a voter whose connection went silent

Its connections to the voters were those from before the cut, and passed nothing until TCP sent again, 2.7 and 3.5 s after the cut on two instances. New ones would have worked at once. Ruled out: the order in which voters are asked (all were silent), the longer renewal period (0.6 s), an election (the core was stable), keep-alive probes of gRPC (a wake-up and bytes on every channel each second, also when calm). Now: two calls in a row that run out of time drop the channel, and channels do not share connections. Before: `test_a_connection_that_went_silent_is_replaced` never gets an answer. After: from the third call on. It took the end of `stop` for the end of the writing, which a stop does not wait for; it now reads until the last line is there.

--- a/libs/core/mulberry_core/tests/test_decision_log.py
+++ b/libs/core/mulberry_core/tests/test_decision_log.py
@@ -3,6 +3,7 @@
 import json
 import os
 import threading
+import time
 from collections.abc import Iterator
 
 import pytest
@@ -32,19 +33,24 @@
         os.set_blocking(writer, True)
 
 
-def _read(reader: int) -> bytes:
+def _lines(reader: int, last: str) -> list[dict[str, object]]:
+    """Returns the lines up to one of the event `last`.
+
+    A stop waits a moment only for the thread that writes.
+    """
     os.set_blocking(reader, False)
     data = b""
-    try:
-        while chunk := os.read(reader, 1 << 20):
-            data += chunk
-    except BlockingIOError:
-        pass
-    return data
-
-
-def _lines(reader: int) -> list[dict[str, object]]:
-    return [json.loads(line) for line in _read(reader).splitlines()]
+    until_s = time.monotonic() + _PATIENCE_S
+    while time.monotonic() < until_s:
+        try:
+            data += os.read(reader, 1 << 20)
+        except BlockingIOError:
+            time.sleep(0.01)
+        if data.endswith(b"\n"):
+            lines = [json.loads(line) for line in data.splitlines()]
+            if lines[-1]["event"] == last:
+                return lines
+    raise AssertionError(f"no line of {last} came")
 
 
 def test_lines_carry_event_fields_and_both_clocks(
@@ -55,7 +61,7 @@
     log.start()
     log.note("request", id="r-1", status=200)
     log.stop()
-    assert _lines(reader) == [
+    assert _lines(reader, "request") == [
         {"at": 100.0, "t": 5.0, "event": "request", "id": "r-1", "status": 200}
     ]
 
@@ -87,7 +93,7 @@
     log.note("refused", keep=True)
     log.start()
     log.stop()
-    lines = _lines(reader)
+    lines = _lines(reader, "log_lines_dropped")
     kinds = [line["event"] for line in lines]
     assert kinds.count("request") == _decision_log.MAX_PER_S
     assert kinds.count("refused") == 1
@@ -102,11 +108,6 @@
     for number in range(_decision_log.MAX_WAITING + 3):
         log.note("refused", keep=True, number=number)
     log.start()
-    stopping = threading.Thread(target=log.stop, daemon=True)
-    stopping.start()
-    data = b""
-    while stopping.is_alive():
-        data += _read(reader)
-    data += _read(reader)
-    last = json.loads(data.splitlines()[-1])
-    assert (last["event"], last["count"]) == ("log_lines_dropped", 3)
+    threading.Thread(target=log.stop, daemon=True).start()
+    last = _lines(reader, "log_lines_dropped")[-1]
+    assert last["count"] == 3
--- a/libs/state/mulberry_state/_channels.py
+++ b/libs/state/mulberry_state/_channels.py
@@ -25,7 +25,13 @@
     ("grpc.max_reconnect_backoff_ms", 500),
     # Instances are addressed directly, whatever proxy the environment names.
     ("grpc.enable_http_proxy", 0),
+    # A channel that replaces a silent one must not share its connection.
+    ("grpc.use_local_subchannel_pool", 1),
 )
+#: Calls in a row that ran out of time on one channel until it is replaced. A
+#: connection that was open during a cut can stay silent for as long again,
+#: until TCP sends once more; one slow call says nothing yet.
+_SILENT_CALLS = 2
 
 
 def open_insecure(address: str) -> grpc.Channel:
@@ -41,6 +47,8 @@
         self._lock = threading.Lock()
         self._channel_by_address: dict[str, grpc.Channel] = {}
         self._stub_by_key: dict[tuple[str, Any], Any] = {}
+        #: Calls in a row that ran out of time, by address.
+        self._silent_by_address: dict[str, int] = {}
         self._closed = False
 
     def stub(self, address: str, stub_type: Any) -> Any:
@@ -73,12 +81,33 @@
         """Returns the reply, or `Unreachable` with the reason."""
         try:
             stub = self.stub(address, stub_type)
-            return getattr(stub, method)(request, timeout=timeout_s)
+            reply = getattr(stub, method)(request, timeout=timeout_s)
         except grpc.RpcError as error:
+            self._note_failure(address, error)
             return _peers.Unreachable(_reason(error))
         except ValueError as error:
             # The channel was closed: this instance is stopping.
             return _peers.Unreachable(str(error))
+        with self._lock:
+            self._silent_by_address.pop(address, None)
+        return reply
+
+    def _note_failure(self, address: str, error: grpc.RpcError) -> None:
+        """Drops a channel on which calls run out of time.
+
+        Calls that still run on it keep it until they end.
+        """
+        code = getattr(error, "code", None)
+        if code is None or code() is not grpc.StatusCode.DEADLINE_EXCEEDED:
+            return
+        with self._lock:
+            silent = self._silent_by_address.get(address, 0) + 1
+            self._silent_by_address[address] = silent % _SILENT_CALLS
+            if silent < _SILENT_CALLS or self._closed:
+                return
+            self._channel_by_address.pop(address, None)
+            for key in [k for k in self._stub_by_key if k[0] == address]:
+                del self._stub_by_key[key]
 
     def close(self) -> None:
         """Closes all channels; running calls fail, and later ones too."""
--- a/libs/state/mulberry_state/tests/test_channels.py
+++ b/libs/state/mulberry_state/tests/test_channels.py
@@ -1,7 +1,13 @@
 """Channels that are closed while tasks still call."""
 
+from collections.abc import Iterator
+from concurrent import futures
 from typing import Any
 
+import grpc
+import pytest
+
+import mulberry_standins as standins
 from mulberry_state import _channels, _peers
 from mulberry_wire import log_pb2, log_pb2_grpc, state_pb2, state_pb2_grpc
 
@@ -20,3 +26,46 @@
     for stub in stubs:
         reply = channels.call(address, *stub, 0.2)
         assert isinstance(reply, _peers.Unreachable)
+
+
+class _Voter(state_pb2_grpc.StateServicer):
+    def Status(  # noqa: N802 (name of the gRPC method)
+        self, request: state_pb2.StatusRequest, context: grpc.ServicerContext
+    ) -> state_pb2.StatusReply:
+        return state_pb2.StatusReply(name="a")
+
+
+@pytest.fixture(name="relay")
+def fixture_relay() -> Iterator[standins.Relay]:
+    server = grpc.server(futures.ThreadPoolExecutor(4))
+    state_pb2_grpc.add_StateServicer_to_server(_Voter(), server)  # type: ignore[no-untyped-call]
+    port = server.add_insecure_port("127.0.0.1:0")
+    server.start()
+    relay = standins.Relay(f"127.0.0.1:{port}")
+    yield relay
+    relay.close()
+    server.stop(0)
+
+
+def test_a_connection_that_went_silent_is_replaced(
+    relay: standins.Relay,
+) -> None:
+    """Guards against an instance without a lease long after a cut has ended.
+
+    The connection that was open during the cut passes nothing for as long as
+    TCP waits before it sends again; a new one works at once.
+    """
+    channels = _channels.Channels(_channels.open_insecure)
+    request = state_pb2.StatusRequest()
+
+    def ask() -> Any:
+        return channels.call(
+            relay.address, state_pb2_grpc.StateStub, "Status", request, 0.5
+        )
+
+    assert not isinstance(ask(), _peers.Unreachable)
+    relay.silence()
+    replies = [ask() for _ in range(4)]
+    assert isinstance(replies[0], _peers.Unreachable)
+    assert not isinstance(replies[-1], _peers.Unreachable)
+    channels.close()
