--- a/libs/experiments/mulberry_experiments/_soak/_run.py
+++ b/libs/experiments/mulberry_experiments/_soak/_run.py
@@ -6,7 +6,7 @@
 import tempfile
 import threading
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from mulberry_experiments._soak import (
     _callers,
@@ -77,7 +77,7 @@
     try:
         world.start()
         _drive(world, history, operators, seed, duration_s)
-        final = _settle(world)
+        final = settle(lambda: _evidence.final_numbers(world))
     finally:
         world.stop()
     evidence = _evidence.gather(
@@ -148,14 +148,24 @@
             thread.join()
 
 
-def _settle(world: _world.World) -> dict[str, int]:
-    """Waits until all instances report the same rules."""
+def settle(
+    read: Callable[[], Mapping[str, int]], quiet_s: float = _QUIET_S
+) -> dict[str, int]:
+    """Waits until all instances report the same rules, twice.
+
+    A file that an operator has given up on may still be accepted; what is
+    read must be what stands after the quiet time, as the evidence is.
+
+    Args:
+        read: Returns the rules number of each instance.
+        quiet_s: Between the two looks.
+    """
     deadline_s = time.monotonic() + _SETTLE_TIMEOUT_S
     numbers: dict[str, int] = {}
     while time.monotonic() < deadline_s:
-        numbers = dict(_evidence.final_numbers(world))
-        if len(set(numbers.values())) == 1 and 0 not in numbers.values():
+        before, numbers = numbers, dict(read())
+        agreed = len(set(numbers.values())) == 1 and 0 not in numbers.values()
+        if agreed and numbers == before:
             break
-        time.sleep(0.5)
-    time.sleep(_QUIET_S)
+        time.sleep(quiet_s if agreed else 0.5)
     return numbers
--- a/libs/experiments/mulberry_experiments/tests/test_soak.py
+++ b/libs/experiments/mulberry_experiments/tests/test_soak.py
@@ -22,3 +22,10 @@
         name.rpartition(": ")[2] for name in outcome.requests.elements()
     )
     assert answered["answered"] > 0
+
+
+def test_rules_accepted_in_the_quiet_time_are_read() -> None:
+    """Guards against numbers read before a late change and judged after it."""
+    looks = iter([3, 4, 4])
+    numbers = _run.settle(lambda: {"a": next(looks)}, quiet_s=0.0)
+    assert numbers == {"a": 4}
