Gateway: one piece of code where the change had two

Found by reading the whole change again; behaviour is as before. - `Attempts._may_retry` asked whether the work may be repeated, which `ShareRetryBudget.try_retry` asks by `is_repeatable` right after it. - `UpstreamCall._read` and `_send_rest` fed the parser alike: `_feed`. - `Control.replace_routing` and `begin_rollout` proposed and logged refusals alike: `_propose`. - The version of an upstream was handed through five methods beside the attempt that it belongs to: `Attempt.release`. - `Placer.choose` built the set of tried upstreams anew for each upstream of the service, searched the chosen one by name, and handled an empty choice twice. - `SessionAffinity` and `LeastLoad` weighed failures by two copies of one formula: `Place.cost`. `LoadBook.estimate` was called by nothing. No test was changed.

--- a/libs/decisions/mulberry_decisions/_load_book.py
+++ b/libs/decisions/mulberry_decisions/_load_book.py
@@ -99,10 +99,6 @@
             )
         }
 
-    def estimate(self, name: str) -> float:
-        """Returns the requests believed to be running or waiting there."""
-        return self.estimates([name])[name]
-
 
 _NOTHING = _Entry()
 
--- a/libs/decisions/mulberry_decisions/_placement.py
+++ b/libs/decisions/mulberry_decisions/_placement.py
@@ -41,6 +41,11 @@
         """Load as a share of the slots."""
         return self.load / max(1, self.slots)
 
+    @property
+    def cost(self) -> float:
+        """Load share, and more where requests fail."""
+        return self.load_share + _FAILURE_COST * self.failed_share
+
 
 class Placement(abc.ABC):
     """Chooses one of several places."""
@@ -82,11 +87,7 @@
         return min((first, self._random.choice(others)), key=self._cost)
 
     def _cost(self, place: Place) -> float:
-        return (
-            place.load_share
-            + _FAILURE_COST * place.failed_share
-            + (_ZONE_COST if place.zone != self._zone else 0.0)
-        )
+        return place.cost + (_ZONE_COST if place.zone != self._zone else 0.0)
 
 
 class SessionAffinity(Placement):
@@ -121,12 +122,7 @@
         for place in ranked:
             if place.load_share + place.failed_share <= limit:
                 return place
-        return min(
-            places,
-            key=lambda place: (
-                place.load_share + _FAILURE_COST * place.failed_share
-            ),
-        )
+        return min(places, key=lambda place: place.cost)
 
 
 def _in_zone(places: Sequence[Place], zone: str) -> list[Place]:
--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -73,10 +73,6 @@
             return False
         if self._left_s(exchange) < LEAST_TIME_S:
             return False
-        if exchange.run is not core.RunState.NOT_RUN and (
-            not exchange.route.is_idempotent
-        ):
-            return False
         return self._parts.retries.try_retry(work(exchange), exchange.run)
 
     def _attempt(
@@ -101,6 +97,7 @@
         attempt = _exchange.Attempt(
             upstream.name,
             parts.clock.now(),
+            release=upstream.release,
             model=model,
             load=chosen.load,
             candidates=chosen.candidates,
@@ -110,7 +107,7 @@
         call = _upstream_call.UpstreamCall(upstream.address, exchange.caller)
         parts.placer.load.started(upstream.name)
         try:
-            return self._call(exchange, attempt, call, upstream.release)
+            return self._call(exchange, attempt, call)
         finally:
             call.close()
             parts.placer.load.ended(upstream.name)
@@ -123,7 +120,6 @@
         exchange: _exchange.Exchange,
         attempt: _exchange.Attempt,
         call: _upstream_call.UpstreamCall,
-        release: str,
     ) -> _stream_relay.Relayed | Failed:
         parts = self._parts
         request = exchange.request
@@ -148,7 +144,7 @@
         )
         fault = call.send(data, request.method == "HEAD")
         if isinstance(fault, _upstream_call.Fault):
-            return self._fault(exchange, attempt, fault, release)
+            return self._fault(exchange, attempt, fault)
         patience = _patience.Patience(
             call, attempt.upstream, parts.placer.health, parts.clock
         )
@@ -158,7 +154,7 @@
             self._silence_policy(exchange, exchange.route.target_latency_s),
         )
         if isinstance(head, _upstream_call.Fault):
-            return self._fault(exchange, attempt, head, release)
+            return self._fault(exchange, attempt, head)
         facts = parts.dialect.read_answer(head, exchange.facts.request_id)
         if not isinstance(facts.load, core.Missing):
             parts.placer.load.reported(attempt.upstream, facts.load)
@@ -166,9 +162,7 @@
             return self._turned_away(attempt, facts)
         exchange.note_run(core.RunState.RAN)
         if not facts.is_genuine:
-            return self._fault(
-                exchange, attempt, _upstream_call.Fault.GARBLED, release
-            )
+            return self._fault(exchange, attempt, _upstream_call.Fault.GARBLED)
         if head.status < 300 and self._escalates(exchange, attempt, facts):
             return Failed(
                 core.Refusal(
@@ -179,9 +173,7 @@
                 may_retry=True,
                 granted=True,
             )
-        return self._take_answer(
-            exchange, attempt, call, head, release, patience
-        )
+        return self._take_answer(exchange, attempt, call, head, patience)
 
     def _silence_policy(
         self, exchange: _exchange.Exchange, expected_s: float
@@ -221,7 +213,6 @@
         attempt: _exchange.Attempt,
         call: _upstream_call.UpstreamCall,
         head: _messages.ResponseHead,
-        release: str,
         patience: _patience.Patience,
     ) -> _stream_relay.Relayed | Failed:
         parts = self._parts
@@ -230,16 +221,14 @@
             exchange.route.kind is routing.RouteKind.STREAMING
             and head.status < 300
         ):
-            parts.watch.observe(exchange, release, True, took_s)
+            parts.watch.observe(exchange, attempt.release, True, took_s)
             parts.placer.health.succeeded(attempt.upstream)
-            return self._relay_stream(
-                exchange, attempt, call, head, release, patience
-            )
+            return self._relay_stream(exchange, attempt, call, head, patience)
         body = patience.read(
             call.read_body, exchange.deadline_s, core.Missing.UNSET
         )
         if isinstance(body, _upstream_call.Fault):
-            return self._fault(exchange, attempt, body, release)
+            return self._fault(exchange, attempt, body)
         attempt.outcome = str(head.status)
         answer = _messages.Response(
             head.status,
@@ -252,7 +241,7 @@
             and head.status not in _faults.PROMISES
             and not exchange.answered
         )
-        parts.watch.observe(exchange, release, good, took_s)
+        parts.watch.observe(exchange, attempt.release, good, took_s)
         if good:
             parts.placer.health.succeeded(attempt.upstream)
             return self.send_answer(exchange, answer)
@@ -274,7 +263,6 @@
         attempt: _exchange.Attempt,
         call: _upstream_call.UpstreamCall,
         head: _messages.ResponseHead,
-        release: str,
         patience: _patience.Patience,
     ) -> _stream_relay.Relayed | Failed:
         policy = self._silence_policy(exchange, exchange.route.max_pause_s)
@@ -285,7 +273,7 @@
         relayed = self._relay.relay(exchange, attempt, read, head)
         if isinstance(relayed, _stream_relay.Relayed):
             return relayed
-        failed = self._fault(exchange, attempt, relayed.fault, release)
+        failed = self._fault(exchange, attempt, relayed.fault)
         resumable = exchange.route.is_resumable and failed.may_retry
         return dataclasses.replace(failed, may_retry=resumable)
 
@@ -294,7 +282,6 @@
         exchange: _exchange.Exchange,
         attempt: _exchange.Attempt,
         fault: _upstream_call.Fault,
-        release: str,
     ) -> Failed:
         parts = self._parts
         attempt.outcome = fault.value
@@ -304,19 +291,17 @@
         if fault not in _faults.NOT_THE_VERSIONS_FAULT:
             parts.watch.observe(
                 exchange,
-                release,
+                attempt.release,
                 False,
                 parts.clock.now() - attempt.began_s,
             )
-        kind = _faults.KIND_BY_FAULT[fault]
         if fault is _upstream_call.Fault.SILENT:
-            return Failed(
-                too_late(exchange),
-                may_retry=False,
-            )
+            return Failed(too_late(exchange), may_retry=False)
         return Failed(
             core.Refusal(
-                kind, exchange.run, f"{attempt.upstream}: {fault.value}"
+                _faults.KIND_BY_FAULT[fault],
+                exchange.run,
+                f"{attempt.upstream}: {fault.value}",
             ),
             may_retry=fault is not _upstream_call.Fault.CALLER_GONE,
         )
--- a/libs/gateway/mulberry_gateway/_control.py
+++ b/libs/gateway/mulberry_gateway/_control.py
@@ -1,5 +1,7 @@
 """What operators and upstreams ask of an instance."""
 
+from typing import TypeVar
+
 import mulberry_core as core
 import mulberry_membership as membership
 import mulberry_state as state
@@ -13,6 +15,8 @@
 #: sent before can be newer.
 _LEFT_SEQUENCE = 2**62
 
+_R = TypeVar("_R", state.RoutingReplaced, state.ServiceRolloutBegun)
+
 
 class Control:
     """Changes and reads the replicated state; takes announcements."""
@@ -36,8 +40,13 @@
         command = state.ReplaceRouting(
             state.new_command_id(), version, document, operator
         )
-        result = self._client.propose(command, _PROPOSE_TIMEOUT_S)
-        if isinstance(result, state.RoutingReplaced):
+        result = self._propose(
+            command,
+            state.RoutingReplaced,
+            "routing_not_replaced",
+            version=version,
+        )
+        if not isinstance(result, core.Refusal):
             self._log.note(
                 "routing_replaced",
                 keep=True,
@@ -45,8 +54,7 @@
                 in_force=result.version,
                 changed=result.changed,
             )
-            return result
-        return self._refusal("routing_not_replaced", result, version=version)
+        return result
 
     def read_routing(self) -> state.RoutingDocument | core.Refusal:
         """Returns the newest document, confirmed by a quorum."""
@@ -68,8 +76,13 @@
         command = state.BeginServiceRollout(
             state.new_command_id(), service, target, duration_s
         )
-        result = self._client.propose(command, _PROPOSE_TIMEOUT_S)
-        if isinstance(result, state.ServiceRolloutBegun):
+        result = self._propose(
+            command,
+            state.ServiceRolloutBegun,
+            "rollout_not_begun",
+            service=service,
+        )
+        if not isinstance(result, core.Refusal):
             self._log.note(
                 "rollout_begun",
                 keep=True,
@@ -77,8 +90,7 @@
                 target=target,
                 number=result.number,
             )
-            return result
-        return self._refusal("rollout_not_begun", result, service=service)
+        return result
 
     def rollout(
         self, service: str
@@ -134,26 +146,31 @@
             "announcement", name=name, state="left", incarnation=incarnation
         )
 
-    def _refusal(
-        self, event: str, result: object, **fields: object
-    ) -> core.Refusal:
-        refusal = (
-            result
-            if isinstance(result, core.Refusal)
-            else core.Refusal(
+    def _propose(
+        self,
+        command: state.Command,
+        wanted: type[_R],
+        failed_event: str,
+        **fields: object,
+    ) -> _R | core.Refusal:
+        """Returns the result of a command, or a refusal that is logged."""
+        result = self._client.propose(command, _PROPOSE_TIMEOUT_S)
+        if isinstance(result, wanted):
+            return result
+        if not isinstance(result, core.Refusal):
+            result = core.Refusal(
                 core.ErrorKind.INTERNAL,
                 core.RunState.UNKNOWN,
                 f"unexpected result {type(result).__name__}",
             )
-        )
         self._log.note(
-            event,
+            failed_event,
             keep=True,
-            kind=refusal.kind.value,
-            reason=refusal.reason,
+            kind=result.kind.value,
+            reason=result.reason,
             **fields,
         )
-        return refusal
+        return result
 
 
 def _no_quorum() -> core.Refusal:
--- a/libs/gateway/mulberry_gateway/_exchange.py
+++ b/libs/gateway/mulberry_gateway/_exchange.py
@@ -14,6 +14,8 @@
 
     upstream: str
     began_s: float
+    #: Version that the upstream runs; empty if not told.
+    release: str = ""
     model: str = ""
     outcome: str = "running"
     #: Inputs of the placement.
--- a/libs/gateway/mulberry_gateway/_placing.py
+++ b/libs/gateway/mulberry_gateway/_placing.py
@@ -39,38 +39,34 @@
 
     def choose(self, exchange: _exchange.Exchange) -> Chosen | core.Refusal:
         """Returns the upstream of the next attempt, or why there is none."""
-        usable = self._usable(exchange)
-        if not usable:
-            return core.Refusal(
-                core.ErrorKind.NO_UPSTREAM,
-                exchange.run,
-                f"service {exchange.service} has no upstream for this request",
-            )
-        loads = self.load.estimates([upstream.name for upstream in usable])
+        usable_by_name = {
+            upstream.name: upstream for upstream in self._usable(exchange)
+        }
+        loads = self.load.estimates(list(usable_by_name))
         places = [
             decisions.Place(
-                name=upstream.name,
+                name=name,
                 zone=upstream.zone,
                 slots=upstream.capacity,
-                load=loads[upstream.name],
-                failed_share=self.health.failed_share(upstream.name),
+                load=loads[name],
+                failed_share=self.health.failed_share(name),
             )
-            for upstream in usable
+            for name, upstream in usable_by_name.items()
         ]
         placement = (
             self._affinity if exchange.route.is_sticky else self._least_load
         )
         place = placement.choose(places, exchange.facts.session)
-        chosen = next(
-            upstream
-            for upstream in usable
-            if not isinstance(place, core.Missing)
-            and upstream.name == place.name
-        )
+        if isinstance(place, core.Missing):
+            return core.Refusal(
+                core.ErrorKind.NO_UPSTREAM,
+                exchange.run,
+                f"service {exchange.service} has no upstream for this request",
+            )
         return Chosen(
-            chosen,
-            0.0 if isinstance(place, core.Missing) else place.load,
-            len(usable),
+            usable_by_name[place.name],
+            place.load,
+            len(places),
             sum(place.load for place in places)
             / sum(place.slots for place in places),
         )
@@ -84,11 +80,12 @@
     def _usable(
         self, exchange: _exchange.Exchange
     ) -> Sequence[membership.Upstream]:
+        tried = exchange.tried
         ready = [
             upstream
             for upstream in self._catalog.of(exchange.service)
             if upstream.state is membership.UpstreamState.READY
-            and upstream.name not in exchange.tried
+            and upstream.name not in tried
         ]
         allowed = self._releases.filter(
             exchange.service,
--- a/libs/gateway/mulberry_gateway/_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/_upstream_call.py
@@ -145,13 +145,7 @@
         if not isinstance(data, bytes):
             return self._ended(data)
         self.heard_s = time.monotonic()
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError:
-            # Bytes after a complete response belong to no request.
-            if not self._complete:
-                return Fault.GARBLED
-        return core.Missing.UNSET
+        return self._feed(data)
 
     def _send_rest(
         self, connection: _connection.Connection, until_s: float
@@ -177,11 +171,16 @@
             # The rest of the body is not owed once a response has begun; the
             # connection is closed after it.
             self._unsent = b""
-            try:
-                self._parser.feed_data(early)
-            except httptools.HttpParserError:
-                if not self._complete:
-                    return Fault.GARBLED
+            return self._feed(early)
+        return core.Missing.UNSET
+
+    def _feed(self, data: bytes) -> Fault | core.Missing:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            # Bytes after a complete response belong to no request.
+            if not self._complete:
+                return Fault.GARBLED
         return core.Missing.UNSET
 
     def _ended(self, ended: _connection.Ended) -> Fault | core.Missing:
