Join hundreds of instances without sending everything to everybody

Cause: a start of 200 instances cost 2.9 s of processor time each before any request. Each member that an instance learned of replaced links on the ring at once, each new link began with a copy of the whole state in both directions, and each change went out over eight links within 20 ms.

Records are found by kind and owner without a scan.

Ruled out: the ring hash (0.8 s of 21 s at 100 instances in a profile) and the encoding of records (1.1 s); most was the number of records itself.

--- a/libs/core/mulberry_core/__init__.py
+++ b/libs/core/mulberry_core/__init__.py
@@ -20,7 +20,13 @@
     Refusal,
     RunState,
 )
-from mulberry_core._hashing import bucket, digest128, hash_key, ring_position
+from mulberry_core._hashing import (
+    bucket,
+    digest32,
+    digest128,
+    hash_key,
+    ring_position,
+)
 from mulberry_core._sentinels import Missing
 from mulberry_core._signals import call_on_hangup, call_on_termination
 from mulberry_core._sse import SseSplitter
@@ -50,6 +56,7 @@
     "bucket",
     "call_on_hangup",
     "call_on_termination",
+    "digest32",
     "digest128",
     "hash_key",
     "ring_position",
--- a/libs/core/mulberry_core/_hashing.py
+++ b/libs/core/mulberry_core/_hashing.py
@@ -33,6 +33,11 @@
     return int(xxhash.xxh3_64_intdigest(text) % buckets)
 
 
+def digest32(data: bytes) -> int:
+    """Returns the xxh3 digest of `data`, shortened to 32 bits."""
+    return int(xxhash.xxh3_64_intdigest(data)) & 0xFFFF_FFFF
+
+
 def ring_position(name: str) -> int:
     """Returns the place of `name` on the membership ring, 0 to 2**64 - 1."""
     return int(xxhash.xxh3_64_intdigest(name.encode())) % (1 << _RING_BITS)
--- a/libs/membership/mulberry_membership/_codec.py
+++ b/libs/membership/mulberry_membership/_codec.py
@@ -3,7 +3,7 @@
 import math
 
 import mulberry_core as core
-from mulberry_membership import _records, _store
+from mulberry_membership import _held_records, _records
 from mulberry_wire import peer_pb2
 
 #: Bounds on what one record may carry; others are dropped on arrival.
@@ -17,7 +17,9 @@
 _KIND_BY_WIRE = {number: kind for kind, number in _WIRE_BY_KIND.items()}
 
 
-def to_wire(held: _store.Held, now_s: float, wire: peer_pb2.WireRecord) -> None:
+def to_wire(
+    held: _held_records.Held, now_s: float, wire: peer_pb2.WireRecord
+) -> None:
     """Fills `wire` with a held record."""
     record = held.record
     wire.kind = _WIRE_BY_KIND[record.kind]  # type: ignore[assignment]
--- a/libs/membership/mulberry_membership/_link.py
+++ b/libs/membership/mulberry_membership/_link.py
@@ -5,7 +5,7 @@
 import threading
 
 import mulberry_core as core
-from mulberry_membership import _codec, _records, _store
+from mulberry_membership import _codec, _held_records, _records, _store
 from mulberry_wire import peer_pb2
 
 #: Most records in one message. With records of about 150 bytes this is
@@ -47,9 +47,11 @@
     #: Whether there were more records than fit the request.
     more: bool
     #: The records of the request.
-    held: tuple[_store.Held, ...]
+    held: tuple[_held_records.Held, ...]
     #: Local time at which the exchange began, seconds.
     at_s: float
+    #: Number of the newest change that the digests of the request cover.
+    digests_stamp: int = 0
 
 
 class PeerLink:
@@ -89,6 +91,9 @@
         #: start of all instances.
         self._introduces = True
         self._wants_all = True
+        #: Where the stores differed when they were compared; unset once the
+        #: peer has acknowledged what it lacked.
+        self._differing: _store.Differing | core.Missing = core.Missing.UNSET
         # The peer may have restarted since it sent or acknowledged records.
         store.forget_known(name)
         self._failing_since_s = math.inf
@@ -148,7 +153,7 @@
             if idle_s >= self.idle_period_s - _ROUNDING_S:
                 return True
             changes = self._store.changes_since(
-                self._acknowledged_stamp, self.name, 1
+                self._acknowledged_stamp, self.name, 1, "", self._differing
             )
             return bool(changes.held)
 
@@ -179,6 +184,7 @@
                 self.name,
                 MAX_RECORDS_PER_MESSAGE,
                 owner=sender if self._introduces else "",
+                differing=self._differing,
             )
             request = peer_pb2.ExchangeRequest(
                 sender=sender,
@@ -186,6 +192,9 @@
                 have_stamp=self._have_stamp,
                 full=self._wants_all,
             )
+            digests = self._store.digests()
+            if self._wants_all or self._introduces:
+                request.digests.extend(digests.by_bucket)
         fill(request, changes, self._clock.now())
         return SentRequest(
             request=request,
@@ -193,6 +202,7 @@
             more=changes.more,
             held=changes.held,
             at_s=self._clock.now(),
+            digests_stamp=digests.stamp,
         )
 
     def succeeded(
@@ -204,6 +214,14 @@
             lost_state = new_session or response.resend
             starts_over = lost_state or self._introduces
             self._acknowledged_stamp = 0 if starts_over else sent.stamp
+            if starts_over or not sent.more:
+                self._differing = core.Missing.UNSET
+            if starts_over and response.compared and not lost_state:
+                self._differing = _store.Differing(
+                    frozenset(response.differing), sent.digests_stamp
+                )
+                if not self._differing.buckets:
+                    self._acknowledged_stamp = sent.digests_stamp
             self._introduces = lost_state
             self._session = response.session
             self._have_stamp = response.stamp
--- a/libs/membership/mulberry_membership/_membership.py
+++ b/libs/membership/mulberry_membership/_membership.py
@@ -83,6 +83,9 @@
         #: Newest change of the store when the links were last made to look.
         self._pushed_stamp = 0
         self._purged_s = clock.now()
+        #: Links are made anew by `tick`, once for all members that a message
+        #: brought: a start of 200 instances opened 285 links in each.
+        self._members_changed = threading.Event()
         self._subscription: core.Subscription | core.Missing = (
             core.Missing.UNSET
         )
@@ -240,10 +243,14 @@
         self._peers.note_contact()
         self._take(_link.unpack(request), request.sender)
         in_step = request.receiver_session == self._session
+        differing: _store.Differing | core.Missing = core.Missing.UNSET
+        if request.digests:
+            differing = self._store.compare(request.digests)
         changes = self._store.changes_since(
             request.have_stamp if in_step else 0,
             request.sender if in_step and not request.full else "",
             _link.MAX_RECORDS_PER_MESSAGE,
+            differing=differing,
         )
         response = peer_pb2.ExchangeResponse(
             session=self._session,
@@ -251,9 +258,15 @@
             more=changes.more,
             resend=self._is_unknown(request.sender),
         )
+        if not isinstance(differing, core.Missing):
+            response.compared = True
+            response.differing.extend(sorted(differing.buckets))
         _link.fill(response, changes, self._clock.now())
         self._counters.increment("membership.bytes_in", request.ByteSize())
         self._counters.increment("membership.bytes_out", response.ByteSize())
+        self._counters.increment(
+            "membership.records_out", len(response.records)
+        )
         return response
 
     def run_once(self) -> None:
@@ -269,14 +282,17 @@
         for name in changes.died:
             logging.info("member %s is dead: it refuted no suspicion", name)
             self._counters.increment("membership.deaths")
+            self._members_changed.set()
             self._store.reassess(name)
             self._tell_members(name)
         if changes.orphans_ended:
             self._store.purge(lambda held: self._table.is_orphan(held.record))
         for name in changes.forgotten:
+            self._members_changed.set()
             self._forget(name)
-        if changes.died or changes.forgotten:
-            self._rebuild()
+        if self._members_changed.is_set():
+            self._members_changed.clear()
+            self._peers.rebuild(self._table.members)
         self._purge_ownerless()
 
     def _push_changes(self) -> None:
@@ -377,7 +393,7 @@
             self._table.suspect(member.name, suspicion.incarnation)
         self._forgotten.drop(member.name)
         self._store.reassess(member.name)
-        self._rebuild()
+        self._members_changed.set()
         self._tell_members(member.name)
 
     def _on_left(self, record: _records.Record, order: _Order) -> None:
@@ -385,7 +401,7 @@
             return
         logging.info("member %s has left", record.id)
         self._store.reassess(record.id)
-        self._rebuild()
+        self._members_changed.set()
 
     def _on_suspicion(self, record: _records.Record) -> None:
         if record.removed:
@@ -465,9 +481,6 @@
             )
         )
 
-    def _rebuild(self) -> None:
-        self._peers.rebuild(self._table.members)
-
     def _tell_members(self, name: str) -> None:
         member = self._table.get(name)
         with self._lock:
--- a/libs/membership/mulberry_membership/_peers.py
+++ b/libs/membership/mulberry_membership/_peers.py
@@ -20,6 +20,10 @@
 #: Shortest time between the begins of two exchanges with one peer, seconds;
 #: several urgent changes shortly after each other go into one message.
 MIN_GAP_S = 0.02
+#: The same for each member, seconds. Changes come in proportion to the number
+#: of members, and messages to a peer should not: 200 members send each peer
+#: at most five a second.
+GAP_PER_MEMBER_S = 0.001
 #: Seconds between probes of addresses that are not known as living members.
 PROBE_PERIOD_S = 1.0
 #: Links at the design scale of 330 instances: 9, and the probe.
@@ -97,6 +101,7 @@
         self._on_records = on_records
         self._on_suspect = on_suspect
         self._lock = threading.Lock()
+        self._gap_s = MIN_GAP_S
         self._links_by_name: dict[str, _link.PeerLink] = {}
         self._probe_addresses: tuple[str, ...] = self._seeds
         self._probe_turn = itertools.count()
@@ -142,6 +147,7 @@
                 name: living[name].address
                 for name in _ring.ring_peers(self._name, living)
             }
+            self._gap_s = max(MIN_GAP_S, GAP_PER_MEMBER_S * len(living))
             in_use = self._set_probes(members, living)
             closed = self._close_unwanted(wanted)
             self._add_missing(wanted)
@@ -190,6 +196,9 @@
             link.address, sent.request, self._timing.exchange_timeout_s
         )
         self._counters.increment("membership.exchanges")
+        self._counters.increment(
+            "membership.records_out", len(sent.request.records)
+        )
         self._counters.increment(
             "membership.bytes_out", sent.request.ByteSize()
         )
@@ -285,7 +294,7 @@
         while not link.closed and not stop.is_set():
             if link.is_due():
                 self.exchange(link)
-                stop.wait(MIN_GAP_S)
+                stop.wait(self._gap_s)
             link.wait(
                 self._timing.exchange_period_s
                 if link.failing
--- a/libs/membership/mulberry_membership/_store.py
+++ b/libs/membership/mulberry_membership/_store.py
@@ -3,10 +3,10 @@
 import dataclasses
 import math
 import threading
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import mulberry_core as core
-from mulberry_membership import _records, _soft_state
+from mulberry_membership import _held_records, _records, _soft_state
 
 #: Seconds for which a removal is remembered. It must exceed the time that a
 #: message or an announcement can be late; exchanges time out after 1 s.
@@ -14,37 +14,42 @@
 #: Bounds the memory of an instance against a faulty or hostile peer.
 MAX_RECORDS = 50_000
 
-Key = tuple[_records.RecordKind, str]
-
-
-@dataclasses.dataclass
-class Held:
-    """A record with what this instance alone knows of it."""
-
-    record: _records.Record
-    #: Local time at which the record expires, seconds; may be infinite.
-    expires_s: float
-    #: Local time at which the record arrived, seconds.
-    since_s: float
-    #: Number of the change that stored the record.
-    stamp: int
-    #: Peers that sent the record or acknowledged it.
-    known_by: frozenset[str]
-    #: Whether `records` lists it.
-    visible: bool
-
 
 @dataclasses.dataclass(frozen=True)
 class Changes:
     """Changes of a store, oldest first."""
 
-    held: tuple[Held, ...]
+    held: tuple[_held_records.Held, ...]
     #: A reader that takes these holds all changes up to this one.
     stamp: int
     #: Whether there are more than the limit.
     more: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class Digests:
+    """What a store holds, in short, at one moment."""
+
+    #: Of the live records of each bucket of keys.
+    by_bucket: tuple[int, ...]
+    #: Number of the newest change covered.
+    stamp: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Differing:
+    """Where the stores of two instances differed at one moment."""
+
+    buckets: frozenset[int]
+    #: Number of the newest change that was compared; later ones are not
+    #: known to the other instance whatever their bucket.
+    stamp: int
+
+    def covers(self, held: _held_records.Held) -> bool:
+        """Whether the other instance may lack the record."""
+        return held.stamp > self.stamp or held.bucket in self.buckets
+
+
 class RecordStore:
     """Thread-safe; merging is commutative, associative and idempotent."""
 
@@ -63,8 +68,7 @@
         self._clock = clock
         self._is_valid = is_valid
         self._lock = threading.RLock()
-        #: Ordered by stamp, oldest change first.
-        self._held_by_key: dict[Key, Held] = {}
+        self._held = _held_records.HeldRecords()
         self._stamp = 0
         self._callbacks: dict[
             _records.RecordKind, list[_soft_state.Callback]
@@ -84,18 +88,17 @@
     ) -> bool:
         """Stores the record if it is newer than the one held of its key."""
         with self._lock:
-            held = self._held_by_key.get(record.key)
+            held = self._held.get(record.key)
             if held and held.record.order >= record.order:
                 if held.record.order == record.order and source:
                     held.known_by |= {source}
                 return False
-            if not held and len(self._held_by_key) >= MAX_RECORDS:
+            if not held and len(self._held) >= MAX_RECORDS:
                 return False
             if record.removed:
                 ttl_s = min(ttl_s, TOMBSTONE_S)
-            self._store(record, ttl_s, source)
             was_visible = bool(held and held.visible)
-            visible = self._held_by_key[record.key].visible
+            visible = self._store(record, ttl_s, source).visible
         if visible:
             self._notify(record)
         elif was_visible:
@@ -109,25 +112,55 @@
         now_s = self._clock.now()
         with self._lock:
             return {
-                id: held.record
-                for (held_kind, id), held in self._held_by_key.items()
-                if held_kind is kind and held.visible and held.expires_s > now_s
+                held.record.id: held.record
+                for held in self._held.of_kind(kind)
+                if held.visible and held.expires_s > now_s
             }
 
-    def latest(self, key: Key) -> _records.Record | core.Missing:
+    def latest(self, key: _held_records.Key) -> _records.Record | core.Missing:
         """Returns the newest record of a key, also if it is removed."""
         with self._lock:
-            held = self._held_by_key.get(key)
+            held = self._held.get(key)
             return held.record if held else core.Missing.UNSET
 
-    def age_s(self, key: Key) -> float:
+    def age_s(self, key: _held_records.Key) -> float:
         """Returns the seconds since the newest record of a key arrived."""
         with self._lock:
-            held = self._held_by_key.get(key)
+            held = self._held.get(key)
             return self._clock.now() - held.since_s if held else math.inf
 
+    def digests(self) -> Digests:
+        """Returns the digests of what is held now."""
+        with self._lock:
+            return Digests(tuple(self._held.digests), self._stamp)
+
+    def compare(self, digests: Sequence[int]) -> Differing:
+        """Returns where another store with these digests differs.
+
+        Args:
+            digests: By bucket; another number of buckets differs everywhere.
+        """
+        own = self.digests()
+        if len(digests) != len(own.by_bucket):
+            return Differing(frozenset(range(len(own.by_bucket))), own.stamp)
+        return Differing(
+            frozenset(
+                bucket
+                for bucket, (mine, other) in enumerate(
+                    zip(own.by_bucket, digests, strict=True)
+                )
+                if mine != other
+            ),
+            own.stamp,
+        )
+
     def changes_since(
-        self, stamp: int, exclude_known_by: str, limit: int, owner: str = ""
+        self,
+        stamp: int,
+        exclude_known_by: str,
+        limit: int,
+        owner: str = "",
+        differing: Differing | core.Missing = core.Missing.UNSET,
     ) -> Changes:
         """Returns what changed after `stamp`, oldest first.
 
@@ -137,27 +170,34 @@
                 left out; empty for all records.
             limit: Most records returned.
             owner: Only records of this owner; empty for all owners.
+            differing: Records that it does not cover are left out; unset
+                where the stores were not compared.
         """
         with self._lock:
             newer = []
-            for held in reversed(self._held_by_key.values()):
+            for held in self._held.newest_first():
                 if held.stamp <= stamp:
                     break
                 if owner and held.record.owner != owner:
                     continue
+                if not (
+                    isinstance(differing, core.Missing)
+                    or differing.covers(held)
+                ):
+                    continue
                 if exclude_known_by not in held.known_by:
-                    newer.append(dataclasses.replace(held))
+                    newer.append(held)
             upto = self._stamp
         newer.reverse()
         if len(newer) <= limit:
             return Changes(tuple(newer), upto, False)
         return Changes(tuple(newer[:limit]), newer[limit - 1].stamp, True)
 
-    def note_known(self, sent: Iterable[Held], peer: str) -> None:
+    def note_known(self, sent: Iterable[_held_records.Held], peer: str) -> None:
         """Notes that a peer has acknowledged records."""
         with self._lock:
             for item in sent:
-                held = self._held_by_key.get(item.record.key)
+                held = self._held.get(item.record.key)
                 if held and held.stamp == item.stamp:
                     held.known_by |= {peer}
 
@@ -166,8 +206,9 @@
         if not peer:
             return
         with self._lock:
-            for held in self._held_by_key.values():
-                held.known_by -= {peer}
+            for held in self._held:
+                if peer in held.known_by:
+                    held.known_by -= {peer}
 
     def expire(self) -> None:
         """Removes what has expired.
@@ -177,11 +218,7 @@
         """
         now_s = self._clock.now()
         with self._lock:
-            expired = [
-                held
-                for held in self._held_by_key.values()
-                if held.expires_s <= now_s
-            ]
+            expired = self._held.expired(now_s)
             for held in expired:
                 self._expire_one(held, now_s)
         for held in expired:
@@ -192,7 +229,7 @@
         """Applies a change of the owner's state to all its records."""
         changed = []
         with self._lock:
-            for held in self._owned_by(owner):
+            for held in self._held.of_owner(owner):
                 visible = self._is_visible(held.record)
                 if visible != held.visible:
                     held.visible = visible
@@ -200,14 +237,12 @@
         for record, visible in changed:
             self._notify(dataclasses.replace(record, removed=not visible))
 
-    def purge(self, should_drop: Callable[[Held], bool]) -> int:
+    def purge(self, should_drop: Callable[[_held_records.Held], bool]) -> int:
         """Drops records without trace; returns how many."""
         with self._lock:
-            dropped = [
-                held for held in self._held_by_key.values() if should_drop(held)
-            ]
+            dropped = [held for held in self._held if should_drop(held)]
             for held in dropped:
-                del self._held_by_key[held.record.key]
+                self._held.drop(held.record.key)
         for held in dropped:
             if held.visible:
                 self._notify(dataclasses.replace(held.record, removed=True))
@@ -226,7 +261,7 @@
         with self._lock:
             held_before = [
                 held
-                for held in self._owned_by(owner)
+                for held in self._held.of_owner(owner)
                 if held.record.epoch == old_epoch
                 and held.record.kind is not _records.RecordKind.MEMBER
             ]
@@ -245,12 +280,10 @@
 
     def _store(
         self, record: _records.Record, ttl_s: float, source: str
-    ) -> None:
+    ) -> _held_records.Held:
         now_s = self._clock.now()
         self._stamp += 1
-        # A dict keeps the order of insertion, so the newest change is last.
-        self._held_by_key.pop(record.key, None)
-        self._held_by_key[record.key] = Held(
+        held = _held_records.Held(
             record=record,
             expires_s=now_s + ttl_s,
             since_s=now_s,
@@ -258,31 +291,27 @@
             known_by=frozenset({source} - {""}),
             visible=self._is_visible(record),
         )
+        self._held.put(held)
+        return held
 
-    def _expire_one(self, held: Held, now_s: float) -> None:
-        key = held.record.key
+    def _expire_one(self, held: _held_records.Held, now_s: float) -> None:
         if held.record.removed:
-            del self._held_by_key[key]
+            self._held.drop(held.record.key)
             return
         tombstone = dataclasses.replace(held.record, removed=True, payload=b"")
         # The stamp stays: every instance expires the record by itself.
-        self._held_by_key[key] = dataclasses.replace(
-            held,
-            record=tombstone,
-            expires_s=now_s + TOMBSTONE_S,
-            visible=False,
+        self._held.replace(
+            dataclasses.replace(
+                held,
+                record=tombstone,
+                expires_s=now_s + TOMBSTONE_S,
+                visible=False,
+            )
         )
 
     def _is_visible(self, record: _records.Record) -> bool:
         return not record.removed and self._is_valid(record)
 
-    def _owned_by(self, owner: str) -> Iterator[Held]:
-        return (
-            held
-            for held in self._held_by_key.values()
-            if held.record.owner == owner
-        )
-
     def _notify(self, record: _records.Record) -> None:
         with self._lock:
             callbacks = tuple(self._callbacks[record.kind])
