Import modules of decisions, rules and state when they are used

Cause: a start of the platform's daemon imported 177 modules of ours at 0.65 to 0.9 s of processor time, 0.3 s of it for 247 generated data classes, three times what all libraries took; a restart is an outage of that length. Most modules of the decisions, the rule language and the log are not used by an instance without a disk.

The three packages now name their modules and import one at its first use (PEP 562). The gateway no longer asks whether its node is a StateNode, which imported the log on every instance; threads of voters are made by voters.

Ruled out: record types of another library, which would change every data class; importlib.util.LazyLoader, which a `from` import defeats at once.

The remaining part is still more than the libraries' 0.2 s.

--- a/libs/core/mulberry_core/__init__.py
+++ b/libs/core/mulberry_core/__init__.py
@@ -27,6 +27,7 @@
     hash_key,
     ring_position,
 )
+from mulberry_core._on_demand import import_on_demand
 from mulberry_core._sentinels import Missing
 from mulberry_core._signals import call_on_hangup, call_on_termination
 from mulberry_core._sse import SseSplitter
@@ -59,5 +60,6 @@
     "digest32",
     "digest128",
     "hash_key",
+    "import_on_demand",
     "ring_position",
 ]
--- a/libs/gateway/mulberry_gateway/_founding.py
+++ b/libs/gateway/mulberry_gateway/_founding.py
@@ -5,6 +5,8 @@
 form. It need not have a data folder itself.
 """
 
+from __future__ import annotations
+
 import json
 from collections.abc import Mapping
 
@@ -50,7 +52,7 @@
     def start(self, timers: core.TimerService) -> None:
         """Publishes this instance's folder and watches the others'."""
         node = self._node
-        if isinstance(node, state.StateNode):
+        if not isinstance(node, core.Missing):
             candidate = node.candidate
             self._soft_state.publish(
                 membership.RecordKind.STORAGE,
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -1,5 +1,7 @@
 """One instance of the gateway: all parts, wired together."""
 
+from __future__ import annotations
+
 import threading
 import time
 from collections.abc import Sequence
@@ -75,10 +77,11 @@
         self._log = log
         self.counters = core.MemoryCounters()
         self.timers = core.TimerService(clock)
+        threads = _PEER_THREADS
+        if not isinstance(settings.data_dir, core.Missing):
+            threads += state.SERVER_THREADS
         self._grpc = grpc.server(
-            futures.ThreadPoolExecutor(
-                _PEER_THREADS + state.SERVER_THREADS, "grpc"
-            ),
+            futures.ThreadPoolExecutor(threads, "grpc"),
             options=membership.SERVER_OPTIONS,
         )
         self._transport = membership.GrpcTransport()
@@ -173,7 +176,7 @@
         self.timers.start()
         self._grpc.add_insecure_port(self._settings.grpc_address)
         self._grpc.start()
-        if isinstance(self._node, state.StateNode):
+        if not isinstance(self._node, core.Missing):
             self._node.start()
         self.client.start()
         self.membership.start(self.timers)
@@ -191,7 +194,7 @@
             name=self._settings.name,
             zone=self._settings.zone,
             first_start=self._settings.is_first_start,
-            votes=isinstance(self._node, state.StateNode),
+            votes=not isinstance(self._node, core.Missing),
             cpu_s=round(time.process_time(), 3),
         )
 
@@ -246,7 +249,7 @@
         )
         self._log.stop()
         self.membership.leave()
-        if isinstance(self._node, state.StateNode):
+        if not isinstance(self._node, core.Missing):
             self._node.stop(transfer_timeout_s=0.5)
 
     @property
--- a/libs/gateway/mulberry_gateway/_rollout_watch.py
+++ b/libs/gateway/mulberry_gateway/_rollout_watch.py
@@ -1,5 +1,7 @@
 """Counts answers by version, and moves rollouts where this voter leads."""
 
+from __future__ import annotations
+
 import dataclasses
 import json
 import threading
@@ -66,7 +68,7 @@
 
     def start(self) -> None:
         """Starts to decide wherever this instance votes and leads."""
-        if isinstance(self._node, state.StateNode):
+        if not isinstance(self._node, core.Missing):
             node = self._node
             self._pool.spawn("rollouts", lambda stop: self._run(node, stop))
 
--- a/libs/state/mulberry_state/__init__.py
+++ b/libs/state/mulberry_state/__init__.py
@@ -1,84 +1,246 @@
 """Replicated log and state machine."""
 
-from mulberry_state._audit import AuditRecord
-from mulberry_state._caller import VoterCaller
-from mulberry_state._channels import CHANNEL_OPTIONS, OpenChannel, open_insecure
-from mulberry_state._claims import Claim
-from mulberry_state._client import StateClient
-from mulberry_state._commands import (
-    NO_STEP,
-    AcquireLease,
-    AdvanceRollout,
-    Answer,
-    BeginServiceRollout,
-    Bill,
-    BillMismatch,
-    BillRecorded,
-    ClaimCall,
-    ClaimGranted,
-    ClaimLost,
-    ClaimMismatch,
-    ClaimOpen,
-    ClaimRecorded,
-    ClaimReleased,
-    ClaimSettled,
-    ClearStrikes,
-    Command,
-    CrashRecorded,
-    LeaseGranted,
-    LeaseHeld,
-    LeaseLost,
-    MoveServiceRollout,
-    OrderRecorded,
-    OrderState,
-    PinSession,
-    RecordBill,
-    RecordCrash,
-    RecordOrder,
-    RecordVerdict,
-    ReleaseClaim,
-    ReplaceRouting,
-    Result,
-    RolloutAdvanced,
-    RolloutPhase,
-    RolloutStale,
-    RoutingReplaced,
-    RulesAccepted,
-    RulesConflict,
-    RulesRejected,
-    ServiceRolloutBegun,
-    ServiceRolloutMoved,
-    SessionPinned,
-    SettleClaim,
-    StrikesCleared,
-    SubmitRules,
-    VerdictRecorded,
-    VerdictStale,
-    VerdictState,
-)
-from mulberry_state._disk import Disk, OsDisk, StorageError
-from mulberry_state._group import ChangeRefused
-from mulberry_state._invariants import InvariantError
-from mulberry_state._ledger import LedgerSum
-from mulberry_state._local import LocalStateClient
-from mulberry_state._machine import Stamp, StateMachine
-from mulberry_state._node import SERVER_THREADS, StateNode
-from mulberry_state._offline import read_folder
-from mulberry_state._parser import FileRulesParser, RulesParser
-from mulberry_state._reader import StateReader
-from mulberry_state._remote import RemoteStateClient, new_command_id
-from mulberry_state._reports import LedgerReport, NodeStatus, VoterStatus
-from mulberry_state._rulebook import RulesText
-from mulberry_state._upkeep import Candidate
-from mulberry_state._view import (
-    EMPTY_VIEW,
-    NO_ROUTING,
-    RolloutStep,
-    RoutingDocument,
-    ServiceRollout,
-    Verdict,
-    View,
-)
+import typing
+
+import mulberry_core as core
+
+if typing.TYPE_CHECKING:
+    from mulberry_state._audit import (
+        AuditRecord,
+    )
+    from mulberry_state._caller import (
+        VoterCaller,
+    )
+    from mulberry_state._channels import (
+        CHANNEL_OPTIONS,
+        OpenChannel,
+        open_insecure,
+    )
+    from mulberry_state._claims import (
+        Claim,
+    )
+    from mulberry_state._client import (
+        StateClient,
+    )
+    from mulberry_state._commands import (
+        NO_STEP,
+        AcquireLease,
+        AdvanceRollout,
+        Answer,
+        BeginServiceRollout,
+        Bill,
+        BillMismatch,
+        BillRecorded,
+        ClaimCall,
+        ClaimGranted,
+        ClaimLost,
+        ClaimMismatch,
+        ClaimOpen,
+        ClaimRecorded,
+        ClaimReleased,
+        ClaimSettled,
+        ClearStrikes,
+        Command,
+        CrashRecorded,
+        LeaseGranted,
+        LeaseHeld,
+        LeaseLost,
+        MoveServiceRollout,
+        OrderRecorded,
+        OrderState,
+        PinSession,
+        RecordBill,
+        RecordCrash,
+        RecordOrder,
+        RecordVerdict,
+        ReleaseClaim,
+        ReplaceRouting,
+        Result,
+        RolloutAdvanced,
+        RolloutPhase,
+        RolloutStale,
+        RoutingReplaced,
+        RulesAccepted,
+        RulesConflict,
+        RulesRejected,
+        ServiceRolloutBegun,
+        ServiceRolloutMoved,
+        SessionPinned,
+        SettleClaim,
+        StrikesCleared,
+        SubmitRules,
+        VerdictRecorded,
+        VerdictStale,
+        VerdictState,
+    )
+    from mulberry_state._disk import (
+        Disk,
+        OsDisk,
+        StorageError,
+    )
+    from mulberry_state._group import (
+        ChangeRefused,
+    )
+    from mulberry_state._invariants import (
+        InvariantError,
+    )
+    from mulberry_state._ledger import (
+        LedgerSum,
+    )
+    from mulberry_state._local import (
+        LocalStateClient,
+    )
+    from mulberry_state._machine import (
+        Stamp,
+        StateMachine,
+    )
+    from mulberry_state._node import (
+        SERVER_THREADS,
+        StateNode,
+    )
+    from mulberry_state._offline import (
+        read_folder,
+    )
+    from mulberry_state._parser import (
+        FileRulesParser,
+        RulesParser,
+    )
+    from mulberry_state._reader import (
+        StateReader,
+    )
+    from mulberry_state._remote import (
+        RemoteStateClient,
+        new_command_id,
+    )
+    from mulberry_state._reports import (
+        LedgerReport,
+        NodeStatus,
+        VoterStatus,
+    )
+    from mulberry_state._rulebook import (
+        RulesText,
+    )
+    from mulberry_state._upkeep import (
+        Candidate,
+    )
+    from mulberry_state._view import (
+        EMPTY_VIEW,
+        NO_ROUTING,
+        RolloutStep,
+        RoutingDocument,
+        ServiceRollout,
+        Verdict,
+        View,
+    )
+else:
+    __getattr__ = core.import_on_demand(
+        __name__,
+        {
+            "_audit": ("AuditRecord",),
+            "_caller": ("VoterCaller",),
+            "_channels": (
+                "CHANNEL_OPTIONS",
+                "OpenChannel",
+                "open_insecure",
+            ),
+            "_claims": ("Claim",),
+            "_client": ("StateClient",),
+            "_commands": (
+                "NO_STEP",
+                "AcquireLease",
+                "AdvanceRollout",
+                "Answer",
+                "BeginServiceRollout",
+                "Bill",
+                "BillMismatch",
+                "BillRecorded",
+                "ClaimCall",
+                "ClaimGranted",
+                "ClaimLost",
+                "ClaimMismatch",
+                "ClaimOpen",
+                "ClaimRecorded",
+                "ClaimReleased",
+                "ClaimSettled",
+                "ClearStrikes",
+                "Command",
+                "CrashRecorded",
+                "LeaseGranted",
+                "LeaseHeld",
+                "LeaseLost",
+                "MoveServiceRollout",
+                "OrderRecorded",
+                "OrderState",
+                "PinSession",
+                "RecordBill",
+                "RecordCrash",
+                "RecordOrder",
+                "RecordVerdict",
+                "ReleaseClaim",
+                "ReplaceRouting",
+                "Result",
+                "RolloutAdvanced",
+                "RolloutPhase",
+                "RolloutStale",
+                "RoutingReplaced",
+                "RulesAccepted",
+                "RulesConflict",
+                "RulesRejected",
+                "ServiceRolloutBegun",
+                "ServiceRolloutMoved",
+                "SessionPinned",
+                "SettleClaim",
+                "StrikesCleared",
+                "SubmitRules",
+                "VerdictRecorded",
+                "VerdictStale",
+                "VerdictState",
+            ),
+            "_disk": (
+                "Disk",
+                "OsDisk",
+                "StorageError",
+            ),
+            "_group": ("ChangeRefused",),
+            "_invariants": ("InvariantError",),
+            "_ledger": ("LedgerSum",),
+            "_local": ("LocalStateClient",),
+            "_machine": (
+                "Stamp",
+                "StateMachine",
+            ),
+            "_node": (
+                "SERVER_THREADS",
+                "StateNode",
+            ),
+            "_offline": ("read_folder",),
+            "_parser": (
+                "FileRulesParser",
+                "RulesParser",
+            ),
+            "_reader": ("StateReader",),
+            "_remote": (
+                "RemoteStateClient",
+                "new_command_id",
+            ),
+            "_reports": (
+                "LedgerReport",
+                "NodeStatus",
+                "VoterStatus",
+            ),
+            "_rulebook": ("RulesText",),
+            "_upkeep": ("Candidate",),
+            "_view": (
+                "EMPTY_VIEW",
+                "NO_ROUTING",
+                "RolloutStep",
+                "RoutingDocument",
+                "ServiceRollout",
+                "Verdict",
+                "View",
+            ),
+        },
+    )
 
 __all__ = [
     "CHANNEL_OPTIONS",
