Bound the bytes of an answer and of a request's head

Cause: an upstream that sends header lines or a body without end made one call grow by 401 and 799 MB within 3 s, on instances of 200 MB; the parser keeps a header until it has all of it, so a bound on finished headers does not help. The same held for the head of a caller's request.

An answer now may have 64 KiB of head, interim answers, trailers and chunk extensions between two parts of its body; 256 KiB for one event; 8 MiB for a body that is kept whole, and all such bodies share 32 MiB beyond the first 64 KiB of each, so that usual answers never fail because of large ones.

Tests: eight kinds of answers without end, sixteen at once beside a sound one, two kinds of endless request heads. Each peak stays under 16 MiB.

--- /dev/null
+++ b/libs/gateway/mulberry_gateway/_answer_limits.py
@@ -0,0 +1,70 @@
+"""How much memory answers of upstreams may take."""
+
+import threading
+
+#: Status line and headers of an answer, interim answers before it included;
+#: also what may come between two parts of a body, as trailers and chunk
+#: extensions do. Four times what callers may send by default.
+HEAD_BYTES = 65_536
+#: One event of a stream. Events of engines have some tens of bytes a token.
+EVENT_BYTES = 262_144
+#: One answer that is kept whole before it is forwarded: twice the largest
+#: body that callers may send by default.
+WHOLE_BYTES = 8 << 20
+#: All answers that are kept whole at one time. An instance has 200 MB, of
+#: which a running daemon takes 70.
+ALL_BYTES = 32 << 20
+#: Part of each answer that does not count towards `ALL_BYTES`, so that
+#: answers of the usual size never wait for, or fail because of, large ones.
+FREE_BYTES = 65_536
+
+
+class AnswerLimits:
+    """Counts the answers that are kept whole; safe for many threads."""
+
+    def __init__(
+        self, whole_bytes: int = WHOLE_BYTES, all_bytes: int = ALL_BYTES
+    ) -> None:
+        self._whole_bytes = whole_bytes
+        self._all_bytes = all_bytes
+        self._lock = threading.Lock()
+        self._held_bytes = 0
+        self._peak_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes held now, without the free part of each answer."""
+        with self._lock:
+            return self._held_bytes
+
+    @property
+    def peak_bytes(self) -> int:
+        """Most bytes that were held at one time."""
+        with self._lock:
+            return self._peak_bytes
+
+    def grow(self, old_bytes: int, new_bytes: int) -> bool:
+        """Lets an answer grow; returns whether it may.
+
+        Args:
+            old_bytes: Size that was granted before, 0 at first.
+            new_bytes: Size of what has arrived.
+        """
+        if new_bytes > self._whole_bytes:
+            return False
+        more = _counted(new_bytes) - _counted(old_bytes)
+        with self._lock:
+            if more > 0 and self._held_bytes + more > self._all_bytes:
+                return False
+            self._held_bytes += more
+            self._peak_bytes = max(self._peak_bytes, self._held_bytes)
+        return True
+
+    def release(self, size_bytes: int) -> None:
+        """Gives back what was granted to an answer."""
+        with self._lock:
+            self._held_bytes -= _counted(size_bytes)
+
+
+def _counted(size_bytes: int) -> int:
+    return max(0, size_bytes - FREE_BYTES)
--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -104,7 +104,9 @@
             load_share=chosen.load_share,
         )
         exchange.attempts.append(attempt)
-        call = _upstream_call.UpstreamCall(upstream.address, exchange.caller)
+        call = _upstream_call.UpstreamCall(
+            upstream.address, exchange.caller, parts.answer_limits
+        )
         parts.placer.load.started(upstream.name)
         try:
             return self._call(exchange, attempt, call)
--- a/libs/gateway/mulberry_gateway/_parts.py
+++ b/libs/gateway/mulberry_gateway/_parts.py
@@ -6,6 +6,7 @@
 import mulberry_decisions as decisions
 import mulberry_state as state
 from mulberry_gateway import (
+    _answer_limits,
     _dialect,
     _model_choice,
     _placing,
@@ -34,3 +35,7 @@
     max_view_age_s: float
     watch: _rollout_watch.RolloutWatch
     releases: _releases.Releases
+    #: Shared by all calls.
+    answer_limits: _answer_limits.AnswerLimits = dataclasses.field(
+        default_factory=_answer_limits.AnswerLimits
+    )
--- a/libs/gateway/mulberry_gateway/_request_reader.py
+++ b/libs/gateway/mulberry_gateway/_request_reader.py
@@ -50,6 +50,8 @@
         self._started = False
         self._in_body = False
         self._fault: Malformed | None = None
+        #: Bytes of the head that the parser is working on.
+        self._head_bytes = 0
         self._ready: collections.deque[_messages.Request] = collections.deque()
 
     @property
@@ -81,6 +83,8 @@
         return self._ready.popleft()
 
     def _feed(self, data: bytes) -> None:
+        if not self._in_body:
+            self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -91,6 +95,10 @@
             self._fault = self._fault or Malformed(
                 core.ErrorKind.BAD_REQUEST, f"malformed request: {error}"
             )
+        if self._started and not self._in_body:
+            # The parser keeps a header until it has all of it. What came
+            # with this read may be the end of the request before.
+            self._check_size(self._head_bytes - len(data))
 
     def _ended(self, ended: _connection.Ended) -> Malformed | _connection.Ended:
         if ended is _connection.Ended.TIMEOUT and self._started:
@@ -106,6 +114,7 @@
         self._message = _Message()
         self._started = True
         self._in_body = False
+        self._head_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Part of the target."""
@@ -164,7 +173,10 @@
 
     def _grow(self, size: int) -> None:
         self._message.size += size
-        if self._message.size > self._limits.max_header_bytes:
+        self._check_size(self._message.size)
+
+    def _check_size(self, size: int) -> None:
+        if size > self._limits.max_header_bytes:
             self._fault = self._fault or Malformed(
                 core.ErrorKind.HEADERS_TOO_LARGE,
                 f"more than {self._limits.max_header_bytes} bytes of headers",
--- a/libs/gateway/mulberry_gateway/_stream_relay.py
+++ b/libs/gateway/mulberry_gateway/_stream_relay.py
@@ -6,6 +6,7 @@
 
 import mulberry_core as core
 from mulberry_gateway import (
+    _answer_limits,
     _dialect,
     _exchange,
     _messages,
@@ -65,6 +66,8 @@
             if not data:
                 break
             events = _unseen(exchange, splitter.feed(data))
+            if splitter.pending_bytes > _answer_limits.EVENT_BYTES:
+                return Broken(_upstream_call.Fault.EXCESSIVE)
             if events and not self._forward(exchange, events):
                 return Broken(_upstream_call.Fault.CALLER_GONE)
         if splitter.pending_bytes:
--- a/libs/gateway/mulberry_gateway/_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/_upstream_call.py
@@ -11,7 +11,7 @@
 import httptools
 
 import mulberry_core as core
-from mulberry_gateway import _connection, _messages
+from mulberry_gateway import _answer_limits, _connection, _messages
 
 #: An upstream in the same region accepts within milliseconds; a first lost
 #: packet would be sent again after a second. Seconds.
@@ -32,6 +32,8 @@
     TRUNCATED = "truncated"
     #: The bytes are no response, or one to another request.
     GARBLED = "garbled"
+    #: More bytes than an answer may have.
+    EXCESSIVE = "excessive"
     #: Nothing arrived in the time that the caller gave.
     SILENT = "silent"
     #: The upstream was given up while the request was there.
@@ -47,9 +49,27 @@
 class UpstreamCall:
     """Sends a request and reads its response; used by one thread."""
 
-    def __init__(self, address: str, caller: _connection.Connection) -> None:
+    def __init__(
+        self,
+        address: str,
+        caller: _connection.Connection,
+        limits: _answer_limits.AnswerLimits | None = None,
+    ) -> None:
+        """Creates a call that is not connected yet.
+
+        Args:
+            address: `IP:PORT` of the upstream.
+            caller: Whose end ends the call too.
+            limits: Shared with the other calls; by default of this one alone.
+        """
         self._address = address
         self._caller = caller
+        self._limits = limits or _answer_limits.AnswerLimits()
+        #: Size of the whole body that the limits have granted, bytes.
+        self._granted = 0
+        self._counted_parts = 0
+        #: Bytes since the last part of a body, or since the start.
+        self._overhead = 0
         self._connection: _connection.Connection | None = None
         self._unsent = b""
         self._parser = httptools.HttpResponseParser(self)
@@ -116,6 +136,12 @@
             fault = self._read(until_s)
             if isinstance(fault, Fault):
                 return fault
+            size = sum(map(len, self._body[self._counted_parts :]))
+            self._counted_parts = len(self._body)
+            if not self._limits.grow(self._granted, self._granted + size):
+                self._body.clear()
+                return Fault.EXCESSIVE
+            self._granted += size
         data = b"".join(self._body)
         self._body.clear()
         return data
@@ -130,6 +156,8 @@
 
     def close(self) -> None:
         """Closes the connection, which also cancels a running request."""
+        self._limits.release(self._granted)
+        self._granted = 0
         if self._connection is not None:
             self._connection.close()
 
@@ -175,12 +203,16 @@
         return core.Missing.UNSET
 
     def _feed(self, data: bytes) -> Fault | core.Missing:
+        self._overhead += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
             # Bytes after a complete response belong to no request.
             if not self._complete:
                 return Fault.GARBLED
+        if self._overhead > _answer_limits.HEAD_BYTES:
+            # The parser keeps a header until it has all of it.
+            return Fault.EXCESSIVE
         return core.Missing.UNSET
 
     def _ended(self, ended: _connection.Ended) -> Fault | core.Missing:
@@ -227,6 +259,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Part of the body."""
+        self._overhead = 0
         if not self._complete:
             self._body.append(body)
 
--- /dev/null
+++ b/libs/gateway/mulberry_gateway/tests/test_endless_answers.py
@@ -0,0 +1,206 @@
+"""Answers without end: each is given up within its bounds."""
+
+import itertools
+import socket
+import threading
+import time
+import tracemalloc
+from collections.abc import Iterator
+
+import pytest
+
+import mulberry_core as core
+import mulberry_gateway as gateway
+import mulberry_routing as routing
+from mulberry_gateway import _answer_limits, _request_reader, _upstream_call
+
+Fault = _upstream_call.Fault
+_REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+_OK = b"HTTP/1.1 200 OK\r\n"
+_CHUNKED = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
+#: More than any bound on an answer, so that a test ends if there is none.
+_LOTS = 96 * 1024 * 1024
+
+
+def _serve(start: bytes, part: bytes) -> str:
+    """Sends `start`, then `part` again and again until the caller closes."""
+    server = socket.create_server(("127.0.0.1", 0))
+
+    def run() -> None:
+        connection, _ = server.accept()
+        server.close()
+        connection.recv(65_536)
+        try:
+            connection.sendall(start)
+            for _ in range(_LOTS // len(part)):
+                connection.sendall(part)
+        except OSError:
+            # The caller has closed, as it should.
+            return
+        finally:
+            connection.close()
+
+    threading.Thread(target=run, daemon=True).start()
+    host, port = server.getsockname()
+    return f"{host}:{port}"
+
+
+@pytest.fixture
+def caller() -> Iterator[gateway.Connection]:
+    host = socket.create_server(("127.0.0.1", 0))
+    remote = socket.create_connection(host.getsockname())
+    accepted, _ = host.accept()
+    host.close()
+    yield gateway.Connection(accepted)
+    remote.close()
+
+
+def _read(
+    call: _upstream_call.UpstreamCall,
+) -> bytes | Fault:
+    assert call.send(_REQUEST, head_only=False) is core.Missing.UNSET
+    head = call.read_head(20.0)
+    result = head if isinstance(head, Fault) else call.read_body(20.0)
+    call.close()
+    return result
+
+
+_FILL = b"x" * 16_384
+
+
+@pytest.mark.parametrize(
+    ("start", "part"),
+    [
+        pytest.param(_OK, b"X-A: " + _FILL + b"\r\n", id="header lines"),
+        pytest.param(_OK + b"X-A: ", _FILL, id="one header"),
+        pytest.param(b"HTTP/1.1 200 ", _FILL, id="reason"),
+        pytest.param(
+            b"",
+            b"HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n" * 200,
+            id="interim answers",
+        ),
+        pytest.param(_OK + b"\r\n", _FILL, id="body without length"),
+        pytest.param(
+            _CHUNKED, b"4000\r\n" + _FILL + b"\r\n", id="chunked body"
+        ),
+        pytest.param(_CHUNKED + b"1;a=", _FILL, id="chunk extension"),
+        pytest.param(
+            _CHUNKED + b"0\r\n", b"X-A: " + _FILL + b"\r\n", id="trailers"
+        ),
+    ],
+)
+def test_answer_without_end_is_given_up(
+    caller: gateway.Connection, start: bytes, part: bytes
+) -> None:
+    """Guards against a process killed for its memory.
+
+    One call grew by 401 MB in 2.2 s on a head without end and by 799 MB in
+    2.6 s on a body without end, on instances of 200 MB.
+    """
+    limits = _answer_limits.AnswerLimits(whole_bytes=4 * 1024 * 1024)
+    call = _upstream_call.UpstreamCall(_serve(start, part), caller, limits)
+    tracemalloc.start()
+    try:
+        assert _read(call) is Fault.EXCESSIVE
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak < 16 * 1024 * 1024
+    assert limits.held_bytes == 0
+
+
+def test_many_small_chunks_are_no_excess(caller: gateway.Connection) -> None:
+    """Guards against the framing of a sound answer counted as excess."""
+    server = _serve(_CHUNKED + b"1\r\na\r\n" * 50_000 + b"0\r\n\r\n", b" ")
+    call = _upstream_call.UpstreamCall(server, caller)
+    assert _read(call) == b"a" * 50_000
+
+
+def test_large_answer_within_the_limits_is_whole(
+    caller: gateway.Connection,
+) -> None:
+    """Guards against a bound on bodies that cuts sound ones."""
+    size = 3 * 1024 * 1024
+    server = _serve(_OK + b"Content-Length: %d\r\n\r\n" % size, b"y" * 65_536)
+    limits = _answer_limits.AnswerLimits(whole_bytes=4 * 1024 * 1024)
+    call = _upstream_call.UpstreamCall(server, caller, limits)
+    assert _read(call) == b"y" * size
+    assert limits.held_bytes == 0
+
+
+def test_calls_share_one_budget_and_small_answers_need_none(
+    caller: gateway.Connection,
+) -> None:
+    """Guards against many endless answers that are each within bounds."""
+    mib = 1024 * 1024
+    limits = _answer_limits.AnswerLimits(whole_bytes=4 * mib, all_bytes=6 * mib)
+    results: list[bytes | Fault] = []
+    lock = threading.Lock()
+
+    def endless() -> None:
+        call = _upstream_call.UpstreamCall(
+            _serve(_OK + b"\r\n", _FILL), caller, limits
+        )
+        result = _read(call)
+        with lock:
+            results.append(result)
+
+    threads = [threading.Thread(target=endless) for _ in range(16)]
+    for thread in threads:
+        thread.start()
+    small = _upstream_call.UpstreamCall(
+        _serve(_OK + b"Content-Length: 2\r\n\r\nok", b" "), caller, limits
+    )
+    assert _read(small) == b"ok"
+    for thread in threads:
+        thread.join()
+    assert results == [Fault.EXCESSIVE] * 16
+    assert limits.peak_bytes <= 6 * mib
+    assert limits.held_bytes == 0
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        pytest.param(itertools.repeat(_FILL), id="one header"),
+        pytest.param(
+            itertools.repeat(b"x\r\nX-A: " + _FILL[:999]), id="header lines"
+        ),
+    ],
+)
+def test_request_without_end_is_refused(parts: Iterator[bytes]) -> None:
+    """Guards against callers whose request head never ends."""
+    host = socket.create_server(("127.0.0.1", 0))
+    remote = socket.create_connection(host.getsockname())
+    accepted, _ = host.accept()
+    host.close()
+    reader = _request_reader.RequestReader(
+        gateway.Connection(accepted),
+        routing.Limits(),
+        core.SystemClock(),
+    )
+
+    def send() -> None:
+        try:
+            remote.sendall(b"GET / HTTP/1.1\r\nHost: h\r\nX-A: ")
+            for part in itertools.islice(parts, _LOTS // len(_FILL)):
+                remote.sendall(part)
+        except OSError:
+            return
+
+    thread = threading.Thread(target=send, daemon=True)
+    thread.start()
+    began_s = time.monotonic()
+    tracemalloc.start()
+    try:
+        fault = reader.read()
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert isinstance(fault, gateway.Malformed)
+    assert fault.kind is core.ErrorKind.HEADERS_TOO_LARGE
+    assert peak < 4 * 1024 * 1024
+    assert time.monotonic() - began_s < 3.0
+    accepted.close()
+    remote.close()
+    thread.join()
