Follow what upstreams ask for in answers; leave stalled streams

Cause: `Server-Leaving` and the `Retry-After` of a 503 were not read, so an upstream that leaves got work until its announcement had arrived here, and a full one was sent requests all the while. A stream that sent comments or single bytes now and then stayed open until its deadline, since any byte counted as a sign of life.

An upstream that says it leaves gets nothing more for this start of it; one that asks for a pause gets nothing in that time, also where no other is left: callers are then told at once when it opens. A stream is left for another upstream after six of its longest pauses without an event of content, before its caller leaves at eight. Time in which the caller takes no bytes does not count, so a slow reader keeps its stream.

--- a/libs/decisions/mulberry_decisions/_silence.py
+++ b/libs/decisions/mulberry_decisions/_silence.py
@@ -10,6 +10,12 @@
 _LEAVE_AT = 2.5
 
 
+#: Multiple of that time after which an upstream is left that sends bytes, or
+#: answers others, but makes no progress with this request. Callers leave at
+#: eight times the longest pause.
+_STALLED_AT = 6.0
+
+
 class SilenceStep(enum.Enum):
     """What to do about an upstream that sends nothing."""
 
@@ -38,6 +44,15 @@
         """Silence after which `next_step` is asked first, seconds."""
         return self.expected_s * _PROBE_AT
 
+    def is_stalled(self, stalled_s: float) -> bool:
+        """Whether to leave an upstream that is at work on the request.
+
+        Args:
+            stalled_s: For how long this instance has waited for progress,
+                seconds.
+        """
+        return stalled_s >= self.expected_s * _STALLED_AT
+
     def next_step(self, silent_s: float, answered_others: bool) -> SilenceStep:
         """Returns what to do.
 
--- a/libs/decisions/mulberry_decisions/_upstream_health.py
+++ b/libs/decisions/mulberry_decisions/_upstream_health.py
@@ -1,6 +1,7 @@
 """Which upstreams to avoid for a while, from how requests ended there."""
 
 import dataclasses
+import math
 import threading
 from collections.abc import Container
 
@@ -24,15 +25,22 @@
     failures_in_row: int = 0
     paused_until_s: float = 0.0
     heard_s: float = float("-inf")
+    #: Until when the upstream wants no requests of this instance, seconds.
+    closed_until_s: float = float("-inf")
+    #: The start of the upstream that said that it stops.
+    leaving_incarnation: int | core.Missing = core.Missing.UNSET
 
 
 class UpstreamHealth:
     """Remembers outcomes for each upstream; safe for many threads.
 
-    Answers two load patterns: an upstream that cannot be reached gets a
+    Answers these load patterns: an upstream that cannot be reached gets a
     pause, so that requests do not queue up behind connection attempts; one
     that fails part of its requests while its health check is good keeps
-    getting fewer, instead of attracting more because it answers fast.
+    getting fewer, instead of attracting more because it answers fast; one
+    that is full and says for how long gets nothing in that time, so that a
+    burst does not keep it busy with refusals; one that is about to stop gets
+    nothing more, whether or not its announcement has arrived here.
     """
 
     def __init__(self, clock: core.Clock) -> None:
@@ -71,6 +79,37 @@
                 entry is not None and entry.paused_until_s > self._clock.now()
             )
 
+    def asked_to_wait(self, name: str, wait_s: float) -> None:
+        """The upstream turned a request away and wants none for a time."""
+        until_s = self._clock.now() + wait_s
+        with self._lock:
+            entry = self._entry_by_name.setdefault(name, _Entry())
+            entry.closed_until_s = max(entry.closed_until_s, until_s)
+
+    def said_leaving(self, name: str, incarnation: int) -> None:
+        """The upstream said in an answer that it is about to stop."""
+        with self._lock:
+            entry = self._entry_by_name.setdefault(name, _Entry())
+            entry.leaving_incarnation = incarnation
+
+    def closed_s(self, name: str, incarnation: int) -> float:
+        """Returns for how long the upstream must get no request, seconds.
+
+        Infinite for one that is about to stop. Unlike a pause, which is this
+        instance's own guess, it holds also where no other upstream is left.
+
+        Args:
+            name: Of the upstream.
+            incarnation: Its present start; a later one is not leaving.
+        """
+        with self._lock:
+            entry = self._entry_by_name.get(name)
+            if entry is None:
+                return 0.0
+            if entry.leaving_incarnation == incarnation:
+                return math.inf
+            return max(0.0, entry.closed_until_s - self._clock.now())
+
     def heard_s(self, name: str) -> float:
         """Returns `Clock.now` of the last proper answer, -inf for none."""
         with self._lock:
--- a/libs/decisions/mulberry_decisions/tests/test_silence.py
+++ b/libs/decisions/mulberry_decisions/tests/test_silence.py
@@ -24,3 +24,14 @@
 ) -> None:
     policy = decisions.SilencePolicy(expected_s=2.0)
     assert policy.next_step(silent_s, answered_others) is step
+
+
+@pytest.mark.parametrize(
+    ("stalled_s", "left"), [(0.0, False), (11.9, False), (12.0, True)]
+)
+def test_no_progress_is_left_later_than_silence(
+    stalled_s: float, left: bool
+) -> None:
+    """Guards against streams that send a byte now and then for ever."""
+    policy = decisions.SilencePolicy(expected_s=2.0)
+    assert policy.is_stalled(stalled_s) is left
--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -4,6 +4,7 @@
 
 import mulberry_core as core
 import mulberry_decisions as decisions
+import mulberry_membership as membership
 import mulberry_routing as routing
 from mulberry_gateway import (
     _dialect,
@@ -109,7 +110,7 @@
         )
         parts.placer.load.started(upstream.name)
         try:
-            return self._call(exchange, attempt, call)
+            return self._call(exchange, attempt, call, upstream)
         finally:
             call.close()
             parts.placer.load.ended(upstream.name)
@@ -122,6 +123,7 @@
         exchange: _exchange.Exchange,
         attempt: _exchange.Attempt,
         call: _upstream_call.UpstreamCall,
+        upstream: membership.Upstream,
     ) -> _stream_relay.Relayed | Failed:
         parts = self._parts
         request = exchange.request
@@ -160,6 +162,7 @@
         facts = parts.dialect.read_answer(head, exchange.facts.request_id)
         if not isinstance(facts.load, core.Missing):
             parts.placer.load.reported(attempt.upstream, facts.load)
+        self._note_wishes(upstream, facts)
         if facts.not_run or facts.other_upstream:
             return self._turned_away(attempt, facts)
         exchange.note_run(core.RunState.RAN)
@@ -177,6 +180,23 @@
             )
         return self._take_answer(exchange, attempt, call, head, patience)
 
+    def _note_wishes(
+        self, upstream: membership.Upstream, facts: _dialect.AnswerFacts
+    ) -> None:
+        """Takes what the upstream asks of this instance in its answer."""
+        health = self._parts.placer.health
+        if facts.leaving:
+            health.said_leaving(upstream.name, upstream.incarnation)
+        if facts.retry_after_s:
+            health.asked_to_wait(upstream.name, facts.retry_after_s)
+        if facts.leaving or facts.retry_after_s:
+            self._parts.log.note(
+                "upstream",
+                name=upstream.name,
+                said="leaving" if facts.leaving else "full",
+                wait_s=facts.retry_after_s,
+            )
+
     def _silence_policy(
         self, exchange: _exchange.Exchange, expected_s: float
     ) -> decisions.SilencePolicy | core.Missing:
@@ -272,7 +292,10 @@
         def read() -> bytes | _upstream_call.Fault:
             return patience.read(call.read_some, exchange.deadline_s, policy)
 
-        relayed = self._relay.relay(exchange, attempt, read, head)
+        patience.note_progress()
+        relayed = self._relay.relay(
+            exchange, attempt, read, head, patience.note_progress
+        )
         if isinstance(relayed, _stream_relay.Relayed):
             return relayed
         failed = self._fault(exchange, attempt, relayed.fault)
--- a/libs/gateway/mulberry_gateway/_dialect.py
+++ b/libs/gateway/mulberry_gateway/_dialect.py
@@ -75,6 +75,10 @@
     load: decisions.LoadReport | core.Missing = core.Missing.UNSET
     #: The model's own opinion of the answer, 0 to 1.
     confidence: float | core.Missing = core.Missing.UNSET
+    #: Whether the upstream says that it is about to stop.
+    leaving: bool = False
+    #: How long the upstream wants no requests from this instance, seconds.
+    retry_after_s: float = 0.0
 
 
 class Dialect(abc.ABC):
--- a/libs/gateway/mulberry_gateway/_patience.py
+++ b/libs/gateway/mulberry_gateway/_patience.py
@@ -1,5 +1,6 @@
 """Waits for an upstream as long as that makes sense."""
 
+import math
 import time
 from collections.abc import Callable
 from typing import TypeVar
@@ -28,6 +29,14 @@
         self._upstream = upstream
         self._health = health
         self._clock = clock
+        #: Time spent waiting since the last progress, seconds; not counted
+        #: before the answer begins. The time for which the caller takes no
+        #: bytes is not part of it.
+        self._waited_s = -math.inf
+
+    def note_progress(self) -> None:
+        """Notes that the upstream has got on with the request."""
+        self._waited_s = 0.0
 
     def read(
         self,
@@ -47,8 +56,12 @@
             return read(deadline_s - self._clock.now())
         wait_s = policy.first_look_s
         while True:
+            if policy.is_stalled(self._waited_s):
+                return _upstream_call.Fault.LOST
             left_s = deadline_s - self._clock.now()
+            began_s = time.monotonic()
             result = read(min(wait_s, left_s))
+            self._waited_s += time.monotonic() - began_s
             if result is not _upstream_call.Fault.SILENT or left_s <= wait_s:
                 return result
             if self._is_lost(policy):
--- a/libs/gateway/mulberry_gateway/_placing.py
+++ b/libs/gateway/mulberry_gateway/_placing.py
@@ -1,6 +1,7 @@
 """Chooses the upstream of an attempt from what the instance knows."""
 
 import dataclasses
+import math
 from collections.abc import Sequence
 
 import mulberry_core as core
@@ -62,6 +63,7 @@
                 core.ErrorKind.NO_UPSTREAM,
                 exchange.run,
                 f"service {exchange.service} has no upstream for this request",
+                retry_after_s=self._opens_in_s(exchange),
             )
         return Chosen(
             usable_by_name[place.name],
@@ -71,6 +73,23 @@
             / sum(place.slots for place in places),
         )
 
+    def _opens_in_s(self, exchange: _exchange.Exchange) -> float | core.Missing:
+        """Returns when the first upstream wants requests again, seconds.
+
+        Unset where that is not known, and for the kind of error to say.
+        """
+        waits_s = [
+            self.health.closed_s(upstream.name, upstream.incarnation)
+            for upstream in self._catalog.of(exchange.service)
+            if upstream.state is membership.UpstreamState.READY
+        ]
+        soonest_s = min(waits_s, default=math.inf)
+        return soonest_s if 0.0 < soonest_s < math.inf else core.Missing.UNSET
+
+    def _is_closed(self, upstream: membership.Upstream) -> bool:
+        """Whether the upstream itself wants no request now."""
+        return self.health.closed_s(upstream.name, upstream.incarnation) > 0.0
+
     def forget_lost(self) -> None:
         """Drops what is known of upstreams that are gone."""
         names = self._catalog.names()
@@ -86,6 +105,7 @@
             for upstream in self._catalog.of(exchange.service)
             if upstream.state is membership.UpstreamState.READY
             and upstream.name not in tried
+            and not self._is_closed(upstream)
         ]
         allowed = self._releases.filter(
             exchange.service,
--- a/libs/gateway/mulberry_gateway/_stream_relay.py
+++ b/libs/gateway/mulberry_gateway/_stream_relay.py
@@ -14,6 +14,8 @@
 )
 
 _EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+#: Comments keep a connection open, and say nothing of the answer.
+_CONTENT = re.compile(rb"^(?:data|id)\b", re.MULTILINE)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -44,6 +46,7 @@
         attempt: _exchange.Attempt,
         read: Callable[[], bytes | _upstream_call.Fault],
         head: _messages.ResponseHead,
+        on_progress: Callable[[], None],
     ) -> Relayed | Broken:
         """Forwards the stream until it ends or breaks.
 
@@ -55,6 +58,7 @@
             attempt: The attempt that answers.
             read: Returns the next part of the body, empty at its end.
             head: Of the attempt's response.
+            on_progress: Called when events with content have arrived.
         """
         splitter = core.SseSplitter()
         if not exchange.answered and not self._begin(exchange, head):
@@ -65,7 +69,10 @@
                 return Broken(data)
             if not data:
                 break
-            events = _unseen(exchange, splitter.feed(data))
+            arrived = splitter.feed(data)
+            if any(_CONTENT.search(event) for event in arrived):
+                on_progress()
+            events = _unseen(exchange, arrived)
             if splitter.pending_bytes > _answer_limits.EVENT_BYTES:
                 return Broken(_upstream_call.Fault.EXCESSIVE)
             if events and not self._forward(exchange, events):
