Decode the state of an entry once

Cause: every request for the entry list decoded the records of all entries, 3.4 ms of processor time at 100 and 8 ms at 200 instances, and callers ask each second.

--- a/libs/membership/mulberry_membership/_entry_list.py
+++ b/libs/membership/mulberry_membership/_entry_list.py
@@ -1,6 +1,7 @@
 """Which entry addresses callers should use."""
 
 import dataclasses
+import functools
 import json
 import random
 from collections.abc import Iterable, Mapping, Sequence
@@ -40,9 +41,19 @@
         Fields of later versions are left out, so that a list stays readable
         while instances are upgraded one by one.
         """
-        known = {field.name for field in dataclasses.fields(cls)}
-        content = json.loads(payload)
-        return cls(**{key: content[key] for key in known & content.keys()})
+        return _decode(payload)
+
+
+#: Payloads remembered: two for each instance at the design size. Callers ask
+#: for the list each second, and decoding 200 entries takes 8 ms.
+_REMEMBERED_PAYLOADS = 700
+
+
+@functools.lru_cache(_REMEMBERED_PAYLOADS)
+def _decode(payload: bytes) -> EntryState:
+    known = {field.name for field in dataclasses.fields(EntryState)}
+    content = json.loads(payload)
+    return EntryState(**{key: content[key] for key in known & content.keys()})
 
 
 def preferred_entries(
