Count retries by the requests of a window, for each service

An entry saved up five retries at most, and second answers of larger models used what its requests added. On 200 instances the same reserve would have been 1,000 retries against the 440 that the platform allows.

A send that no upstream can have seen takes nothing from the budget.

Ruled out: MaxAttempts, which is 3 and was not reached; the deadline, which was 3 to 22 s away.

--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -169,6 +169,9 @@
         VersionChooser,
         VersionOffer,
     )
+    from mulberry_decisions._window_retries import (
+        WindowRetryBudget,
+    )
     from mulberry_decisions._work import (
         Outcome,
         Work,
@@ -313,6 +316,7 @@
                 "VersionChooser",
                 "VersionOffer",
             ),
+            "_window_retries": ("WindowRetryBudget",),
             "_work": (
                 "Outcome",
                 "Work",
@@ -419,6 +423,7 @@
     "VersionChooser",
     "VersionJudge",
     "VersionOffer",
+    "WindowRetryBudget",
     "Work",
     "find_fault",
     "may_change_version",
--- a/libs/decisions/mulberry_decisions/_work.py
+++ b/libs/decisions/mulberry_decisions/_work.py
@@ -48,5 +48,7 @@
     expected_tokens: int = 0
     #: Whether the work may run more than once.
     is_idempotent: bool = True
+    #: Name of the service that runs the work; empty where there is only one.
+    service: str = ""
     #: Whether this is a call of a plain service, not of a model.
     is_call: bool = False
--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -74,6 +74,9 @@
             return False
         if self._left_s(exchange) < LEAST_TIME_S:
             return False
+        if not any(attempt.arrived for attempt in exchange.attempts):
+            # No upstream has seen the request, so the next one is the first.
+            return True
         return self._parts.retries.try_retry(work(exchange), exchange.run)
 
     def _attempt(
@@ -313,7 +316,9 @@
     ) -> Failed:
         parts = self._parts
         attempt.outcome = fault.value
-        if fault not in _upstream_call.NOT_SENT:
+        if fault in _upstream_call.NOT_SENT:
+            attempt.arrived = False
+        else:
             exchange.note_run(core.RunState.UNKNOWN)
         _faults.HEALTH_NOTE[fault](parts.placer.health, attempt.upstream)
         if fault not in _faults.NOT_THE_VERSIONS_FAULT:
@@ -375,6 +380,7 @@
         kind=exchange.route.name,
         priority=exchange.priority,
         deadline_at_s=exchange.deadline_s,
+        service=exchange.service,
         is_idempotent=exchange.route.is_idempotent,
         is_call=exchange.route.kind is not routing.RouteKind.STREAMING,
     )
--- a/libs/gateway/mulberry_gateway/_exchange.py
+++ b/libs/gateway/mulberry_gateway/_exchange.py
@@ -18,6 +18,8 @@
     release: str = ""
     model: str = ""
     outcome: str = "running"
+    #: Whether any byte of the request can have reached the upstream.
+    arrived: bool = True
     #: Inputs of the placement.
     load: float = 0.0
     candidates: int = 0
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -51,8 +51,6 @@
 #: Part of the grace period after which no new connection is accepted. Callers
 #: keep a list for up to three times its term.
 _ACCEPT_SHARE = 0.8
-#: Largest part of the allowed retries that this instance saves up.
-_MAX_SAVED_RETRIES = 5.0
 #: Part of the time in which a change must be in force during which a view
 #: counts as newest.
 _FINAL_VIEW_SHARE = 0.8
@@ -142,10 +140,13 @@
                 decisions.ConfidenceLadder(), decisions.DelayGauge(clock)
             ),
             dialect=dialect,
-            retries=decisions.ShareRetryBudget(
+            retries=decisions.WindowRetryBudget(
                 clock,
                 settings.bounds.retry_ratio * _RETRY_SHARE_USED,
-                _MAX_SAVED_RETRIES,
+                settings.bounds.retry_window_s,
+                settings.bounds.retry_slack * _RETRY_SHARE_USED,
+                # Dead members too: a part that is cut off still sends.
+                lambda: len(self.membership.members()),
             ),
             drain=decisions.Drain(settings.bounds.grace_s, clock),
             returns=decisions.ReturnTimes(),
--- a/libs/gateway/mulberry_gateway/_settings.py
+++ b/libs/gateway/mulberry_gateway/_settings.py
@@ -37,6 +37,10 @@
     apply_s: float = 2.0
     #: Retries that a service may get for each request.
     retry_ratio: float = 0.1
+    #: Length of the windows in which retries are counted, seconds.
+    retry_window_s: float = 10.0
+    #: Retries of all instances beyond that ratio, in a window, by service.
+    retry_slack: float = 20.0
     #: Share of a service's requests that a bad version may get, 0 to 1.
     exposure_share: float = 0.1
     #: Requests beyond that share.
