--- a/libs/core/mulberry_core/tests/test_on_demand.py
+++ b/libs/core/mulberry_core/tests/test_on_demand.py
@@ -9,7 +9,12 @@
 
 import mulberry_core as core
 
-PACKAGES = ("mulberry_decisions", "mulberry_rules", "mulberry_state")
+PACKAGES = (
+    "mulberry_decisions",
+    "mulberry_membership",
+    "mulberry_rules",
+    "mulberry_state",
+)
 
 
 def _names_by_module(package: types.ModuleType) -> dict[str, set[str]]:
--- a/libs/membership/mulberry_membership/__init__.py
+++ b/libs/membership/mulberry_membership/__init__.py
@@ -1,33 +1,122 @@
 """Members, failure detection and soft state."""
 
-from mulberry_membership._announcements import (
-    MAX_ANNOUNCEMENT_BYTES,
-    Announcement,
-    ServedVersion,
-    UpstreamState,
-    parse_announcement,
-)
-from mulberry_membership._directory import AnnounceOutcome, UpstreamDirectory
-from mulberry_membership._entry_list import (
-    EntryState,
-    entry_list_body,
-    preferred_entries,
-)
-from mulberry_membership._fake_network import FakeNetwork, Faults
-from mulberry_membership._grpc_transport import (
-    SERVER_OPTIONS,
-    GrpcTransport,
-    add_peers_service,
-)
-from mulberry_membership._local import LocalSoftState
-from mulberry_membership._members import Member, MemberState
-from mulberry_membership._membership import Membership
-from mulberry_membership._peers import Timing
-from mulberry_membership._records import Record, RecordKind
-from mulberry_membership._simulation import Simulation
-from mulberry_membership._soft_state import Callback, SoftState
-from mulberry_membership._transport import PeerHandler, PeerTransport
-from mulberry_membership._upstreams import Upstream
+import typing
+
+import mulberry_core as core
+
+if typing.TYPE_CHECKING:
+    from mulberry_membership._announcement_body import (
+        MAX_ANNOUNCEMENT_BYTES,
+        parse_announcement,
+    )
+    from mulberry_membership._announcements import (
+        Announcement,
+        ServedVersion,
+        UpstreamState,
+    )
+    from mulberry_membership._directory import (
+        AnnounceOutcome,
+        UpstreamDirectory,
+    )
+    from mulberry_membership._entry_list import (
+        EntryState,
+        entry_list_body,
+        preferred_entries,
+    )
+    from mulberry_membership._fake_network import (
+        FakeNetwork,
+        Faults,
+    )
+    from mulberry_membership._grpc_transport import (
+        SERVER_OPTIONS,
+        GrpcTransport,
+        add_peers_service,
+    )
+    from mulberry_membership._local import (
+        LocalSoftState,
+    )
+    from mulberry_membership._members import (
+        Member,
+        MemberState,
+    )
+    from mulberry_membership._membership import (
+        Membership,
+    )
+    from mulberry_membership._peers import (
+        Timing,
+    )
+    from mulberry_membership._records import (
+        Record,
+        RecordKind,
+    )
+    from mulberry_membership._simulation import (
+        Simulation,
+    )
+    from mulberry_membership._soft_state import (
+        Callback,
+        SoftState,
+    )
+    from mulberry_membership._transport import (
+        PeerHandler,
+        PeerTransport,
+    )
+    from mulberry_membership._upstreams import (
+        Upstream,
+    )
+else:
+    __getattr__ = core.import_on_demand(
+        __name__,
+        {
+            "_announcement_body": (
+                "MAX_ANNOUNCEMENT_BYTES",
+                "parse_announcement",
+            ),
+            "_announcements": (
+                "Announcement",
+                "ServedVersion",
+                "UpstreamState",
+            ),
+            "_directory": (
+                "AnnounceOutcome",
+                "UpstreamDirectory",
+            ),
+            "_entry_list": (
+                "EntryState",
+                "entry_list_body",
+                "preferred_entries",
+            ),
+            "_fake_network": (
+                "FakeNetwork",
+                "Faults",
+            ),
+            "_grpc_transport": (
+                "SERVER_OPTIONS",
+                "GrpcTransport",
+                "add_peers_service",
+            ),
+            "_local": ("LocalSoftState",),
+            "_members": (
+                "Member",
+                "MemberState",
+            ),
+            "_membership": ("Membership",),
+            "_peers": ("Timing",),
+            "_records": (
+                "Record",
+                "RecordKind",
+            ),
+            "_simulation": ("Simulation",),
+            "_soft_state": (
+                "Callback",
+                "SoftState",
+            ),
+            "_transport": (
+                "PeerHandler",
+                "PeerTransport",
+            ),
+            "_upstreams": ("Upstream",),
+        },
+    )
 
 __all__ = [
     "MAX_ANNOUNCEMENT_BYTES",
--- a/libs/membership/mulberry_membership/_announcements.py
+++ b/libs/membership/mulberry_membership/_announcements.py
@@ -1,23 +1,10 @@
-"""Announcements of upstreams: JSON at the border, frozen data inside."""
+"""What upstreams say of themselves."""
 
 import dataclasses
 import enum
-from typing import Annotated, Literal
-
-import pydantic
 
 import mulberry_core as core
 
-#: Bytes of one announcement; 256 versions with long names fit.
-MAX_ANNOUNCEMENT_BYTES = 65_536
-_MAX_NUMBER = 2**63 - 1
-_MAX_REQUESTS = 1_000_000
-_MAX_SERVED = 256
-#: An upstream that asks to be kept longer would stay listed after a crash.
-_MAX_VALID_S = 30.0
-_MIN_VALID_S = 0.1
-_MAX_REPORTED_ERRORS = 5
-
 
 class UpstreamState(enum.Enum):
     """What an upstream says of itself."""
@@ -70,120 +57,3 @@
     def order(self) -> tuple[int, int]:
         """Decides which of two announcements is newer."""
         return (self.incarnation, self.sequence)
-
-
-_Name = Annotated[
-    str,
-    pydantic.StringConstraints(
-        min_length=1, max_length=128, pattern=r"^[A-Za-z0-9][A-Za-z0-9._:/@-]*$"
-    ),
-]
-_Address = Annotated[
-    str,
-    pydantic.StringConstraints(
-        max_length=128,
-        pattern=r"^(https?://)?([A-Za-z0-9.-]+|\[[0-9A-Fa-f:.]+\]):[0-9]{1,5}/?$",
-    ),
-]
-_Number = Annotated[int, pydantic.Field(ge=0, le=_MAX_NUMBER)]
-_Requests = Annotated[int, pydantic.Field(ge=0, le=_MAX_REQUESTS)]
-
-
-class _Body(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(
-        strict=True, frozen=True, extra="ignore", hide_input_in_errors=True
-    )
-
-
-class _Served(_Body):
-    model: _Name
-    version: _Name
-
-
-class _Load(_Body):
-    running: _Requests
-    queued: _Requests
-
-
-class _AnnouncementBody(_Body):
-    """The JSON form; unknown fields are ignored for later versions."""
-
-    name: _Name
-    address: _Address
-    incarnation: _Number
-    sequence: _Number
-    state: Literal["ready", "leaving"]
-    zone: _Name
-    serves: Annotated[list[_Served], pydantic.Field(max_length=_MAX_SERVED)] = (
-        pydantic.Field(default_factory=list)
-    )
-    service: _Name | None = None
-    capacity: Annotated[int, pydantic.Field(ge=1, le=_MAX_REQUESTS)]
-    load: _Load
-    checks_fencing: bool = False
-    valid_s: Annotated[
-        float,
-        pydantic.Field(
-            ge=_MIN_VALID_S, le=_MAX_VALID_S, allow_inf_nan=False, strict=False
-        ),
-    ]
-
-    @pydantic.model_validator(mode="after")
-    def _serves_one_sort(self) -> "_AnnouncementBody":
-        if self.service is not None and self.serves:
-            raise ValueError("an upstream has either serves or service")
-        return self
-
-
-def parse_announcement(body: bytes) -> Announcement | core.Refusal:
-    """Returns the announcement, or why the body is not one.
-
-    Args:
-        body: JSON in UTF-8.
-    """
-    if len(body) > MAX_ANNOUNCEMENT_BYTES:
-        return core.Refusal(
-            core.ErrorKind.REQUEST_TOO_LARGE,
-            core.RunState.NOT_RUN,
-            f"announcement of {len(body)} bytes is larger than "
-            f"{MAX_ANNOUNCEMENT_BYTES} bytes",
-        )
-    try:
-        parsed = _AnnouncementBody.model_validate_json(body)
-    except pydantic.ValidationError as error:
-        return core.Refusal(
-            core.ErrorKind.BAD_REQUEST,
-            core.RunState.NOT_RUN,
-            f"invalid announcement: {_describe(error)}",
-        )
-    return _to_announcement(parsed)
-
-
-def _describe(error: pydantic.ValidationError) -> str:
-    found = error.errors(include_url=False, include_input=False)
-    return "; ".join(
-        f"{'.'.join(str(part) for part in item['loc']) or 'body'}: "
-        f"{item['msg']}"
-        for item in found[:_MAX_REPORTED_ERRORS]
-    )
-
-
-def _to_announcement(parsed: _AnnouncementBody) -> Announcement:
-    served = {ServedVersion(item.model, item.version) for item in parsed.serves}
-    return Announcement(
-        name=parsed.name,
-        address=parsed.address.removesuffix("/"),
-        incarnation=parsed.incarnation,
-        sequence=parsed.sequence,
-        state=UpstreamState(parsed.state),
-        zone=parsed.zone,
-        versions=tuple(sorted(served)),
-        service=core.Missing.UNSET
-        if parsed.service is None
-        else parsed.service,
-        capacity=parsed.capacity,
-        running=parsed.load.running,
-        queued=parsed.load.queued,
-        checks_fencing=parsed.checks_fencing,
-        valid_s=parsed.valid_s,
-    )
