Answer connections that wait to be accepted at a planned stop

Cause: closing the listening socket resets the connections that the system has accepted for it but the listener has not, with requests already sent on them. The task that accepts also ended for good when no thread could be started for one connection, and the instance took no more callers.

Tests: with the listener as before, eight requests in the backlog are reset, and a caller after a failed thread start gets no answer.

--- a/libs/gateway/mulberry_gateway/_listener.py
+++ b/libs/gateway/mulberry_gateway/_listener.py
@@ -88,8 +88,23 @@
         ).start()
 
     def stop_accepting(self) -> None:
-        """Refuses new connections; open ones are served on."""
+        """Refuses new connections; open ones are served on.
+
+        Connections that the system has accepted for this listener are served
+        too: closing the socket would reset them, with requests that callers
+        have sent on them.
+        """
+        if self._stopping.is_set():
+            return
         self._stopping.set()
+        self._sock.settimeout(0.0)
+        for _ in range(_BACKLOG):
+            try:
+                sock, _ = self._sock.accept()
+            except OSError:
+                # None is left; the other thread may have taken the last.
+                break
+            self._hand_over(sock)
         self._sock.close()
 
     def _accept(self) -> None:
@@ -103,7 +118,17 @@
                     logging.warning("%s: accept failed: %s", self._name, error)
                     self._stopping.wait(0.05)
                 continue
+            self._hand_over(sock)
+
+    def _hand_over(self, sock: socket.socket) -> None:
+        """Serves a connection on a task of its own."""
+        try:
             self._pool.submit(self._serve, sock)
+        except RuntimeError:
+            # No thread could be started. Those that run go on, and so must
+            # the task that accepts.
+            logging.exception("%s: a connection is not served", self._name)
+            sock.close()
 
     def _serve(self, sock: socket.socket) -> None:
         try:
--- /dev/null
+++ b/libs/gateway/mulberry_gateway/tests/test_listener.py
@@ -0,0 +1,109 @@
+"""Accepting connections, also at a stop and when resources run out."""
+
+import contextlib
+import socket
+import time
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+import mulberry_core as core
+import mulberry_gateway as gateway
+
+_REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class _Answering(gateway.Handler):
+    def handle(
+        self,
+        request: gateway.Request,
+        caller: gateway.Connection,
+        keep_alive: bool,
+    ) -> bool:
+        caller.send_all(_ANSWER)
+        return False
+
+    def reject(
+        self, fault: gateway.Malformed, caller: gateway.Connection
+    ) -> None:
+        caller.send_all(b"HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n")
+
+
+@pytest.fixture
+def listener() -> Iterator[gateway.Listener]:
+    made = gateway.Listener(
+        "test", "127.0.0.1:0", _Answering(), core.SystemClock()
+    )
+    yield made
+    made.stop_accepting()
+
+
+def _connect(listener: gateway.Listener) -> socket.socket:
+    caller = socket.create_connection(("127.0.0.1", listener.port))
+    caller.settimeout(5.0)
+    caller.sendall(_REQUEST)
+    return caller
+
+
+def test_connections_in_the_backlog_are_answered_at_a_stop(
+    listener: gateway.Listener,
+) -> None:
+    """Guards against requests that a planned stop cuts without an answer.
+
+    The listener does not accept yet, as when its thread has no turn.
+    """
+    listener._sock.listen(16)
+    callers = [_connect(listener) for _ in range(8)]
+    time.sleep(0.05)
+    listener.stop_accepting()
+    for caller in callers:
+        assert caller.recv(1_000) == _ANSWER
+        caller.close()
+
+
+def test_a_thread_that_cannot_start_does_not_end_the_listener(
+    listener: gateway.Listener, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against one failed connection that ends all later ones."""
+    submit = listener._pool.submit
+    failed = []
+
+    def fail_once(*args: Any) -> Any:
+        if not failed:
+            failed.append(args)
+            raise RuntimeError("can't start new thread")
+        return submit(*args)
+
+    monkeypatch.setattr(listener._pool, "submit", fail_once)
+    listener.start()
+    first = _connect(listener)
+    with contextlib.suppress(ConnectionResetError):
+        assert first.recv(1_000) == b""
+    second = _connect(listener)
+    assert second.recv(1_000) == _ANSWER
+    first.close()
+    second.close()
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        b"\x00" * 100,
+        b"GET / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n",
+        b"GET / HTTP/1.1\r\n" + b"A: \xff\xfe\r\n" * 3 + b"\r\n",
+        b"",
+    ],
+)
+def test_malformed_bytes_do_not_end_the_listener(
+    listener: gateway.Listener, sent: bytes
+) -> None:
+    """Guards against one malformed message that takes the process down."""
+    listener.start()
+    broken = socket.create_connection(("127.0.0.1", listener.port))
+    broken.sendall(sent)
+    broken.close()
+    caller = _connect(listener)
+    assert caller.recv(1_000) == _ANSWER
+    caller.close()
