Block requests whose upstreams do not survive them

Cause: the gateway had no guard against a request that crashes each upstream that begins to run it; its caller sends it again under another id, to any instance, and every repeat takes an upstream and the runs beside it away.

A content (method, host, target, team and body) gets a strike where its run broke off and the upstream takes no connection right after. Strikes spread as soft state for 120 s, one complete run clears them on all instances, and a content with three is refused without being sent, with a time to return. On the users' platform that is a 503: a 4xx would count as a denial.

Tests: with six workers that die of one body, three are lost and the others serve; before, all six. A sound request that met two losses is served.

--- a/libs/gateway/mulberry_gateway/__init__.py
+++ b/libs/gateway/mulberry_gateway/__init__.py
@@ -31,9 +31,11 @@
 from mulberry_gateway._rollout_watch import RolloutWatch
 from mulberry_gateway._routing_book import RoutingBook
 from mulberry_gateway._settings import GatewayBounds, GatewaySettings
+from mulberry_gateway._suspects import MAX_STRIKES, Suspects
 
 __all__ = [
     "JSON",
+    "MAX_STRIKES",
     "AnswerFacts",
     "CallFacts",
     "Catalog",
@@ -64,6 +66,7 @@
     "RolloutWatch",
     "RoutingBook",
     "SendFacts",
+    "Suspects",
     "end_to_end",
     "find_header",
 ]
--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -14,11 +14,19 @@
     _parts,
     _patience,
     _stream_relay,
+    _suspects,
     _upstream_call,
 )
 
 #: Shortest time that is worth an attempt, seconds.
 LEAST_TIME_S = 0.03
+#: Outcomes with which a request ends where its upstream is lost.
+_BROKEN_OFF = frozenset(
+    {
+        _upstream_call.Fault.NO_ANSWER.value,
+        _upstream_call.Fault.TRUNCATED.value,
+    }
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -85,6 +93,8 @@
         parts = self._parts
         if self._left_s(exchange) < LEAST_TIME_S:
             return Failed(too_late(exchange), may_retry=False)
+        if parts.suspects.is_blocked(exchange.content):
+            return Failed(_blocked(exchange), may_retry=False)
         chosen = parts.placer.choose(exchange)
         if isinstance(chosen, core.Refusal):
             return Failed(chosen, may_retry=False)
@@ -114,7 +124,15 @@
         parts.placer.load.started(upstream.name)
         parts.models.sent(exchange)
         try:
-            return self._call(exchange, attempt, call, upstream)
+            result = self._call(exchange, attempt, call, upstream)
+            if (
+                attempt.outcome in _BROKEN_OFF
+                and not call.accepts_connections()
+            ):
+                parts.suspects.upstream_lost(exchange, upstream)
+            elif isinstance(result, _stream_relay.Relayed):
+                parts.suspects.completed(exchange.content)
+            return result
         finally:
             call.close()
             parts.placer.load.ended(upstream.name)
@@ -373,6 +391,18 @@
     )
 
 
+def _blocked(exchange: _exchange.Exchange) -> core.Refusal:
+    """Returns the refusal of a content that upstreams did not survive."""
+    return core.Refusal(
+        core.ErrorKind.CONTENT_BLOCKED
+        if exchange.run is core.RunState.NOT_RUN
+        else core.ErrorKind.UPSTREAM_FAILED,
+        exchange.run,
+        f"{_suspects.MAX_STRIKES} upstreams were lost during runs of this content",
+        retry_after_s=_suspects.BLOCKED_RETRY_S,
+    )
+
+
 def work(exchange: _exchange.Exchange) -> decisions.Work:
     """Returns what the decisions know of the request."""
     return decisions.Work(
--- a/libs/gateway/mulberry_gateway/_exchange.py
+++ b/libs/gateway/mulberry_gateway/_exchange.py
@@ -1,6 +1,7 @@
 """One request on its way: what is known of it and what was sent."""
 
 import dataclasses
+import functools
 from typing import Any
 
 import mulberry_core as core
@@ -59,6 +60,18 @@
     #: Id of the last whole event that was forwarded; empty before the first.
     last_event_id: str = ""
 
+    @functools.cached_property
+    def content(self) -> str:
+        """Digest of what callers send again under another request id."""
+        request = self.request
+        parts = (
+            request.method,
+            request.header("host"),
+            request.target,
+            self.team,
+        )
+        return core.digest128("\n".join(parts).encode() + b"\n" + request.body)
+
     @property
     def session(self) -> str:
         """Names the session on its route; empty for none."""
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -29,6 +29,7 @@
     _rollout_watch,
     _routing_book,
     _settings,
+    _suspects,
 )
 
 #: Longest wait for a routing table before callers are accepted, seconds; from
@@ -153,6 +154,7 @@
             max_view_age_s=settings.bounds.apply_s * _FINAL_VIEW_SHARE,
             watch=self._watch,
             releases=releases,
+            suspects=_suspects.Suspects(self.membership, log),
         )
         self._entry = _listener.Listener(
             "entry",
--- a/libs/gateway/mulberry_gateway/_parts.py
+++ b/libs/gateway/mulberry_gateway/_parts.py
@@ -13,6 +13,7 @@
     _releases,
     _rollout_watch,
     _routing_book,
+    _suspects,
 )
 
 
@@ -35,6 +36,7 @@
     max_view_age_s: float
     watch: _rollout_watch.RolloutWatch
     releases: _releases.Releases
+    suspects: _suspects.Suspects
     #: Shared by all calls.
     answer_limits: _answer_limits.AnswerLimits = dataclasses.field(
         default_factory=_answer_limits.AnswerLimits
--- a/libs/gateway/mulberry_gateway/tests/test_listener.py
+++ b/libs/gateway/mulberry_gateway/tests/test_listener.py
@@ -68,7 +68,7 @@
 ) -> None:
     """Guards against one failed connection that ends all later ones."""
     submit = listener._pool.submit
-    failed = []
+    failed: list[Any] = []
 
     def fail_once(*args: Any) -> Any:
         if not failed:
--- a/libs/membership/mulberry_membership/_records.py
+++ b/libs/membership/mulberry_membership/_records.py
@@ -22,6 +22,9 @@
     #: A session that keeps to the old version during a rollout; ids are
     #: `SERVICE/ROLLOUT/SESSION`.
     SESSION = "session"
+    #: A content whose run was under way when an upstream was lost; ids are
+    #: `CONTENT/UPSTREAM.INCARNATION`, or `CONTENT/cleared` after a whole run.
+    STRIKE = "strike"
 
 
 #: Kinds whose (incarnation, sequence) is not counted by the owner.
