--- a/libs/decisions/mulberry_decisions/_delays.py
+++ b/libs/decisions/mulberry_decisions/_delays.py
@@ -1,17 +1,20 @@
 """How long answers take to begin, against what their callers aim at."""
 
+import collections
 import dataclasses
 import threading
 from collections.abc import Hashable
 
 import mulberry_core as core
 
-#: Time in which the weight of an answer that began halves, seconds: short
-#: against a burst, and a few answers long at an entry that sees one a second.
-_HALF_LIFE_S = 1.5
-#: A single answer counts for no more than this multiple of its target: one
-#: very long prompt says little of the others.
-_MOST = 2.0
+#: Answers that count, the newest: few enough that an overload shows within a
+#: second at an entry that sees ten a second.
+_NEWEST = 9
+#: Age up to which an answer counts, seconds; longer than nine answers take at
+#: an entry of a large fleet, which sees one or two a second.
+_MAX_AGE_S = 5.0
+#: With fewer answers than these nothing is said of the engines.
+_LEAST = 3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,15 +32,20 @@
     the first part of an answer shows it. Answers that have not begun count as
     soon as they wait longer than the others did, so that a sudden overload
     is seen before its first answer comes.
+
+    The median counts: one very long prompt, or one upstream that was lost,
+    says nothing of the other engines, and at an entry that sees one request
+    a second a mean would move with each of them.
     """
 
     def __init__(self, clock: core.Clock) -> None:
         self._clock = clock
         self._lock = threading.Lock()
         self._waiting_by_key: dict[Hashable, _Waiting] = {}
-        self._sum = 0.0
-        self._weight = 0.0
-        self._updated_s = clock.now()
+        #: When answers began, and how late; the newest last.
+        self._begun: collections.deque[tuple[float, float]] = collections.deque(
+            maxlen=_NEWEST
+        )
 
     def started(self, key: Hashable, target_s: float) -> None:
         """A request was sent to an engine.
@@ -58,22 +66,23 @@
         self._end(key, least_ratio=1.0)
 
     def pressure(self) -> float:
-        """Returns the time to the first part as a share of its target.
+        """Returns the usual time to the first part, as a share of its target.
 
-        Zero while nothing is known; 1 where answers begin just in time.
+        Zero while little is known; 1 where answers begin just in time.
         """
         now_s = self._clock.now()
         with self._lock:
-            self._fade(now_s)
-            total, weight = self._sum, self._weight
-            for waiting in self._waiting_by_key.values():
-                ratio = _ratio(waiting, now_s)
-                if ratio * weight > total:
-                    total += ratio
-                    weight += 1.0
-            # One more answer that came at once: a few late ones of an entry
-            # that sees little say nothing of the engines.
-            return total / (weight + 1.0)
+            ratios = [
+                ratio
+                for began_s, ratio in self._begun
+                if now_s - began_s <= _MAX_AGE_S
+            ]
+            waiting = [
+                _ratio(waiting, now_s)
+                for waiting in self._waiting_by_key.values()
+            ]
+        usual = _median(ratios)
+        return _median(ratios + [ratio for ratio in waiting if ratio > usual])
 
     def _end(self, key: Hashable, least_ratio: float) -> None:
         now_s = self._clock.now()
@@ -83,16 +92,14 @@
                 return
             ratio = _ratio(waiting, now_s)
             if ratio >= least_ratio:
-                self._fade(now_s)
-                self._sum += ratio
-                self._weight += 1.0
-
-    def _fade(self, now_s: float) -> None:
-        factor = 0.5 ** ((now_s - self._updated_s) / _HALF_LIFE_S)
-        self._sum *= factor
-        self._weight *= factor
-        self._updated_s = now_s
+                self._begun.append((now_s, ratio))
 
 
 def _ratio(waiting: _Waiting, now_s: float) -> float:
-    return min(_MOST, (now_s - waiting.since_s) / max(1e-3, waiting.target_s))
+    return (now_s - waiting.since_s) / max(1e-3, waiting.target_s)
+
+
+def _median(ratios: list[float]) -> float:
+    """Returns the lower median, of no fewer than `_LEAST` values."""
+    padded = sorted(ratios + [0.0] * (_LEAST - len(ratios)))
+    return padded[(len(padded) - 1) // 2]
--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -241,11 +241,13 @@
         """Whether the answer is dropped to ask a larger model."""
         if not isinstance(facts.confidence, core.Missing):
             attempt.confidence = facts.confidence
+        attempt.pressure = self._parts.models.pressure()
         model = self._parts.models.escalates_to(
             exchange,
             attempt.model,
             facts.confidence,
             attempt.load_share,
+            attempt.pressure,
         )
         if isinstance(model, core.Missing) or not self._may_retry(exchange):
             return False
--- a/libs/gateway/mulberry_gateway/_exchange.py
+++ b/libs/gateway/mulberry_gateway/_exchange.py
@@ -26,6 +26,8 @@
     candidates: int = 0
     #: Share of the places of all candidates in use.
     load_share: float = 0.0
+    #: How late first answers begin, as a share of their target.
+    pressure: float = 0.0
     #: The model's opinion of its answer, 0 to 1; -1 if it gave none.
     confidence: float = -1.0
 
@@ -118,6 +120,8 @@
                     attempt.candidates,
                     attempt.model,
                     attempt.confidence,
+                    round(attempt.load_share, 2),
+                    round(attempt.pressure, 2),
                 ]
                 for attempt in self.attempts
             ],
--- a/libs/gateway/mulberry_gateway/_model_choice.py
+++ b/libs/gateway/mulberry_gateway/_model_choice.py
@@ -28,6 +28,10 @@
         """Notes that the answer to an attempt began."""
         self._delays.began(id(exchange))
 
+    def pressure(self) -> float:
+        """Returns how late first answers begin, as a share of their target."""
+        return self._delays.pressure()
+
     def ended(self, exchange: _exchange.Exchange) -> None:
         """Notes that an attempt ended."""
         self._delays.ended(id(exchange))
@@ -47,6 +51,7 @@
         model: str,
         confidence: float | core.Missing,
         load_share: float,
+        pressure: float,
     ) -> str | core.Missing:
         """Returns the model to ask instead, unset to keep the answer."""
         if not model or exchange.answered:
@@ -55,5 +60,5 @@
             exchange.route.model_names,
             decisions.Rung(model, confidence),
             load_share,
-            self._delays.pressure(),
+            pressure,
         )
--- a/libs/membership/mulberry_membership/tests/test_joining.py
+++ b/libs/membership/mulberry_membership/tests/test_joining.py
@@ -5,6 +5,7 @@
 import mulberry_core as core
 import mulberry_membership as membership
 from mulberry_membership import _link, _ring, _store
+from mulberry_wire import peer_pb2
 
 ENTRY = membership.RecordKind.ENTRY
 UPSTREAM = membership.RecordKind.UPSTREAM
@@ -118,3 +119,27 @@
     assert instance._peers.exchange(link)
     assert instance._peers.exchange(link)
     assert "u" not in simulation.by_name[other].records(UPSTREAM)
+
+
+def test_peer_of_an_earlier_version_gets_everything() -> None:
+    """Guards against fleets that are upgraded one by one."""
+    simulation, one, _ = _pair()
+    instance = simulation.by_name[one]
+    instance.put(UPSTREAM, "u", 1, 1, b"x")
+    request = peer_pb2.ExchangeRequest(sender="earlier", full=True)
+    response = instance.handle_exchange(request)
+    assert not response.compared
+    assert {wire.id for wire in response.records} >= {"u", "i0", "i1"}
+
+
+def test_peer_that_compares_no_digests_gets_everything() -> None:
+    """Guards against records kept back from an earlier version."""
+    simulation = _start_all(3)
+    instance = simulation.by_name["i0"]
+    link = _link.PeerLink("i1", "address-i1", instance._store, simulation.clock)
+    sent = link.request("i0")
+    assert sent.request.digests
+    assert {wire.id for wire in sent.request.records} == {"i0"}
+    link.succeeded(peer_pb2.ExchangeResponse(session=7, stamp=1), sent)
+    again = link.request("i0")
+    assert {wire.id for wire in again.request.records} >= {"i1", "i2"}
