--- a/libs/gateway/mulberry_gateway/_answer_limits.py
+++ b/libs/gateway/mulberry_gateway/_body_limits.py
@@ -1,4 +1,4 @@
-"""How much memory answers of upstreams may take."""
+"""How much memory requests and answers may take."""
 
 import threading
 
@@ -11,16 +11,16 @@
 #: One answer that is kept whole before it is forwarded: twice the largest
 #: body that callers may send by default.
 WHOLE_BYTES = 8 << 20
-#: All answers that are kept whole at one time. An instance has 200 MB, of
-#: which a running daemon takes 70.
+#: All answers that are kept whole at one time, and all bodies of requests at
+#: one listener. An instance has 200 MB, of which a running daemon takes 70.
 ALL_BYTES = 32 << 20
-#: Part of each answer that does not count towards `ALL_BYTES`, so that
-#: answers of the usual size never wait for, or fail because of, large ones.
+#: Part of each body that does not count towards `ALL_BYTES`, so that bodies of
+#: the usual size never wait for, or fail because of, large ones.
 FREE_BYTES = 65_536
 
 
-class AnswerLimits:
-    """Counts the answers that are kept whole; safe for many threads."""
+class BodyLimits:
+    """Counts the bodies that are kept whole; safe for many threads."""
 
     def __init__(
         self, whole_bytes: int = WHOLE_BYTES, all_bytes: int = ALL_BYTES
@@ -33,7 +33,7 @@
 
     @property
     def held_bytes(self) -> int:
-        """Bytes held now, without the free part of each answer."""
+        """Bytes held now, without the free part of each body."""
         with self._lock:
             return self._held_bytes
 
@@ -44,7 +44,7 @@
             return self._peak_bytes
 
     def grow(self, old_bytes: int, new_bytes: int) -> bool:
-        """Lets an answer grow; returns whether it may.
+        """Lets a body grow; returns whether it may.
 
         Args:
             old_bytes: Size that was granted before, 0 at first.
@@ -61,7 +61,7 @@
         return True
 
     def release(self, size_bytes: int) -> None:
-        """Gives back what was granted to an answer."""
+        """Gives back what was granted to a body."""
         with self._lock:
             self._held_bytes -= _counted(size_bytes)
 
--- a/libs/gateway/mulberry_gateway/_listener.py
+++ b/libs/gateway/mulberry_gateway/_listener.py
@@ -9,7 +9,12 @@
 
 import mulberry_core as core
 import mulberry_routing as routing
-from mulberry_gateway import _connection, _messages, _request_reader
+from mulberry_gateway import (
+    _body_limits,
+    _connection,
+    _messages,
+    _request_reader,
+)
 
 #: Connections that wait to be accepted; many callers come at once after a
 #: restart, and a lost opening packet costs a second.
@@ -64,6 +69,10 @@
         )
         self._lock = threading.Lock()
         self._busy = 0
+        #: Bodies of requests that are read or being answered.
+        self._bodies = _body_limits.BodyLimits(
+            whole_bytes=_body_limits.ALL_BYTES
+        )
         self._stopping = threading.Event()
         #: Set while connections end after their next answer.
         self.draining = threading.Event()
@@ -145,8 +154,18 @@
 
     def _serve_connection(self, connection: _connection.Connection) -> None:
         reader = _request_reader.RequestReader(
-            connection, self._handler.limits(), self._clock
+            connection, self._handler.limits(), self._clock, self._bodies
         )
+        try:
+            self._serve_requests(connection, reader)
+        finally:
+            reader.close()
+
+    def _serve_requests(
+        self,
+        connection: _connection.Connection,
+        reader: _request_reader.RequestReader,
+    ) -> None:
         while True:
             reader.limits = self._handler.limits()
             request = reader.read()
@@ -165,6 +184,7 @@
             finally:
                 with self._lock:
                     self._busy -= 1
+                reader.answered()
             if not keep:
                 connection.finish()
                 return
--- a/libs/gateway/mulberry_gateway/_parts.py
+++ b/libs/gateway/mulberry_gateway/_parts.py
@@ -6,7 +6,7 @@
 import mulberry_decisions as decisions
 import mulberry_state as state
 from mulberry_gateway import (
-    _answer_limits,
+    _body_limits,
     _dialect,
     _model_choice,
     _placing,
@@ -38,6 +38,6 @@
     releases: _releases.Releases
     suspects: _suspects.Suspects
     #: Shared by all calls.
-    answer_limits: _answer_limits.AnswerLimits = dataclasses.field(
-        default_factory=_answer_limits.AnswerLimits
+    answer_limits: _body_limits.BodyLimits = dataclasses.field(
+        default_factory=_body_limits.BodyLimits
     )
--- a/libs/gateway/mulberry_gateway/_request_reader.py
+++ b/libs/gateway/mulberry_gateway/_request_reader.py
@@ -7,7 +7,7 @@
 
 import mulberry_core as core
 import mulberry_routing as routing
-from mulberry_gateway import _connection, _messages
+from mulberry_gateway import _body_limits, _connection, _messages
 
 #: For a whole body, seconds. A body of 4 MiB needs 7 s on a 5 Mbit/s link.
 _BODY_TIMEOUT_S = 15.0
@@ -30,6 +30,8 @@
         self.headers: list[_messages.Header] = []
         self.body = bytearray()
         self.size = 0
+        #: Bytes of the body that the shared limits have granted.
+        self.granted = 0
         self.received_s = 0.0
 
 
@@ -41,7 +43,20 @@
         connection: _connection.Connection,
         limits: routing.Limits,
         clock: core.Clock,
+        bodies: _body_limits.BodyLimits | None = None,
     ) -> None:
+        """Creates a reader that has read nothing.
+
+        Args:
+            connection: Of the caller.
+            limits: What the caller may send.
+            clock: Source of time.
+            bodies: Shared with the other readers; by default of this one alone.
+        """
+        self._bodies = bodies or _body_limits.BodyLimits()
+        #: Bytes granted to the requests in `_ready`, and to the one returned.
+        self._grants: collections.deque[int] = collections.deque()
+        self._returned_grant = 0
         self._connection = connection
         self._limits = limits
         self._clock = clock
@@ -80,8 +95,23 @@
                 deadline_s = self._clock.now() + self._limits.header_timeout_s
             if self._in_body and not was_in_body:
                 deadline_s = self._clock.now() + _BODY_TIMEOUT_S
+        self.answered()
+        self._returned_grant = self._grants.popleft()
         return self._ready.popleft()
 
+    def answered(self) -> None:
+        """Gives back the memory of the request that was returned last."""
+        self._bodies.release(self._returned_grant)
+        self._returned_grant = 0
+
+    def close(self) -> None:
+        """Gives back the memory of all requests."""
+        self.answered()
+        for grant in (*self._grants, self._message.granted):
+            self._bodies.release(grant)
+        self._grants.clear()
+        self._message.granted = 0
+
     def _feed(self, data: bytes) -> None:
         if not self._in_body:
             self._head_bytes += len(data)
@@ -143,9 +173,18 @@
 
     def on_body(self, body: bytes) -> None:
         """Part of the body."""
-        self._message.body += body
-        if len(self._message.body) > self._limits.max_body_bytes:
+        message = self._message
+        message.body += body
+        size = len(message.body)
+        if size > self._limits.max_body_bytes:
             self._refuse_body()
+        elif self._bodies.grow(message.granted, size):
+            message.granted = size
+        else:
+            self._fault = self._fault or Malformed(
+                core.ErrorKind.OVERLOADED,
+                f"a body of {size} bytes is more than what is left for all",
+            )
 
     def on_message_complete(self) -> None:
         """The request is complete."""
@@ -155,6 +194,8 @@
         if self._fault:
             return
         headers = tuple(message.headers)
+        self._grants.append(message.granted)
+        message.granted = 0
         self._ready.append(
             _messages.Request(
                 method=self._parser.get_method().decode("latin-1"),
--- a/libs/gateway/mulberry_gateway/_stream_relay.py
+++ b/libs/gateway/mulberry_gateway/_stream_relay.py
@@ -6,7 +6,7 @@
 
 import mulberry_core as core
 from mulberry_gateway import (
-    _answer_limits,
+    _body_limits,
     _dialect,
     _exchange,
     _messages,
@@ -73,7 +73,7 @@
             if any(_CONTENT.search(event) for event in arrived):
                 on_progress()
             events = _unseen(exchange, arrived)
-            if splitter.pending_bytes > _answer_limits.EVENT_BYTES:
+            if splitter.pending_bytes > _body_limits.EVENT_BYTES:
                 return Broken(_upstream_call.Fault.EXCESSIVE)
             if events and not self._forward(exchange, events):
                 return Broken(_upstream_call.Fault.CALLER_GONE)
--- a/libs/gateway/mulberry_gateway/_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/_upstream_call.py
@@ -11,7 +11,7 @@
 import httptools
 
 import mulberry_core as core
-from mulberry_gateway import _answer_limits, _connection, _messages
+from mulberry_gateway import _body_limits, _connection, _messages
 
 #: An upstream in the same region accepts within milliseconds; a first lost
 #: packet would be sent again after a second. Seconds.
@@ -53,7 +53,7 @@
         self,
         address: str,
         caller: _connection.Connection,
-        limits: _answer_limits.AnswerLimits | None = None,
+        limits: _body_limits.BodyLimits | None = None,
     ) -> None:
         """Creates a call that is not connected yet.
 
@@ -64,7 +64,7 @@
         """
         self._address = address
         self._caller = caller
-        self._limits = limits or _answer_limits.AnswerLimits()
+        self._limits = limits or _body_limits.BodyLimits()
         #: Size of the whole body that the limits have granted, bytes.
         self._granted = 0
         self._counted_parts = 0
@@ -210,7 +210,7 @@
             # Bytes after a complete response belong to no request.
             if not self._complete:
                 return Fault.GARBLED
-        if self._overhead > _answer_limits.HEAD_BYTES:
+        if self._overhead > _body_limits.HEAD_BYTES:
             # The parser keeps a header until it has all of it.
             return Fault.EXCESSIVE
         return core.Missing.UNSET
--- a/libs/gateway/mulberry_gateway/tests/test_listener.py
+++ b/libs/gateway/mulberry_gateway/tests/test_listener.py
@@ -107,3 +107,34 @@
     caller = _connect(listener)
     assert caller.recv(1_000) == _ANSWER
     caller.close()
+
+
+def test_bodies_of_many_callers_share_a_bound(
+    listener: gateway.Listener,
+) -> None:
+    """Guards against memory that callers fill with bodies within bounds.
+
+    Sixty-four callers that stop before the end of 4 MiB each held 256 MB, on
+    instances of 200 MB.
+    """
+    listener.start()
+    size = 4 << 20
+    head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+    callers = []
+    for _ in range(12):
+        caller = socket.create_connection(("127.0.0.1", listener.port))
+        caller.settimeout(5.0)
+        with contextlib.suppress(OSError):
+            caller.sendall(head % size + b"x" * (size - 1))
+        callers.append(caller)
+    time.sleep(0.2)
+    assert listener._bodies.held_bytes <= 32 << 20
+    small = _connect(listener)
+    assert small.recv(1_000) == _ANSWER
+    small.close()
+    for caller in callers:
+        caller.close()
+    deadline_s = time.monotonic() + 5.0
+    while listener._bodies.held_bytes and time.monotonic() < deadline_s:
+        time.sleep(0.02)
+    assert listener._bodies.held_bytes == 0
