--- a/libs/decisions/mulberry_decisions/_model_ladder.py
+++ b/libs/decisions/mulberry_decisions/_model_ladder.py
@@ -17,13 +17,13 @@
 #: An answer of too small a model is worth less to its caller than a late one,
 #: and whether answers are late the gauge of delays tells better.
 _BUSY_FROM = 0.8
+#: Requests for each place at which every answer is kept: another one would
+#: make those wait that are not begun.
+_FULL_AT = 1.1
 #: Time to the first part of answers, as a share of its target, from which less
 #: is asked of answers, and at which every answer is kept.
 _LATE_FROM = 0.3
 _LATE_AT = 0.65
-#: Requests for each place at which every answer is kept: another one would
-#: make those wait that are not begun.
-_FULL_AT = 1.1
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/decisions/mulberry_decisions/_silence.py
+++ b/libs/decisions/mulberry_decisions/_silence.py
@@ -8,8 +8,6 @@
 _PROBE_AT = 0.6
 #: Multiple of that time after which an upstream that answers nobody is left.
 _LEAVE_AT = 2.5
-
-
 #: Multiple of that time after which an upstream is left that sends bytes, or
 #: answers others, but makes no progress with this request. Callers leave at
 #: eight times the longest pause.
