Pass nothing on once a planned stop has ended

The last request of front-brugge-2 had ended 2.16 s after its SIGTERM (`stopped`, `busy` 0); while it wrote its log, left the members and handed leadership over, a caller sent a payment on a connection that was still open, 2.20 s after the SIGTERM. It was passed on, and cut at 2.27 s by the end of the process.

Once nothing runs, the drain ends: what is read from then on gets 503, which is true, and the instance waits once more for what was taken just before.

Ruled out: the backlog (the connection was an old one) and the worker, which had begun the run.

--- a/libs/decisions/mulberry_decisions/_drain.py
+++ b/libs/decisions/mulberry_decisions/_drain.py
@@ -22,12 +22,21 @@
         self._clock = clock
         self._began_s: float | core.Missing = core.Missing.UNSET
         self._begun = threading.Event()
+        self._ended = threading.Event()
 
     def begin(self) -> None:
         """Notes that the instance was told to stop, just now."""
         self._began_s = self._clock.now()
         self._begun.set()
 
+    def end(self) -> None:
+        """Takes nothing more: the process ends once nothing runs.
+
+        Callers still hold open connections, and a request that is passed on
+        now would be cut.
+        """
+        self._ended.set()
+
     @property
     def has_begun(self) -> bool:
         """Whether the instance was told to stop."""
@@ -40,6 +49,8 @@
             is_stream: Whether the answer is a stream of events.
             longest_s: Time within which other requests end, seconds.
         """
+        if self._ended.is_set():
+            return False
         began_s = self._began_s
         if isinstance(began_s, core.Missing):
             return True
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -244,8 +244,11 @@
         last_s = began_s + grace_s * _STOP_SHARE
         self._wait_until(listed_s)
         self._entry.stop_accepting()
-        while self._entry.busy and self._clock.now() < last_s:
-            time.sleep(0.05)
+        self._wait_until_idle(last_s)
+        # Requests keep coming on open connections. One that was taken just
+        # before this is counted as running.
+        self._drain.end()
+        self._wait_until_idle(last_s)
         self._log.note(
             "stopped",
             keep=True,
@@ -263,6 +266,10 @@
         bounds = self._settings.bounds
         return min(bounds.entry_list_s, bounds.grace_s * _LIST_SHARE)
 
+    def _wait_until_idle(self, until_s: float) -> None:
+        while self._entry.busy and self._clock.now() < until_s:
+            time.sleep(0.02)
+
     def _wait_until(self, until_s: float) -> None:
         while (left_s := until_s - self._clock.now()) > 0:
             time.sleep(min(left_s, 0.25))
