Compute digests only for the requests that carry them

Every exchange copied the 256 digests of the store, also the idle ones of links that are in step, which send none. Found on reading the change again; behavior is the same.

--- a/libs/membership/mulberry_membership/_link.py
+++ b/libs/membership/mulberry_membership/_link.py
@@ -50,7 +50,8 @@
     held: tuple[_held_records.Held, ...]
     #: Local time at which the exchange began, seconds.
     at_s: float
-    #: Number of the newest change that the digests of the request cover.
+    #: Number of the newest change that the digests of the request cover; 0
+    #: where it carries none.
     digests_stamp: int = 0
 
 
@@ -192,8 +193,10 @@
                 have_stamp=self._have_stamp,
                 full=self._wants_all,
             )
-            digests = self._store.digests()
+            digests_stamp = 0
             if self._wants_all or self._introduces:
+                digests = self._store.digests()
+                digests_stamp = digests.stamp
                 request.digests.extend(digests.by_bucket)
         fill(request, changes, self._clock.now())
         return SentRequest(
@@ -202,7 +205,7 @@
             more=changes.more,
             held=changes.held,
             at_s=self._clock.now(),
-            digests_stamp=digests.stamp,
+            digests_stamp=digests_stamp,
         )
 
     def succeeded(
