Log and count why a run that broke off gave a strike or none

Cause of the gap: the log told strikes that were given, but not runs that broke off without one, nor strikes that were dropped or cleared, so a content that was free again could not be told from one that never had three strikes. Adds the lines no_strike, strikes_cleared and strike_dropped (with the owner whose record went), two counters and two gauges.

--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -125,11 +125,11 @@
         parts.models.sent(exchange)
         try:
             result = self._call(exchange, attempt, call, upstream)
-            if (
-                attempt.outcome in _BROKEN_OFF
-                and not call.accepts_connections()
-            ):
-                parts.suspects.upstream_lost(exchange, upstream)
+            if attempt.outcome in _BROKEN_OFF:
+                if call.accepts_connections():
+                    parts.suspects.upstream_survived(exchange, attempt)
+                else:
+                    parts.suspects.upstream_lost(exchange, upstream)
             elif isinstance(result, _stream_relay.Relayed):
                 parts.suspects.completed(exchange.content)
             return result
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -154,7 +154,7 @@
             max_view_age_s=settings.bounds.apply_s * _FINAL_VIEW_SHARE,
             watch=self._watch,
             releases=releases,
-            suspects=_suspects.Suspects(self.membership, log),
+            suspects=_suspects.Suspects(self.membership, self.counters, log),
         )
         self._entry = _listener.Listener(
             "entry",
--- a/libs/gateway/mulberry_gateway/_suspects.py
+++ b/libs/gateway/mulberry_gateway/_suspects.py
@@ -31,9 +31,13 @@
     """
 
     def __init__(
-        self, soft_state: membership.SoftState, log: core.DecisionLog
+        self,
+        soft_state: membership.SoftState,
+        counters: core.Counters,
+        log: core.DecisionLog,
     ) -> None:
         self._soft_state = soft_state
+        self._counters = counters
         self._log = log
         self._lock = threading.Lock()
         #: Ids of strike records, by content.
@@ -64,18 +68,34 @@
             ttl_s=_STRIKE_S,
             urgent=True,
         )
+        self._counters.increment("gateway.strikes")
         self._log.note(
             "strike",
             keep=True,
             id=exchange.facts.request_id,
             content=content,
             upstream=upstream.name,
+            incarnation=upstream.incarnation,
             strikes=self.strikes(content),
         )
 
+    def upstream_survived(
+        self, exchange: _exchange.Exchange, attempt: _exchange.Attempt
+    ) -> None:
+        """Notes that a run broke off but its upstream is still there."""
+        self._counters.increment("gateway.broken_off_without_strike")
+        self._log.note(
+            "no_strike",
+            id=exchange.facts.request_id,
+            content=exchange.content,
+            upstream=attempt.upstream,
+            outcome=attempt.outcome,
+        )
+
     def completed(self, content: str) -> None:
         """Notes a complete run; it clears the content if it had strikes."""
         if self.strikes(content):
+            self._log.note("strikes_cleared", keep=True, content=content)
             self._soft_state.publish(
                 _KIND,
                 f"{content}/{_CLEARED}",
@@ -100,5 +120,22 @@
                 ids.discard(record.id)
             else:
                 ids.add(record.id)
+            left = len(ids)
             if not ids:
                 del self._strikes[content]
+            blocked = sum(
+                len(ids) >= MAX_STRIKES for ids in self._strikes.values()
+            )
+        self._counters.gauge(
+            "gateway.contents_with_strikes", len(self._strikes)
+        )
+        self._counters.gauge("gateway.contents_blocked", blocked)
+        if record.removed:
+            self._log.note(
+                "strike_dropped",
+                keep=True,
+                content=content,
+                upstream=suffix,
+                owner=record.owner,
+                left=left,
+            )
