Pause an upstream that was just seen to be down

What callers saw: 503 after several upstreams had been lost, though another one served.

Cause: where a run broke off and the connection attempt that follows was refused, the upstream got a failure only and stayed a candidate; the next attempts of others went there again and used up their route's maximum.

Ruled out: strikes. The failing request was not blocked; its tries were refused connections.

The upstream is now paused as one that cannot be reached.

--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -129,6 +129,7 @@
                 if call.accepts_connections():
                     parts.suspects.upstream_survived(exchange, attempt)
                 else:
+                    parts.placer.health.unreachable(upstream.name)
                     parts.suspects.upstream_lost(exchange, upstream)
             elif isinstance(result, _stream_relay.Relayed):
                 parts.suspects.completed(exchange.content)
