Failing tests: requests that crash upstreams are sent on

Without processes: strikes and session notes end when the instance that saw them leaves, dies or restarts; a restart of all instances frees a content; so does one answer, even a 404, for 120 s, whatever it crashes in that time.

--- a/libs/membership/mulberry_membership/tests/test_failures.py
+++ b/libs/membership/mulberry_membership/tests/test_failures.py
@@ -306,3 +306,43 @@
         assert all(instance.doubt_s(name) > 0.0 for name in others)
         simulation.network.heal()
         simulation.seconds(SPREAD_S)
+
+
+def _leave_only(simulation: Simulation) -> None:
+    simulation.by_name["i3"].leave()
+    simulation.crash("i3")
+
+
+def _crash_only(simulation: Simulation) -> None:
+    simulation.crash("i3")
+
+
+def _restart_only(simulation: Simulation) -> None:
+    simulation.crash("i3")
+    simulation.seconds(1.0)
+    simulation.start("i3")
+
+
+@pytest.mark.parametrize(
+    "kind", [membership.RecordKind.STRIKE, membership.RecordKind.SESSION]
+)
+@pytest.mark.parametrize("end", [_leave_only, _crash_only, _restart_only])
+def test_what_an_owner_saw_outlives_it(
+    end: Callable[[Simulation], None], kind: membership.RecordKind
+) -> None:
+    """Guards against strikes and notes that a restart of one instance drops.
+
+    They last for their time, and instances that join later get them too.
+    """
+    simulation = _joined()
+    simulation.by_name["i3"].publish(kind, "seen", b"", ttl_s=100.0)
+    simulation.seconds(SPREAD_S)
+    end(simulation)
+    simulation.seconds(80.0)
+    simulation.start("i9")
+    simulation.seconds(SPREAD_S)
+    for name, instance in simulation.by_name.items():
+        assert set(instance.records(kind)) == {"seen"}, name
+    simulation.seconds(20.0)
+    for name, instance in simulation.by_name.items():
+        assert not instance.records(kind), name
