Keep strikes and session notes when their owner ends

What callers saw: a request that had crashed three upstreams was sent to more after the instance that saw the crashes had left, died or restarted. During a rollout a session could move to the new version in its first half.

Cause: every record of the soft state ended with its owner. That is right for what an instance says of itself, such as its entry, and wrong for what it has seen, which stays true. Two kinds are of the second sort, strikes and notes on sessions; both are now valid until their time has passed, also after the owner is forgotten, and reach instances that join later.

Ruled out: demand and evidence, which are counts of a living instance, and upstreams, whose home must be able to withdraw them.

test_what_an_owner_saw_outlives_it failed in all six cases before (ca. 2 s), passes now; the other tests of the library are unchanged and pass.

--- a/libs/membership/mulberry_membership/_member_table.py
+++ b/libs/membership/mulberry_membership/_member_table.py
@@ -17,9 +17,10 @@
 FORGET_AFTER_S = 60.0
 
 #: Kinds that are valid whatever becomes of their publisher.
-_INDEPENDENT = frozenset(
-    {_records.RecordKind.MEMBER, _records.RecordKind.SUSPICION}
-)
+_INDEPENDENT = _records.OUTLIVES_OWNER | {
+    _records.RecordKind.MEMBER,
+    _records.RecordKind.SUSPICION,
+}
 _ALIVE = _members.MemberState.ALIVE
 _SUSPECT = _members.MemberState.SUSPECT
 _DEAD = _members.MemberState.DEAD
@@ -152,7 +153,7 @@
     def vouches_for(self, record: _records.Record) -> bool:
         """Whether the owner of a record lives and has published it.
 
-        Members and suspicions do not depend on their publisher.
+        Some kinds do not depend on their publisher.
         """
         if record.kind in _INDEPENDENT:
             return True
--- a/libs/membership/mulberry_membership/_membership.py
+++ b/libs/membership/mulberry_membership/_membership.py
@@ -32,6 +32,8 @@
 
 _MEMBER = _records.RecordKind.MEMBER
 _SUSPICION = _records.RecordKind.SUSPICION
+#: Kinds of which records are kept although their owner is forgotten.
+_KEPT = _records.OUTLIVES_OWNER | {_SUSPICION}
 _Order = tuple[int, int]
 
 
@@ -467,7 +469,7 @@
             lambda held: (
                 held.record.owner not in known
                 and held.since_s < oldest_s
-                and held.record.kind not in (_MEMBER, _SUSPICION)
+                and held.record.kind not in (_MEMBER, *_KEPT)
             )
         )
 
@@ -477,7 +479,7 @@
             self._forgotten.add(member)
         self._store.purge(
             lambda held: (
-                held.record.owner == name and held.record.kind is not _SUSPICION
+                held.record.owner == name and held.record.kind not in _KEPT
             )
         )
 
--- a/libs/membership/mulberry_membership/_records.py
+++ b/libs/membership/mulberry_membership/_records.py
@@ -27,6 +27,9 @@
     STRIKE = "strike"
 
 
+#: Kinds that are about something else than their owner. What it saw stays
+#: true after its end, until the record expires.
+OUTLIVES_OWNER = frozenset({RecordKind.SESSION, RecordKind.STRIKE})
 #: Kinds whose (incarnation, sequence) is not counted by the owner.
 ORDERED_BY_OTHERS = frozenset({RecordKind.UPSTREAM, RecordKind.SUSPICION})
 
