Base strikes on what is known of the upstream, and keep them

What callers saw: a request that had crashed three upstreams reached more, and with them the requests that ran there were lost.

(1) A strike needed a refused connection in the moment after the run: none where a proxy or a supervisor accepts, the upstream is back at once or has fallen silent, or the caller left first. (2) Any answer, a 404 too, stopped the count for 120 s, crashes in that time included. (3) Strikes were known to running processes only: after a restart of all, three more.

Now the upstream's announcements of the next 10 s confirm a strike, until then it counts unconfirmed; a complete successful run clears the strikes held by then and no later ones; from its second strike on a content's strikes are in the replicated state, which each instance has before it serves. A block ends after an hour.

Ruled out: late news (strikes are urgent records, milliseconds) and ways to upstreams beside the guard (the gateway has one, Attempts).

--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -20,13 +20,6 @@
 
 #: Shortest time that is worth an attempt, seconds.
 LEAST_TIME_S = 0.03
-#: Outcomes with which a request ends where its upstream is lost.
-_BROKEN_OFF = frozenset(
-    {
-        _upstream_call.Fault.NO_ANSWER.value,
-        _upstream_call.Fault.TRUNCATED.value,
-    }
-)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -125,14 +118,13 @@
         parts.models.sent(exchange)
         try:
             result = self._call(exchange, attempt, call, upstream)
-            if attempt.outcome in _BROKEN_OFF:
-                if call.accepts_connections():
-                    parts.suspects.upstream_survived(exchange, attempt)
-                else:
-                    parts.placer.health.unreachable(upstream.name)
-                    parts.suspects.upstream_lost(exchange, upstream)
-            elif isinstance(result, _stream_relay.Relayed):
-                parts.suspects.completed(exchange.content)
+            is_lost = (
+                attempt.outcome in _suspects.PROBED_OUTCOMES
+                and not call.accepts_connections()
+            )
+            if is_lost:
+                parts.placer.health.unreachable(upstream.name)
+            parts.suspects.run_ended(exchange, attempt, upstream, is_lost)
             return result
         finally:
             call.close()
@@ -401,7 +393,8 @@
         if exchange.run is core.RunState.NOT_RUN
         else core.ErrorKind.UPSTREAM_FAILED,
         exchange.run,
-        f"{_suspects.MAX_STRIKES} upstreams were lost during runs of this content",
+        f"{_suspects.MAX_STRIKES} upstreams were lost during runs of content "
+        f"{exchange.content}",
         retry_after_s=_suspects.BLOCKED_RETRY_S,
     )
 
--- a/libs/gateway/mulberry_gateway/_control.py
+++ b/libs/gateway/mulberry_gateway/_control.py
@@ -11,9 +11,6 @@
 _PROPOSE_TIMEOUT_S = 0.9
 #: For the newest state to be confirmed by a quorum, seconds.
 _READ_TIMEOUT_S = 0.9
-#: Sequence of a record that says that an upstream has left: none that it
-#: sent before can be newer.
-_LEFT_SEQUENCE = 2**62
 
 _R = TypeVar("_R", state.RoutingReplaced, state.ServiceRolloutBegun)
 
@@ -137,7 +134,7 @@
             membership.RecordKind.UPSTREAM,
             name,
             incarnation,
-            _LEFT_SEQUENCE,
+            membership.LEFT_SEQUENCE,
             b"",
             removed=True,
             urgent=True,
--- a/libs/gateway/mulberry_gateway/_exchange.py
+++ b/libs/gateway/mulberry_gateway/_exchange.py
@@ -31,6 +31,11 @@
     #: The model's opinion of its answer, 0 to 1; -1 if it gave none.
     confidence: float = -1.0
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the whole of a successful answer came."""
+        return self.outcome.isdigit() and 200 <= int(self.outcome) < 300
+
 
 @dataclasses.dataclass
 class Exchange:
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -38,6 +38,9 @@
 _LOOK_PERIOD_S = 0.05
 #: Between looks for upstreams that are gone for good, seconds.
 _FORGET_PERIOD_S = 60.0
+#: Between looks for upstreams that ended after a run broke off, seconds; a
+#: part of the time between two announcements of an upstream.
+_SUSPECTS_PERIOD_S = 0.5
 #: Age of the list of all upstreams while no record of one changes, seconds;
 #: nothing here goes by the ages of announced loads.
 _SNAPSHOT_S = 1.0
@@ -154,7 +157,14 @@
             max_view_age_s=settings.bounds.apply_s * _FINAL_VIEW_SHARE,
             watch=self._watch,
             releases=releases,
-            suspects=_suspects.Suspects(self.membership, self.counters, log),
+            suspects=_suspects.Suspects(
+                self.membership,
+                self.directory,
+                self.client,
+                clock,
+                self.counters,
+                log,
+            ),
         )
         self._entry = _listener.Listener(
             "entry",
@@ -190,6 +200,9 @@
         self._watch.start()
         self._tasks.spawn("entry", self._open_entry)
         self.timers.every(1.0, self._publish_entry, "entry")
+        self.timers.every(
+            _SUSPECTS_PERIOD_S, self.parts.suspects.look, "suspects"
+        )
         self.timers.every(
             _FORGET_PERIOD_S, self.parts.placer.forget_lost, "forget"
         )
--- a/libs/gateway/mulberry_gateway/_suspects.py
+++ b/libs/gateway/mulberry_gateway/_suspects.py
@@ -1,141 +1,306 @@
 """Requests that were running when upstreams were lost, on all instances."""
 
+import collections
+import enum
 import threading
 
 import mulberry_core as core
 import mulberry_membership as membership
-from mulberry_gateway import _exchange
+import mulberry_state as state
+from mulberry_gateway import (
+    _broken_runs,
+    _exchange,
+    _strike_recorder,
+    _upstream_call,
+)
 
 #: Losses of an upstream during a run of one content after which it is not
 #: sent again. At the loss of many upstreams at once a sound request may meet
 #: two, seldom three.
 MAX_STRIKES = 3
-#: How long a strike counts, seconds. Callers that send such a request again
-#: do so within seconds.
+#: Strikes from which a content's are recorded in the replicated state. Each
+#: loss gives one strike to all that ran there, seldom a second.
+_RECORDED_FROM = 2
+#: How long the soft state keeps a strike, seconds. Callers that send such a
+#: request again do so within seconds.
 _STRIKE_S = 120.0
+#: The same for one whose upstream takes connections, seconds: until its
+#: announcements show whether it was lost.
+_SUSPECTED_S = _broken_runs.WATCH_S
 #: When the caller of a blocked content may come again, seconds.
 BLOCKED_RETRY_S = 30.0
-#: Ends the id of the record that says that a run of a content was complete.
-_CLEARED = "cleared"
+#: How long a content stays blocked by recorded strikes, seconds. A sound one
+#: that ran beside others which crash upstreams must come free by itself.
+BLOCK_S = 3_600.0
 
 _KIND = membership.RecordKind.STRIKE
 
 
+class Standing(enum.IntEnum):
+    """What is known of a strike; a higher standing replaces a lower one."""
+
+    #: The run broke off, but its upstream takes connections.
+    SUSPECTED = 1
+    #: The upstream was lost.
+    CONFIRMED = 2
+    #: The content has completed a run since.
+    CLEARED = 3
+
+
+_TTL_S_BY_STANDING = {
+    Standing.SUSPECTED: _SUSPECTED_S,
+    Standing.CONFIRMED: _STRIKE_S,
+    Standing.CLEARED: _STRIKE_S,
+}
+
+#: Outcomes after which a connection attempt shows whether the upstream ended.
+PROBED_OUTCOMES = frozenset(
+    {
+        _upstream_call.Fault.NO_ANSWER.value,
+        _upstream_call.Fault.TRUNCATED.value,
+    }
+)
+#: Outcomes that say nothing of the upstream by themselves.
+_WATCHED_OUTCOMES = frozenset(
+    {
+        _upstream_call.Fault.LOST.value,
+        _upstream_call.Fault.SILENT.value,
+        _upstream_call.Fault.CALLER_GONE.value,
+    }
+)
+
+
 class Suspects:
     """Counts strikes by content, since callers come again under new ids.
 
     Answers a request that crashes each upstream that begins to run it: every
     repeat takes away an upstream, and the runs beside it, for seconds. A
-    content gets a strike where its run broke off and the upstream takes no
-    connections right after; one complete run of it clears all its strikes.
+    content gets a strike for each upstream that is lost during its run; a
+    complete run clears those that it has by then.
+
+    The soft state tells the others within milliseconds. The replicated state
+    keeps the strikes of contents with more than one over restarts of all
+    instances; it has them before an instance serves its first request.
     """
 
     def __init__(
         self,
         soft_state: membership.SoftState,
+        directory: membership.UpstreamDirectory,
+        client: state.StateClient,
+        clock: core.Clock,
         counters: core.Counters,
         log: core.DecisionLog,
     ) -> None:
         self._soft_state = soft_state
+        self._clock = clock
         self._counters = counters
         self._log = log
+        self._recorder = _strike_recorder.StrikeRecorder(client, log)
+        self._broken = _broken_runs.BrokenRuns(soft_state, directory, clock)
         self._lock = threading.Lock()
-        #: Ids of strike records, by content.
-        self._strikes: dict[str, set[str]] = {}
-        self._cleared: set[str] = set()
+        #: Standing of each strike by its record's id, by content.
+        self._standing_by_id: dict[str, dict[str, Standing]] = (
+            collections.defaultdict(dict)
+        )
+        #: Strikes of the replicated state, by content.
+        self._recorded: dict[str, int] = {}
+        #: `Clock.now` when recorded strikes began to block, by content.
+        self._blocked_since_s: dict[str, float] = {}
         soft_state.subscribe(_KIND, self._on_record)
+        client.subscribe(self._take_view)
+        self._take_view(client.view())
 
     def strikes(self, content: str) -> int:
         """Returns how many upstreams were lost while they ran a content."""
         with self._lock:
-            if content in self._cleared:
-                return 0
-            return len(self._strikes.get(content, ()))
+            return max(
+                len(self._ids(content, Standing.SUSPECTED)),
+                self._recorded.get(content, 0),
+            )
 
     def is_blocked(self, content: str) -> bool:
         """Whether the content must not be sent to another upstream."""
-        return self.strikes(content) >= MAX_STRIKES
+        if self.strikes(content) < MAX_STRIKES:
+            return False
+        with self._lock:
+            since_s = self._blocked_since_s.get(content)
+            is_over = (
+                since_s is not None and self._clock.now() - since_s > BLOCK_S
+            )
+            if is_over:
+                # Not asked for again before the next view shows the outcome.
+                self._blocked_since_s[content] = self._clock.now()
+        if is_over:
+            self._log.note("block_ends", keep=True, content=content)
+            self._recorder.clear(content)
+        return True
 
-    def upstream_lost(
-        self, exchange: _exchange.Exchange, upstream: membership.Upstream
+    def run_ended(
+        self,
+        exchange: _exchange.Exchange,
+        attempt: _exchange.Attempt,
+        upstream: membership.Upstream,
+        is_lost: bool,
     ) -> None:
-        """Notes that an upstream was lost while it ran a request."""
-        content = exchange.content
-        self._soft_state.publish(
-            _KIND,
-            f"{content}/{upstream.name}.{upstream.incarnation}",
-            b"",
-            ttl_s=_STRIKE_S,
-            urgent=True,
-        )
+        """Notes the end of a run.
+
+        Args:
+            exchange: Whose run it was.
+            attempt: With its outcome.
+            upstream: Where it ran.
+            is_lost: Whether the upstream was seen to take no connections.
+        """
+        if attempt.is_complete:
+            self._completed(exchange.content)
+            return
+        content, request_id = exchange.content, exchange.facts.request_id
+        outcome = attempt.outcome
+        if is_lost:
+            self._strike(content, request_id, upstream, outcome)
+        elif outcome in PROBED_OUTCOMES:
+            self._counters.increment("gateway.broken_off_without_strike")
+            self._log.note(
+                "no_strike",
+                id=request_id,
+                content=content,
+                upstream=upstream.name,
+                outcome=outcome,
+            )
+            self._put(content, upstream, Standing.SUSPECTED)
+            self._broken.add(content, request_id, upstream)
+        elif outcome in _WATCHED_OUTCOMES:
+            self._broken.add(content, request_id, upstream)
+
+    def look(self) -> None:
+        """Confirms strikes of upstreams that have ended since.
+
+        To be called a few times between two announcements of an upstream.
+        """
+        for run in self._broken.take_lost():
+            self._strike(
+                run.content, run.request_id, run.upstream, "ended_since"
+            )
+        self._show()
+
+    def _strike(
+        self,
+        content: str,
+        request_id: str,
+        upstream: membership.Upstream,
+        reason: str,
+    ) -> None:
+        self._put(content, upstream, Standing.CONFIRMED)
+        with self._lock:
+            confirmed = self._ids(content, Standing.CONFIRMED)
+            recorded = self._recorded.get(content, 0)
         self._counters.increment("gateway.strikes")
         self._log.note(
             "strike",
             keep=True,
-            id=exchange.facts.request_id,
+            id=request_id,
             content=content,
             upstream=upstream.name,
             incarnation=upstream.incarnation,
+            reason=reason,
             strikes=self.strikes(content),
+            recorded=recorded,
         )
+        if recorded:
+            self._recorder.record(content, upstream.name, upstream.incarnation)
+        elif len(confirmed) >= _RECORDED_FROM:
+            for record_id in confirmed:
+                _, _, crash = record_id.partition("/")
+                name, _, incarnation = crash.rpartition(".")
+                self._recorder.record(content, name, int(incarnation))
 
-    def upstream_survived(
-        self, exchange: _exchange.Exchange, attempt: _exchange.Attempt
+    def _completed(self, content: str) -> None:
+        with self._lock:
+            ids = self._ids(content, Standing.SUSPECTED)
+            recorded = self._recorded.get(content, 0)
+        if ids or recorded:
+            self._log.note(
+                "strikes_cleared",
+                keep=True,
+                content=content,
+                strikes=len(ids),
+                recorded=recorded,
+            )
+        for record_id in ids:
+            self._put_id(record_id, Standing.CLEARED)
+        if recorded:
+            self._recorder.clear(content)
+
+    def _put(
+        self, content: str, upstream: membership.Upstream, standing: Standing
     ) -> None:
-        """Notes that a run broke off but its upstream is still there."""
-        self._counters.increment("gateway.broken_off_without_strike")
-        self._log.note(
-            "no_strike",
-            id=exchange.facts.request_id,
-            content=exchange.content,
-            upstream=attempt.upstream,
-            outcome=attempt.outcome,
+        self._put_id(
+            f"{content}/{upstream.name}.{upstream.incarnation}", standing
         )
 
-    def completed(self, content: str) -> None:
-        """Notes a complete run; it clears the content if it had strikes."""
-        if self.strikes(content):
-            self._log.note("strikes_cleared", keep=True, content=content)
-            self._soft_state.publish(
-                _KIND,
-                f"{content}/{_CLEARED}",
-                b"",
-                ttl_s=_STRIKE_S,
-                urgent=True,
-            )
+    def _put_id(self, record_id: str, standing: Standing) -> None:
+        self._soft_state.put(
+            _KIND,
+            record_id,
+            incarnation=0,
+            sequence=standing,
+            payload=b"",
+            ttl_s=_TTL_S_BY_STANDING[standing],
+            urgent=True,
+        )
+
+    def _ids(self, content: str, least: Standing) -> list[str]:
+        """Returns the strikes that count; called with the lock held."""
+        return [
+            record_id
+            for record_id, standing in self._standing_by_id.get(
+                content, {}
+            ).items()
+            if least <= standing < Standing.CLEARED
+        ]
 
     def _on_record(self, record: membership.Record) -> None:
-        content, _, suffix = record.id.partition("/")
+        content, _, crash = record.id.partition("/")
         with self._lock:
-            if suffix == _CLEARED:
-                change = (
-                    self._cleared.discard
-                    if record.removed
-                    else self._cleared.add
-                )
-                change(content)
-                return
-            ids = self._strikes.setdefault(content, set())
+            standing_by_id = self._standing_by_id[content]
             if record.removed:
-                ids.discard(record.id)
+                standing_by_id.pop(record.id, None)
             else:
-                ids.add(record.id)
-            left = len(ids)
-            if not ids:
-                del self._strikes[content]
-            blocked = sum(
-                len(ids) >= MAX_STRIKES for ids in self._strikes.values()
-            )
-        self._counters.gauge(
-            "gateway.contents_with_strikes", len(self._strikes)
-        )
-        self._counters.gauge("gateway.contents_blocked", blocked)
-        if record.removed:
+                standing_by_id[record.id] = Standing(record.sequence)
+            if not standing_by_id:
+                del self._standing_by_id[content]
+            left = len(self._ids(content, Standing.SUSPECTED))
+        if record.removed and record.sequence == Standing.CONFIRMED:
             self._log.note(
                 "strike_dropped",
                 keep=True,
                 content=content,
-                upstream=suffix,
+                upstream=crash,
                 owner=record.owner,
                 left=left,
             )
+
+    def _take_view(self, view: state.View) -> None:
+        now_s = self._clock.now()
+        with self._lock:
+            self._recorded = dict(view.strikes_by_digest)
+            self._blocked_since_s = {
+                content: self._blocked_since_s.get(content, now_s)
+                for content, strikes in self._recorded.items()
+                if strikes >= MAX_STRIKES
+            }
+
+    def _show(self) -> None:
+        """Sets the gauges."""
+        with self._lock:
+            contents = {*self._standing_by_id, *self._recorded}
+            blocked = sum(
+                max(
+                    len(self._ids(content, Standing.SUSPECTED)),
+                    self._recorded.get(content, 0),
+                )
+                >= MAX_STRIKES
+                for content in contents
+            )
+        self._counters.gauge("gateway.contents_with_strikes", len(contents))
+        self._counters.gauge("gateway.contents_blocked", blocked)
--- /dev/null
+++ b/libs/gateway/mulberry_gateway/tests/test_suspects.py
@@ -0,0 +1,230 @@
+"""Strikes of contents: given, confirmed later, recorded, cleared."""
+
+import dataclasses
+import itertools
+import time
+from collections.abc import Callable
+
+import pytest
+
+import mulberry_core as core
+import mulberry_membership as membership
+import mulberry_state as state
+from mulberry_gateway import _exchange, _suspects, _upstream_call
+
+_CONTENT = "digest"
+_SILENT = _upstream_call.Fault.SILENT.value
+_NO_ANSWER = _upstream_call.Fault.NO_ANSWER.value
+_CALLER_GONE = _upstream_call.Fault.CALLER_GONE.value
+_VALID_S = 3.0
+
+
+@dataclasses.dataclass
+class _Facts:
+    request_id: str = "r1"
+
+
+@dataclasses.dataclass
+class _Exchange:
+    """The part of an exchange that the guard reads."""
+
+    content: str = _CONTENT
+    facts: _Facts = dataclasses.field(default_factory=_Facts)
+
+
+class _Instance:
+    """The guard of one instance, with upstreams that announce themselves."""
+
+    def __init__(self, client: state.StateClient | None = None) -> None:
+        self.clock = core.ManualClock(1_000.0)
+        self._sequence = itertools.count(1)
+        self.client = client or state.LocalStateClient(
+            state.FileRulesParser(), self.clock
+        )
+        self.soft_state = membership.LocalSoftState("here", self.clock)
+        counters = core.MemoryCounters()
+        self.directory = membership.UpstreamDirectory(
+            self.soft_state, self.clock, counters, 0.0
+        )
+        self.suspects = _suspects.Suspects(
+            self.soft_state,
+            self.directory,
+            self.client,
+            self.clock,
+            counters,
+            core.DecisionLog(self.clock),
+        )
+
+    def announce(
+        self, name: str, incarnation: int, address: str = ""
+    ) -> membership.Upstream:
+        self.directory.announce(
+            membership.Announcement(
+                name=name,
+                address=address or f"{name}:80",
+                incarnation=incarnation,
+                sequence=next(self._sequence),
+                state=membership.UpstreamState.READY,
+                zone="gent",
+                versions=(),
+                service="s",
+                capacity=4,
+                running=0,
+                queued=0,
+                checks_fencing=False,
+                valid_s=_VALID_S,
+            )
+        )
+        found = self.directory.find(name)
+        assert isinstance(found, membership.Upstream)
+        return found
+
+    def run(
+        self, upstream: membership.Upstream, outcome: str, is_lost: bool = False
+    ) -> None:
+        attempt = _exchange.Attempt(upstream.name, 0.0, outcome=outcome)
+        self.suspects.run_ended(
+            _Exchange(),  # type: ignore[arg-type]
+            attempt,
+            upstream,
+            is_lost,
+        )
+
+    def seconds(self, seconds: float) -> None:
+        self.clock.advance(seconds)
+        self.directory.tick()
+        # Reading expires what has had its time.
+        self.soft_state.records(membership.RecordKind.STRIKE)
+        self.suspects.look()
+
+    @property
+    def strikes(self) -> int:
+        return self.suspects.strikes(_CONTENT)
+
+
+def _next_start(instance: _Instance, upstream: membership.Upstream) -> None:
+    instance.announce(upstream.name, upstream.incarnation + 5)
+
+
+def _other_name(instance: _Instance, upstream: membership.Upstream) -> None:
+    instance.announce("other", upstream.incarnation + 5, upstream.address)
+
+
+def _falls_silent(instance: _Instance, upstream: membership.Upstream) -> None:
+    instance.seconds(_VALID_S + 0.1)
+
+
+def _leaves(instance: _Instance, upstream: membership.Upstream) -> None:
+    instance.soft_state.put(
+        membership.RecordKind.UPSTREAM,
+        upstream.name,
+        upstream.incarnation,
+        membership.LEFT_SEQUENCE,
+        b"",
+        removed=True,
+    )
+
+
+def _stays(instance: _Instance, upstream: membership.Upstream) -> None:
+    for _ in range(15):
+        instance.seconds(1.0)
+        instance.announce(upstream.name, upstream.incarnation)
+
+
+@pytest.mark.parametrize("outcome", [_NO_ANSWER, _SILENT, _CALLER_GONE])
+@pytest.mark.parametrize(
+    ("event", "strikes"),
+    [
+        (_next_start, 1),
+        (_other_name, 1),
+        (_falls_silent, 1),
+        (_leaves, 0),
+        (_stays, 0),
+    ],
+)
+def test_the_upstreams_announcements_confirm_a_strike(
+    outcome: str,
+    event: Callable[[_Instance, membership.Upstream], None],
+    strikes: int,
+) -> None:
+    """Guards against crashes that no refused connection shows.
+
+    The upstream is back at once, stands behind a proxy, fell silent, or
+    crashed after its caller had gone.
+    """
+    instance = _Instance()
+    upstream = instance.announce("w1", 1)
+    instance.run(upstream, outcome)
+    event(instance, upstream)
+    instance.seconds(0.5)
+    # Longer than an unconfirmed strike, shorter than a confirmed one.
+    instance.seconds(_suspects._SUSPECTED_S + 1.0)
+    assert instance.strikes == strikes
+
+
+def test_runs_that_break_off_block_until_their_upstreams_are_known() -> None:
+    """Guards against upstreams lost while announcements are on their way."""
+    instance = _Instance()
+    for number in range(_suspects.MAX_STRIKES):
+        instance.run(instance.announce(f"w{number}", 1), _NO_ANSWER)
+    assert instance.suspects.is_blocked(_CONTENT)
+    for _ in range(12):
+        instance.seconds(1.0)
+        for number in range(_suspects.MAX_STRIKES):
+            instance.announce(f"w{number}", 1)
+    assert not instance.suspects.is_blocked(_CONTENT)
+
+
+def _recorded(instance: _Instance) -> int:
+    """Returns the recorded strikes once all proposals are through."""
+    recorder = instance.suspects._recorder
+    while recorder._is_running:
+        time.sleep(0.001)
+    return instance.client.view().strikes_by_digest.get(_CONTENT, 0)
+
+
+def test_second_strikes_are_recorded_with_the_first() -> None:
+    """Guards against a block that no restart of all instances outlives.
+
+    A single strike is common, and is not worth a record.
+    """
+    instance = _Instance()
+    instance.run(instance.announce("w1", 1), _NO_ANSWER, is_lost=True)
+    assert _recorded(instance) == 0
+    instance.run(instance.announce("w2", 1), _NO_ANSWER, is_lost=True)
+    assert _recorded(instance) == 2
+    restarted = _Instance(instance.client)
+    assert restarted.strikes == 2
+    restarted.run(restarted.announce("w3", 1), _NO_ANSWER, is_lost=True)
+    assert _recorded(restarted) == 3
+    assert _Instance(instance.client).suspects.is_blocked(_CONTENT)
+
+
+def test_a_complete_run_clears_recorded_strikes() -> None:
+    """Guards against a sound content that stays blocked for ever."""
+    instance = _Instance()
+    for number in range(2):
+        upstream = instance.announce(f"w{number}", 1)
+        instance.run(upstream, _NO_ANSWER, is_lost=True)
+    assert _recorded(instance) == 2
+    instance.run(upstream, "404")
+    assert instance.strikes == 2
+    instance.run(upstream, "200")
+    assert _recorded(instance) == 0
+    assert instance.strikes == 0
+
+
+def test_a_block_ends_after_its_time() -> None:
+    """Guards against a sound content that ran beside three deadly ones."""
+    instance = _Instance()
+    for number in range(3):
+        upstream = instance.announce(f"w{number}", 1)
+        instance.run(upstream, _NO_ANSWER, is_lost=True)
+    assert _recorded(instance) == 3
+    instance.seconds(_suspects.BLOCK_S - 1.0)
+    assert instance.suspects.is_blocked(_CONTENT)
+    assert _recorded(instance) == 3
+    instance.seconds(2.0)
+    assert instance.suspects.is_blocked(_CONTENT)
+    assert _recorded(instance) == 0
+    assert not instance.suspects.is_blocked(_CONTENT)
--- a/libs/membership/mulberry_membership/__init__.py
+++ b/libs/membership/mulberry_membership/__init__.py
@@ -46,6 +46,7 @@
         Timing,
     )
     from mulberry_membership._records import (
+        LEFT_SEQUENCE,
         Record,
         RecordKind,
     )
@@ -102,6 +103,7 @@
             "_membership": ("Membership",),
             "_peers": ("Timing",),
             "_records": (
+                "LEFT_SEQUENCE",
                 "Record",
                 "RecordKind",
             ),
@@ -119,6 +121,7 @@
     )
 
 __all__ = [
+    "LEFT_SEQUENCE",
     "MAX_ANNOUNCEMENT_BYTES",
     "SERVER_OPTIONS",
     "AnnounceOutcome",
--- a/libs/membership/mulberry_membership/_records.py
+++ b/libs/membership/mulberry_membership/_records.py
@@ -23,7 +23,7 @@
     #: `SERVICE/ROLLOUT/SESSION`.
     SESSION = "session"
     #: A content whose run was under way when an upstream was lost; ids are
-    #: `CONTENT/UPSTREAM.INCARNATION`, or `CONTENT/cleared` after a whole run.
+    #: `CONTENT/UPSTREAM.INCARNATION`, the sequence is what is known of it.
     STRIKE = "strike"
 
 
@@ -31,7 +31,12 @@
 #: true after its end, until the record expires.
 OUTLIVES_OWNER = frozenset({RecordKind.SESSION, RecordKind.STRIKE})
 #: Kinds whose (incarnation, sequence) is not counted by the owner.
-ORDERED_BY_OTHERS = frozenset({RecordKind.UPSTREAM, RecordKind.SUSPICION})
+ORDERED_BY_OTHERS = frozenset(
+    {RecordKind.UPSTREAM, RecordKind.SUSPICION, RecordKind.STRIKE}
+)
+#: Sequence of a record that says that an upstream has left: none that it
+#: sent before can be newer.
+LEFT_SEQUENCE = 2**62
 
 
 @dataclasses.dataclass(frozen=True)
