Block contents for a while, not for an hour

Cause: requests that ran beside one that crashes upstreams get its strikes, and where they are tried again elsewhere, together with it, a second and a third. Nothing tells them apart but another run, which the block forbade.

Ruled out: the strikes themselves. Each rested on an upstream that was lost.

A block now lasts 10 to 20 s, differently at each instance, and a further loss multiplies it by eight, up to an hour.

--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -12,6 +12,10 @@
         QueuePlace,
         Ticket,
     )
+    from mulberry_decisions._crash_blocks import (
+        BLOCKING_STRIKES,
+        block_s,
+    )
     from mulberry_decisions._crashes import (
         CrashGuard,
         CrashReport,
@@ -187,6 +191,10 @@
                 "QueuePlace",
                 "Ticket",
             ),
+            "_crash_blocks": (
+                "BLOCKING_STRIKES",
+                "block_s",
+            ),
             "_crashes": (
                 "CrashGuard",
                 "CrashReport",
@@ -326,6 +334,7 @@
 
 __all__ = [
     "ADMISSIONS",
+    "BLOCKING_STRIKES",
     "CRASH_GUARDS",
     "FAILURES",
     "HEDGE_POLICIES",
@@ -425,6 +434,7 @@
     "VersionOffer",
     "WindowRetryBudget",
     "Work",
+    "block_s",
     "find_fault",
     "may_change_version",
     "urgency",
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/_crash_blocks.py
@@ -0,0 +1,33 @@
+"""For how long a content is held back after upstreams were lost to it."""
+
+#: Losses of an upstream during runs of one content from which it is held
+#: back. At the loss of many upstreams at once a sound request may meet two,
+#: seldom three.
+BLOCKING_STRIKES = 3
+#: First time for which a content is held back, seconds.
+_FIRST_BLOCK_S = 10.0
+#: Each further loss multiplies the time.
+_GROWTH = 8.0
+#: Longest time for which a content is held back, seconds.
+_LONGEST_BLOCK_S = 3_600.0
+
+
+def block_s(strikes: int) -> float:
+    """Returns for how long a content is held back after its last strike.
+
+    Answers a request that crashes each upstream that runs it, in the company
+    of sound ones: those that ran beside it meet the same losses, and are
+    tried again elsewhere together with it. Nothing tells them apart but
+    another run, so each gets one after a while. A sound one is then free; the
+    other takes one upstream each time, at growing intervals.
+
+    Args:
+        strikes: Upstreams that were lost during runs of the content.
+
+    Returns:
+        Seconds, zero if it may run.
+    """
+    if strikes < BLOCKING_STRIKES:
+        return 0.0
+    growth = _GROWTH ** min(strikes - BLOCKING_STRIKES, 10)
+    return min(_LONGEST_BLOCK_S, _FIRST_BLOCK_S * growth)
--- a/libs/gateway/mulberry_gateway/__init__.py
+++ b/libs/gateway/mulberry_gateway/__init__.py
@@ -31,11 +31,10 @@
 from mulberry_gateway._rollout_watch import RolloutWatch
 from mulberry_gateway._routing_book import RoutingBook
 from mulberry_gateway._settings import GatewayBounds, GatewaySettings
-from mulberry_gateway._suspects import MAX_STRIKES, Suspects
+from mulberry_gateway._suspects import Suspects
 
 __all__ = [
     "JSON",
-    "MAX_STRIKES",
     "AnswerFacts",
     "CallFacts",
     "Catalog",
--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -86,8 +86,9 @@
         parts = self._parts
         if self._left_s(exchange) < LEAST_TIME_S:
             return Failed(too_late(exchange), may_retry=False)
-        if parts.suspects.is_blocked(exchange.content):
-            return Failed(_blocked(exchange), may_retry=False)
+        blocked_s = parts.suspects.blocked_s(exchange.content)
+        if blocked_s > 0.0:
+            return Failed(_blocked(exchange, blocked_s), may_retry=False)
         chosen = parts.placer.choose(exchange)
         if isinstance(chosen, core.Refusal):
             return Failed(chosen, may_retry=False)
@@ -386,16 +387,15 @@
     )
 
 
-def _blocked(exchange: _exchange.Exchange) -> core.Refusal:
+def _blocked(exchange: _exchange.Exchange, blocked_s: float) -> core.Refusal:
     """Returns the refusal of a content that upstreams did not survive."""
     return core.Refusal(
         core.ErrorKind.CONTENT_BLOCKED
         if exchange.run is core.RunState.NOT_RUN
         else core.ErrorKind.UPSTREAM_FAILED,
         exchange.run,
-        f"{_suspects.MAX_STRIKES} upstreams were lost during runs of content "
-        f"{exchange.content}",
-        retry_after_s=_suspects.BLOCKED_RETRY_S,
+        f"upstreams were lost during runs of content {exchange.content}",
+        retry_after_s=blocked_s,
     )
 
 
--- a/libs/gateway/mulberry_gateway/_suspects.py
+++ b/libs/gateway/mulberry_gateway/_suspects.py
@@ -2,9 +2,12 @@
 
 import collections
 import enum
+import random
 import threading
+from collections.abc import Mapping
 
 import mulberry_core as core
+import mulberry_decisions as decisions
 import mulberry_membership as membership
 import mulberry_state as state
 from mulberry_gateway import (
@@ -14,10 +17,6 @@
     _upstream_call,
 )
 
-#: Losses of an upstream during a run of one content after which it is not
-#: sent again. At the loss of many upstreams at once a sound request may meet
-#: two, seldom three.
-MAX_STRIKES = 3
 #: Strikes from which a content's are recorded in the replicated state. Each
 #: loss gives one strike to all that ran there, seldom a second.
 _RECORDED_FROM = 2
@@ -27,11 +26,9 @@
 #: The same for one whose upstream takes connections, seconds: until its
 #: announcements show whether it was lost.
 _SUSPECTED_S = _broken_runs.WATCH_S
-#: When the caller of a blocked content may come again, seconds.
-BLOCKED_RETRY_S = 30.0
-#: How long a content stays blocked by recorded strikes, seconds. A sound one
-#: that ran beside others which crash upstreams must come free by itself.
-BLOCK_S = 3_600.0
+#: Instances let a blocked content run again after one to this many times its
+#: block, so that not all of them do at the same moment.
+_MOST_SPREAD = 2.0
 
 _KIND = membership.RecordKind.STRIKE
 
@@ -75,8 +72,9 @@
 
     Answers a request that crashes each upstream that begins to run it: every
     repeat takes away an upstream, and the runs beside it, for seconds. A
-    content gets a strike for each upstream that is lost during its run; a
-    complete run clears those that it has by then.
+    content gets a strike for each upstream that is lost during its run, and
+    is blocked for a while from the third on; a complete run clears the strikes
+    that it has by then.
 
     The soft state tells the others within milliseconds. The replicated state
     keeps the strikes of contents with more than one over restarts of all
@@ -104,9 +102,10 @@
             collections.defaultdict(dict)
         )
         #: Strikes of the replicated state, by content.
-        self._recorded: dict[str, int] = {}
-        #: `Clock.now` when recorded strikes began to block, by content.
-        self._blocked_since_s: dict[str, float] = {}
+        self._recorded: Mapping[str, int] = {}
+        #: `Clock.now` of the last strike, by content with enough of them.
+        self._last_strike_s: dict[str, float] = {}
+        self._spread = random.uniform(1.0, _MOST_SPREAD)
         soft_state.subscribe(_KIND, self._on_record)
         client.subscribe(self._take_view)
         self._take_view(client.view())
@@ -114,27 +113,16 @@
     def strikes(self, content: str) -> int:
         """Returns how many upstreams were lost while they ran a content."""
         with self._lock:
-            return max(
-                len(self._ids(content, Standing.SUSPECTED)),
-                self._recorded.get(content, 0),
-            )
+            return self._count(content)
 
-    def is_blocked(self, content: str) -> bool:
-        """Whether the content must not be sent to another upstream."""
-        if self.strikes(content) < MAX_STRIKES:
-            return False
+    def blocked_s(self, content: str) -> float:
+        """Returns for how long the content must not be sent, seconds."""
         with self._lock:
-            since_s = self._blocked_since_s.get(content)
-            is_over = (
-                since_s is not None and self._clock.now() - since_s > BLOCK_S
-            )
-            if is_over:
-                # Not asked for again before the next view shows the outcome.
-                self._blocked_since_s[content] = self._clock.now()
-        if is_over:
-            self._log.note("block_ends", keep=True, content=content)
-            self._recorder.clear(content)
-        return True
+            last_s = self._last_strike_s.get(content)
+            if last_s is None:
+                return 0.0
+            term_s = decisions.block_s(self._count(content)) * self._spread
+        return max(0.0, last_s + term_s - self._clock.now())
 
     def run_ended(
         self,
@@ -249,8 +237,10 @@
             urgent=True,
         )
 
+    # Called with the lock held.
+
     def _ids(self, content: str, least: Standing) -> list[str]:
-        """Returns the strikes that count; called with the lock held."""
+        """Returns the strikes that count."""
         return [
             record_id
             for record_id, standing in self._standing_by_id.get(
@@ -259,9 +249,24 @@
             if least <= standing < Standing.CLEARED
         ]
 
+    def _count(self, content: str) -> int:
+        return max(
+            len(self._ids(content, Standing.SUSPECTED)),
+            self._recorded.get(content, 0),
+        )
+
+    def _note_change(self, content: str, before: int) -> None:
+        """Keeps the time of the last strike of a content that may run no more."""
+        count = self._count(content)
+        if count < decisions.BLOCKING_STRIKES:
+            self._last_strike_s.pop(content, None)
+        elif count > before:
+            self._last_strike_s[content] = self._clock.now()
+
     def _on_record(self, record: membership.Record) -> None:
         content, _, crash = record.id.partition("/")
         with self._lock:
+            before = self._count(content)
             standing_by_id = self._standing_by_id[content]
             if record.removed:
                 standing_by_id.pop(record.id, None)
@@ -269,6 +274,7 @@
                 standing_by_id[record.id] = Standing(record.sequence)
             if not standing_by_id:
                 del self._standing_by_id[content]
+            self._note_change(content, before)
             left = len(self._ids(content, Standing.SUSPECTED))
         if record.removed and record.sequence == Standing.CONFIRMED:
             self._log.note(
@@ -281,26 +287,17 @@
             )
 
     def _take_view(self, view: state.View) -> None:
-        now_s = self._clock.now()
         with self._lock:
-            self._recorded = dict(view.strikes_by_digest)
-            self._blocked_since_s = {
-                content: self._blocked_since_s.get(content, now_s)
-                for content, strikes in self._recorded.items()
-                if strikes >= MAX_STRIKES
-            }
+            contents = {*self._recorded, *view.strikes_by_digest}
+            before = {content: self._count(content) for content in contents}
+            self._recorded = view.strikes_by_digest
+            for content, count in before.items():
+                self._note_change(content, count)
 
     def _show(self) -> None:
         """Sets the gauges."""
         with self._lock:
-            contents = {*self._standing_by_id, *self._recorded}
-            blocked = sum(
-                max(
-                    len(self._ids(content, Standing.SUSPECTED)),
-                    self._recorded.get(content, 0),
-                )
-                >= MAX_STRIKES
-                for content in contents
-            )
-        self._counters.gauge("gateway.contents_with_strikes", len(contents))
+            suspected = len({*self._standing_by_id, *self._recorded})
+            blocked = len(self._last_strike_s)
+        self._counters.gauge("gateway.contents_with_strikes", suspected)
         self._counters.gauge("gateway.contents_blocked", blocked)
