Judge the answers of a rollout by their pace, and take one step at a time

Cause, three parts. (1) A stream counted as a good answer with its head, which comes within the target even at an eighth of the speed. (2) Answers were compared with the targets only, which are far above what is usual. (3) The evidence arrives a second late and eight answers sufficed: with them, at 0.62 of the time, the share went from 0.105 to 1.0 in one step.

Now a stream counts once eight events show its pace, or at its end; a version is bad if its answers often take 2.4 to 3.4 times the others' median for the same route and model; a step needs 5, 15 and 30 answers unless time runs out, and lasts 0.06 of the duration. Reports carry the paces under a key of their own that earlier versions pass over.

--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -76,6 +76,10 @@
         RatingKey,
         TryModel,
     )
+    from mulberry_decisions._paces import (
+        PaceCounts,
+        pace_bucket,
+    )
     from mulberry_decisions._paying_hedges import (
         PayingHedges,
     )
@@ -262,6 +266,10 @@
                 "UnlimitedRetries",
             ),
             "_returns": ("ReturnTimes",),
+            "_paces": (
+                "PaceCounts",
+                "pace_bucket",
+            ),
             "_rollout": (
                 "NO_STEP",
                 "Move",
@@ -386,6 +394,7 @@
     "NoRetries",
     "Observation",
     "Outcome",
+    "PaceCounts",
     "PayingHedges",
     "Place",
     "Placement",
@@ -437,5 +446,6 @@
     "block_s",
     "find_fault",
     "may_change_version",
+    "pace_bucket",
     "urgency",
 ]
--- a/libs/decisions/mulberry_decisions/_rollout_plan.py
+++ b/libs/decisions/mulberry_decisions/_rollout_plan.py
@@ -6,30 +6,54 @@
 from collections.abc import Mapping
 
 import mulberry_core as core
+from mulberry_decisions import _paces
 
 #: Part of the allowed exposure that the first share uses; sessions are of
 #: unlike size, so their share of the requests varies.
 _FIRST_SHARE_USED = 0.7
 #: Part of the wanted duration after which sessions may change their version.
 _MOVE_AT = 0.5
-#: Steps of the share from then on, as (part of the duration, share).
-_STEPS = ((0.5, 0.3), (0.56, 0.6), (0.62, 1.0))
-#: Part of the duration after which the rollout is complete: streams on the
-#: old version have had a fifth of it to end.
 _COMPLETE_AT = 0.84
-#: Answers of the target that are needed before it gets more.
-_LEAST_EVIDENCE = 8
-#: Without so many answers the rollout goes on at this part of the duration.
-_GO_ON_AT = 0.62
+#: Part of the duration for which the target has all sessions before that, so
+#: that streams on the old version can end.
+_DRAIN_SHARE = 0.17
+#: Part of the duration after which the rollout is complete in any case.
+_COMPLETE_LATEST_AT = 0.92
+#: Part of the duration for which a share lasts at least: reports of answers
+#: take about a second.
+_DWELL_SHARE = 0.06
 #: Fewest bad answers on which a version is taken back.
 _LEAST_BAD = 4
 #: Excess over the other versions' share of bad answers that is tolerated.
 _TOLERATED_FACTOR = 1.5
 _TOLERATED_SHARE = 0.02
+#: The same for slow answers: the load of two versions is seldom equal.
+_TOLERATED_SLOW_SHARE = 0.08
 #: Probability of so many bad answers from a sound version.
 _SIGNIFICANCE = 1e-3
 
 
+@dataclasses.dataclass(frozen=True)
+class _Step:
+    """A share of the sessions, and what must be seen before it."""
+
+    #: Parts of the duration from which the step may be taken, and is taken
+    #: whatever is known.
+    earliest: float
+    latest: float
+    share: float
+    #: Answers of the target.
+    least_answers: int
+
+
+#: From the moment at which sessions may change their version.
+_STEPS = (
+    _Step(0.5, 0.62, 0.3, 5),
+    _Step(0.56, 0.68, 0.6, 15),
+    _Step(0.62, 0.74, 1.0, 30),
+)
+
+
 @dataclasses.dataclass(frozen=True)
 class AnswerCounts:
     """Answers of one version on one route."""
@@ -37,9 +61,16 @@
     answers: int = 0
     #: Failures, and answers far later than is useful.
     bad: int = 0
+    #: How long the parts of streams, and whole answers, took; of those answers
+    #: for which it is known.
+    paces: _paces.PaceCounts = dataclasses.field(default_factory=dict)
 
     def __add__(self, other: "AnswerCounts") -> "AnswerCounts":
-        return AnswerCounts(self.answers + other.answers, self.bad + other.bad)
+        return AnswerCounts(
+            self.answers + other.answers,
+            self.bad + other.bad,
+            _paces.add_paces((self.paces, other.paces)),
+        )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -83,6 +114,7 @@
     def decide(
         self,
         share: float,
+        share_age_s: float,
         elapsed_s: float,
         duration_s: float,
         evidence: RolloutEvidence,
@@ -91,6 +123,7 @@
 
         Args:
             share: Present share of the target.
+            share_age_s: Since when it has that share, seconds.
             elapsed_s: Since the order, seconds.
             duration_s: In which the operator wants it done, seconds.
             evidence: Answers so far.
@@ -98,26 +131,35 @@
         fault = find_fault(evidence)
         if fault:
             return RolloutDecision(RolloutVerdict.ROLL_BACK, 0.0, fault)
-        done = elapsed_s / max(duration_s, 1e-9)
+        duration_s = max(duration_s, 1e-9)
+        done, kept = elapsed_s / duration_s, share_age_s / duration_s
         target = _total(evidence.target_by_route)
-        if done >= _COMPLETE_AT and target.answers > target.bad:
-            return RolloutDecision(
-                RolloutVerdict.COMPLETE, 1.0, f"{target.answers} answers"
-            )
-        wanted = self._wanted_share(done, target)
+        reason = f"{target.answers} answers"
+        if target.answers > target.bad and _is_over(share, done, kept):
+            return RolloutDecision(RolloutVerdict.COMPLETE, 1.0, reason)
+        wanted = self._next_share(share, done, kept, target.answers)
         if wanted <= share:
             return core.Missing.UNSET
-        return RolloutDecision(
-            RolloutVerdict.MOVE, wanted, f"{target.answers} answers"
-        )
+        return RolloutDecision(RolloutVerdict.MOVE, wanted, reason)
+
+    def _next_share(
+        self, share: float, done: float, kept: float, answers: int
+    ) -> float:
+        """Returns the share of the next step, or the present one."""
+        if share <= 0.0:
+            return self._first_share
+        step = next((step for step in _STEPS if step.share > share), None)
+        if step is None or kept < _DWELL_SHARE:
+            return share
+        is_proven = done >= step.earliest and answers >= step.least_answers
+        return step.share if is_proven or done >= step.latest else share
 
-    def _wanted_share(self, done: float, target: AnswerCounts) -> float:
-        proven = target.answers >= _LEAST_EVIDENCE or done >= _GO_ON_AT
-        wanted = self._first_share
-        for begins, share in _STEPS:
-            if done >= begins and proven:
-                wanted = share
-        return wanted
+
+def _is_over(share: float, done: float, kept: float) -> bool:
+    """Whether the old version has had the time to end what it runs."""
+    if done >= _COMPLETE_LATEST_AT:
+        return True
+    return done >= _COMPLETE_AT and share >= 1.0 and kept >= _DRAIN_SHARE
 
 
 def may_change_version(elapsed_s: float, duration_s: float) -> bool:
@@ -125,46 +167,86 @@
     return elapsed_s >= duration_s * _MOVE_AT
 
 
+@dataclasses.dataclass(frozen=True)
+class _Hits:
+    """How many of some answers have a fault."""
+
+    answers: int = 0
+    hits: int = 0
+
+    def __add__(self, other: "_Hits") -> "_Hits":
+        return _Hits(self.answers + other.answers, self.hits + other.hits)
+
+
+#: By row of the evidence: hits of the target and of the others.
+_HitsByRow = Mapping[str, tuple[_Hits, _Hits]]
+
+
 def find_fault(evidence: RolloutEvidence) -> str:
     """Returns why the target is worse than the others, empty if it is not.
 
     Every route is tested by itself and all together: a version may be bad on
-    one route only.
+    one route only. It is bad that fails more often, and that often takes
+    several times as long as is usual with the others.
     """
-    rows = [
-        (
-            "all routes",
-            _total(evidence.target_by_route),
-            _total(evidence.others_by_route),
-        )
-    ]
-    for route, target in evidence.target_by_route.items():
-        others = evidence.others_by_route.get(route, AnswerCounts())
-        rows.append((route, target, others))
-    for name, target, others in rows:
-        if target.bad < _LEAST_BAD:
-            continue
-        usual = (others.bad + 0.5) / (others.answers + 10)
-        expected = target.answers * (
-            _TOLERATED_FACTOR * usual + _TOLERATED_SHARE
+    for signal, hits_by_row, tolerated_share in (
+        ("bad", _failures(evidence), _TOLERATED_SHARE),
+        ("slow", _slow_answers(evidence), _TOLERATED_SLOW_SHARE),
+    ):
+        both = list(hits_by_row.values())
+        target = sum((target for target, _ in both), _Hits())
+        others = sum((others for _, others in both), _Hits())
+        rows = {"all routes": (target, others), **hits_by_row}
+        for name, (target, others) in rows.items():
+            if _is_worse(target, others, tolerated_share):
+                return (
+                    f"{name}: {target.hits} of {target.answers} answers "
+                    f"{signal}, others {others.hits} of {others.answers}"
+                )
+    return ""
+
+
+def _failures(evidence: RolloutEvidence) -> _HitsByRow:
+    def hits(counts: AnswerCounts) -> _Hits:
+        return _Hits(counts.answers, counts.bad)
+
+    return {
+        row: (
+            hits(evidence.target_by_route.get(row, AnswerCounts())),
+            hits(evidence.others_by_route.get(row, AnswerCounts())),
         )
-        if _tail(expected, target.bad) < _SIGNIFICANCE:
-            return (
-                f"{name}: {target.bad} of {target.answers} answers bad, "
-                f"others {others.bad} of {others.answers}"
+        for row in {**evidence.target_by_route, **evidence.others_by_route}
+    }
+
+
+def _slow_answers(evidence: RolloutEvidence) -> _HitsByRow:
+    found = {}
+    for row, target in evidence.target_by_route.items():
+        usual = evidence.others_by_route.get(row, AnswerCounts()).paces
+        if _paces.says_what_is_usual(usual):
+            found[row] = (
+                _Hits(*_paces.count_slow(target.paces, usual)),
+                _Hits(*_paces.count_slow(usual, usual)),
             )
-    return ""
+    return found
+
+
+def _is_worse(target: _Hits, others: _Hits, tolerated_share: float) -> bool:
+    """Whether chance hardly gives a sound version so many hits."""
+    if target.hits < _LEAST_BAD:
+        return False
+    usual = (others.hits + 0.5) / (others.answers + 10)
+    share = min(1.0, _TOLERATED_FACTOR * usual + tolerated_share)
+    return _tail(share, target.answers, target.hits) < _SIGNIFICANCE
 
 
 def _total(counts: Mapping[str, AnswerCounts]) -> AnswerCounts:
     return sum(counts.values(), AnswerCounts())
 
 
-def _tail(expected: float, count: int) -> float:
-    """Returns the Poisson probability of `count` or more."""
-    term = math.exp(-expected)
-    below = 0.0
-    for k in range(count):
-        below += term
-        term *= expected / (k + 1)
-    return max(0.0, 1.0 - below)
+def _tail(share: float, answers: int, hits: int) -> float:
+    """Returns the binomial probability of `hits` or more of the answers."""
+    return sum(
+        math.comb(answers, k) * share**k * (1.0 - share) ** (answers - k)
+        for k in range(hits, answers + 1)
+    )
--- a/libs/decisions/mulberry_decisions/tests/test_rollout_plan.py
+++ b/libs/decisions/mulberry_decisions/tests/test_rollout_plan.py
@@ -1,6 +1,7 @@
 """Rollouts of services: bad versions are taken back, good ones complete."""
 
 import random
+from collections.abc import Sequence
 
 import pytest
 
@@ -39,7 +40,7 @@
 ) -> None:
     plan = decisions.RolloutPlan(_SHARE)
     decision = plan.decide(
-        share, elapsed_s, _DURATION_S, _evidence(target, (500, 2))
+        share, 5.0, elapsed_s, _DURATION_S, _evidence(target, (500, 2))
     )
     assert isinstance(decision, decisions.RolloutDecision)
     assert decision.verdict is verdict
@@ -48,10 +49,113 @@
 
 def test_no_more_traffic_without_evidence() -> None:
     plan = decisions.RolloutPlan(_SHARE)
-    decision = plan.decide(0.2, 12.5, _DURATION_S, _evidence((3, 0), (500, 2)))
+    decision = plan.decide(
+        0.2, 5.0, 12.5, _DURATION_S, _evidence((3, 0), (500, 2))
+    )
     assert decision is core.Missing.UNSET
 
 
+def test_steps_are_taken_one_by_one() -> None:
+    """Guards against all sessions on a version of which eight answers came.
+
+    The evidence of a version may be there only once all steps are due.
+    """
+    plan = decisions.RolloutPlan(_SHARE)
+    share, share_since_s, shares = 0.0, 0.0, []
+    for tick in range(int(_DURATION_S / 0.4)):
+        elapsed_s = tick * 0.4
+        answers = 40 if elapsed_s > 0.62 * _DURATION_S else 0
+        decision = plan.decide(
+            share,
+            elapsed_s - share_since_s,
+            elapsed_s,
+            _DURATION_S,
+            _evidence((answers, 0), (500, 2)),
+        )
+        if isinstance(decision, core.Missing):
+            continue
+        shares.append(decision.share)
+        if decision.verdict is decisions.RolloutVerdict.COMPLETE:
+            break
+        assert not share or elapsed_s - share_since_s >= 0.06 * _DURATION_S
+        share, share_since_s = decision.share, elapsed_s
+    assert shares == pytest.approx([_SHARE * 0.7, 0.3, 0.6, 1.0, 1.0])
+    assert elapsed_s <= 0.94 * _DURATION_S
+
+
+#: Of the logarithm of the gaps between events of one model and route, as a
+#: day with bursts shows it: one in ten is 2.8 times the median.
+_SPREAD = 0.8
+
+
+def _paced(durations_s: Sequence[float]) -> decisions.AnswerCounts:
+    counts = decisions.AnswerCounts()
+    for duration_s in durations_s:
+        counts += decisions.AnswerCounts(
+            1, 0, {decisions.pace_bucket(duration_s): 1}
+        )
+    return counts
+
+
+def _draw(
+    rng: random.Random, answers: int, factor: float = 1.0
+) -> decisions.AnswerCounts:
+    """Gaps between events that vary with the model and the load."""
+    return _paced(
+        [
+            0.03 * factor * rng.lognormvariate(0.0, _SPREAD)
+            for _ in range(answers)
+        ]
+    )
+
+
+@pytest.mark.parametrize("factor", [4.0, 8.0])
+def test_a_slow_version_is_found_within_the_slack(factor: float) -> None:
+    """Guards against a completed rollout of a version that is slow.
+
+    Its first events came within the targets, so every answer counted as good
+    as soon as it had begun. The exposure bound leaves 30 requests beyond the
+    share.
+    """
+    rng = random.Random(9)
+    for _ in range(100):
+        target, others = decisions.AnswerCounts(), _draw(rng, 60)
+        while not decisions.find_fault(
+            decisions.RolloutEvidence({"chat": target}, {"chat": others})
+        ):
+            target += _draw(rng, 1, factor)
+            others += _draw(rng, 9)
+        assert target.answers <= 30
+
+
+@pytest.mark.parametrize("factor", [1.0, 1.3])
+def test_a_version_that_is_a_little_slower_is_seldom_taken_back(
+    factor: float,
+) -> None:
+    """A false alarm costs the operator a rollout: at most one in 100."""
+    rng = random.Random(10)
+    alarms = 0
+    for _ in range(200):
+        target, others = decisions.AnswerCounts(), _draw(rng, 40)
+        for _ in range(100):
+            target += _draw(rng, 1, factor)
+            others += _draw(rng, 5)
+            evidence = decisions.RolloutEvidence(
+                {"chat": target}, {"chat": others}
+            )
+            if decisions.find_fault(evidence):
+                alarms += 1
+                break
+    assert alarms <= 2
+
+
+def test_too_few_others_say_nothing_of_what_is_usual() -> None:
+    evidence = decisions.RolloutEvidence(
+        {"chat": _paced([0.3] * 9)}, {"chat": _paced([0.03] * 9)}
+    )
+    assert not decisions.find_fault(evidence)
+
+
 def test_a_fault_on_one_route_is_found_among_good_ones() -> None:
     evidence = decisions.RolloutEvidence(
         {
--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -13,6 +13,7 @@
     _messages,
     _parts,
     _patience,
+    _stream_pace,
     _stream_relay,
     _suspects,
     _upstream_call,
@@ -263,9 +264,10 @@
             exchange.route.kind is routing.RouteKind.STREAMING
             and head.status < 300
         ):
-            parts.watch.observe(exchange, attempt.release, True, took_s)
             parts.placer.health.succeeded(attempt.upstream)
-            return self._relay_stream(exchange, attempt, call, head, patience)
+            return self._relay_stream(
+                exchange, attempt, call, head, patience, took_s
+            )
         body = patience.read(
             call.read_body, exchange.deadline_s, core.Missing.UNSET
         )
@@ -283,7 +285,8 @@
             and head.status not in _faults.PROMISES
             and not exchange.answered
         )
-        parts.watch.observe(exchange, attempt.release, good, took_s)
+        whole_s = parts.clock.now() - attempt.began_s
+        parts.watch.observe(exchange, attempt, good, took_s, whole_s)
         if good:
             parts.placer.health.succeeded(attempt.upstream)
             return self.send_answer(exchange, answer)
@@ -306,16 +309,32 @@
         call: _upstream_call.UpstreamCall,
         head: _messages.ResponseHead,
         patience: _patience.Patience,
+        took_s: float,
     ) -> _stream_relay.Relayed | Failed:
         policy = self._silence_policy(exchange, exchange.route.max_pause_s)
+        pace = _stream_pace.StreamPace(self._parts.clock)
+        observed = False
+
+        def observe() -> None:
+            nonlocal observed
+            if not observed and pace.has_begun:
+                observed = True
+                self._parts.watch.observe(
+                    exchange, attempt, True, took_s, pace.gap_s
+                )
+
+        def progressed(events: int) -> None:
+            patience.note_progress()
+            pace.note(events)
+            if pace.is_known:
+                observe()
 
         def read() -> bytes | _upstream_call.Fault:
             return patience.read(call.read_some, exchange.deadline_s, policy)
 
         patience.note_progress()
-        relayed = self._relay.relay(
-            exchange, attempt, read, head, patience.note_progress
-        )
+        relayed = self._relay.relay(exchange, attempt, read, head, progressed)
+        observe()
         if isinstance(relayed, _stream_relay.Relayed):
             return relayed
         failed = self._fault(exchange, attempt, relayed.fault)
@@ -338,7 +357,7 @@
         if fault not in _faults.NOT_THE_VERSIONS_FAULT:
             parts.watch.observe(
                 exchange,
-                attempt.release,
+                attempt,
                 False,
                 parts.clock.now() - attempt.began_s,
             )
--- a/libs/gateway/mulberry_gateway/_rollout_watch.py
+++ b/libs/gateway/mulberry_gateway/_rollout_watch.py
@@ -26,8 +26,16 @@
     decisions.RolloutVerdict.ROLL_BACK: state.RolloutPhase.ROLLED_BACK,
 }
 
+#: Before the key of a rollout where a report has its paces. Earlier versions
+#: read the answers only.
+_PACES = "paces "
+_NONE = decisions.AnswerCounts()
+
 #: Counts by route, by version, by `SERVICE/NUMBER` of the rollout.
 _Counts = dict[str, dict[str, dict[str, decisions.AnswerCounts]]]
+_PlainCounts = Mapping[str, Mapping[str, Mapping[str, list[int]]]]
+#: Answers by bucket of their pace, by route, by version.
+_PlainPaces = Mapping[str, Mapping[str, Mapping[str, int]]]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,6 +45,8 @@
     service: str
     rollout: state.ServiceRollout
     since_s: float
+    #: `Clock.now` since when it has its share, seconds.
+    share_since_s: float
 
     @property
     def key(self) -> str:
@@ -84,22 +94,39 @@
     def observe(
         self,
         exchange: _exchange.Exchange,
-        release: str,
+        attempt: _exchange.Attempt,
         good: bool,
         took_s: float,
+        pace_s: float | core.Missing = core.Missing.UNSET,
     ) -> None:
-        """Counts an answer if a rollout of its service is under way."""
+        """Counts an answer if a rollout of its service is under way.
+
+        Args:
+            exchange: The request.
+            attempt: Which upstream and model answered.
+            good: Whether the answer was a proper one.
+            took_s: Until the head of the answer was there, seconds.
+            pace_s: Time that is compared with other versions on the route,
+                seconds; unset if it is not known.
+        """
         running = self._running_by_service.get(exchange.service)
         if running is None:
             return
         late = took_s > _LATE_FACTOR * exchange.route.target_latency_s
+        paces = (
+            {}
+            if isinstance(pace_s, core.Missing)
+            else {decisions.pace_bucket(pace_s): 1}
+        )
+        # Models differ in pace by more than a bad version does.
+        row = f"{exchange.route.name} {attempt.model}".rstrip()
         with self._lock:
             by_route = self._counts.setdefault(running.key, {}).setdefault(
-                release, {}
+                attempt.release, {}
+            )
+            by_route[row] = by_route.get(row, _NONE) + decisions.AnswerCounts(
+                1, int(late or not good), paces
             )
-            by_route[exchange.route.name] = by_route.get(
-                exchange.route.name, decisions.AnswerCounts()
-            ) + decisions.AnswerCounts(1, int(late or not good))
 
     def _take_view(self, view: state.View) -> None:
         now_s = self._clock.now()
@@ -107,10 +134,15 @@
         for service, rollout in view.service_rollouts_by_service.items():
             if rollout.phase is not state.RolloutPhase.RUNNING:
                 continue
+            since_s = share_since_s = now_s
             old = self._running_by_service.get(service)
-            same = old is not None and old.rollout.number == rollout.number
-            since_s = old.since_s if old is not None and same else now_s
-            running[service] = _Running(service, rollout, since_s)
+            if old is not None and old.rollout.number == rollout.number:
+                since_s = old.since_s
+                if old.rollout.share == rollout.share:
+                    share_since_s = old.share_since_s
+            running[service] = _Running(
+                service, rollout, since_s, share_since_s
+            )
         if running != self._running_by_service:
             self._log.note(
                 "rollouts",
@@ -139,9 +171,14 @@
     def _decide(self, running: _Running, reports: Sequence[bytes]) -> None:
         rollout = running.rollout
         evidence = collect(reports, running.key, rollout.target)
-        elapsed_s = self._clock.now() - running.since_s
+        now_s = self._clock.now()
+        elapsed_s = now_s - running.since_s
         decision = self._plan.decide(
-            rollout.share, elapsed_s, rollout.duration_s, evidence
+            rollout.share,
+            now_s - running.share_since_s,
+            elapsed_s,
+            rollout.duration_s,
+            evidence,
         )
         if isinstance(decision, core.Missing):
             return
@@ -165,6 +202,7 @@
             verdict=decision.verdict.value,
             share=decision.share,
             reason=decision.reason,
+            evidence=_summary(evidence),
             outcome="refused" if isinstance(result, core.Refusal) else "moved",
         )
         # The next look must see the new share.
@@ -175,7 +213,9 @@
         keys = {r.key for r in self._running_by_service.values()}
         with self._lock:
             counts = {k: v for k, v in self._counts.items() if k in keys}
-            return json.dumps(_plain(counts)).encode() if counts else b""
+            if not counts:
+                return b""
+            return json.dumps({**_plain(counts), **_paces(counts)}).encode()
 
 
 def collect(
@@ -191,12 +231,41 @@
     new: dict[str, decisions.AnswerCounts] = {}
     old: dict[str, decisions.AnswerCounts] = {}
     for report in reports:
-        for release, by_route in json.loads(report).get(key, {}).items():
-            _add(new if release == target else old, by_route)
+        document = json.loads(report)
+        paces = document.get(f"{_PACES}{key}", {})
+        for release, by_route in document.get(key, {}).items():
+            totals = new if release == target else old
+            for route, (answers, bad) in by_route.items():
+                counts = decisions.AnswerCounts(
+                    answers, bad, _by_bucket(paces, release, route)
+                )
+                totals[route] = totals.get(route, _NONE) + counts
     return decisions.RolloutEvidence(new, old)
 
 
-_PlainCounts = Mapping[str, Mapping[str, Mapping[str, list[int]]]]
+def _by_bucket(
+    paces: _PlainPaces, release: str, route: str
+) -> decisions.PaceCounts:
+    """Reads the paces of one version on one route; keys of JSON are text."""
+    counts = paces.get(release, {}).get(route, {})
+    return {int(bucket): count for bucket, count in counts.items()}
+
+
+def _summary(evidence: decisions.RolloutEvidence) -> Mapping[str, object]:
+    """Returns, by route, answers, bad ones and paces of both sides."""
+
+    def rows(
+        by_route: Mapping[str, decisions.AnswerCounts],
+    ) -> Mapping[str, object]:
+        return {
+            route: [counts.answers, counts.bad, dict(counts.paces)]
+            for route, counts in by_route.items()
+        }
+
+    return {
+        "target": rows(evidence.target_by_route),
+        "others": rows(evidence.others_by_route),
+    }
 
 
 def _plain(counts: _Counts) -> _PlainCounts:
@@ -212,11 +281,11 @@
     }
 
 
-def _add(
-    totals: dict[str, decisions.AnswerCounts],
-    by_route: Mapping[str, list[int]],
-) -> None:
-    for route, (answers, bad) in by_route.items():
-        totals[route] = totals.get(
-            route, decisions.AnswerCounts()
-        ) + decisions.AnswerCounts(answers, bad)
+def _paces(counts: _Counts) -> Mapping[str, object]:
+    return {
+        f"{_PACES}{key}": {
+            release: {route: count.paces for route, count in by_route.items()}
+            for release, by_route in by_release.items()
+        }
+        for key, by_release in counts.items()
+    }
--- a/libs/gateway/mulberry_gateway/_stream_relay.py
+++ b/libs/gateway/mulberry_gateway/_stream_relay.py
@@ -46,7 +46,7 @@
         attempt: _exchange.Attempt,
         read: Callable[[], bytes | _upstream_call.Fault],
         head: _messages.ResponseHead,
-        on_progress: Callable[[], None],
+        on_progress: Callable[[int], None],
     ) -> Relayed | Broken:
         """Forwards the stream until it ends or breaks.
 
@@ -58,7 +58,8 @@
             attempt: The attempt that answers.
             read: Returns the next part of the body, empty at its end.
             head: Of the attempt's response.
-            on_progress: Called when events with content have arrived.
+            on_progress: Called with the number of events with content that
+                have arrived together.
         """
         splitter = core.SseSplitter()
         if not exchange.answered and not self._begin(exchange, head):
@@ -70,8 +71,11 @@
             if not data:
                 break
             arrived = splitter.feed(data)
-            if any(_CONTENT.search(event) for event in arrived):
-                on_progress()
+            with_content = sum(
+                _CONTENT.search(event) is not None for event in arrived
+            )
+            if with_content:
+                on_progress(with_content)
             events = _unseen(exchange, arrived)
             if splitter.pending_bytes > _body_limits.EVENT_BYTES:
                 return Broken(_upstream_call.Fault.EXCESSIVE)
