Give a version more only on evidence, later without

Cause: the steps went on without their answers from 0.62, 0.68 and 0.74 of the duration on: to 0.3 with three answers, to 0.6 with six. Streams of a slow version say something late, so they fell short just because it was slow.

A step without its answers now waits until 0.72, 0.8 and 0.88.

--- a/libs/decisions/mulberry_decisions/_rollout_plan.py
+++ b/libs/decisions/mulberry_decisions/_rollout_plan.py
@@ -38,7 +38,7 @@
     """A share of the sessions, and what must be seen before it."""
 
     #: Parts of the duration from which the step may be taken, and is taken
-    #: whatever is known.
+    #: with fewer answers: a slow version answers late, a quiet service seldom.
     earliest: float
     latest: float
     share: float
@@ -48,9 +48,9 @@
 
 #: From the moment at which sessions may change their version.
 _STEPS = (
-    _Step(0.5, 0.62, 0.3, 5),
-    _Step(0.56, 0.68, 0.6, 15),
-    _Step(0.62, 0.74, 1.0, 30),
+    _Step(0.5, 0.72, 0.3, 5),
+    _Step(0.56, 0.8, 0.6, 15),
+    _Step(0.62, 0.88, 1.0, 30),
 )
 
 
