Count strikes of both states, and let known contents meet more losses

Cause: (1) the count was the larger of the recorded strikes and those of the soft state, so new ones after a restart did not add up to more than three, and the block was not renewed. (2) With three workers and three such requests, every content that was tried again meets three losses.

A recorded strike is now marked in the soft state, and the count adds the others. A content that has completed a run here within 60 s is blocked from the sixth loss on. test_one_run_after_a_restart_blocks_again and test_a_content_that_many_send_is_blocked_later failed before.

--- a/libs/decisions/mulberry_decisions/_crash_blocks.py
+++ b/libs/decisions/mulberry_decisions/_crash_blocks.py
@@ -4,6 +4,9 @@
 #: back. At the loss of many upstreams at once a sound request may meet two,
 #: seldom three.
 BLOCKING_STRIKES = 3
+#: Further losses that a content may meet that has lately completed a run: it
+#: is most likely sound, and many callers may send it.
+_CREDIT = 3
 #: First time for which a content is held back, seconds.
 _FIRST_BLOCK_S = 10.0
 #: Each further loss multiplies the time.
@@ -12,7 +15,7 @@
 _LONGEST_BLOCK_S = 3_600.0
 
 
-def block_s(strikes: int) -> float:
+def block_s(strikes: int, has_completed: bool = False) -> float:
     """Returns for how long a content is held back after its last strike.
 
     Answers a request that crashes each upstream that runs it, in the company
@@ -23,11 +26,13 @@
 
     Args:
         strikes: Upstreams that were lost during runs of the content.
+        has_completed: Whether a run of it was complete lately.
 
     Returns:
         Seconds, zero if it may run.
     """
-    if strikes < BLOCKING_STRIKES:
+    beyond = strikes - BLOCKING_STRIKES - (_CREDIT if has_completed else 0)
+    if beyond < 0:
         return 0.0
-    growth = _GROWTH ** min(strikes - BLOCKING_STRIKES, 10)
+    growth = _GROWTH ** min(beyond, 10)
     return min(_LONGEST_BLOCK_S, _FIRST_BLOCK_S * growth)
--- a/libs/gateway/mulberry_gateway/_strike_recorder.py
+++ b/libs/gateway/mulberry_gateway/_strike_recorder.py
@@ -3,6 +3,7 @@
 import collections
 import threading
 import time
+from collections.abc import Callable
 
 import mulberry_core as core
 import mulberry_state as state
@@ -21,9 +22,21 @@
     """Proposes one command after another until each is recorded."""
 
     def __init__(
-        self, client: state.StateClient, log: core.DecisionLog
+        self,
+        client: state.StateClient,
+        on_recorded: Callable[[str, str, int], None],
+        log: core.DecisionLog,
     ) -> None:
+        """Creates a recorder that has nothing to record.
+
+        Args:
+            client: Takes the proposals.
+            on_recorded: Called with content, upstream and incarnation of each
+                strike once it is recorded.
+            log: Receives a line for each command.
+        """
         self._client = client
+        self._on_recorded = on_recorded
         self._log = log
         self._lock = threading.Lock()
         self._waiting: collections.deque[_Command] = collections.deque()
@@ -75,6 +88,11 @@
                 continue
             with self._lock:
                 self._waiting.popleft()
+            if isinstance(command, state.RecordCrash):
+                for content in command.digests:
+                    self._on_recorded(
+                        content, command.upstream, command.incarnation
+                    )
             self._log.note(
                 "strike_recorded",
                 keep=True,
--- a/libs/gateway/mulberry_gateway/_suspects.py
+++ b/libs/gateway/mulberry_gateway/_suspects.py
@@ -29,6 +29,10 @@
 #: Instances let a blocked content run again after one to this many times its
 #: block, so that not all of them do at the same moment.
 _MOST_SPREAD = 2.0
+#: How long a complete run speaks for a content, seconds.
+_SOUND_S = 60.0
+#: Contents of the last complete runs that are remembered.
+_MAX_SOUND = 4_096
 
 _KIND = membership.RecordKind.STRIKE
 
@@ -40,13 +44,16 @@
     SUSPECTED = 1
     #: The upstream was lost.
     CONFIRMED = 2
+    #: The replicated state has it too.
+    RECORDED = 3
     #: The content has completed a run since.
-    CLEARED = 3
+    CLEARED = 4
 
 
 _TTL_S_BY_STANDING = {
     Standing.SUSPECTED: _SUSPECTED_S,
     Standing.CONFIRMED: _STRIKE_S,
+    Standing.RECORDED: _STRIKE_S,
     Standing.CLEARED: _STRIKE_S,
 }
 
@@ -94,7 +101,9 @@
         self._clock = clock
         self._counters = counters
         self._log = log
-        self._recorder = _strike_recorder.StrikeRecorder(client, log)
+        self._recorder = _strike_recorder.StrikeRecorder(
+            client, self._on_recorded, log
+        )
         self._broken = _broken_runs.BrokenRuns(soft_state, directory, clock)
         self._lock = threading.Lock()
         #: Standing of each strike by its record's id, by content.
@@ -105,6 +114,10 @@
         self._recorded: Mapping[str, int] = {}
         #: `Clock.now` of the last strike, by content with enough of them.
         self._last_strike_s: dict[str, float] = {}
+        #: `Clock.now` of the last complete run here, by content, oldest first.
+        self._completed_s: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
         self._spread = random.uniform(1.0, _MOST_SPREAD)
         soft_state.subscribe(_KIND, self._on_record)
         client.subscribe(self._take_view)
@@ -121,8 +134,12 @@
             last_s = self._last_strike_s.get(content)
             if last_s is None:
                 return 0.0
-            term_s = decisions.block_s(self._count(content)) * self._spread
-        return max(0.0, last_s + term_s - self._clock.now())
+            now_s = self._clock.now()
+            completed_s = self._completed_s.get(content, float("-inf"))
+            term_s = decisions.block_s(
+                self._count(content), now_s - completed_s < _SOUND_S
+            )
+        return max(0.0, last_s + term_s * self._spread - now_s)
 
     def run_ended(
         self,
@@ -202,8 +219,17 @@
                 name, _, incarnation = crash.rpartition(".")
                 self._recorder.record(content, name, int(incarnation))
 
+    def _on_recorded(
+        self, content: str, upstream: str, incarnation: int
+    ) -> None:
+        self._put_id(f"{content}/{upstream}.{incarnation}", Standing.RECORDED)
+
     def _completed(self, content: str) -> None:
         with self._lock:
+            self._completed_s[content] = self._clock.now()
+            self._completed_s.move_to_end(content)
+            if len(self._completed_s) > _MAX_SOUND:
+                self._completed_s.popitem(last=False)
             ids = self._ids(content, Standing.SUSPECTED)
             recorded = self._recorded.get(content, 0)
         if ids or recorded:
@@ -239,21 +265,24 @@
 
     # Called with the lock held.
 
-    def _ids(self, content: str, least: Standing) -> list[str]:
-        """Returns the strikes that count."""
+    def _ids(
+        self, content: str, least: Standing, most: Standing = Standing.RECORDED
+    ) -> list[str]:
+        """Returns the strikes of the soft state with such a standing."""
         return [
             record_id
             for record_id, standing in self._standing_by_id.get(
                 content, {}
             ).items()
-            if least <= standing < Standing.CLEARED
+            if least <= standing <= most
         ]
 
     def _count(self, content: str) -> int:
-        return max(
-            len(self._ids(content, Standing.SUSPECTED)),
-            self._recorded.get(content, 0),
-        )
+        """Returns the strikes; one that is in both states counts once."""
+        new = self._ids(content, Standing.SUSPECTED, Standing.CONFIRMED)
+        in_both = self._ids(content, Standing.RECORDED)
+        recorded = self._recorded.get(content, 0)
+        return len(new) + max(len(in_both), recorded)
 
     def _note_change(self, content: str, before: int) -> None:
         """Keeps the time of the last strike of a content that may run no more."""
--- a/libs/gateway/mulberry_gateway/tests/test_suspects.py
+++ b/libs/gateway/mulberry_gateway/tests/test_suspects.py
@@ -234,6 +234,36 @@
     assert instance.strikes == 0
 
 
+def test_one_run_after_a_restart_blocks_again() -> None:
+    """Guards against three more losses by one request after each block.
+
+    Its strikes of before are recorded, the new one is in the soft state.
+    """
+    instance = _Instance()
+    for number in range(3):
+        upstream = instance.announce(f"w{number}", 1)
+        instance.run(upstream, _NO_ANSWER, is_lost=True)
+    assert _recorded(instance) == 3
+    restarted = _Instance(instance.client)
+    restarted.seconds(2 * decisions.block_s(3))
+    assert restarted.suspects.blocked_s(_CONTENT) == 0.0
+    restarted.run(restarted.announce("w4", 1), _NO_ANSWER)
+    assert restarted.strikes == 4
+    assert restarted.suspects.blocked_s(_CONTENT) >= decisions.block_s(4)
+
+
+def test_a_content_that_many_send_is_blocked_later() -> None:
+    """Guards against lookups refused since upstreams are lost to others."""
+    instance = _Instance()
+    instance.run(instance.announce("w0", 1), "200")
+    for number in range(1, 6):
+        upstream = instance.announce(f"w{number}", 1)
+        instance.run(upstream, _NO_ANSWER, is_lost=True)
+        assert instance.suspects.blocked_s(_CONTENT) == 0.0
+    instance.run(instance.announce("w6", 1), _NO_ANSWER, is_lost=True)
+    assert instance.suspects.blocked_s(_CONTENT) > 0.0
+
+
 def test_each_further_loss_blocks_for_longer() -> None:
     """Guards against upstreams lost to one request again and again.
 
