Pass over strikes of other versions; record a loss once

A record whose number is not known changes nothing and is counted. Besides, a loss that several requests of one content report is recorded once: proposals were made for each.

--- a/libs/gateway/mulberry_gateway/_suspects.py
+++ b/libs/gateway/mulberry_gateway/_suspects.py
@@ -186,7 +186,7 @@
             self._strike(
                 run.content, run.request_id, run.upstream, "ended_since"
             )
-        self._show()
+        self._set_gauges()
 
     def _strike(
         self,
@@ -195,7 +195,7 @@
         upstream: membership.Upstream,
         reason: str,
     ) -> None:
-        self._put(content, upstream, Standing.CONFIRMED)
+        is_news = self._put(content, upstream, Standing.CONFIRMED)
         with self._lock:
             confirmed = self._ids(content, Standing.CONFIRMED)
             recorded = self._recorded.get(content, 0)
@@ -211,6 +211,9 @@
             strikes=self.strikes(content),
             recorded=recorded,
         )
+        if not is_news:
+            # Another request of the content has told of the same loss.
+            return
         if recorded:
             self._recorder.record(content, upstream.name, upstream.incarnation)
         elif len(confirmed) >= _RECORDED_FROM:
@@ -247,13 +250,14 @@
 
     def _put(
         self, content: str, upstream: membership.Upstream, standing: Standing
-    ) -> None:
-        self._put_id(
+    ) -> bool:
+        return self._put_id(
             f"{content}/{upstream.name}.{upstream.incarnation}", standing
         )
 
-    def _put_id(self, record_id: str, standing: Standing) -> None:
-        self._soft_state.put(
+    def _put_id(self, record_id: str, standing: Standing) -> bool:
+        """Publishes a strike; returns whether the standing is news."""
+        return self._soft_state.put(
             _KIND,
             record_id,
             incarnation=0,
@@ -293,6 +297,10 @@
             self._last_strike_s[content] = self._clock.now()
 
     def _on_record(self, record: membership.Record) -> None:
+        if record.sequence not in _TTL_S_BY_STANDING:
+            # Of a version that numbers strikes in another way.
+            self._counters.increment("gateway.strikes_not_understood")
+            return
         content, _, crash = record.id.partition("/")
         with self._lock:
             before = self._count(content)
@@ -323,8 +331,7 @@
             for content, count in before.items():
                 self._note_change(content, count)
 
-    def _show(self) -> None:
-        """Sets the gauges."""
+    def _set_gauges(self) -> None:
         with self._lock:
             suspected = len({*self._standing_by_id, *self._recorded})
             blocked = len(self._last_strike_s)
--- a/libs/gateway/mulberry_gateway/tests/test_suspects.py
+++ b/libs/gateway/mulberry_gateway/tests/test_suspects.py
@@ -280,3 +280,22 @@
         instance.seconds(1.0)
     late = [at_s for at_s in losses_s if at_s > losses_s[2] + 3.0]
     assert len(late) <= 3
+
+
+@pytest.mark.parametrize("sequence", [-1, 0, 99, 2**40])
+def test_strikes_of_another_version_are_passed_over(sequence: int) -> None:
+    """Guards against an exchange that one record of a peer ends.
+
+    Earlier versions number their records by a count of their own.
+    """
+    instance = _Instance()
+    instance.soft_state.put(
+        membership.RecordKind.STRIKE,
+        f"{_CONTENT}/cleared",
+        incarnation=1,
+        sequence=sequence,
+        payload=b"",
+    )
+    assert instance.strikes == 0
+    instance.run(instance.announce("w1", 1), _NO_ANSWER, is_lost=True)
+    assert instance.strikes == 1
