Leave out reports of rollouts that cannot be read

What would be seen: no rollout is decided any more. One report that the leader does not understand, of another version or damaged, raised in the task that decides on all rollouts, and the task ended. Found while adding a key to these reports: a report with a third number for each route would have done it.

Each report is read as a whole or left out with a log line. The eight new cases failed before.

--- a/libs/gateway/mulberry_gateway/_rollout_watch.py
+++ b/libs/gateway/mulberry_gateway/_rollout_watch.py
@@ -5,7 +5,8 @@
 import dataclasses
 import json
 import threading
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Any
 
 from absl import logging
 
@@ -224,25 +225,39 @@
     """Sums what all instances have counted of one rollout.
 
     Args:
-        reports: As the instances encoded them.
+        reports: As the instances encoded them; what cannot be read is left
+            out.
         key: `SERVICE/NUMBER` of the rollout.
         target: The version that it brings.
     """
     new: dict[str, decisions.AnswerCounts] = {}
     old: dict[str, decisions.AnswerCounts] = {}
     for report in reports:
-        document = json.loads(report)
-        paces = document.get(f"{_PACES}{key}", {})
-        for release, by_route in document.get(key, {}).items():
+        try:
+            rows = list(_rows(json.loads(report), key))
+        except (AttributeError, TypeError, ValueError):
+            # Of another version; without it there is less evidence.
+            logging.warning("a report of rollouts is not understood")
+            continue
+        for release, route, counts in rows:
             totals = new if release == target else old
-            for route, (answers, bad) in by_route.items():
-                counts = decisions.AnswerCounts(
-                    answers, bad, _by_bucket(paces, release, route)
-                )
-                totals[route] = totals.get(route, _NONE) + counts
+            totals[route] = totals.get(route, _NONE) + counts
     return decisions.RolloutEvidence(new, old)
 
 
+def _rows(
+    document: Any, key: str
+) -> Iterator[tuple[str, str, decisions.AnswerCounts]]:
+    """Yields version, route and counts of one report on a rollout."""
+    paces = document.get(f"{_PACES}{key}", {})
+    for release, by_route in document.get(key, {}).items():
+        for route, (answers, bad) in by_route.items():
+            counts = decisions.AnswerCounts(
+                int(answers), int(bad), _by_bucket(paces, release, route)
+            )
+            yield release, route, counts
+
+
 def _by_bucket(
     paces: _PlainPaces, release: str, route: str
 ) -> decisions.PaceCounts:
--- a/libs/gateway/mulberry_gateway/tests/test_rollouts.py
+++ b/libs/gateway/mulberry_gateway/tests/test_rollouts.py
@@ -35,6 +35,27 @@
     assert evidence.others_by_route == {"r": decisions.AnswerCounts(9, 0)}
 
 
+@pytest.mark.parametrize(
+    "report",
+    [
+        b"",
+        b"\xff",
+        b"[]",
+        b'{"s/1": []}',
+        b'{"s/1": {"v2": {"r": [1]}}}',
+        b'{"s/1": {"v2": {"r": [1, 0, 7]}}}',
+        b'{"s/1": {"v2": {"r": ["x", 0]}}}',
+        b'{"s/1": {"v2": {"r": [1, 0]}}, "paces s/1": {"v2": {"r": 3}}}',
+    ],
+)
+def test_a_report_that_cannot_be_read_is_left_out(report: bytes) -> None:
+    """Guards against a leader that decides on no rollout any more."""
+    evidence = _rollout_watch.collect(
+        [report, _report("s/1", "v2", 5, 1)], "s/1", "v2"
+    )
+    assert evidence.target_by_route == {"r": decisions.AnswerCounts(5, 1)}
+
+
 class _Notes(membership.LocalSoftState):
     """Counts what each instance of a fleet would have to take."""
 
