Give a new version most sessions only at the end of its time

Cause: a version that is bad under load only shows nothing before it has any. With evidence in time all sessions were on it from 0.8 of the duration on.

Ruled out: late evidence. 98 answers, none bad, were there at the completion.

The steps are now 0.2, 0.4 and all of the sessions, from 0.56, 0.74 and 0.88 of the duration on, and the rollout completes at 0.93 to 0.95.

It must still see every step, in order, and the end within the duration. test_most_sessions_stay_until_the_end failed before.

--- a/libs/decisions/mulberry_decisions/_rollout_plan.py
+++ b/libs/decisions/mulberry_decisions/_rollout_plan.py
@@ -13,18 +13,20 @@
 _FIRST_SHARE_USED = 0.7
 #: Part of the wanted duration after which sessions may change their version.
 _MOVE_AT = 0.5
-_COMPLETE_AT = 0.84
+#: Part of the duration from which the rollout may be complete: a decision takes
+#: a second to be known everywhere.
+_COMPLETE_AT = 0.93
 #: Part of the duration for which the target has all sessions before that, so
 #: that streams on the old version can end.
-_DRAIN_SHARE = 0.17
+_DRAIN_SHARE = 0.05
 #: Part of the duration after which the rollout is complete in any case.
-_COMPLETE_LATEST_AT = 0.92
+_COMPLETE_LATEST_AT = 0.95
 #: Part of the duration for which a share lasts at least: reports of answers
 #: take about a second.
-_DWELL_SHARE = 0.06
+_DWELL_SHARE = 0.04
 #: Share of the sessions up to which the engines of the target have less to do
 #: than those of the others had with all; there are about as many of them.
-_LOW_SHARE = 0.6
+_LOW_SHARE = 0.4
 #: Fewest bad answers on which a version is taken back.
 _LEAST_BAD = 4
 #: Excess over the other versions' share of bad answers that is tolerated.
@@ -49,9 +51,9 @@
 
 #: From the moment at which sessions may change their version.
 _STEPS = (
-    _Step(0.5, 0.72, 0.3, 5),
-    _Step(0.56, 0.8, 0.6, 15),
-    _Step(0.62, 0.88, 1.0, 30),
+    _Step(0.56, 0.72, 0.2, 5),
+    _Step(0.74, 0.84, 0.4, 15),
+    _Step(0.88, 0.92, 1.0, 30),
 )
 
 
