Take signals on whatever thread they arrive

What callers saw: two streams cut by a planned stop. Its log has no line of a stop: the daemon served on as if it had got no SIGTERM.

Cause: Python handlers of signals run on the main thread, which waits for its end. A signal that arrives at another thread does not end that wait.

Ruled out: a stop that waits, since its first line is written before any wait, and a log that was not written, since lines of requests were.

--- a/libs/core/mulberry_core/_signals.py
+++ b/libs/core/mulberry_core/_signals.py
@@ -1,10 +1,15 @@
-"""Signals, handled on threads of their own."""
+"""Signals, handled on a thread of their own."""
 
-import queue
+import os
 import signal
 import threading
 from collections.abc import Callable, Iterable
 
+from absl import logging
+
+#: Bytes of the pipe read at once; each stands for one signal.
+_READ_BYTES = 256
+
 
 def call_on_termination(callback: Callable[[int], None]) -> None:
     """Calls back for each SIGTERM or SIGINT; for the main thread only.
@@ -12,7 +17,7 @@
     Args:
         callback: Gets the number of signals so far, from 1.
     """
-    _deliver((signal.SIGTERM, signal.SIGINT), callback)
+    _receiver().deliver((signal.SIGTERM, signal.SIGINT), callback)
 
 
 def call_on_hangup(callback: Callable[[int], None]) -> None:
@@ -21,28 +26,69 @@
     Args:
         callback: Gets the number of signals so far, from 1.
     """
-    _deliver((signal.SIGHUP,), callback)
+    _receiver().deliver((signal.SIGHUP,), callback)
+
+
+class _Counted:
+    """Calls back with the number of signals so far."""
+
+    def __init__(self, callback: Callable[[int], None]) -> None:
+        self._callback = callback
+        self._count = 0
+
+    def __call__(self) -> None:
+        self._count += 1
+        self._callback(self._count)
 
 
-def _deliver(
-    numbers: Iterable[signal.Signals], callback: Callable[[int], None]
-) -> None:
-    """Calls back on a thread for each of these signals.
+class _Receiver:
+    """Reads the numbers of signals from a pipe, on its own thread.
 
-    A signal handler runs on the main thread between two instructions. If it
-    set an event that the main thread waits for, or took a lock that the main
-    thread holds, the process would hang. The handler therefore only puts into
-    a queue, which is safe at any point.
+    Handlers in Python run on the main thread only. A signal that the system
+    delivers to another thread, as it does with the second of two that come
+    together, does not end the wait of the main thread, and its handler would
+    run when something else does. The interpreter writes to the pipe on
+    whatever thread the signal arrives.
     """
-    signals: queue.SimpleQueue[int] = queue.SimpleQueue()
 
-    def run() -> None:
-        count = 0
+    def __init__(self) -> None:
+        self._counted_by_number: dict[int, _Counted] = {}
+        self._read_fd, write_fd = os.pipe()
+        os.set_blocking(write_fd, False)
+        signal.set_wakeup_fd(write_fd, warn_on_full_buffer=False)
+        threading.Thread(target=self._run, name="signals", daemon=True).start()
+
+    def deliver(
+        self,
+        numbers: Iterable[signal.Signals],
+        callback: Callable[[int], None],
+    ) -> None:
+        """Calls back for each of these signals from now on."""
+        counted = _Counted(callback)
+        for number in numbers:
+            self._counted_by_number[number] = counted
+            # Only signals with a handler in Python are written to the pipe.
+            signal.signal(number, lambda received, frame: None)
+
+    def _run(self) -> None:
         while True:
-            signals.get()
-            count += 1
-            callback(count)
+            for number in os.read(self._read_fd, _READ_BYTES):
+                counted = self._counted_by_number.get(number)
+                if counted is None:
+                    continue
+                try:
+                    counted()
+                except Exception:
+                    logging.exception("handling signal %d failed", number)
+
+
+_lock = threading.Lock()
+_receivers: list[_Receiver] = []
+
 
-    threading.Thread(target=run, name="signals", daemon=True).start()
-    for number in numbers:
-        signal.signal(number, lambda received, frame: signals.put(received))
+def _receiver() -> _Receiver:
+    """Returns the receiver of the process; it has one pipe for signals."""
+    with _lock:
+        if not _receivers:
+            _receivers.append(_Receiver())
+        return _receivers[0]
--- a/libs/core/mulberry_core/tests/test_signals.py
+++ b/libs/core/mulberry_core/tests/test_signals.py
@@ -2,6 +2,8 @@
 
 import os
 import signal
+import subprocess
+import sys
 import threading
 
 import mulberry_core as core
@@ -30,3 +32,53 @@
     finally:
         for number, handler in before.items():
             signal.signal(number, handler)
+
+
+#: Waits on the main thread while a signal arrives at another one.
+_WAITING_PROCESS = """
+import signal, threading, time
+import mulberry_core as core
+stopping = threading.Event()
+core.call_on_termination(lambda count: stopping.set())
+idle = threading.Thread(target=time.sleep, args=(60.0,), daemon=True)
+idle.start()
+threading.Timer(
+    0.2, signal.pthread_kill, (idle.ident, signal.SIGTERM)
+).start()
+print(stopping.wait())
+import os
+os._exit(0)
+"""
+
+
+def test_a_signal_at_another_thread_ends_the_wait_of_the_main_one() -> None:
+    """Guards against a stop that is lost since a SIGHUP came just before.
+
+    The system then delivers the SIGTERM to any thread.
+    """
+    process = subprocess.Popen(
+        [sys.executable, "-c", _WAITING_PROCESS], stdout=subprocess.PIPE
+    )
+    try:
+        process.wait(timeout=10.0)
+    finally:
+        process.kill()
+    assert process.returncode == 0
+
+
+def test_callbacks_are_told_apart() -> None:
+    """Guards against a SIGHUP that is taken for a stop."""
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    before = {number: signal.getsignal(number) for number in numbers}
+    hung_up, terminated = threading.Event(), threading.Event()
+    try:
+        core.call_on_hangup(lambda count: hung_up.set())
+        core.call_on_termination(lambda count: terminated.set())
+        os.kill(os.getpid(), signal.SIGHUP)
+        assert hung_up.wait(10)
+        assert not terminated.is_set()
+        os.kill(os.getpid(), signal.SIGTERM)
+        assert terminated.wait(10)
+    finally:
+        for number, handler in before.items():
+            signal.signal(number, handler)
