End a daemon whose start fails

Callers saw: nothing of the instance for good. When its HTTP address was in use, mulberrystaged had already joined the others; the error ended its main task only, and the threads of pools and of the gRPC server kept the process: a member that serves nobody and that nothing starts again. The same held for a gRPC address in use.

The test with a daemon of its own timed out at 30 s before and passes now.

Ruled out: the platform's daemon.

--- a/libs/core/mulberry_core/__init__.py
+++ b/libs/core/mulberry_core/__init__.py
@@ -28,6 +28,7 @@
     ring_position,
 )
 from mulberry_core._on_demand import import_on_demand
+from mulberry_core._process import end_process_after
 from mulberry_core._sentinels import Missing
 from mulberry_core._signals import call_on_hangup, call_on_termination
 from mulberry_core._sse import SseSplitter
@@ -59,6 +60,7 @@
     "call_on_termination",
     "digest32",
     "digest128",
+    "end_process_after",
     "hash_key",
     "import_on_demand",
     "ring_position",
--- /dev/null
+++ b/libs/core/mulberry_core/tests/test_process.py
@@ -0,0 +1,43 @@
+"""Tests of how a process ends."""
+
+import subprocess
+import sys
+
+import pytest
+
+#: A thread that is not a daemon goes on after the main one.
+_PROCESS = """
+import threading
+import mulberry_core as core
+
+def run():
+    threading.Thread(target=threading.Event().wait).start()
+    {last}
+
+core.end_process_after(run)
+"""
+
+
+@pytest.mark.parametrize(
+    ("last", "code", "logged"),
+    [
+        ("raise OSError('address in use')", 1, "address in use"),
+        ("raise SystemExit(2)", 2, ""),
+        ("raise SystemExit('no settings')", 1, "no settings"),
+        ("raise SystemExit", 0, ""),
+        ("return", 0, ""),
+    ],
+)
+def test_other_threads_do_not_keep_a_process(
+    last: str, code: int, logged: str
+) -> None:
+    """Guards against a process that runs on after its main task failed."""
+    ended = subprocess.run(
+        [sys.executable, "-c", _PROCESS.format(last=last)],
+        capture_output=True,
+        text=True,
+        timeout=30.0,
+        check=False,
+    )
+    assert ended.returncode == code
+    assert logged in ended.stderr
--- a/libs/daemon/mulberry_daemon/_main.py
+++ b/libs/daemon/mulberry_daemon/_main.py
@@ -21,7 +21,7 @@
 def main() -> None:
     """Runs the daemon until SIGTERM or SIGINT."""
     flags.mark_flag_as_required(_SETTINGS.name)  # type: ignore[no-untyped-call]
-    app.run(_run)
+    core.end_process_after(lambda: app.run(_run))
 
 
 def _run(arguments: list[str]) -> None:
--- /dev/null
+++ b/libs/daemon/mulberry_daemon/tests/test_start.py
@@ -0,0 +1,52 @@
+"""Starts that fail."""
+
+import json
+import pathlib
+import socket
+import subprocess
+import sys
+
+import mulberry_standins as standins
+
+#: Bound for the daemon to import its modules and to end.
+_END_TIMEOUT_S = 30.0
+
+
+def test_a_daemon_without_its_address_ends(tmp_path: pathlib.Path) -> None:
+    """Guards against a process that is a member and serves nobody.
+
+    Its threads kept it running after the error, so that nothing started it
+    again.
+    """
+    with (
+        standins.ReservedPorts(1) as ports,
+        socket.create_server(("127.0.0.1", 0)) as taken,
+    ):
+        (grpc_address,) = ports.addresses
+        http_address = f"127.0.0.1:{taken.getsockname()[1]}"
+        settings = tmp_path / "settings.json"
+        settings.write_text(
+            json.dumps(
+                {
+                    "name": "a",
+                    "zone": "z",
+                    "region": "r",
+                    "http_address": http_address,
+                    "grpc_address": grpc_address,
+                    "peers": [grpc_address],
+                    "voters": {"a": grpc_address},
+                    "voter": True,
+                    "data_dir": str(tmp_path / "data"),
+                }
+            )
+        )
+        daemon = pathlib.Path(sys.executable).parent / "mulberrystaged"
+        ended = subprocess.run(
+            [daemon, f"--settings={settings}"],
+            capture_output=True,
+            text=True,
+            timeout=_END_TIMEOUT_S,
+            check=False,
+        )
+    assert ended.returncode == 1, ended.stderr
+    assert "Address already in use" in ended.stderr
--- a/libs/standins/mulberry_standins/__init__.py
+++ b/libs/standins/mulberry_standins/__init__.py
@@ -4,6 +4,7 @@
 from mulberry_standins._faults import NO_FAULTS, Faults
 from mulberry_standins._main import create, main
 from mulberry_standins._options import Options, parse_options
+from mulberry_standins._ports import ReservedPorts
 from mulberry_standins._relay import Cut, Relay
 from mulberry_standins._standin import Standin
 
@@ -13,6 +14,7 @@
     "Faults",
     "Options",
     "Relay",
+    "ReservedPorts",
     "Standin",
     "create",
     "expected_text",
