Reserve the ports of deployments under test

The ports stay reserved while an instance is down, so that a restart in the soak finds its address too. The voters of the state experiments, the entry's test harness and the TLS test had the same lookup.

--- a/libs/daemon/mulberry_daemon/tests/test_tls.py
+++ b/libs/daemon/mulberry_daemon/tests/test_tls.py
@@ -18,6 +18,7 @@
 import mulberry_core as core
 import mulberry_daemon as daemon
 import mulberry_rules as rules
+import mulberry_standins as standins
 from mulberry_wire import operator_pb2, operator_pb2_grpc
 
 
@@ -30,12 +31,6 @@
     tls: rules.Tls
 
 
-def _free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 def _write_files(authority: trustme.CA, tls: rules.Tls) -> None:
     certificate = authority.issue_cert("127.0.0.1")
     authority.cert_pem.write_to_path(tls.ca_file)
@@ -52,12 +47,13 @@
         str(tmp_path / "ca.pem"),
     )
     _write_files(authority, tls)
-    grpc_address = _free_address()
+    ports = standins.ReservedPorts(2)
+    http_address, grpc_address = ports.addresses
     settings = rules.Settings(
         name="a",
         zone="z",
         region="r",
-        http_address=_free_address(),
+        http_address=http_address,
         grpc_address=grpc_address,
         peers=(grpc_address,),
         data_dir=str(tmp_path / "data"),
@@ -74,6 +70,7 @@
     forced = threading.Event()
     forced.set()
     instance.stop(forced)
+    ports.close()
 
 
 def _server_certificate(deployment: Deployment) -> bytes:
--- a/libs/entry/mulberry_entry/tests/harness.py
+++ b/libs/entry/mulberry_entry/tests/harness.py
@@ -94,8 +94,9 @@
         self._tasks = core.TaskPool("test", 8)
         self.parts = self._build_parts(limits or rules.Limits())
         self.app = entry.EntryApp(self.parts)
+        self._ports = standins.ReservedPorts(1)
         self._server = entry.HttpServer(
-            f"127.0.0.1:{_free_port()}",
+            self._ports.addresses[0],
             self.app,
             self.parts.limits,
             self.timers,
@@ -227,6 +228,7 @@
         for standin in self.upstreams.values():
             standin.stop()
         self._server.stop()
+        self._ports.close()
         self.parts.ratings.stop()
         self._tasks.stop()
         self.timers.stop()
@@ -289,10 +291,3 @@
         except OSError:
             return
         time.sleep(pause_s)
-
-
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
--- a/libs/experiments/mulberry_experiments/_deployment.py
+++ b/libs/experiments/mulberry_experiments/_deployment.py
@@ -5,7 +5,6 @@
 import json
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -13,6 +12,8 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
+import mulberry_standins as standins
+
 ANNOUNCE_KEY = "demo-announce-key"
 _ANNOUNCE_KEY_HASH = (
     "9b7a665b0f7463fab94a866e31ac2ba3ebe1d9d97ad17bb91d2d0aa1fdfe6fb7"
@@ -21,6 +22,8 @@
 _READY_TIMEOUT_S = 60.0
 _STOP_TIMEOUT_S = 30.0
 _POLL_S = 0.1
+#: End of the log of an instance that ended too early, told in the error.
+_TOLD_CHARACTERS = 2_000
 
 _BIN = pathlib.Path(sys.executable).parent
 
@@ -81,6 +84,10 @@
         self.instances_by_name: dict[str, Process] = {}
         self.upstreams_by_name: dict[str, Process] = {}
         self.raters_by_name: dict[str, Process] = {}
+        instances = len(shape.zones) * shape.instances_per_zone
+        #: For callers and for other instances, of each instance; kept while
+        #: an instance is down.
+        self._ports = standins.ReservedPorts(2 * instances)
 
     def start(self) -> None:
         """Starts everything and waits until requests can be served."""
@@ -179,12 +186,19 @@
         for process in processes:
             with contextlib.suppress(subprocess.TimeoutExpired):
                 process.wait(_STOP_TIMEOUT_S)
+        self._ports.close()
 
     def wait_ready(self) -> None:
-        """Waits until every instance has rules and knows every upstream."""
+        """Waits until every instance has rules and knows every upstream.
+
+        Raises:
+            RuntimeError: An instance has ended.
+            TimeoutError: An instance runs and is not ready.
+        """
         deadline_s = time.monotonic() + _READY_TIMEOUT_S
-        for address in self.entries:
+        for address in self._all_entries():
             while not self._is_ready(address):
+                self._raise_if_ended()
                 if time.monotonic() > deadline_s:
                     raise TimeoutError(f"instance at {address} is not ready")
                 time.sleep(_POLL_S)
@@ -237,11 +251,8 @@
             for number in range(1, shape.instances_per_zone + 1)
             for zone in shape.zones
         ]
-        ports = _free_ports(2 * len(names))
-        addresses = {
-            name: (f"127.0.0.1:{ports.pop()}", f"127.0.0.1:{ports.pop()}")
-            for name, _, _ in names
-        }
+        ports = iter(self._ports.addresses)
+        addresses = {name: (next(ports), next(ports)) for name, _, _ in names}
         voters = {name: addresses[name][1] for name, _, votes in names if votes}
         settings_by_name = {}
         for name, zone, votes in names:
@@ -297,6 +308,16 @@
         process.facts = facts
         self.upstreams_by_name[name] = process
 
+    def _raise_if_ended(self) -> None:
+        for name, process in self.instances_by_name.items():
+            status = process.popen.poll()
+            if status is not None:
+                log = (self.folder / f"{name}.log").read_text()
+                raise RuntimeError(
+                    f"instance {name} ended with status {status}: "
+                    f"{log[-_TOLD_CHARACTERS:]}"
+                )
+
     def _all_entries(self) -> Iterable[str]:
         return [item.address for item in self.instances_by_name.values()]
 
@@ -345,15 +366,3 @@
             return text.splitlines()[0]
         time.sleep(_POLL_S)
     raise TimeoutError(f"no line in {path}")
-
-
-def _free_ports(count: int) -> list[int]:
-    """Returns ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
--- a/libs/experiments/mulberry_experiments/_state_cluster.py
+++ b/libs/experiments/mulberry_experiments/_state_cluster.py
@@ -11,6 +11,7 @@
 import time
 
 import mulberry_core as core
+import mulberry_standins as standins
 import mulberry_state as state
 
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
@@ -20,8 +21,9 @@
 class Relay:
     """Passes connections on to a port and counts the bytes of both ways."""
 
-    def __init__(self, target: tuple[str, int]) -> None:
-        self._target = target
+    def __init__(self, target: str) -> None:
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         #: Bytes passed on so far, both ways.
@@ -71,10 +73,13 @@
     def __init__(self, folder: pathlib.Path) -> None:
         self._folder = folder
         self.clock = core.SystemClock()
-        self._port_by_name = {name: _free_port() for name in "abc"}
+        self._ports = standins.ReservedPorts(len("abc"))
+        self._address_by_name = dict(
+            zip("abc", self._ports.addresses, strict=True)
+        )
         self.relay_by_name = {
-            name: Relay(("127.0.0.1", port))
-            for name, port in self._port_by_name.items()
+            name: Relay(address)
+            for name, address in self._address_by_name.items()
         }
         self.voters = {
             name: relay.address for name, relay in self.relay_by_name.items()
@@ -87,7 +92,7 @@
         """Starts a voter on its folder."""
         spec = {
             "name": name,
-            "listen": f"127.0.0.1:{self._port_by_name[name]}",
+            "listen": self._address_by_name[name],
             "voters": self.voters,
             "folder": str(self._folder / name),
         }
@@ -147,8 +152,4 @@
             process.wait()
         for relay in self.relay_by_name.values():
             relay.close()
-
-
-def _free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        return int(server.getsockname()[1])
+        self._ports.close()
