Share one queue of proposals between strikes and settlements

Callers would see: after one unexpected error of a proposal, settled deposits that found no quorum stay "unknown" until a restart, and strikes of requests that crash upstreams are recorded no more.

Cause, found by reading: Biller and StrikeRecorder each ran a loop of their own that ended with the first exception of StateClient.propose. The recorder still counted as running, so nothing started it again; the loop of the biller also ended when the queue dropped the command that was being proposed.

state.ProposalQueue keeps the order, turns one that raises to the end, and survives its callbacks. A full queue now refuses the newest command instead of dropping the oldest; both leave the claim open, which is told truthfully. A queue without commands uses no thread, so the biller's timer is gone.

Tests: the queue's own, with a client that refuses or raises, callbacks that raise, a full queue, and a stop. BrokenRuns holds a bounded deque instead of copying up to 2,000 runs for each one that breaks off.

--- a/libs/daemon/mulberry_daemon/_instance.py
+++ b/libs/daemon/mulberry_daemon/_instance.py
@@ -166,9 +166,7 @@
             engine=upstream.ChatEngineAdapter(pool),
             service=service,
             gate=gate,
-            biller=entry.Biller(
-                self._state, self._timers, self._tasks, self._counters
-            ),
+            biller=entry.Biller(self._state, self._tasks, self._counters),
             pins=entry.SessionPins(self._state, self._counters),
             rater=rater,
             ratings=entry.RatingSampler(
--- a/libs/entry/mulberry_entry/_billing.py
+++ b/libs/entry/mulberry_entry/_billing.py
@@ -1,7 +1,5 @@
 """Bills and settled claims: durable before the end of an answer is sent."""
 
-import collections
-import threading
 import uuid
 
 from absl import logging
@@ -13,8 +11,6 @@
 #: size that is kept for replay.
 _MAX_WAITING = 10_000
 
-_RETRY_PERIOD_S = 0.5
-_RETRY_TIMEOUT_S = 2.0
 _RELEASE_TIMEOUT_S = 1.0
 
 
@@ -27,17 +23,12 @@
     def __init__(
         self,
         client: state.StateClient,
-        timers: core.TimerService,
         tasks: core.TaskPool,
         counters: core.Counters,
     ) -> None:
         self._client = client
         self._counters = counters
-        self._lock = threading.Lock()
-        self._waiting: collections.deque[_Waiting] = collections.deque()
-        self._due = threading.Event()
-        timers.every(_RETRY_PERIOD_S, self._due.set, "settle retries")
-        tasks.spawn("settle retries", self._retry)
+        self._queue = state.ProposalQueue(client, tasks, _MAX_WAITING)
 
     def bill(
         self, bill: state.Bill, timeout_s: float
@@ -75,7 +66,7 @@
             self._counters.increment("entry.bills")
             return core.Missing.UNSET
         self._counters.increment("entry.settlements_delayed")
-        self._queue(command)
+        self._record_later(command)
         return core.Refusal(
             core.ErrorKind.BILL_NOT_RECORDED,
             core.RunState.RAN,
@@ -90,41 +81,17 @@
 
     def release_later(self, command: state.ReleaseClaim) -> None:
         """Gives a claim back that may have been committed without a result."""
-        self._queue(command)
-        self._due.set()
+        self._record_later(command)
 
     def waiting(self) -> int:
         """Returns how many settlements and releases are not recorded yet."""
-        with self._lock:
-            return len(self._waiting)
-
-    def _queue(self, command: _Waiting) -> None:
-        with self._lock:
-            if len(self._waiting) >= _MAX_WAITING:
-                # The claim stays open: callers are told "unknown", which is
-                # true, and the call is never run again.
-                self._waiting.popleft()
-                logging.error("dropped a settlement; its claim stays open")
-            self._waiting.append(command)
-
-    def _retry(self, stop: threading.Event) -> None:
-        while not stop.is_set():
-            if not self._due.wait(_RETRY_PERIOD_S):
-                continue
-            self._due.clear()
-            self._retry_waiting(stop)
-
-    def _retry_waiting(self, stop: threading.Event) -> None:
-        while not stop.is_set():
-            with self._lock:
-                if not self._waiting:
-                    return
-                command = self._waiting[0]
-            result = self._client.propose(command, _RETRY_TIMEOUT_S)
-            if isinstance(result, core.Refusal):
-                return
-            with self._lock:
-                self._waiting.remove(command)
+        return self._queue.waiting()
+
+    def _record_later(self, command: _Waiting) -> None:
+        if not self._queue.add(command):
+            # The claim stays open: callers are told "unknown", which is true,
+            # and the call is never run again.
+            logging.error("dropped a settlement; its claim stays open")
 
 
 def _reason(result: state.Result | core.Refusal) -> str:
--- a/libs/entry/mulberry_entry/tests/harness.py
+++ b/libs/entry/mulberry_entry/tests/harness.py
@@ -272,9 +272,7 @@
             engine=upstream.ChatEngineAdapter(pool),
             service=service,
             gate=gate,
-            biller=entry.Biller(
-                self.state, self.timers, self._tasks, self.counters
-            ),
+            biller=entry.Biller(self.state, self._tasks, self.counters),
             pins=entry.SessionPins(self.state, self.counters),
             rater=rater,
             ratings=entry.RatingSampler(rater, judge, self.counters),
--- a/libs/gateway/mulberry_gateway/_broken_runs.py
+++ b/libs/gateway/mulberry_gateway/_broken_runs.py
@@ -1,5 +1,6 @@
 """Runs that ended without a whole answer, until their upstream's fate is known."""
 
+import collections
 import dataclasses
 import threading
 
@@ -45,7 +46,9 @@
         self._directory = directory
         self._clock = clock
         self._lock = threading.Lock()
-        self._runs: list[BrokenRun] = []
+        self._runs: collections.deque[BrokenRun] = collections.deque(
+            maxlen=MAX_RUNS
+        )
 
     def add(
         self, content: str, request_id: str, upstream: membership.Upstream
@@ -53,14 +56,15 @@
         """Begins to watch a run that has just ended."""
         run = BrokenRun(content, request_id, upstream, self._clock.now())
         with self._lock:
-            self._runs = [*self._runs[-MAX_RUNS + 1 :], run]
+            self._runs.append(run)
 
     def take_lost(self) -> list[BrokenRun]:
         """Returns the runs whose upstream has ended since, each once."""
         with self._lock:
             if not self._runs:
                 return []
-            runs, self._runs = self._runs, []
+            runs = list(self._runs)
+            self._runs.clear()
         oldest_s = self._clock.now() - WATCH_S
         newest_by_address = self._newest_by_address()
         lost, watched = [], []
@@ -70,7 +74,9 @@
             elif run.ended_s > oldest_s:
                 watched.append(run)
         with self._lock:
-            self._runs = [*watched, *self._runs]
+            begun = list(self._runs)
+            self._runs.clear()
+            self._runs.extend((*watched, *begun))
         return lost
 
     def _newest_by_address(self) -> dict[str, int]:
--- a/libs/gateway/mulberry_gateway/tests/test_suspects.py
+++ b/libs/gateway/mulberry_gateway/tests/test_suspects.py
@@ -179,7 +179,7 @@
 def _recorded(instance: _Instance) -> int:
     """Returns the recorded strikes once all proposals are through."""
     recorder = instance.suspects._recorder
-    while recorder._is_running:
+    while recorder.waiting():
         time.sleep(0.001)
     return instance.client.view().strikes_by_digest.get(_CONTENT, 0)
 
--- a/libs/state/mulberry_state/__init__.py
+++ b/libs/state/mulberry_state/__init__.py
@@ -105,6 +105,9 @@
         FileRulesParser,
         RulesParser,
     )
+    from mulberry_state._proposal_queue import (
+        ProposalQueue,
+    )
     from mulberry_state._reader import (
         StateReader,
     )
@@ -218,6 +221,7 @@
                 "FileRulesParser",
                 "RulesParser",
             ),
+            "_proposal_queue": ("ProposalQueue",),
             "_reader": ("StateReader",),
             "_remote": (
                 "RemoteStateClient",
@@ -286,6 +290,7 @@
     "OrderState",
     "OsDisk",
     "PinSession",
+    "ProposalQueue",
     "RecordBill",
     "RecordCrash",
     "RecordOrder",
--- /dev/null
+++ b/libs/state/mulberry_state/tests/test_proposal_queue.py
@@ -0,0 +1,124 @@
+"""Tests of commands that wait for a quorum."""
+
+import threading
+from collections.abc import Callable, Iterator
+
+import pytest
+
+import mulberry_core as core
+import mulberry_state as state
+
+_TIMEOUT_S = 10.0
+
+
+class Client(state.LocalStateClient):
+    """Fails proposals as it is told to, once for each failure."""
+
+    def __init__(self, *failures: core.Refusal | Exception) -> None:
+        super().__init__(state.FileRulesParser(), core.SystemClock())
+        self.failures = list(failures)
+        self.proposed: list[str] = []
+
+    def propose(
+        self, command: state.Command, timeout_s: float
+    ) -> state.Result | core.Refusal:
+        self.proposed.append(_name(command))
+        if self.failures:
+            failure = self.failures.pop(0)
+            if isinstance(failure, Exception):
+                raise failure
+            return failure
+        return super().propose(command, timeout_s)
+
+
+_NO_QUORUM = core.Refusal(
+    core.ErrorKind.QUORUM_UNAVAILABLE, core.RunState.NOT_RUN, "no leader"
+)
+
+
+def _clear(content: str) -> state.ClearStrikes:
+    return state.ClearStrikes(state.new_command_id(), (content,))
+
+
+def _name(command: state.Command) -> str:
+    assert isinstance(command, state.ClearStrikes)
+    return command.digests[0]
+
+
+@pytest.fixture
+def tasks() -> Iterator[core.TaskPool]:
+    pool = core.TaskPool("proposals", 2)
+    yield pool
+    pool.stop()
+
+
+def _wait_for(condition: Callable[[], bool]) -> None:
+    changed = threading.Event()
+    for _ in range(int(_TIMEOUT_S / 0.01)):
+        if condition():
+            return
+        changed.wait(0.01)
+    raise AssertionError("not reached in time")
+
+
+@pytest.mark.parametrize(
+    ("failure", "proposed"),
+    [
+        # Commands of one content keep their order.
+        (_NO_QUORUM, ["a", "a", "b"]),
+        # One that can not be proposed does not hold up the others.
+        (RuntimeError("codec"), ["a", "b", "a"]),
+    ],
+)
+def test_a_failed_proposal_is_made_again(
+    failure: core.Refusal | Exception,
+    proposed: list[str],
+    tasks: core.TaskPool,
+) -> None:
+    """Guards against commands lost, or a queue that stops for good."""
+    client = Client(failure)
+    recorded: list[str] = []
+    queue = state.ProposalQueue(
+        client, tasks, 10, lambda command, result: recorded.append("")
+    )
+    queue.add(_clear("a"))
+    queue.add(_clear("b"))
+    _wait_for(lambda: len(recorded) == 2)
+    assert client.proposed == proposed
+    assert queue.waiting() == 0
+
+
+def test_a_failed_callback_does_not_stop_the_queue(
+    tasks: core.TaskPool,
+) -> None:
+    """Guards against one unexpected error that ends a task for good."""
+    client = Client()
+
+    def fail(command: state.Command, result: state.Result) -> None:
+        raise ValueError("callback")
+
+    queue = state.ProposalQueue(client, tasks, 10, fail)
+    for content in "abc":
+        queue.add(_clear(content))
+    _wait_for(lambda: client.proposed == ["a", "b", "c"])
+
+
+def test_a_full_queue_refuses(tasks: core.TaskPool) -> None:
+    """Guards against memory that grows for as long as there is no quorum."""
+    client = Client(*[_NO_QUORUM] * 1_000)
+    queue = state.ProposalQueue(client, tasks, 2)
+    assert [queue.add(_clear(content)) for content in "abc"] == [
+        True,
+        True,
+        False,
+    ]
+    assert queue.waiting() == 2
+
+
+def test_nothing_is_proposed_after_a_stop(tasks: core.TaskPool) -> None:
+    """Guards against an error for a caller whose answer ends in a drain."""
+    client = Client()
+    queue = state.ProposalQueue(client, tasks, 10)
+    tasks.stop()
+    assert not queue.add(_clear("a"))
+    assert client.proposed == []
