Count a strike once, and clear those that wait for a quorum

Callers saw: a sound content refused although only two upstreams were lost during it, or refused for 144 s instead of 18 s at most after three; and one whose strikes came back after it had been answered.

The view carried the number of recorded crashes only. An instance added it to the strikes of the soft state that were not marked as recorded yet, so between the view and that mark each counted twice: 4 instead of 2 in the new test, which is a block. The view carries the crashes themselves now and the count is their union, whichever state tells first. A complete run cleared the replicated strikes only if the view had some; those still in the recorder's queue were recorded afterwards. The clear is queued behind them now. The new test with a client that waits failed on the condition as it was.

Ruled out: the new queue. The old recorder left the same two moments, shorter.

Records whose name is not that of a strike are passed over like those of other numbers; the count reads upstream and incarnation from it.

The test of the queue that expected one order gates its client, since the first proposal could fail before the second command was added.

--- a/libs/gateway/mulberry_gateway/_strike_recorder.py
+++ b/libs/gateway/mulberry_gateway/_strike_recorder.py
@@ -1,7 +1,5 @@
 """Records strikes in the replicated state, off the tasks of requests."""
 
-from collections.abc import Callable
-
 import mulberry_core as core
 import mulberry_state as state
 
@@ -14,20 +12,14 @@
     """Proposes strikes, and their ends, until each is recorded."""
 
     def __init__(
-        self,
-        client: state.StateClient,
-        on_recorded: Callable[[str, str, int], None],
-        log: core.DecisionLog,
+        self, client: state.StateClient, log: core.DecisionLog
     ) -> None:
         """Creates a recorder that has nothing to record.
 
         Args:
             client: Takes the proposals.
-            on_recorded: Called with content, upstream and incarnation of each
-                strike once it is recorded.
             log: Receives a line for each command.
         """
-        self._on_recorded = on_recorded
         self._log = log
         self._queue = state.ProposalQueue(
             client,
@@ -80,8 +72,3 @@
             command=type(command).__name__,
             contents=contents,
         )
-        if isinstance(command, state.RecordCrash):
-            for content in contents:
-                self._on_recorded(
-                    content, command.upstream, command.incarnation
-                )
--- a/libs/gateway/mulberry_gateway/_suspects.py
+++ b/libs/gateway/mulberry_gateway/_suspects.py
@@ -3,6 +3,7 @@
 import collections
 import enum
 import random
+import re
 import threading
 from collections.abc import Mapping
 
@@ -44,19 +45,19 @@
     SUSPECTED = 1
     #: The upstream was lost.
     CONFIRMED = 2
-    #: The replicated state has it too.
-    RECORDED = 3
     #: The content has completed a run since.
-    CLEARED = 4
+    CLEARED = 3
 
 
 _TTL_S_BY_STANDING = {
     Standing.SUSPECTED: _SUSPECTED_S,
     Standing.CONFIRMED: _STRIKE_S,
-    Standing.RECORDED: _STRIKE_S,
     Standing.CLEARED: _STRIKE_S,
 }
 
+#: Content, upstream and incarnation.
+_RECORD_ID = re.compile(r"[^/]+/(.+)\.([0-9]+)")
+
 #: Outcomes after which a connection attempt shows whether the upstream ended.
 PROBED_OUTCOMES = frozenset(
     {
@@ -101,17 +102,15 @@
         self._clock = clock
         self._counters = counters
         self._log = log
-        self._recorder = _strike_recorder.StrikeRecorder(
-            client, self._on_recorded, log
-        )
+        self._recorder = _strike_recorder.StrikeRecorder(client, log)
         self._broken = _broken_runs.BrokenRuns(soft_state, directory, clock)
         self._lock = threading.Lock()
         #: Standing of each strike by its record's id, by content.
         self._standing_by_id: dict[str, dict[str, Standing]] = (
             collections.defaultdict(dict)
         )
-        #: Strikes of the replicated state, by content.
-        self._recorded: Mapping[str, int] = {}
+        #: Crashes in the replicated state, by content.
+        self._recorded: Mapping[str, tuple[str, ...]] = {}
         #: `Clock.now` of the last strike, by content with enough of them.
         self._last_strike_s: dict[str, float] = {}
         #: `Clock.now` of the last complete run here, by content, oldest first.
@@ -198,7 +197,7 @@
         is_news = self._put(content, upstream, Standing.CONFIRMED)
         with self._lock:
             confirmed = self._ids(content, Standing.CONFIRMED)
-            recorded = self._recorded.get(content, 0)
+            recorded = len(self._recorded.get(content, ()))
         self._counters.increment("gateway.strikes")
         self._log.note(
             "strike",
@@ -218,14 +217,8 @@
             self._recorder.record(content, upstream.name, upstream.incarnation)
         elif len(confirmed) >= _RECORDED_FROM:
             for record_id in confirmed:
-                _, _, crash = record_id.partition("/")
-                name, _, incarnation = crash.rpartition(".")
-                self._recorder.record(content, name, int(incarnation))
-
-    def _on_recorded(
-        self, content: str, upstream: str, incarnation: int
-    ) -> None:
-        self._put_id(f"{content}/{upstream}.{incarnation}", Standing.RECORDED)
+                name, incarnation = _crash_of(record_id)
+                self._recorder.record(content, name, incarnation)
 
     def _completed(self, content: str) -> None:
         with self._lock:
@@ -234,7 +227,8 @@
             if len(self._completed_s) > _MAX_SOUND:
                 self._completed_s.popitem(last=False)
             ids = self._ids(content, Standing.SUSPECTED)
-            recorded = self._recorded.get(content, 0)
+            confirmed = self._ids(content, Standing.CONFIRMED)
+            recorded = len(self._recorded.get(content, ()))
         if ids or recorded:
             self._log.note(
                 "strikes_cleared",
@@ -245,7 +239,8 @@
             )
         for record_id in ids:
             self._put_id(record_id, Standing.CLEARED)
-        if recorded:
+        if recorded or len(confirmed) >= _RECORDED_FROM:
+            # The commands that record them may still wait.
             self._recorder.clear(content)
 
     def _put(
@@ -269,24 +264,26 @@
 
     # Called with the lock held.
 
-    def _ids(
-        self, content: str, least: Standing, most: Standing = Standing.RECORDED
-    ) -> list[str]:
-        """Returns the strikes of the soft state with such a standing."""
+    def _ids(self, content: str, least: Standing) -> list[str]:
+        """Returns the strikes of the soft state with this standing or more."""
         return [
             record_id
             for record_id, standing in self._standing_by_id.get(
                 content, {}
             ).items()
-            if least <= standing <= most
+            if least <= standing < Standing.CLEARED
         ]
 
     def _count(self, content: str) -> int:
-        """Returns the strikes; one that is in both states counts once."""
-        new = self._ids(content, Standing.SUSPECTED, Standing.CONFIRMED)
-        in_both = self._ids(content, Standing.RECORDED)
-        recorded = self._recorded.get(content, 0)
-        return len(new) + max(len(in_both), recorded)
+        """Returns the strikes; one that is in both states counts once.
+
+        Either state may be the first to tell of a strike.
+        """
+        soft = {
+            state.crash_id(*_crash_of(record_id))
+            for record_id in self._ids(content, Standing.SUSPECTED)
+        }
+        return len(soft.union(self._recorded.get(content, ())))
 
     def _note_change(self, content: str, before: int) -> None:
         """Keeps the time of the last strike of a content that may run no more."""
@@ -297,8 +294,11 @@
             self._last_strike_s[content] = self._clock.now()
 
     def _on_record(self, record: membership.Record) -> None:
-        if record.sequence not in _TTL_S_BY_STANDING:
-            # Of a version that numbers strikes in another way.
+        if (
+            record.sequence not in _TTL_S_BY_STANDING
+            or not _RECORD_ID.fullmatch(record.id)
+        ):
+            # Of a version that numbers or names strikes in another way.
             self._counters.increment("gateway.strikes_not_understood")
             return
         content, _, crash = record.id.partition("/")
@@ -325,9 +325,9 @@
 
     def _take_view(self, view: state.View) -> None:
         with self._lock:
-            contents = {*self._recorded, *view.strikes_by_digest}
+            contents = {*self._recorded, *view.crashes_by_digest}
             before = {content: self._count(content) for content in contents}
-            self._recorded = view.strikes_by_digest
+            self._recorded = view.crashes_by_digest
             for content, count in before.items():
                 self._note_change(content, count)
 
@@ -337,3 +337,11 @@
             blocked = len(self._last_strike_s)
         self._counters.gauge("gateway.contents_with_strikes", suspected)
         self._counters.gauge("gateway.contents_blocked", blocked)
+
+
+def _crash_of(record_id: str) -> tuple[str, int]:
+    """Returns upstream and incarnation of a strike."""
+    found = _RECORD_ID.fullmatch(record_id)
+    assert found, record_id
+    name, incarnation = found.groups()
+    return name, int(incarnation)
--- a/libs/gateway/mulberry_gateway/tests/test_suspects.py
+++ b/libs/gateway/mulberry_gateway/tests/test_suspects.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import threading
 import time
 from collections.abc import Callable
 
@@ -33,6 +34,20 @@
     facts: _Facts = dataclasses.field(default_factory=_Facts)
 
 
+class _SlowClient(state.LocalStateClient):
+    """Takes proposals once it is told to."""
+
+    def __init__(self) -> None:
+        super().__init__(state.FileRulesParser(), core.ManualClock(1_000.0))
+        self.has_quorum = threading.Event()
+
+    def propose(
+        self, command: state.Command, timeout_s: float
+    ) -> state.Result | core.Refusal:
+        assert self.has_quorum.wait(timeout=10.0)
+        return super().propose(command, timeout_s)
+
+
 class _Instance:
     """The guard of one instance, with upstreams that announce themselves."""
 
@@ -201,6 +216,29 @@
     assert _Instance(instance.client).suspects.blocked_s(_CONTENT) > 0.0
 
 
+def test_a_strike_counts_once_when_both_states_tell_of_it() -> None:
+    """Guards against a sound content blocked for two losses.
+
+    The view of the replicated state may come while the soft state still has
+    the strikes as new ones.
+    """
+    one = _Instance()
+    other = _Instance(one.client)
+    for name in ("w0", "w1"):
+        upstream = one.announce(name, 1)
+        other.soft_state.put(
+            membership.RecordKind.STRIKE,
+            f"{_CONTENT}/{name}.{upstream.incarnation}",
+            incarnation=0,
+            sequence=_suspects.Standing.CONFIRMED,
+            payload=b"",
+        )
+        one.run(upstream, _NO_ANSWER, is_lost=True)
+    assert _recorded(one) == 2
+    assert other.strikes == 2
+    assert other.suspects.blocked_s(_CONTENT) == 0.0
+
+
 def test_a_complete_run_clears_recorded_strikes() -> None:
     """Guards against a sound content that stays blocked for ever."""
     instance = _Instance()
@@ -215,6 +253,19 @@
     assert instance.strikes == 0
 
 
+def test_a_complete_run_clears_strikes_that_wait_for_a_quorum() -> None:
+    """Guards against strikes that are recorded after they were cleared."""
+    client = _SlowClient()
+    instance = _Instance(client)
+    for number in range(2):
+        upstream = instance.announce(f"w{number}", 1)
+        instance.run(upstream, _NO_ANSWER, is_lost=True)
+    instance.run(upstream, "200")
+    client.has_quorum.set()
+    assert _recorded(instance) == 0
+    assert instance.strikes == 0
+
+
 def test_a_sound_content_is_free_after_its_next_run() -> None:
     """Guards against sound requests blocked for what ran beside them.
 
@@ -282,16 +333,24 @@
     assert len(late) <= 3
 
 
-@pytest.mark.parametrize("sequence", [-1, 0, 99, 2**40])
-def test_strikes_of_another_version_are_passed_over(sequence: int) -> None:
+@pytest.mark.parametrize(
+    ("name", "sequence"),
+    [
+        *(("w0.1", sequence) for sequence in (-1, 0, 99, 2**40)),
+        *((name, _suspects.Standing.CONFIRMED) for name in ("cleared", "w0.")),
+    ],
+)
+def test_strikes_of_another_version_are_passed_over(
+    name: str, sequence: int
+) -> None:
     """Guards against an exchange that one record of a peer ends.
 
-    Earlier versions number their records by a count of their own.
+    Earlier versions name and number their records in their own way.
     """
     instance = _Instance()
     instance.soft_state.put(
         membership.RecordKind.STRIKE,
-        f"{_CONTENT}/cleared",
+        f"{_CONTENT}/{name}",
         incarnation=1,
         sequence=sequence,
         payload=b"",
--- a/libs/state/mulberry_state/__init__.py
+++ b/libs/state/mulberry_state/__init__.py
@@ -134,6 +134,7 @@
         ServiceRollout,
         Verdict,
         View,
+        crash_id,
     )
 else:
     __getattr__ = core.import_on_demand(
@@ -242,6 +243,7 @@
                 "ServiceRollout",
                 "Verdict",
                 "View",
+                "crash_id",
             ),
         },
     )
@@ -330,6 +332,7 @@
     "View",
     "VoterCaller",
     "VoterStatus",
+    "crash_id",
     "new_command_id",
     "open_insecure",
     "read_folder",
--- a/libs/state/mulberry_state/_machine.py
+++ b/libs/state/mulberry_state/_machine.py
@@ -285,6 +285,10 @@
             voters_by_name=dict(self._voters_by_name),
             routing=self.routing.document,
             service_rollouts_by_service=dict(self.routing.rollout_by_service),
+            crashes_by_digest={
+                digest: strikes.crashes
+                for digest, strikes in versions.strikes_by_digest.items()
+            },
         )
 
     def _note(self, who: str, what: str, in_view: bool = False) -> None:
--- a/libs/state/mulberry_state/_versions.py
+++ b/libs/state/mulberry_state/_versions.py
@@ -96,7 +96,7 @@
         self, command: _commands.RecordCrash, wall_s: float
     ) -> tuple[_commands.CrashRecorded, bool]:
         """Gives each content one strike for this crash."""
-        crash = f"{command.upstream} {command.incarnation}"
+        crash = _view.crash_id(command.upstream, command.incarnation)
         changed = False
         for digest in command.digests:
             old = self.strikes_by_digest.get(digest, Strikes((), 0.0))
--- a/libs/state/mulberry_state/_view.py
+++ b/libs/state/mulberry_state/_view.py
@@ -77,6 +77,15 @@
     service_rollouts_by_service: Mapping[str, ServiceRollout] = (
         dataclasses.field(default_factory=dict)
     )
+    #: `UPSTREAM INCARNATION` of each strike; `crash_id` makes them.
+    crashes_by_digest: Mapping[str, tuple[str, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+def crash_id(upstream: str, incarnation: int) -> str:
+    """Returns what tells the crash of an upstream from its others."""
+    return f"{upstream} {incarnation}"
 
 
 EMPTY_VIEW = View(
--- a/libs/state/mulberry_state/_view_codec.py
+++ b/libs/state/mulberry_state/_view_codec.py
@@ -26,6 +26,8 @@
         dict(view.service_rollouts_by_service),
         message.service_rollouts_by_service,
     )
+    for digest, crashes in view.crashes_by_digest.items():
+        message.strikes.add(digest=digest, crashes=crashes)
     _versions.fill_verdicts(view.verdicts_by_version, message.verdicts)
     _versions.fill_rollouts(view.rollout_steps_by_model, message.rollouts)
     return message
@@ -67,4 +69,7 @@
         service_rollouts_by_service=_routing.read_rollouts(
             message.service_rollouts_by_service
         ),
+        crashes_by_digest={
+            item.digest: tuple(item.crashes) for item in message.strikes
+        },
     )
--- a/libs/state/mulberry_state/tests/test_proposal_queue.py
+++ b/libs/state/mulberry_state/tests/test_proposal_queue.py
@@ -18,10 +18,13 @@
         super().__init__(state.FileRulesParser(), core.SystemClock())
         self.failures = list(failures)
         self.proposed: list[str] = []
+        #: Proposals wait until it is set.
+        self.is_open = threading.Event()
 
     def propose(
         self, command: state.Command, timeout_s: float
     ) -> state.Result | core.Refusal:
+        assert self.is_open.wait(_TIMEOUT_S)
         self.proposed.append(_name(command))
         if self.failures:
             failure = self.failures.pop(0)
@@ -83,6 +86,7 @@
     )
     queue.add(_clear("a"))
     queue.add(_clear("b"))
+    client.is_open.set()
     _wait_for(lambda: len(recorded) == 2)
     assert client.proposed == proposed
     assert queue.waiting() == 0
@@ -100,12 +104,14 @@
     queue = state.ProposalQueue(client, tasks, 10, fail)
     for content in "abc":
         queue.add(_clear(content))
+    client.is_open.set()
     _wait_for(lambda: client.proposed == ["a", "b", "c"])
 
 
 def test_a_full_queue_refuses(tasks: core.TaskPool) -> None:
     """Guards against memory that grows for as long as there is no quorum."""
     client = Client(*[_NO_QUORUM] * 1_000)
+    client.is_open.set()
     queue = state.ProposalQueue(client, tasks, 2)
     assert [queue.add(_clear(content)) for content in "abc"] == [
         True,
