Judge streams of the chat entry by whole events

Callers would see, with a bound on silence in `Bounds`: a stalled stream that sends comments, or an event byte by byte, kept until its deadline; and a sound one cut while its caller reads slowly.

Cause: any bytes reset the silence, and it went on counting while the loop held the upstream back for a slow reader.

Now only events with content, told by whoever reads the stream, end a silence, and bytes that wait for the reader, or an upstream held back for it, do not count as silence. Looks at the caller still follow the last bytes.

The chat entry sets the silence of its streams to the time left to their deadline, so its callers met neither; other users of the library do.

--- a/libs/upstream/mulberry_upstream/_adapter.py
+++ b/libs/upstream/mulberry_upstream/_adapter.py
@@ -339,6 +339,13 @@
 
     def _check(self, data: bytes) -> bytes:
         """Returns what may be forwarded of `data`."""
+        chunks = self._checker.chunks
+        passed = self._check_events(data)
+        if self._checker.chunks > chunks:
+            self._transfer.note_progress()
+        return passed
+
+    def _check_events(self, data: bytes) -> bytes:
         events = self._splitter.feed(data)
         if len(events) == 1:
             # One whole event in one read is by far the most frequent case.
--- a/libs/upstream/mulberry_upstream/_exchange.py
+++ b/libs/upstream/mulberry_upstream/_exchange.py
@@ -52,7 +52,8 @@
     connect_s: float = 2.0
     #: Seconds from the start to the status line.
     first_byte_s: float = 30.0
-    #: Longest silence within an answer, seconds.
+    #: Longest silence within an answer, seconds. In a stream of events only
+    #: whole ones with content end it.
     idle_s: float = 15.0
     #: Bytes of the body of the answer.
     max_bytes: int = 16_777_216
@@ -115,8 +116,10 @@
         self._end: End | None = None
         self._error = ""
         self._no_byte_sent = False
-        #: Start, or time of the last bytes of headers or body.
+        #: Start, or time of the last progress.
         self._silent_since_s = time.monotonic()
+        #: Start, or time of the last bytes of the body.
+        self._received_s = self._silent_since_s
         self._deadline_s = self._silent_since_s + bounds.total_s
         # A new easy handle each time: `REQUEST_SIZE` of a used one keeps the
         # count of the exchange before, even after `reset`.
@@ -148,6 +151,10 @@
         """Whether provably no byte of the request left; valid at the end."""
         return self._no_byte_sent
 
+    def note_progress(self) -> None:
+        """Begins to count anew how long the upstream has been silent."""
+        self._silent_since_s = time.monotonic()
+
     @abc.abstractmethod
     def step(self) -> bytes:
         """Waits for bytes of the body once and returns them.
@@ -204,13 +211,13 @@
             self._header_by_name[name.lower()] = value.strip()
         elif self._pending_status >= 200:
             self._status = self._pending_status
-            self._silent_since_s = time.monotonic()
+            self.note_progress()
         return None
 
     def _count(self, data: bytes) -> bool:
         """Counts bytes of the body; false if there are too many."""
         self._received_bytes += len(data)
-        self._silent_since_s = time.monotonic()
+        self._received_s = time.monotonic()
         return self._received_bytes <= self._max_bytes
 
     def _until_limit_s(self) -> float:
--- a/libs/upstream/mulberry_upstream/_loop.py
+++ b/libs/upstream/mulberry_upstream/_loop.py
@@ -52,7 +52,8 @@
     """One stream in the loop.
 
     Its bytes wait for `step`, or go to the sink of `feed` on the loop's
-    thread.
+    thread. They are no progress by themselves: whoever reads them tells of
+    whole events by `note_progress`.
     """
 
     def __init__(
@@ -157,8 +158,11 @@
 
     def limit_passed(self) -> _exchange.End | None:
         """Returns the limit that ends the exchange now, if one does."""
+        if self._waiting or self._paused:
+            # The reader is slow, and the upstream may be held back for it.
+            self.note_progress()
         end = self._limit_passed()
-        quiet_s = time.monotonic() - self._silent_since_s
+        quiet_s = time.monotonic() - self._received_s
         if end is None and quiet_s > _QUIET_S and self._is_abandoned():
             return _exchange.End.CANCELED
         return end
--- a/libs/upstream/mulberry_upstream/_transfer.py
+++ b/libs/upstream/mulberry_upstream/_transfer.py
@@ -128,6 +128,7 @@
     def _on_body(self, data: bytes) -> int | None:
         if not self._count(data):
             return _exchange.ABORT
+        self.note_progress()
         self._received.append(data)
         return None
 
--- /dev/null
+++ b/libs/upstream/mulberry_upstream/tests/test_stream_progress.py
@@ -0,0 +1,165 @@
+"""Streams that stall while bytes arrive, and slow ones that are sound."""
+
+import contextlib
+import json
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import pytest
+
+import mulberry_core as core
+import mulberry_upstream as upstream
+
+#: Longest silence in these streams, seconds.
+_IDLE_S = 0.4
+#: Far above the silence, so that a stream that ends by it is told apart.
+_TOTAL_S = 6.0
+
+_Send = Callable[[bytes], None]
+_Play = Callable[[_Send, str], None]
+
+
+class Engine:
+    """Sends the head of a stream, then what a script plays."""
+
+    def __init__(self, play: _Play) -> None:
+        self._play = play
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def stop(self) -> None:
+        """Stops listening."""
+        self._listener.close()
+
+    def _serve(self) -> None:
+        connection, _ = self._listener.accept()
+        with connection, contextlib.suppress(OSError):
+            request_id = _read_request(connection)
+            connection.sendall(
+                b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n"
+            )
+            self._play(
+                lambda data: connection.sendall(
+                    b"%x\r\n%b\r\n" % (len(data), data)
+                ),
+                request_id,
+            )
+            connection.sendall(b"0\r\n\r\n")
+
+
+def _read_request(connection: socket.socket) -> str:
+    with connection.makefile("rb") as reader:
+        request_id, length = "", 0
+        while (line := reader.readline()) not in (b"\r\n", b""):
+            name, _, value = line.decode().strip().partition(": ")
+            if name == "X-Request-Id":
+                request_id = value
+            if name.lower() == "content-length":
+                length = int(value)
+        reader.read(length)
+    return request_id
+
+
+def _chunk(request_id: str, text: str = "", finish: str | None = None) -> bytes:
+    choice = {"index": 0, "delta": {"content": text}, "finish_reason": finish}
+    document = {"id": f"chat-{request_id}", "choices": [choice]}
+    return f"data: {json.dumps(document)}\n\n".encode()
+
+
+def _end(send: _Send, request_id: str) -> None:
+    send(_chunk(request_id, finish="stop"))
+    send(b"data: [DONE]\n\n")
+
+
+def _only_comments(send: _Send, request_id: str) -> None:
+    send(_chunk(request_id, "a"))
+    while True:
+        send(b": still here\n\n")
+        time.sleep(0.05)
+
+
+def _one_byte_at_a_time(send: _Send, request_id: str) -> None:
+    send(_chunk(request_id, "a"))
+    for byte in _chunk(request_id, "b" * 10_000):
+        send(bytes((byte,)))
+        time.sleep(0.05)
+
+
+def _slow_events(send: _Send, request_id: str) -> None:
+    for _ in range(8):
+        send(_chunk(request_id, "a"))
+        time.sleep(_IDLE_S / 2)
+    _end(send, request_id)
+
+
+def _fast_events(send: _Send, request_id: str) -> None:
+    # More than the sockets and the loop hold for a slow reader.
+    for _ in range(2_000):
+        send(_chunk(request_id, "a" * 4_000))
+    _end(send, request_id)
+
+
+@pytest.fixture
+def open_stream(bench: Any) -> Iterator[Callable[[_Play], Any]]:
+    engines: list[Engine] = []
+
+    def open_one(play: _Play) -> Any:
+        engines.append(Engine(play))
+        return bench.chat.open_chat(
+            bench.chat_request(
+                engines[-1].address,
+                bounds=upstream.Bounds(_TOTAL_S, idle_s=_IDLE_S),
+            )
+        )
+
+    yield open_one
+    for engine in engines:
+        engine.stop()
+
+
+@pytest.mark.parametrize("play", [_only_comments, _one_byte_at_a_time])
+@pytest.mark.parametrize("forwards", [True, False])
+def test_a_stream_without_whole_events_is_silent(
+    open_stream: Callable[[_Play], Any], play: _Play, forwards: bool
+) -> None:
+    """Guards against a stalled stream that a byte now and then keeps."""
+    stream = open_stream(play)
+    begin_s = time.monotonic()
+    if forwards:
+        assert stream.forward(lambda block: True)
+    else:
+        list(stream)
+    assert time.monotonic() - begin_s < _TOTAL_S / 2
+    refusal = stream.outcome.refusal
+    assert isinstance(refusal, core.Refusal)
+    assert refusal.kind is core.ErrorKind.ANSWER_INCOMPLETE
+    assert stream.outcome.recovery is upstream.Recovery.RESUME
+
+
+@pytest.mark.parametrize("forwards", [True, False])
+def test_a_slow_but_sound_stream_is_not_cut(
+    open_stream: Callable[[_Play], Any], forwards: bool
+) -> None:
+    """Guards against a bound on silence that cuts slow events."""
+    stream = open_stream(_slow_events)
+    if forwards:
+        assert stream.forward(lambda block: True)
+    else:
+        list(stream)
+    assert stream.outcome.complete
+
+
+def test_a_slow_reader_keeps_its_stream(
+    open_stream: Callable[[_Play], Any],
+) -> None:
+    """Guards against a caller that reads slowly taken for a silent engine."""
+    stream = open_stream(_fast_events)
+    for number, _ in enumerate(stream):
+        if number < 2:
+            time.sleep(3 * _IDLE_S)
+    assert stream.outcome.complete
