Bound the whole answers of all calls of the chat entry together

What callers could meet: the process ended for its memory while many engines send bodies without end. Each call was bounded at 16 MiB, all of them by nothing: 16 calls could hold 256 MiB.

The gateway's count of kept bodies is now core.BodyLimits, used by both; the handle pool of the chat entry allows four of the largest answers at once, and 64 KiB of each body stay outside the count, so usual answers never fail for large ones.

--- a/libs/core/mulberry_core/__init__.py
+++ b/libs/core/mulberry_core/__init__.py
@@ -4,6 +4,7 @@
 counters and tasks.
 """
 
+from mulberry_core._body_limits import BodyLimits
 from mulberry_core._clock import Clock, ManualClock, SystemClock
 from mulberry_core._counters import (
     BUCKETS_MS,
@@ -38,6 +39,7 @@
 __all__ = [
     "ANSWER_BY_KIND",
     "BUCKETS_MS",
+    "BodyLimits",
     "Clock",
     "Counters",
     "DecisionLog",
--- /dev/null
+++ b/libs/core/mulberry_core/_body_limits.py
@@ -0,0 +1,63 @@
+"""How much memory bodies that are kept whole may take."""
+
+import threading
+
+#: Part of each body that does not count towards the bound on all, so that
+#: bodies of the usual size never wait for, or fail because of, large ones.
+_FREE_BYTES = 65_536
+
+
+class BodyLimits:
+    """Counts the bodies that are kept whole; safe for many threads."""
+
+    def __init__(self, whole_bytes: int, all_bytes: int) -> None:
+        """Creates limits that nothing is counted against yet.
+
+        Args:
+            whole_bytes: Size of one body.
+            all_bytes: Sum over all bodies at one time, without a free part of
+                64 KiB of each.
+        """
+        self._whole_bytes = whole_bytes
+        self._all_bytes = all_bytes
+        self._lock = threading.Lock()
+        self._held_bytes = 0
+        self._peak_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes held now, without the free part of each body."""
+        with self._lock:
+            return self._held_bytes
+
+    @property
+    def peak_bytes(self) -> int:
+        """Most bytes that were held at one time."""
+        with self._lock:
+            return self._peak_bytes
+
+    def grow(self, old_bytes: int, new_bytes: int) -> bool:
+        """Lets a body grow; returns whether it may.
+
+        Args:
+            old_bytes: Size that was granted before, 0 at first.
+            new_bytes: Size of what has arrived.
+        """
+        if new_bytes > self._whole_bytes:
+            return False
+        more = _counted(new_bytes) - _counted(old_bytes)
+        with self._lock:
+            if more > 0 and self._held_bytes + more > self._all_bytes:
+                return False
+            self._held_bytes += more
+            self._peak_bytes = max(self._peak_bytes, self._held_bytes)
+        return True
+
+    def release(self, size_bytes: int) -> None:
+        """Gives back what was granted to a body."""
+        with self._lock:
+            self._held_bytes -= _counted(size_bytes)
+
+
+def _counted(size_bytes: int) -> int:
+    return max(0, size_bytes - _FREE_BYTES)
--- a/libs/gateway/mulberry_gateway/_body_limits.py
+++ b/libs/gateway/mulberry_gateway/_body_limits.py
@@ -1,6 +1,6 @@
 """How much memory requests and answers may take."""
 
-import threading
+import mulberry_core as core
 
 #: Status line and headers of an answer, interim answers before it included;
 #: also what may come between two parts of a body, as trailers and chunk
@@ -14,57 +14,13 @@
 #: All answers that are kept whole at one time, and all bodies of requests at
 #: one listener. An instance has 200 MB, of which a running daemon takes 70.
 ALL_BYTES = 32 << 20
-#: Part of each body that does not count towards `ALL_BYTES`, so that bodies of
-#: the usual size never wait for, or fail because of, large ones.
-FREE_BYTES = 65_536
 
 
-class BodyLimits:
-    """Counts the bodies that are kept whole; safe for many threads."""
+def for_answers() -> core.BodyLimits:
+    """Returns limits for answers that are kept whole."""
+    return core.BodyLimits(WHOLE_BYTES, ALL_BYTES)
 
-    def __init__(
-        self, whole_bytes: int = WHOLE_BYTES, all_bytes: int = ALL_BYTES
-    ) -> None:
-        self._whole_bytes = whole_bytes
-        self._all_bytes = all_bytes
-        self._lock = threading.Lock()
-        self._held_bytes = 0
-        self._peak_bytes = 0
 
-    @property
-    def held_bytes(self) -> int:
-        """Bytes held now, without the free part of each body."""
-        with self._lock:
-            return self._held_bytes
-
-    @property
-    def peak_bytes(self) -> int:
-        """Most bytes that were held at one time."""
-        with self._lock:
-            return self._peak_bytes
-
-    def grow(self, old_bytes: int, new_bytes: int) -> bool:
-        """Lets a body grow; returns whether it may.
-
-        Args:
-            old_bytes: Size that was granted before, 0 at first.
-            new_bytes: Size of what has arrived.
-        """
-        if new_bytes > self._whole_bytes:
-            return False
-        more = _counted(new_bytes) - _counted(old_bytes)
-        with self._lock:
-            if more > 0 and self._held_bytes + more > self._all_bytes:
-                return False
-            self._held_bytes += more
-            self._peak_bytes = max(self._peak_bytes, self._held_bytes)
-        return True
-
-    def release(self, size_bytes: int) -> None:
-        """Gives back what was granted to a body."""
-        with self._lock:
-            self._held_bytes -= _counted(size_bytes)
-
-
-def _counted(size_bytes: int) -> int:
-    return max(0, size_bytes - FREE_BYTES)
+def for_requests() -> core.BodyLimits:
+    """Returns limits for bodies of requests, whose own bound is a setting."""
+    return core.BodyLimits(ALL_BYTES, ALL_BYTES)
--- a/libs/gateway/mulberry_gateway/_listener.py
+++ b/libs/gateway/mulberry_gateway/_listener.py
@@ -70,9 +70,7 @@
         self._lock = threading.Lock()
         self._busy = 0
         #: Bodies of requests that are read or being answered.
-        self._bodies = _body_limits.BodyLimits(
-            whole_bytes=_body_limits.ALL_BYTES
-        )
+        self._bodies = _body_limits.for_requests()
         self._stopping = threading.Event()
         #: Set while connections end after their next answer.
         self.draining = threading.Event()
--- a/libs/gateway/mulberry_gateway/_parts.py
+++ b/libs/gateway/mulberry_gateway/_parts.py
@@ -38,6 +38,6 @@
     releases: _releases.Releases
     suspects: _suspects.Suspects
     #: Shared by all calls.
-    answer_limits: _body_limits.BodyLimits = dataclasses.field(
-        default_factory=_body_limits.BodyLimits
+    answer_limits: core.BodyLimits = dataclasses.field(
+        default_factory=_body_limits.for_answers
     )
--- a/libs/gateway/mulberry_gateway/_request_reader.py
+++ b/libs/gateway/mulberry_gateway/_request_reader.py
@@ -43,7 +43,7 @@
         connection: _connection.Connection,
         limits: routing.Limits,
         clock: core.Clock,
-        bodies: _body_limits.BodyLimits | None = None,
+        bodies: core.BodyLimits | None = None,
     ) -> None:
         """Creates a reader that has read nothing.
 
@@ -53,7 +53,7 @@
             clock: Source of time.
             bodies: Shared with the other readers; by default of this one alone.
         """
-        self._bodies = bodies or _body_limits.BodyLimits()
+        self._bodies = bodies or _body_limits.for_requests()
         #: Bytes granted to the requests in `_ready`, and to the one returned.
         self._grants: collections.deque[int] = collections.deque()
         self._returned_grant = 0
--- a/libs/gateway/mulberry_gateway/_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/_upstream_call.py
@@ -53,7 +53,7 @@
         self,
         address: str,
         caller: _connection.Connection,
-        limits: _body_limits.BodyLimits | None = None,
+        limits: core.BodyLimits | None = None,
     ) -> None:
         """Creates a call that is not connected yet.
 
@@ -64,7 +64,7 @@
         """
         self._address = address
         self._caller = caller
-        self._limits = limits or _body_limits.BodyLimits()
+        self._limits = limits or _body_limits.for_answers()
         #: Size of the whole body that the limits have granted, bytes.
         self._granted = 0
         self._counted_parts = 0
--- a/libs/gateway/mulberry_gateway/tests/test_endless_answers.py
+++ b/libs/gateway/mulberry_gateway/tests/test_endless_answers.py
@@ -97,7 +97,7 @@
     One call grew by 401 MB in 2.2 s on a head without end and by 799 MB in
     2.6 s on a body without end, on instances of 200 MB.
     """
-    limits = _body_limits.BodyLimits(whole_bytes=4 * 1024 * 1024)
+    limits = core.BodyLimits(4 * 1024 * 1024, _body_limits.ALL_BYTES)
     call = _upstream_call.UpstreamCall(_serve(start, part), caller, limits)
     tracemalloc.start()
     try:
@@ -122,7 +122,7 @@
     """Guards against a bound on bodies that cuts sound ones."""
     size = 3 * 1024 * 1024
     server = _serve(_OK + b"Content-Length: %d\r\n\r\n" % size, b"y" * 65_536)
-    limits = _body_limits.BodyLimits(whole_bytes=4 * 1024 * 1024)
+    limits = core.BodyLimits(4 * 1024 * 1024, _body_limits.ALL_BYTES)
     call = _upstream_call.UpstreamCall(server, caller, limits)
     assert _read(call) == b"y" * size
     assert limits.held_bytes == 0
@@ -133,7 +133,7 @@
 ) -> None:
     """Guards against many endless answers that are each within bounds."""
     mib = 1024 * 1024
-    limits = _body_limits.BodyLimits(whole_bytes=4 * mib, all_bytes=6 * mib)
+    limits = core.BodyLimits(whole_bytes=4 * mib, all_bytes=6 * mib)
     results: list[bytes | Fault] = []
     lock = threading.Lock()
 
--- a/libs/upstream/mulberry_upstream/_exchange.py
+++ b/libs/upstream/mulberry_upstream/_exchange.py
@@ -10,6 +10,8 @@
 
 #: Response headers larger than this are refused.
 _MAX_HEADER_BYTES = 65_536
+#: Default bound on the body of one answer.
+MAX_BODY_BYTES = 16_777_216
 #: Methods for which libcurl sends no body unless told to.
 _BODYLESS = frozenset({"GET", "HEAD"})
 #: Returned by a callback to make libcurl give the exchange up.
@@ -56,7 +58,7 @@
     #: whole ones with content end it.
     idle_s: float = 15.0
     #: Bytes of the body of the answer.
-    max_bytes: int = 16_777_216
+    max_bytes: int = MAX_BODY_BYTES
 
 
 @dataclasses.dataclass(frozen=True)
@@ -109,6 +111,7 @@
         self._canceled = False
         self._received_bytes = 0
         self._max_bytes = bounds.max_bytes
+        self._is_oversize = False
         self._header_bytes = 0
         self._header_by_name: dict[str, str] = {}
         self._status = 0
@@ -218,7 +221,8 @@
         """Counts bytes of the body; false if there are too many."""
         self._received_bytes += len(data)
         self._received_s = time.monotonic()
-        return self._received_bytes <= self._max_bytes
+        self._is_oversize = self._received_bytes > self._max_bytes
+        return not self._is_oversize
 
     def _until_limit_s(self) -> float:
         silent_s = (
@@ -252,7 +256,7 @@
             self._settle(End.WHOLE)
         elif self._canceled:
             self._settle(End.CANCELED)
-        elif self._received_bytes > self._max_bytes:
+        elif self._is_oversize:
             self._settle(End.OVERSIZE)
         elif code == pycurl.E_OPERATION_TIMEDOUT:
             self._settle(End.CONNECT_TIMEOUT, message)
--- a/libs/upstream/mulberry_upstream/_transfer.py
+++ b/libs/upstream/mulberry_upstream/_transfer.py
@@ -11,12 +11,15 @@
 
 import pycurl
 
+import mulberry_core as core
 from mulberry_upstream import _exchange, _loop
 
 #: Longest wait between looks at the caller's connection, seconds.
 _LOOK_PERIOD_S = 0.25
 #: Wait while libcurl has no socket to wait for, seconds.
 _NO_SOCKET_WAIT_S = 0.001
+#: All answers that are kept whole at one time: four of the largest.
+_ALL_BYTES = 4 * _exchange.MAX_BODY_BYTES
 
 
 def _new_multi() -> pycurl.CurlMulti:
@@ -31,7 +34,20 @@
     Also holds the loop of the streams, which is started when it is needed.
     """
 
-    def __init__(self, max_idle: int = 64) -> None:
+    def __init__(
+        self,
+        max_idle: int = 64,
+        body_limits: core.BodyLimits | None = None,
+    ) -> None:
+        """Creates a pool without handles.
+
+        Args:
+            max_idle: Handles that are kept.
+            body_limits: For the whole answers of all its exchanges.
+        """
+        self.body_limits = body_limits or core.BodyLimits(
+            _exchange.MAX_BODY_BYTES, _ALL_BYTES
+        )
         self._lock = threading.Lock()
         self._max_idle = max_idle
         self._idle: list[tuple[str, pycurl.CurlMulti]] = []
@@ -93,6 +109,8 @@
         self._pool = pool
         self._stepping = threading.Lock()
         self._received: list[bytes] = []
+        #: Size that the limits of the pool have granted, bytes.
+        self._granted_bytes = 0
         self._started = False
         self._multi = pool.take(request.address)
         self._multi.add_handle(self._easy)
@@ -126,12 +144,21 @@
             return data
 
     def _on_body(self, data: bytes) -> int | None:
-        if not self._count(data):
+        if not self._count(data) or not self._grow():
             return _exchange.ABORT
         self.note_progress()
         self._received.append(data)
         return None
 
+    def _grow(self) -> bool:
+        """Counts the body towards those of all exchanges."""
+        size_bytes = self._received_bytes
+        if not self._pool.body_limits.grow(self._granted_bytes, size_bytes):
+            self._is_oversize = True
+            return False
+        self._granted_bytes = size_bytes
+        return True
+
     def _perform(self) -> None:
         _, running = self._multi.perform()
         if running:
@@ -163,4 +190,5 @@
         # Removing an easy handle in mid-transfer closes its connection.
         self._multi.remove_handle(self._easy)
         self._easy.close()
+        self._pool.body_limits.release(self._granted_bytes)
         self._pool.give_back(self._request.address, self._multi)
