Answer what has arrived when the chat entry stops

Callers saw: connection resets on requests that had just been accepted, at a planned stop under load.

Cause: cheroot ends its loop, waits up to 10 ms for it, then closes the socket that listens and the kept connections. Connections accepted by the system meanwhile, and requests that had arrived on kept ones, were reset; a worker that finished an answer closed its connection although the next request was there.

After the loop's end the server now takes all connections that wait, closes the listening socket, and hands over kept connections with a request; a connection that comes back from a worker gets one more request answered.

The test has its callers arrive after the last look of the loop, so it does not depend on time; it failed before. A kept connection that is idle at the stop is closed, as before.

--- a/libs/entry/mulberry_entry/_server.py
+++ b/libs/entry/mulberry_entry/_server.py
@@ -1,6 +1,7 @@
 """The HTTP server of an entry: cheroot with limits on slow and large requests."""
 
 import json
+import select
 import socket
 import threading
 import time
@@ -8,8 +9,8 @@
 from typing import Any
 
 from absl import logging
+from cheroot import connections, wsgi
 from cheroot import server as cheroot_server
-from cheroot import wsgi
 
 import mulberry_core as core
 import mulberry_rules as rules
@@ -105,6 +106,14 @@
         finally:
             self.arrived()
 
+    def has_request(self) -> bool:
+        """Whether bytes of another request are there."""
+        if self.rfile.has_data():
+            return True
+        poll = select.poll()
+        poll.register(self.socket, select.POLLIN)
+        return bool(poll.poll(0))
+
     def arrived(self) -> None:
         """Ends the watch: the request is complete or was given up."""
         self.arriving_since_s = 0.0
@@ -152,6 +161,34 @@
         return environ
 
 
+class _Connections(connections.ConnectionManager):
+    """Hands over all requests that have arrived before it stops."""
+
+    # Neither attribute is in the library's type stubs.
+    server: Any
+    _selector: Any
+
+    def stop(self) -> None:
+        """Ends the loop, then takes what the system has accepted meanwhile.
+
+        Closing a socket that listens, or a connection with an unread request,
+        resets callers that were accepted.
+        """
+        super().stop()
+        listening: socket.socket = self.server.socket
+        listening.settimeout(0.0)
+        for _ in range(_LISTEN_BACKLOG):
+            accepted = self._from_server_socket(listening)  # type: ignore[attr-defined]
+            if accepted is None:
+                break
+            self.server.process_conn(accepted)
+        self._selector.unregister(listening.fileno())
+        listening.close()
+        for descriptor, connection in self._selector.select(timeout=0.0):
+            self._selector.unregister(descriptor)
+            self.server.process_conn(connection)
+
+
 class _Server(wsgi.Server):
     ConnectionClass = _Connection
 
@@ -160,6 +197,22 @@
         self.gateway = _Gateway
         self.arriving: set[_Connection] = set()
 
+    def prepare(self) -> None:
+        """Binds the address; see `_Connections`."""
+        super().prepare()
+        self._connections: _Connections
+        self._connections.close()
+        self._connections = _Connections(self)
+
+    def put_conn(self, conn: _Connection) -> None:
+        """Keeps a connection; at a stop, one more request ends it."""
+        if self.ready:
+            super().put_conn(conn)
+            return
+        if conn.has_request():
+            conn.communicate()
+        conn.close()
+
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
     ) -> None:
--- /dev/null
+++ b/libs/entry/mulberry_entry/tests/test_server_stop.py
@@ -0,0 +1,80 @@
+"""The end of the HTTP server while callers keep coming."""
+
+import socket
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import pytest
+from cheroot import connections
+
+import mulberry_core as core
+import mulberry_entry as entry
+import mulberry_rules as rules
+import mulberry_standins as standins
+
+_CALLERS = 8
+_REQUEST = b"GET / HTTP/1.1\r\nHost: entry\r\n\r\n"
+
+
+def _app(environ: dict[str, Any], start: Callable[..., Any]) -> Iterator[bytes]:
+    start("200 OK", [("Content-Length", "2")])
+    yield b"ok"
+
+
+def _answer(caller: socket.socket) -> bytes:
+    data = b""
+    while not data.endswith(b"ok"):
+        part = caller.recv(65_536)
+        if not part:
+            break
+        data += part
+    return data
+
+
+def test_requests_that_have_arrived_are_answered_at_a_stop(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against requests reset since they were just accepted.
+
+    They arrive after the last look of the server, on new connections and on
+    kept ones.
+    """
+    timers = core.TimerService(core.SystemClock())
+    timers.start()
+    with standins.ReservedPorts(1) as ports:
+        host, _, port = ports.addresses[0].rpartition(":")
+        address = (host, int(port))
+        server = entry.HttpServer(
+            ports.addresses[0], _app, rules.Limits(), timers
+        )
+        server.start()
+        kept = [socket.create_connection(address) for _ in range(_CALLERS)]
+        for caller in kept:
+            caller.sendall(_REQUEST)
+            assert _answer(caller).endswith(b"ok")
+        # A connection may be closed right after its answer, but not once it
+        # waits for its next request.
+        kept_there: Any = server._server._connections
+        while kept_there._num_connections < _CALLERS:
+            time.sleep(0.01)
+        new: list[socket.socket] = []
+        end_loop = connections.ConnectionManager.stop
+
+        def stop_late(manager: connections.ConnectionManager) -> None:
+            end_loop(manager)
+            new.extend(
+                socket.create_connection(address) for _ in range(_CALLERS)
+            )
+            for caller in (*kept, *new):
+                caller.sendall(_REQUEST)
+
+        monkeypatch.setattr(connections.ConnectionManager, "stop", stop_late)
+        server.stop()
+        for caller in (*kept, *new):
+            caller.settimeout(10.0)
+            with caller:
+                assert _answer(caller).endswith(b"ok")
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(address)
+    timers.stop()
