Leave only the time that bytes waited out of a stream's silence

A look at the stream found bytes that its reader had not been scheduled to take, and counted that as a slow reader: the silence began anew each time.

Now the time for which bytes waited is left out, not all of the silence.

--- a/libs/upstream/mulberry_upstream/_loop.py
+++ b/libs/upstream/mulberry_upstream/_loop.py
@@ -69,6 +69,8 @@
         self._changed = threading.Condition()
         self._waiting: collections.deque[bytes] = collections.deque()
         self._waiting_bytes = 0
+        #: Monotonic time since when bytes wait for their reader, seconds.
+        self._unread_since_s = 0.0
         self._sink: Sink | None = None
         self._paused = False
         self._started = False
@@ -85,6 +87,7 @@
             ):
                 self._changed.wait()
             self._seen_status = self._status
+            self._leave_out_unread()
             data = b"".join(self._waiting)
             self._waiting.clear()
             self._waiting_bytes = 0
@@ -100,6 +103,7 @@
         the stream has ended or the sink wants no more.
         """
         with self._changed:
+            self._leave_out_unread()
             while self._waiting:
                 data = self._waiting.popleft()
                 self._waiting_bytes -= len(data)
@@ -158,9 +162,8 @@
 
     def limit_passed(self) -> _exchange.End | None:
         """Returns the limit that ends the exchange now, if one does."""
-        if self._waiting or self._paused:
-            # The reader is slow, and the upstream may be held back for it.
-            self.note_progress()
+        with self._changed:
+            self._leave_out_unread()
         end = self._limit_passed()
         quiet_s = time.monotonic() - self._received_s
         if end is None and quiet_s > _QUIET_S and self._is_abandoned():
@@ -189,6 +192,8 @@
             if not self._count(data):
                 return _exchange.ABORT
             if self._sink is None:
+                if not self._waiting:
+                    self._unread_since_s = time.monotonic()
                 self._waiting.append(data)
                 self._waiting_bytes += len(data)
                 self._changed.notify_all()
@@ -199,6 +204,16 @@
                     self._changed.notify_all()
         return None
 
+    def _leave_out_unread(self) -> None:
+        """Leaves the time of a slow reader out of the upstream's silence.
+
+        Called with the lock held, also before bytes that wait are taken.
+        """
+        if self._waiting:
+            now_s = time.monotonic()
+            self._silent_since_s += now_s - self._unread_since_s
+            self._unread_since_s = now_s
+
     def _unpause(self) -> None:
         if self._paused and self._end is None:
             self._paused = False
