Give each call of a service a connection of its own

Callers saw: the answer to the call before. A service that sends its answer a second time, late, on a connection that was in use again gave the next caller of an idempotent call a body that was not theirs.

Cause: such calls used kept connections, and answers of plain services carry no id to compare, as those of engines do. Calls that may run once had fresh connections already.

test_no_caller_gets_a_late_copy_of_an_answer: "answer 1" twice before, three different answers after. The tests of libcurl's own re-send use chat calls now, which still keep connections. ServiceRequest.idempotent decided nothing else and is gone.

Not measured: the cost of a connection for each lookup.

--- a/libs/entry/mulberry_entry/_calls.py
+++ b/libs/entry/mulberry_entry/_calls.py
@@ -228,7 +228,6 @@
                 path=call.path,
                 headers=call.headers,
                 body=call.request.body,
-                idempotent=call.kind.idempotent,
                 bounds=upstream.Bounds(total_s=left_s, first_byte_s=left_s),
                 idempotency_key=""
                 if isinstance(call.request.idempotency_key, core.Missing)
--- a/libs/entry/mulberry_entry/_rater.py
+++ b/libs/entry/mulberry_entry/_rater.py
@@ -92,7 +92,6 @@
                 path="/rate",
                 headers=("Content-Type: application/json",),
                 body=json.dumps({"prompt": prompt, "answer": answer}).encode(),
-                idempotent=True,
                 bounds=upstream.Bounds(
                     total_s=timeout_s, max_bytes=_MAX_RATING_BYTES
                 ),
--- a/libs/upstream/mulberry_upstream/_adapter.py
+++ b/libs/upstream/mulberry_upstream/_adapter.py
@@ -224,7 +224,7 @@
             path=self._PATH,
             headers=headers,
             body=request.body,
-            may_repeat=True,
+            may_reuse=True,
         )
 
 
--- a/libs/upstream/mulberry_upstream/_exchange.py
+++ b/libs/upstream/mulberry_upstream/_exchange.py
@@ -74,8 +74,9 @@
     headers: Sequence[str]
     body: bytes
     #: Whether a kept connection may be used. libcurl re-sends by itself when
-    #: a kept connection closes before the answer.
-    may_repeat: bool
+    #: a kept connection closes before the answer, and bytes that an upstream
+    #: sends there late belong to the request before.
+    may_reuse: bool
 
 
 def are_header_lines(lines: Sequence[str]) -> bool:
@@ -197,7 +198,7 @@
             easy.setopt(pycurl.POSTFIELDSIZE, len(request.body))
             easy.setopt(pycurl.POSTFIELDS, request.body)
         easy.setopt(pycurl.CUSTOMREQUEST, request.method)
-        if not request.may_repeat:
+        if not request.may_reuse:
             easy.setopt(pycurl.FRESH_CONNECT, 1)
             easy.setopt(pycurl.FORBID_REUSE, 1)
 
--- a/libs/upstream/mulberry_upstream/_service.py
+++ b/libs/upstream/mulberry_upstream/_service.py
@@ -39,8 +39,6 @@
     #: Headers of the caller that are passed on, `Name: value`.
     headers: Sequence[str]
     body: bytes
-    #: Whether the call may run more than once.
-    idempotent: bool
     bounds: _exchange.Bounds
     #: Key of the caller, empty if there is none.
     idempotency_key: str = ""
@@ -97,7 +95,9 @@
             path=request.path,
             headers=headers,
             body=request.body,
-            may_repeat=request.idempotent,
+            # Answers of services carry no id, so a late copy of the answer
+            # before would be taken for this one.
+            may_reuse=False,
         )
         attempt = request.record.begin(upstream.name)
         transfer = _transfer.Transfer(
--- a/libs/upstream/mulberry_upstream/tests/conftest.py
+++ b/libs/upstream/mulberry_upstream/tests/conftest.py
@@ -136,7 +136,6 @@
     def service_request(
         self,
         address: str,
-        idempotent: bool = False,
         body: bytes = b'{"amount": 5}',
         **fields: Any,
     ) -> upstream.ServiceRequest:
@@ -153,7 +152,6 @@
             path="/deposits",
             headers=["Content-Type: application/json"],
             body=body,
-            idempotent=idempotent,
             bounds=fields.pop("bounds", upstream.Bounds(30.0)),
             **fields,
         )
--- a/libs/upstream/mulberry_upstream/tests/test_run_state.py
+++ b/libs/upstream/mulberry_upstream/tests/test_run_state.py
@@ -90,30 +90,81 @@
     bench: Any, server: ClosingServer
 ) -> None:
     """Guards the test above: the server does provoke a re-send."""
-    for body in (b"first", b"second"):
+    for content in ("first", "second"):
         bench.new_request()
-        request = bench.service_request(server.address, True, body)
-        answer = bench.service.call(request)
+        answer = bench.chat.chat(
+            bench.chat_request(server.address, streamed=False, content=content)
+        )
     assert isinstance(answer, core.Refusal)
     assert answer.run is _Run.UNKNOWN
-    assert server.bodies.count(b"second") == 2
+    assert sum(b"second" in body for body in server.bodies) == 2
 
 
 def test_refused_connection_after_a_resend_is_not_not_run(
     bench: Any, server: ClosingServer
 ) -> None:
     """Guards against `not_run` when only the re-send was refused."""
-    bench.service.call(bench.service_request(server.address, True, b"first"))
+    bench.chat.chat(bench.chat_request(server.address, streamed=False))
     bench.new_request()
     server.refuse_connections_after_next()
-    refusal = bench.service.call(
-        bench.service_request(server.address, True, b"second")
+    refusal = bench.chat.chat(
+        bench.chat_request(server.address, streamed=False, content="second")
     )
     assert isinstance(refusal, core.Refusal)
-    assert server.bodies.count(b"second") == 1
+    assert sum(b"second" in body for body in server.bodies) == 1
     assert refusal.run is _Run.UNKNOWN
 
 
+class RepeatingServer:
+    """Sends its answer again, late, when a connection is used again."""
+
+    def __init__(self) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._count = 0
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def stop(self) -> None:
+        """Stops listening."""
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        before = b""
+        with connection:
+            while connection.recv(65_536):
+                self._count += 1
+                body = b"answer %d" % self._count
+                answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (
+                    len(body),
+                    body,
+                )
+                connection.sendall(before + answer)
+                before = answer
+
+
+def test_no_caller_gets_a_late_copy_of_an_answer(bench: Any) -> None:
+    """Guards against an answer that belongs to the caller before."""
+    server = RepeatingServer()
+    bodies = []
+    for _ in range(3):
+        bench.new_request()
+        answer = bench.service.call(bench.service_request(server.address))
+        assert isinstance(answer, upstream.ServiceAnswer)
+        bodies.append(answer.body)
+    server.stop()
+    assert bodies == [b"answer 1", b"answer 2", b"answer 3"]
+
+
 def _closed_address() -> str:
     with socket.create_server(("127.0.0.1", 0)) as listener:
         return f"127.0.0.1:{listener.getsockname()[1]}"
