Test that views carry the crashes of a content

The count of strikes on other instances rests on it; the field came with the union of both states. Passes on the code as it is, fails without the lines of the codec.

--- a/libs/state/mulberry_state/tests/test_machine.py
+++ b/libs/state/mulberry_state/tests/test_machine.py
@@ -2,6 +2,7 @@
 
 import mulberry_core as core
 import mulberry_state as state
+from mulberry_state import _view_codec
 
 _ANSWER = state.Answer(200, "application/json", b'{"ok":1}', True)
 
@@ -193,6 +194,24 @@
     assert client.view().strikes_by_digest == {"a": 2}
 
 
+def test_other_instances_get_the_crashes_of_a_content(
+    client: state.LocalStateClient,
+) -> None:
+    """Guards against a crash that counts twice where its view arrives."""
+    for incarnation in (1, 2):
+        client.propose(
+            state.RecordCrash(state.new_command_id(), "u", incarnation, ("a",)),
+            1.0,
+        )
+    message = _view_codec.encode_view(client.view(), 0)
+    decoded = _view_codec.decode_view(
+        message, state.EMPTY_VIEW, state.FileRulesParser()
+    )
+    assert decoded.crashes_by_digest == {
+        "a": (state.crash_id("u", 1), state.crash_id("u", 2))
+    }
+
+
 def test_fencing_numbers_grow_and_orders_need_the_newest(
     client: state.LocalStateClient, clock: core.ManualClock
 ) -> None:
