Name RelativeLoad in one module of the import map

It stood under _models too, where it does not exist; the entry of _paces came later and won. A changed order would have broken the import. Names and exports are as before.

--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -250,9 +250,13 @@
                 "RatingCounts",
                 "RatingExport",
                 "RatingKey",
-                "RelativeLoad",
                 "TryModel",
             ),
+            "_paces": (
+                "PaceCounts",
+                "RelativeLoad",
+                "pace_bucket",
+            ),
             "_paying_hedges": ("PayingHedges",),
             "_placement": (
                 "LeastLoad",
@@ -268,11 +272,6 @@
                 "UnlimitedRetries",
             ),
             "_returns": ("ReturnTimes",),
-            "_paces": (
-                "PaceCounts",
-                "RelativeLoad",
-                "pace_bucket",
-            ),
             "_rollout": (
                 "NO_STEP",
                 "Move",
