Let StreamPace tell the pace once by itself

The relay of a stream kept a flag and a nested function beside the measure to tell it once, when known or at the end; both belong to the measure. Behaviour is as before: test_rollout_evidence.py and the gateway's tests pass unchanged.

--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -312,29 +312,23 @@
         took_s: float,
     ) -> _stream_relay.Relayed | Failed:
         policy = self._silence_policy(exchange, exchange.route.max_pause_s)
-        pace = _stream_pace.StreamPace(self._parts.clock)
-        observed = False
-
-        def observe() -> None:
-            nonlocal observed
-            if not observed and pace.has_begun:
-                observed = True
-                self._parts.watch.observe(
-                    exchange, attempt, True, took_s, pace.gap_s
-                )
+        pace = _stream_pace.StreamPace(
+            self._parts.clock,
+            lambda gap_s: self._parts.watch.observe(
+                exchange, attempt, True, took_s, gap_s
+            ),
+        )
 
         def progressed(events: int) -> None:
             patience.note_progress()
             pace.note(events)
-            if pace.is_known:
-                observe()
 
         def read() -> bytes | _upstream_call.Fault:
             return patience.read(call.read_some, exchange.deadline_s, policy)
 
         patience.note_progress()
         relayed = self._relay.relay(exchange, attempt, read, head, progressed)
-        observe()
+        pace.end()
         if isinstance(relayed, _stream_relay.Relayed):
             return relayed
         failed = self._fault(exchange, attempt, relayed.fault)
--- a/libs/gateway/mulberry_gateway/_stream_pace.py
+++ b/libs/gateway/mulberry_gateway/_stream_pace.py
@@ -1,5 +1,7 @@
 """How fast the events of one stream arrive."""
 
+from collections.abc import Callable
+
 import mulberry_core as core
 
 #: Events after which the pace is known; a stream may have few.
@@ -7,10 +9,24 @@
 
 
 class StreamPace:
-    """Measures the mean time between events; used by one thread."""
-
-    def __init__(self, clock: core.Clock) -> None:
+    """Tells once how fast a stream is that has begun; used by one thread."""
+
+    def __init__(
+        self,
+        clock: core.Clock,
+        on_pace: Callable[[float | core.Missing], None],
+    ) -> None:
+        """Creates the measure of a stream without events.
+
+        Args:
+            clock: Source of time.
+            on_pace: Called with the mean time between events, seconds, as
+                soon as more events would hardly change it, or at the end; unset
+                if all events arrived together.
+        """
         self._clock = clock
+        self._on_pace = on_pace
+        self._is_told = False
         self._first_s = 0.0
         self._last_s = 0.0
         #: Events after those of the first arrival.
@@ -24,20 +40,16 @@
             self._later = 0
         else:
             self._later += events
-
-    @property
-    def has_begun(self) -> bool:
-        """Whether any event has arrived."""
-        return self._later >= 0
-
-    @property
-    def is_known(self) -> bool:
-        """Whether more events would hardly change the pace."""
-        return self._later >= ENOUGH_EVENTS
-
-    @property
-    def gap_s(self) -> float | core.Missing:
-        """Mean time between events, seconds; unset before the second arrival."""
-        if self._later <= 0:
-            return core.Missing.UNSET
-        return (self._last_s - self._first_s) / self._later
+        if self._later >= ENOUGH_EVENTS:
+            self.end()
+
+    def end(self) -> None:
+        """Takes the end of the stream, or of the need to measure it."""
+        if self._is_told or self._later < 0:
+            return
+        self._is_told = True
+        self._on_pace(
+            (self._last_s - self._first_s) / self._later
+            if self._later
+            else core.Missing.UNSET
+        )
