Name the record kinds without an owner's fate once

Membership listed members, suspicions and the kinds that outlive their owner again beside the member table. Also one line of a docstring wrapped, and why a view has both the crashes and their number.

--- a/libs/membership/mulberry_membership/_member_table.py
+++ b/libs/membership/mulberry_membership/_member_table.py
@@ -17,7 +17,7 @@
 FORGET_AFTER_S = 60.0
 
 #: Kinds that are valid whatever becomes of their publisher.
-_INDEPENDENT = _records.OUTLIVES_OWNER | {
+INDEPENDENT = _records.OUTLIVES_OWNER | {
     _records.RecordKind.MEMBER,
     _records.RecordKind.SUSPICION,
 }
@@ -155,7 +155,7 @@
 
         Some kinds do not depend on their publisher.
         """
-        if record.kind in _INDEPENDENT:
+        if record.kind in INDEPENDENT:
             return True
         with self._lock:
             row = self._rows_by_name.get(record.owner)
@@ -167,7 +167,7 @@
 
     def is_orphan(self, record: _records.Record) -> bool:
         """Whether the owner restarted since, longer ago than the grace."""
-        if record.kind in _INDEPENDENT:
+        if record.kind in INDEPENDENT:
             return False
         with self._lock:
             row = self._rows_by_name.get(record.owner)
--- a/libs/membership/mulberry_membership/_membership.py
+++ b/libs/membership/mulberry_membership/_membership.py
@@ -33,7 +33,7 @@
 _MEMBER = _records.RecordKind.MEMBER
 _SUSPICION = _records.RecordKind.SUSPICION
 #: Kinds of which records are kept although their owner is forgotten.
-_KEPT = _records.OUTLIVES_OWNER | {_SUSPICION}
+_KEPT = _member_table.INDEPENDENT - {_MEMBER}
 _Order = tuple[int, int]
 
 
@@ -469,7 +469,7 @@
             lambda held: (
                 held.record.owner not in known
                 and held.since_s < oldest_s
-                and held.record.kind not in (_MEMBER, *_KEPT)
+                and held.record.kind not in _member_table.INDEPENDENT
             )
         )
 
--- a/libs/membership/mulberry_membership/_soft_state.py
+++ b/libs/membership/mulberry_membership/_soft_state.py
@@ -16,8 +16,9 @@
 
     Nothing here is durable: a record lives while its owner does, except for
     the kinds of `OUTLIVES_OWNER`, which last while any instance holds them and
-    their time has not passed. Methods may be called from any thread. Callbacks run on the thread that made or
-    received the change; they must be short and must not block.
+    their time has not passed. Methods may be called from any thread. Callbacks
+    run on the thread that made or received the change; they must be short and
+    must not block.
     """
 
     @property
--- a/libs/state/mulberry_state/_view.py
+++ b/libs/state/mulberry_state/_view.py
@@ -70,6 +70,7 @@
     #: By (model, version).
     verdicts_by_version: Mapping[tuple[str, str], Verdict]
     rollout_steps_by_model: Mapping[str, RolloutStep]
+    #: Numbers of crashes; all that a leader of an earlier version tells.
     strikes_by_digest: Mapping[str, int]
     #: gRPC address by instance name.
     voters_by_name: Mapping[str, str]
