Share the servers that tests play upstreams with

The table of answers without end and the server that sends them stood in the tests of the gateway and of the chat entry, and one-connection servers were written three times. In test_run_state.py both servers share one accept loop.

--- a/libs/gateway/mulberry_gateway/tests/test_endless_answers.py
+++ b/libs/gateway/mulberry_gateway/tests/test_endless_answers.py
@@ -12,6 +12,7 @@
 import mulberry_core as core
 import mulberry_gateway as gateway
 import mulberry_routing as routing
+import mulberry_standins as standins
 from mulberry_gateway import _body_limits, _request_reader, _upstream_call
 
 Fault = _upstream_call.Fault
@@ -22,29 +23,6 @@
 _LOTS = 96 * 1024 * 1024
 
 
-def _serve(start: bytes, part: bytes) -> str:
-    """Sends `start`, then `part` again and again until the caller closes."""
-    server = socket.create_server(("127.0.0.1", 0))
-
-    def run() -> None:
-        connection, _ = server.accept()
-        server.close()
-        connection.recv(65_536)
-        try:
-            connection.sendall(start)
-            for _ in range(_LOTS // len(part)):
-                connection.sendall(part)
-        except OSError:
-            # The caller has closed, as it should.
-            return
-        finally:
-            connection.close()
-
-    threading.Thread(target=run, daemon=True).start()
-    host, port = server.getsockname()
-    return f"{host}:{port}"
-
-
 @pytest.fixture
 def caller() -> Iterator[gateway.Connection]:
     host = socket.create_server(("127.0.0.1", 0))
@@ -69,28 +47,10 @@
 
 
 @pytest.mark.parametrize(
-    ("start", "part"),
-    [
-        pytest.param(_OK, b"X-A: " + _FILL + b"\r\n", id="header lines"),
-        pytest.param(_OK + b"X-A: ", _FILL, id="one header"),
-        pytest.param(b"HTTP/1.1 200 ", _FILL, id="reason"),
-        pytest.param(
-            b"",
-            b"HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n" * 200,
-            id="interim answers",
-        ),
-        pytest.param(_OK + b"\r\n", _FILL, id="body without length"),
-        pytest.param(
-            _CHUNKED, b"4000\r\n" + _FILL + b"\r\n", id="chunked body"
-        ),
-        pytest.param(_CHUNKED + b"1;a=", _FILL, id="chunk extension"),
-        pytest.param(
-            _CHUNKED + b"0\r\n", b"X-A: " + _FILL + b"\r\n", id="trailers"
-        ),
-    ],
+    "answer", standins.ENDLESS_ANSWERS, ids=lambda answer: answer.name
 )
 def test_answer_without_end_is_given_up(
-    caller: gateway.Connection, start: bytes, part: bytes
+    caller: gateway.Connection, answer: standins.EndlessAnswer
 ) -> None:
     """Guards against a process killed for its memory.
 
@@ -98,7 +58,8 @@
     2.6 s on a body without end, on instances of 200 MB.
     """
     limits = core.BodyLimits(4 * 1024 * 1024, _body_limits.ALL_BYTES)
-    call = _upstream_call.UpstreamCall(_serve(start, part), caller, limits)
+    server = standins.serve_endless(answer.start, answer.part)
+    call = _upstream_call.UpstreamCall(server, caller, limits)
     tracemalloc.start()
     try:
         assert _read(call) is Fault.EXCESSIVE
@@ -111,7 +72,9 @@
 
 def test_many_small_chunks_are_no_excess(caller: gateway.Connection) -> None:
     """Guards against the framing of a sound answer counted as excess."""
-    server = _serve(_CHUNKED + b"1\r\na\r\n" * 50_000 + b"0\r\n\r\n", b" ")
+    server = standins.serve_endless(
+        _CHUNKED + b"1\r\na\r\n" * 50_000 + b"0\r\n\r\n", b" "
+    )
     call = _upstream_call.UpstreamCall(server, caller)
     assert _read(call) == b"a" * 50_000
 
@@ -121,7 +84,9 @@
 ) -> None:
     """Guards against a bound on bodies that cuts sound ones."""
     size = 3 * 1024 * 1024
-    server = _serve(_OK + b"Content-Length: %d\r\n\r\n" % size, b"y" * 65_536)
+    server = standins.serve_endless(
+        _OK + b"Content-Length: %d\r\n\r\n" % size, b"y" * 65_536
+    )
     limits = core.BodyLimits(4 * 1024 * 1024, _body_limits.ALL_BYTES)
     call = _upstream_call.UpstreamCall(server, caller, limits)
     assert _read(call) == b"y" * size
@@ -139,7 +104,7 @@
 
     def endless() -> None:
         call = _upstream_call.UpstreamCall(
-            _serve(_OK + b"\r\n", _FILL), caller, limits
+            standins.serve_endless(_OK + b"\r\n", _FILL), caller, limits
         )
         result = _read(call)
         with lock:
@@ -149,7 +114,9 @@
     for thread in threads:
         thread.start()
     small = _upstream_call.UpstreamCall(
-        _serve(_OK + b"Content-Length: 2\r\n\r\nok", b" "), caller, limits
+        standins.serve_endless(_OK + b"Content-Length: 2\r\n\r\nok", b" "),
+        caller,
+        limits,
     )
     assert _read(small) == b"ok"
     for thread in threads:
--- a/libs/standins/mulberry_standins/__init__.py
+++ b/libs/standins/mulberry_standins/__init__.py
@@ -1,6 +1,12 @@
 """Stand-in engine, plain service, rater, weight store, and a faulty network."""
 
 from mulberry_standins._answers import expected_text, quality_in
+from mulberry_standins._bytes import (
+    ENDLESS_ANSWERS,
+    EndlessAnswer,
+    serve_endless,
+    serve_once,
+)
 from mulberry_standins._faults import NO_FAULTS, Faults
 from mulberry_standins._main import create, main
 from mulberry_standins._options import Options, parse_options
@@ -9,8 +15,10 @@
 from mulberry_standins._standin import Standin
 
 __all__ = [
+    "ENDLESS_ANSWERS",
     "NO_FAULTS",
     "Cut",
+    "EndlessAnswer",
     "Faults",
     "Options",
     "Relay",
@@ -21,4 +29,6 @@
     "main",
     "parse_options",
     "quality_in",
+    "serve_endless",
+    "serve_once",
 ]
--- a/libs/upstream/mulberry_upstream/tests/test_run_state.py
+++ b/libs/upstream/mulberry_upstream/tests/test_run_state.py
@@ -1,5 +1,6 @@
 """Tests of run states and of calls that may run once, on bare sockets."""
 
+import abc
 import socket
 import threading
 from collections.abc import Iterator
@@ -14,20 +15,13 @@
 _ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 
 
-class ClosingServer:
-    """Answers the first request; reads later ones whole and closes."""
+class Server(abc.ABC):
+    """Serves connections one after another."""
 
     def __init__(self) -> None:
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        self.bodies: list[bytes] = []
-        self._close_listener = False
-        self._thread = threading.Thread(target=self._serve, daemon=True)
-        self._thread.start()
-
-    def refuse_connections_after_next(self) -> None:
-        """Stops listening before the next request is dropped."""
-        self._close_listener = True
+        threading.Thread(target=self._serve, daemon=True).start()
 
     def stop(self) -> None:
         """Stops listening."""
@@ -43,6 +37,23 @@
                 while self._serve_one(connection):
                     pass
 
+    @abc.abstractmethod
+    def _serve_one(self, connection: socket.socket) -> bool:
+        """Serves one request; returns whether the connection is kept."""
+
+
+class ClosingServer(Server):
+    """Answers the first request; reads later ones whole and closes."""
+
+    def __init__(self) -> None:
+        self.bodies: list[bytes] = []
+        self._close_listener = False
+        super().__init__()
+
+    def refuse_connections_after_next(self) -> None:
+        """Stops listening before the next request is dropped."""
+        self._close_listener = True
+
     def _serve_one(self, connection: socket.socket) -> bool:
         with connection.makefile("rb") as reader:
             length = 0
@@ -115,41 +126,27 @@
     assert refusal.run is _Run.UNKNOWN
 
 
-class RepeatingServer:
+class RepeatingServer(Server):
     """Sends its answer again, late, when a connection is used again."""
 
     def __init__(self) -> None:
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         self._count = 0
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def stop(self) -> None:
-        """Stops listening."""
-        self._listener.close()
+        self._answer_by_connection: dict[socket.socket, bytes] = {}
+        super().__init__()
 
-    def _accept(self) -> None:
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            threading.Thread(
-                target=self._serve, args=(connection,), daemon=True
-            ).start()
-
-    def _serve(self, connection: socket.socket) -> None:
-        before = b""
-        with connection:
-            while connection.recv(65_536):
-                self._count += 1
-                body = b"answer %d" % self._count
-                answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (
-                    len(body),
-                    body,
-                )
-                connection.sendall(before + answer)
-                before = answer
+    def _serve_one(self, connection: socket.socket) -> bool:
+        if not connection.recv(65_536):
+            return False
+        self._count += 1
+        body = b"answer %d" % self._count
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (
+            len(body),
+            body,
+        )
+        before = self._answer_by_connection.get(connection, b"")
+        connection.sendall(before + answer)
+        self._answer_by_connection[connection] = answer
+        return True
 
 
 def test_no_caller_gets_a_late_copy_of_an_answer(bench: Any) -> None:
--- a/libs/upstream/mulberry_upstream/tests/test_stream_progress.py
+++ b/libs/upstream/mulberry_upstream/tests/test_stream_progress.py
@@ -1,16 +1,15 @@
 """Streams that stall while bytes arrive, and slow ones that are sound."""
 
-import contextlib
 import json
 import socket
-import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Any
 
 import pytest
 
 import mulberry_core as core
+import mulberry_standins as standins
 import mulberry_upstream as upstream
 
 #: Longest silence in these streams, seconds.
@@ -22,34 +21,24 @@
 _Play = Callable[[_Send, str], None]
 
 
-class Engine:
+def _serve(play: _Play) -> str:
     """Sends the head of a stream, then what a script plays."""
 
-    def __init__(self, play: _Play) -> None:
-        self._play = play
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._serve, daemon=True).start()
-
-    def stop(self) -> None:
-        """Stops listening."""
-        self._listener.close()
-
-    def _serve(self) -> None:
-        connection, _ = self._listener.accept()
-        with connection, contextlib.suppress(OSError):
-            request_id = _read_request(connection)
-            connection.sendall(
-                b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                b"Transfer-Encoding: chunked\r\n\r\n"
-            )
-            self._play(
-                lambda data: connection.sendall(
-                    b"%x\r\n%b\r\n" % (len(data), data)
-                ),
-                request_id,
-            )
-            connection.sendall(b"0\r\n\r\n")
+    def act(connection: socket.socket) -> None:
+        request_id = _read_request(connection)
+        connection.sendall(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        play(
+            lambda data: connection.sendall(
+                b"%x\r\n%b\r\n" % (len(data), data)
+            ),
+            request_id,
+        )
+        connection.sendall(b"0\r\n\r\n")
+
+    return standins.serve_once(act)
 
 
 def _read_request(connection: socket.socket) -> str:
@@ -105,21 +94,12 @@
 
 
 @pytest.fixture
-def open_stream(bench: Any) -> Iterator[Callable[[_Play], Any]]:
-    engines: list[Engine] = []
-
-    def open_one(play: _Play) -> Any:
-        engines.append(Engine(play))
-        return bench.chat.open_chat(
-            bench.chat_request(
-                engines[-1].address,
-                bounds=upstream.Bounds(_TOTAL_S, idle_s=_IDLE_S),
-            )
+def open_stream(bench: Any) -> Callable[[_Play], Any]:
+    return lambda play: bench.chat.open_chat(
+        bench.chat_request(
+            _serve(play), bounds=upstream.Bounds(_TOTAL_S, idle_s=_IDLE_S)
         )
-
-    yield open_one
-    for engine in engines:
-        engine.stop()
+    )
 
 
 @pytest.mark.parametrize("play", [_only_comments, _one_byte_at_a_time])
