Log the prompt parts and the progress of runs that ended early

The new line `incomplete_run` has the parts of the prompt, the outcome, the time since the request was sent and since the head of the answer, and the events received.

--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -192,6 +192,7 @@
         )
         if isinstance(head, _upstream_call.Fault):
             return self._handle_fault(exchange, attempt, head)
+        attempt.head_s = components.clock.now()
         metadata = components.dialect.parse_response(
             head, exchange.metadata.request_id
         )
@@ -348,6 +349,7 @@
 
         def on_progress(events: int) -> None:
             stall_detector.note_progress()
+            attempt.events += events
             gap_meter.add_events(events)
 
         def read() -> bytes | _upstream_call.Fault:
--- a/libs/gateway/mulberry_gateway/_exchange.py
+++ b/libs/gateway/mulberry_gateway/_exchange.py
@@ -30,6 +30,10 @@
     pressure: float = 0.0
     #: The model's confidence in its answer, 0 to 1; -1 if it gave none.
     confidence: float = -1.0
+    #: `Clock.now` when the head of the answer arrived, seconds; 0 before that.
+    head_s: float = 0.0
+    #: Events with content that arrived.
+    events: int = 0
 
     @property
     def is_complete(self) -> bool:
--- a/libs/gateway/mulberry_gateway/_quarantine.py
+++ b/libs/gateway/mulberry_gateway/_quarantine.py
@@ -170,6 +170,8 @@
             exchange.metadata.request_id,
         )
         outcome = attempt.outcome
+        if outcome in PROBED_OUTCOMES or outcome in _WATCHED_OUTCOMES:
+            self._log_incomplete_run(exchange, attempt)
         if is_lost:
             self._add_strike(digest, request_id, upstream, outcome)
         elif outcome in PROBED_OUTCOMES:
@@ -197,6 +199,25 @@
             )
         self._set_gauges()
 
+    def _log_incomplete_run(
+        self, exchange: _exchange.Exchange, attempt: _exchange.Attempt
+    ) -> None:
+        """Logs what ran and how far, to find what lost runs share."""
+        now_s = self._clock.now()
+        answering_s = now_s - attempt.head_s if attempt.head_s else -1.0
+        self._log.note(
+            "incomplete_run",
+            keep=True,
+            id=exchange.metadata.request_id,
+            content=exchange.content_digest,
+            parts=[part.id for part in exchange.metadata.prompt],
+            upstream=attempt.upstream,
+            outcome=attempt.outcome,
+            ran_ms=round((now_s - attempt.began_s) * 1000),
+            answering_ms=round(answering_s * 1000),
+            events=attempt.events,
+        )
+
     def _add_strike(
         self,
         digest: str,
--- a/libs/gateway/mulberry_gateway/tests/test_quarantine.py
+++ b/libs/gateway/mulberry_gateway/tests/test_quarantine.py
@@ -12,7 +12,12 @@
 import mulberry_decisions as decisions
 import mulberry_membership as membership
 import mulberry_state as state
-from mulberry_gateway import _exchange, _quarantine, _upstream_call
+from mulberry_gateway import (
+    _dialect,
+    _exchange,
+    _quarantine,
+    _upstream_call,
+)
 
 _CONTENT = "digest"
 _SILENT = _upstream_call.Fault.SILENT.value
@@ -24,6 +29,7 @@
 @dataclasses.dataclass
 class _Metadata:
     request_id: str = "r1"
+    prompt: tuple[_dialect.PromptPart, ...] = ()
 
 
 @dataclasses.dataclass
