Block prompt parts that crash upstreams, and explain crashes by them

Cause: the quarantine counts strikes by a digest of the whole content. Requests that share a part and nothing else each begin without strikes. The class of fault is evidence kept for the wrong subject.

Strikes are now given to the shared parts of the prompt as well. A crash ends all runs of an upstream, so the first parts of a route are in every crash, and `crash_causes` decides which part causes them: three crashes by different requests since the part's last sound run, the last such part of a prompt, and only by crashes that no other cause explains. Explained crashes don't count against the contents beside them. An answer that goes on for 0.3 s shows that its parts are sound. Causes are recorded in the replicated state.

--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -24,6 +24,12 @@
         BLOCKING_STRIKES,
         block_duration_s,
     )
+    from mulberry_decisions._crash_causes import (
+        CrashedRun,
+        PartCrashes,
+        crash_causes,
+        part_block_duration_s,
+    )
     from mulberry_decisions._crashes import (
         CrashGuard,
         CrashReport,
@@ -200,6 +206,12 @@
                 "BLOCKING_STRIKES",
                 "block_duration_s",
             ),
+            "_crash_causes": (
+                "CrashedRun",
+                "PartCrashes",
+                "crash_causes",
+                "part_block_duration_s",
+            ),
             "_crashes": (
                 "CrashGuard",
                 "CrashReport",
@@ -368,6 +380,7 @@
     "ConfidenceCascade",
     "CrashGuard",
     "CrashReport",
+    "CrashedRun",
     "DecisionCallback",
     "Deliver",
     "Demand",
@@ -398,6 +411,7 @@
     "NoRetries",
     "Observation",
     "Outcome",
+    "PartCrashes",
     "Placement",
     "PowerOfTwoChoices",
     "PriorityAdmission",
@@ -447,8 +461,10 @@
     "WithdrawResult",
     "Work",
     "block_duration_s",
+    "crash_causes",
     "duration_bucket",
     "find_regression",
     "may_change_version",
+    "part_block_duration_s",
     "urgency",
 ]
--- /dev/null
+++ b/libs/decisions/mulberry_decisions/_crash_causes.py
@@ -0,0 +1,155 @@
+"""Which parts of prompts crash the upstreams that run requests with them."""
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+#: Crashes from which a part is a cause. Two crashes meet many requests that
+#: only ran beside the one that caused them and were retried together with it.
+_MIN_CRASHES = 3
+#: The same for a part of a request whose content explains as many crashes. The
+#: parts of a single request that crashes upstreams may be in all others.
+_MIN_CRASHES_BESIDE_CONTENT = 4
+#: A part is blocked if the crashes come from different requests: a single
+#: request that crashes upstreams is blocked by its content.
+_MIN_CONTENTS = 2
+#: The same for a part with which a run was recently sound. Most likely many
+#: requests with it run beside the cause.
+_MIN_CRASHES_AFTER_SOUND_RUN = 6
+#: Crashes of such a part must be spread over at least this time, seconds: if
+#: many upstreams are lost at once, the next sound run shows that it is not the
+#: cause.
+_MIN_SPAN_AFTER_SOUND_RUN_S = 3.0
+#: Of the candidates with at least this share of the most crashes, the last in
+#: the prompt is the cause. Parts before it are in the same requests, and in
+#: harmless ones that ran on the same upstreams.
+_SIMILAR_SHARE = 0.6
+#: Duration of the first block, seconds.
+_FIRST_BLOCK_S = 20.0
+#: Factor of the duration for each further crash.
+_BACKOFF_FACTOR = 4.0
+#: Longest duration of a block, seconds.
+_MAX_BLOCK_S = 3_600.0
+
+
+@dataclasses.dataclass(frozen=True)
+class CrashedRun:
+    """A run with the part, on an upstream that crashed meanwhile."""
+
+    #: Content digest of the request; empty if it is unknown.
+    content: str
+    #: `Clock.now` when the crash became known, seconds.
+    seen_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class PartCrashes:
+    """The crashes of upstreams that ran requests with one part."""
+
+    part: str
+    #: Position of the part in the prompt, from 0.
+    depth: int
+    #: One of the runs with the part, by crash id.
+    run_by_crash: Mapping[str, CrashedRun]
+    #: Whether a run with the part was recently sound.
+    was_sound: bool = False
+    #: Whether the part is recorded as a cause.
+    was_cause: bool = False
+
+
+def crash_causes(
+    parts: Iterable[PartCrashes],
+    contents: Iterable[frozenset[str]] = (),
+) -> Mapping[str, frozenset[str]]:
+    """Returns the parts that crash upstreams, with the crashes they explain.
+
+    A crash ends all runs of an upstream, so it counts against many parts, among
+    them the first ones of a prompt, which nearly all requests share. A part is
+    a cause only by crashes that no other cause explains.
+
+    Args:
+        parts: Crashes since the last sound run with the part.
+        contents: Ids of the crashes during runs of each content that is blocked
+            by itself.
+
+    Returns:
+        Crash ids by part.
+    """
+    candidates = [p for p in parts if len(p.run_by_crash) >= _MIN_CRASHES]
+    # Two causes may meet in a crash. One that is known already stays one until
+    # a run with it is sound, whatever else explains its crashes.
+    crashes_by_cause = {
+        part.part: frozenset(part.run_by_crash)
+        for part in candidates
+        if part.was_cause
+    }
+    contents = list(contents)
+    explained = frozenset[str]().union(*crashes_by_cause.values())
+    while suspects := [
+        suspect
+        for part in candidates
+        if _is_suspect(suspect := _without(part, explained), contents)
+    ]:
+        suspect = _most_likely(suspects)
+        explained |= suspect.run_by_crash.keys()
+        # With runs of one request only, the part still explains these crashes
+        # better than the parts of the requests beside it.
+        if _content_count(suspect) >= _MIN_CONTENTS:
+            crashes_by_cause[suspect.part] = frozenset(suspect.run_by_crash)
+    return crashes_by_cause
+
+
+def part_block_duration_s(crashes: int) -> float:
+    """Returns how long a part is blocked after its last crash, seconds.
+
+    Args:
+        crashes: Number of crashes of upstreams that ran requests with it.
+    """
+    excess = min(max(0, crashes - _MIN_CRASHES), 10)
+    return min(_MAX_BLOCK_S, _FIRST_BLOCK_S * _BACKOFF_FACTOR**excess)
+
+
+def _without(part: PartCrashes, explained: frozenset[str]) -> PartCrashes:
+    return dataclasses.replace(
+        part,
+        run_by_crash={
+            crash: run
+            for crash, run in part.run_by_crash.items()
+            if crash not in explained
+        },
+    )
+
+
+def _content_count(part: PartCrashes) -> int:
+    return len({run.content for run in part.run_by_crash.values()})
+
+
+def _is_suspect(part: PartCrashes, contents: Iterable[frozenset[str]]) -> bool:
+    crashes = len(part.run_by_crash)
+    if not part.was_sound:
+        is_beside_content = any(
+            len(content & part.run_by_crash.keys()) >= _MIN_CRASHES
+            for content in contents
+        )
+        return crashes >= (
+            _MIN_CRASHES_BESIDE_CONTENT if is_beside_content else _MIN_CRASHES
+        )
+    seen_s = [run.seen_s for run in part.run_by_crash.values()]
+    return (
+        crashes >= _MIN_CRASHES_AFTER_SOUND_RUN
+        and max(seen_s) - min(seen_s) >= _MIN_SPAN_AFTER_SOUND_RUN_S
+    )
+
+
+def _most_likely(suspects: list[PartCrashes]) -> PartCrashes:
+    """Returns the likeliest cause; parts without sound runs come first."""
+    suspects = [p for p in suspects if not p.was_sound] or suspects
+    most = max(len(p.run_by_crash) for p in suspects)
+    return max(
+        (p for p in suspects if len(p.run_by_crash) >= _SIMILAR_SHARE * most),
+        key=lambda p: (
+            p.depth,
+            len(p.run_by_crash),
+            _content_count(p),
+            p.part,
+        ),
+    )
--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -92,10 +92,10 @@
         components = self._components
         if self._remaining_s(exchange) < MIN_ATTEMPT_S:
             return AttemptFailure(deadline_refusal(exchange), may_retry=False)
-        blocked_s = components.quarantine.blocked_s(exchange.content_digest)
-        if blocked_s > 0.0:
+        block = components.quarantine.find_block(exchange)
+        if isinstance(block, _quarantine.Block):
             return AttemptFailure(
-                _quarantine_refusal(exchange, blocked_s), may_retry=False
+                _quarantine_refusal(exchange, block), may_retry=False
             )
         chosen = components.upstream_selector.choose(exchange)
         if isinstance(chosen, core.Refusal):
@@ -349,7 +349,10 @@
 
         def on_progress(events: int) -> None:
             stall_detector.note_progress()
+            if not attempt.events:
+                attempt.first_event_s = self._components.clock.now()
             attempt.events += events
+            self._components.quarantine.answer_continues(exchange, attempt)
             gap_meter.add_events(events)
 
         def read() -> bytes | _upstream_call.Fault:
@@ -436,16 +439,16 @@
 
 
 def _quarantine_refusal(
-    exchange: _exchange.Exchange, blocked_s: float
+    exchange: _exchange.Exchange, block: _quarantine.Block
 ) -> core.Refusal:
-    """Returns the refusal of a request whose content is quarantined."""
+    """Returns the refusal of a request that is quarantined."""
     return core.Refusal(
         core.ErrorKind.CONTENT_BLOCKED
         if exchange.run is core.RunState.NOT_RUN
         else core.ErrorKind.UPSTREAM_FAILED,
         exchange.run,
-        f"upstreams were lost while running content {exchange.content_digest}",
-        retry_after_s=blocked_s,
+        f"upstreams were lost while running {block.subject}",
+        retry_after_s=block.remaining_s,
     )
 
 
--- a/libs/gateway/mulberry_gateway/_dialect.py
+++ b/libs/gateway/mulberry_gateway/_dialect.py
@@ -37,12 +37,18 @@
     last_event_id: str = ""
 
     @property
-    def session(self) -> str:
-        """Id of the last prompt part that is shared; empty for none.
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Prompt parts that other requests may share.
 
         The last part of a prompt is specific to the request.
         """
-        return self.prompt[-2].id if len(self.prompt) > 1 else ""
+        return self.prompt[:-1]
+
+    @property
+    def session(self) -> str:
+        """Id of the last prompt part that is shared; empty for none."""
+        shared = self.shared_parts
+        return shared[-1].id if shared else ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/gateway/mulberry_gateway/_exchange.py
+++ b/libs/gateway/mulberry_gateway/_exchange.py
@@ -6,7 +6,12 @@
 
 import mulberry_core as core
 import mulberry_routing as routing
-from mulberry_gateway import _connection, _dialect, _messages
+from mulberry_gateway import (
+    _connection,
+    _dialect,
+    _messages,
+    _strike_records,
+)
 
 
 @dataclasses.dataclass
@@ -32,8 +37,14 @@
     confidence: float = -1.0
     #: `Clock.now` when the head of the answer arrived, seconds; 0 before that.
     head_s: float = 0.0
+    #: `Clock.now` when the first event with content arrived, seconds; 0 before
+    #: that.
+    first_event_s: float = 0.0
     #: Events with content that arrived.
     events: int = 0
+    #: Whether the answer has gone on for long enough that none of the request's
+    #: prompt parts can have crashed the upstream.
+    are_parts_sound: bool = False
 
     @property
     def is_complete(self) -> bool:
@@ -83,6 +94,14 @@
         )
         return core.digest128("\n".join(parts).encode() + b"\n" + request.body)
 
+    @functools.cached_property
+    def part_digests(self) -> tuple[str, ...]:
+        """Digests of the prompt parts that other requests may share."""
+        return tuple(
+            _strike_records.part_digest(part.id)
+            for part in self.metadata.shared_parts
+        )
+
     @property
     def session(self) -> str:
         """Session id qualified by the route; empty for none."""
--- a/libs/gateway/mulberry_gateway/_incomplete_runs.py
+++ b/libs/gateway/mulberry_gateway/_incomplete_runs.py
@@ -6,6 +6,7 @@
 
 import mulberry_core as core
 import mulberry_membership as membership
+from mulberry_gateway import _strike_records
 
 #: How long a run is watched, seconds. Within this time, a crashed upstream
 #: either announces its restart or expires for lack of announcements.
@@ -20,7 +21,7 @@
 class IncompleteRun:
     """A run during which the upstream may have ended."""
 
-    digest: str
+    subjects: tuple[_strike_records.Subject, ...]
     request_id: str
     upstream: membership.Upstream
     #: `Clock.now` at its end, seconds.
@@ -52,10 +53,13 @@
         )
 
     def add(
-        self, digest: str, request_id: str, upstream: membership.Upstream
+        self,
+        subjects: tuple[_strike_records.Subject, ...],
+        request_id: str,
+        upstream: membership.Upstream,
     ) -> None:
         """Watches a run that has just ended."""
-        run = IncompleteRun(digest, request_id, upstream, self._clock.now())
+        run = IncompleteRun(subjects, request_id, upstream, self._clock.now())
         with self._lock:
             self._runs.append(run)
 
--- a/libs/gateway/mulberry_gateway/_quarantine.py
+++ b/libs/gateway/mulberry_gateway/_quarantine.py
@@ -1,9 +1,8 @@
 """Blocks requests that were running when several upstreams were lost."""
 
 import collections
-import enum
+import dataclasses
 import random
-import re
 import threading
 from collections.abc import Mapping
 
@@ -14,7 +13,9 @@
 from mulberry_gateway import (
     _exchange,
     _incomplete_runs,
+    _strike_ledger,
     _strike_recorder,
+    _strike_records,
     _upstream_call,
 )
 
@@ -22,42 +23,17 @@
 #: lost upstream adds one strike to every content that it ran; a second strike
 #: of the same content is rare.
 _MIN_RECORDED_STRIKES = 2
-#: How long the soft state keeps a confirmed strike, seconds. Callers repeat a
-#: failed request within seconds.
-_CONFIRMED_TTL_S = 120.0
-#: How long the soft state keeps a strike whose upstream still accepts
-#: connections, seconds: until announcements show whether it was lost.
-_SUSPECTED_TTL_S = _incomplete_runs.WATCH_S
 #: Each instance multiplies the block duration by a random factor from 1 to this
-#: one, so that the instances do not all unblock a content at the same time.
+#: one, so that the instances do not all unblock a subject at the same time.
 _MAX_JITTER = 2.0
-#: How long a complete run counts in favor of a content, seconds.
-_COMPLETED_VALID_S = 60.0
-#: Maximum number of contents whose last complete run is remembered.
-_MAX_COMPLETED = 4_096
+#: How long a sound run counts in favor of a subject, seconds.
+_SOUND_VALID_S = 60.0
+#: Maximum number of subjects whose last sound run is remembered.
+_MAX_SOUND = 8_192
 
-_KIND = membership.RecordKind.STRIKE
-
-
-class StrikeState(enum.IntEnum):
-    """State of a strike; a higher state replaces a lower one."""
-
-    #: The run ended early, but its upstream accepts connections.
-    SUSPECTED = 1
-    #: The upstream was lost.
-    CONFIRMED = 2
-    #: The content has completed a run since.
-    CLEARED = 3
-
-
-_TTL_S_BY_STATE = {
-    StrikeState.SUSPECTED: _SUSPECTED_TTL_S,
-    StrikeState.CONFIRMED: _CONFIRMED_TTL_S,
-    StrikeState.CLEARED: _CONFIRMED_TTL_S,
-}
-
-#: Record id: content digest, upstream and incarnation.
-_RECORD_ID = re.compile(r"[^/]+/(.+)\.([0-9]+)")
+#: A part that crashes upstreams does so as they begin to answer. The parts of an
+#: answer whose first event came longer ago than this are sound, seconds.
+_ANSWER_BEGINS_S = 0.3
 
 #: Outcomes after which a connection attempt tests whether the upstream ended.
 PROBED_OUTCOMES = frozenset(
@@ -76,19 +52,29 @@
 )
 
 
+@dataclasses.dataclass(frozen=True)
+class Block:
+    """Why a request must not run, and for how long."""
+
+    #: The content or prompt part that upstreams were lost with.
+    subject: str
+    remaining_s: float
+
+
 class RequestQuarantine:
-    """Blocks requests whose content repeatedly crashes upstreams.
-
-    Each repetition of such a request costs an upstream, and the requests that
-    run beside it, for seconds. Strikes are counted by content digest because
-    callers repeat a request under a new id. A content gets a strike for each
-    upstream that is lost while running it and is blocked for a time from the
-    third strike on; a complete run clears its strikes.
-
-    The soft state spreads strikes to other instances within milliseconds. The
-    replicated state keeps the strikes of contents that have more than one, so
-    that they survive a restart of all instances; it is loaded before an
-    instance serves its first request.
+    """Blocks requests that repeatedly crash upstreams.
+
+    Each of them costs an upstream, and the requests that run beside it, for
+    seconds. Callers repeat a request under a new id, and different requests
+    may crash upstreams by a prompt part that they share. Strikes are therefore
+    counted by content digest and by prompt part. A content is blocked for a
+    time from the third strike on, a part if it is the cause of several crashes;
+    a crash with a known cause counts against nothing else. A complete run
+    clears the strikes of its content and parts; those of the parts are cleared
+    as soon as the answer is well under way.
+
+    The replicated state keeps the strikes of contents that have more than one
+    and of parts that are causes.
     """
 
     def __init__(
@@ -100,52 +86,78 @@
         counters: core.Counters,
         log: core.DecisionLog,
     ) -> None:
-        self._soft_state = soft_state
         self._clock = clock
         self._counters = counters
         self._log = log
+        self._ledger = _strike_ledger.StrikeLedger(
+            soft_state, client, clock, counters, log
+        )
         self._recorder = _strike_recorder.StrikeRecorder(client, log)
         self._incomplete_runs = _incomplete_runs.IncompleteRuns(
             soft_state, directory, clock
         )
         self._lock = threading.Lock()
-        #: State of each strike by its record id, by content digest.
-        self._states_by_digest: dict[str, dict[str, StrikeState]] = (
-            collections.defaultdict(dict)
-        )
-        #: Crashes recorded in the replicated state, by content digest.
-        self._recorded: Mapping[str, tuple[str, ...]] = {}
-        #: `Clock.now` of the last strike, by digest of the contents with enough
-        #: strikes to be blocked.
-        self._last_strike_s: dict[str, float] = {}
-        #: `Clock.now` of the last complete run on this instance, by content
-        #: digest, oldest first.
-        self._completed_s: collections.OrderedDict[str, float] = (
+        #: `Clock.now` of the last run on this instance that showed a content or
+        #: part to be sound, by digest, oldest first.
+        self._sound_s: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
+        #: Crashes that parts have caused, by digest of the part, and the
+        #: revision of the ledger that they were computed from.
+        self._crashes_by_cause: Mapping[str, frozenset[str]] = {}
+        self._causes_revision = -1
         self._jitter = random.uniform(1.0, _MAX_JITTER)
-        soft_state.subscribe(_KIND, self._on_record)
-        client.subscribe(self._on_view)
-        self._on_view(client.view())
 
     def strikes(self, digest: str) -> int:
         """Returns the number of upstreams lost while they ran a content."""
-        with self._lock:
-            return self._count_strikes(digest)
+        return len(self._ledger.crashes(digest))
+
+    def find_block(self, exchange: _exchange.Exchange) -> Block | core.Missing:
+        """Returns why a request must not run now; unset if it may."""
+        for part, digest in zip(
+            exchange.metadata.shared_parts, exchange.part_digests, strict=True
+        ):
+            remaining_s = self.part_blocked_s(digest)
+            if remaining_s > 0.0:
+                return Block(f"prompt part {part.id}", remaining_s)
+        remaining_s = self.blocked_s(exchange.content_digest)
+        if remaining_s > 0.0:
+            return Block(f"content {exchange.content_digest}", remaining_s)
+        return core.Missing.UNSET
 
     def blocked_s(self, digest: str) -> float:
         """Returns how long a content remains blocked, seconds."""
-        with self._lock:
-            last_s = self._last_strike_s.get(digest)
-            if last_s is None:
-                return 0.0
-            now_s = self._clock.now()
-            completed_s = self._completed_s.get(digest, float("-inf"))
-            term_s = decisions.block_duration_s(
-                self._count_strikes(digest),
-                now_s - completed_s < _COMPLETED_VALID_S,
-            )
-        return max(0.0, last_s + term_s * self._jitter - now_s)
+        strikes = len(self._unexplained(digest))
+        if strikes < decisions.BLOCKING_STRIKES:
+            return 0.0
+        return self._remaining_s(
+            digest,
+            decisions.block_duration_s(strikes, self._was_sound(digest)),
+        )
+
+    def part_blocked_s(self, digest: str) -> float:
+        """Returns how long a prompt part remains blocked, seconds."""
+        if digest not in self._causes():
+            return 0.0
+        crashes = len(self._ledger.crashes(digest))
+        return self._remaining_s(
+            digest, decisions.part_block_duration_s(crashes)
+        )
+
+    def answer_continues(
+        self, exchange: _exchange.Exchange, attempt: _exchange.Attempt
+    ) -> None:
+        """Clears the strikes of the parts once the answer is well under way.
+
+        Must be called with each event, before the end of the run.
+        """
+        if (
+            not attempt.are_parts_sound
+            and self._clock.now() - attempt.first_event_s > _ANSWER_BEGINS_S
+        ):
+            attempt.are_parts_sound = True
+            for digest in exchange.part_digests:
+                self._on_sound_run(digest)
 
     def run_ended(
         self,
@@ -163,30 +175,32 @@
             is_lost: Whether the upstream refused a connection afterwards.
         """
         if attempt.is_complete:
-            self._on_completed(exchange.content_digest)
+            for digest in (exchange.content_digest, *exchange.part_digests):
+                self._on_sound_run(digest)
             return
-        digest, request_id = (
-            exchange.content_digest,
-            exchange.metadata.request_id,
-        )
+        subjects = self._subjects(exchange, attempt)
+        request_id = exchange.metadata.request_id
         outcome = attempt.outcome
         if outcome in PROBED_OUTCOMES or outcome in _WATCHED_OUTCOMES:
             self._log_incomplete_run(exchange, attempt)
         if is_lost:
-            self._add_strike(digest, request_id, upstream, outcome)
+            self._add_strikes(subjects, request_id, upstream, outcome)
         elif outcome in PROBED_OUTCOMES:
             self._counters.increment("gateway.broken_off_without_strike")
             self._log.note(
                 "no_strike",
                 id=request_id,
-                content=digest,
+                content=exchange.content_digest,
                 upstream=upstream.name,
                 outcome=outcome,
             )
-            self._publish(digest, upstream, StrikeState.SUSPECTED)
-            self._incomplete_runs.add(digest, request_id, upstream)
+            for subject in subjects:
+                self._publish(
+                    subject, upstream, _strike_records.StrikeState.SUSPECTED
+                )
+            self._incomplete_runs.add(subjects, request_id, upstream)
         elif outcome in _WATCHED_OUTCOMES:
-            self._incomplete_runs.add(digest, request_id, upstream)
+            self._incomplete_runs.add(subjects, request_id, upstream)
 
     def check_incomplete_runs(self) -> None:
         """Confirms strikes whose upstream has ended since the run.
@@ -194,8 +208,8 @@
         Must be called several times per announcement period of an upstream.
         """
         for run in self._incomplete_runs.pop_lost():
-            self._add_strike(
-                run.digest, run.request_id, run.upstream, "ended_since"
+            self._add_strikes(
+                run.subjects, run.request_id, run.upstream, "ended_since"
             )
         self._set_gauges()
 
@@ -218,163 +232,185 @@
             events=attempt.events,
         )
 
-    def _add_strike(
+    def _subjects(
+        self, exchange: _exchange.Exchange, attempt: _exchange.Attempt
+    ) -> tuple[_strike_records.Subject, ...]:
+        """Returns what may have caused a crash: the content, then the parts."""
+        content = exchange.content_digest
+        return (
+            _strike_records.Subject(content),
+            *(
+                _strike_records.Subject(digest, content, depth)
+                for depth, digest in enumerate(exchange.part_digests)
+                if not attempt.are_parts_sound
+            ),
+        )
+
+    def _add_strikes(
         self,
-        digest: str,
+        subjects: tuple[_strike_records.Subject, ...],
         request_id: str,
         upstream: membership.Upstream,
         reason: str,
     ) -> None:
-        is_new = self._publish(digest, upstream, StrikeState.CONFIRMED)
-        with self._lock:
-            confirmed = self._record_ids(digest, StrikeState.CONFIRMED)
-            recorded = len(self._recorded.get(digest, ()))
+        """Gives a strike to the content and the parts of a request."""
+        new = [
+            subject.digest
+            for subject in subjects
+            if self._publish(
+                subject, upstream, _strike_records.StrikeState.CONFIRMED
+            )
+        ]
+        content, *parts = (subject.digest for subject in subjects)
         self._counters.increment("gateway.strikes")
         self._log.note(
             "strike",
             keep=True,
             id=request_id,
-            content=digest,
+            content=content,
+            parts=parts,
             upstream=upstream.name,
             incarnation=upstream.incarnation,
             reason=reason,
-            strikes=self.strikes(digest),
-            recorded=recorded,
+            strikes=self.strikes(content),
+            recorded=len(self._ledger.recorded(content)),
         )
-        if not is_new:
-            # Another request with this content has reported the same loss.
-            return
-        if recorded:
-            self._recorder.record(digest, upstream.name, upstream.incarnation)
-        elif len(confirmed) >= _MIN_RECORDED_STRIKES:
-            for record_id in confirmed:
-                name, incarnation = _parse_record_id(record_id)
-                self._recorder.record(digest, name, incarnation)
-
-    def _on_completed(self, digest: str) -> None:
+        causes = self._causes()
+        for digest in new:
+            # Otherwise another request has reported the same loss.
+            if _strike_records.is_part(digest):
+                must_record = digest in causes
+            else:
+                must_record = (
+                    len(self._unexplained(digest)) >= _MIN_RECORDED_STRIKES
+                )
+            if must_record:
+                self._record(digest)
+
+    def _record(self, digest: str) -> None:
+        """Proposes the strikes that are not in the replicated state yet."""
+        recorded = self._ledger.recorded(digest)
+        for strike in self._ledger.confirmed(digest):
+            if strike.crash_id not in recorded:
+                self._recorder.record(
+                    digest, strike.upstream, strike.incarnation
+                )
+
+    def _on_sound_run(self, digest: str) -> None:
         with self._lock:
-            self._completed_s[digest] = self._clock.now()
-            self._completed_s.move_to_end(digest)
-            if len(self._completed_s) > _MAX_COMPLETED:
-                self._completed_s.popitem(last=False)
-            ids = self._record_ids(digest, StrikeState.SUSPECTED)
-            confirmed = self._record_ids(digest, StrikeState.CONFIRMED)
-            recorded = len(self._recorded.get(digest, ()))
-        if ids or recorded:
-            self._log.note(
-                "strikes_cleared",
-                keep=True,
-                content=digest,
-                strikes=len(ids),
-                recorded=recorded,
-            )
-        for record_id in ids:
-            self._publish_id(record_id, StrikeState.CLEARED)
-        if recorded or len(confirmed) >= _MIN_RECORDED_STRIKES:
-            # Commands that record the strikes may still be queued.
+            self._sound_s[digest] = self._clock.now()
+            self._sound_s.move_to_end(digest)
+            if len(self._sound_s) > _MAX_SOUND:
+                self._sound_s.popitem(last=False)
+        uncleared = self._ledger.uncleared(digest)
+        recorded = len(self._ledger.recorded(digest))
+        if not uncleared and not recorded:
+            return
+        self._log.note(
+            "strikes_cleared",
+            keep=True,
+            content=digest,
+            strikes=len(uncleared),
+            recorded=recorded,
+        )
+        # Commands that record the strikes may still be queued.
+        must_clear_record = recorded or (
+            len(self._ledger.confirmed(digest)) >= _MIN_RECORDED_STRIKES
+        )
+        self._ledger.clear(digest)
+        if must_clear_record:
             self._recorder.clear(digest)
 
     def _publish(
         self,
-        digest: str,
+        subject: _strike_records.Subject,
         upstream: membership.Upstream,
-        strike_state: StrikeState,
+        strike_state: _strike_records.StrikeState,
     ) -> bool:
-        return self._publish_id(
-            f"{digest}/{upstream.name}.{upstream.incarnation}", strike_state
-        )
-
-    def _publish_id(self, record_id: str, strike_state: StrikeState) -> bool:
         """Publishes a strike; returns whether its state is new."""
-        return self._soft_state.put(
-            _KIND,
-            record_id,
-            incarnation=0,
-            sequence=strike_state,
-            payload=b"",
-            ttl_s=_TTL_S_BY_STATE[strike_state],
-            urgent=True,
+        return self._ledger.publish(
+            _strike_records.Strike(
+                subject, upstream.name, upstream.incarnation, strike_state
+            )
         )
 
-    # Called with the lock held.
-
-    def _record_ids(self, digest: str, min_state: StrikeState) -> list[str]:
-        """Returns the ids of uncleared strikes in this state or higher."""
-        return [
-            record_id
-            for record_id, strike_state in self._states_by_digest.get(
-                digest, {}
-            ).items()
-            if min_state <= strike_state < StrikeState.CLEARED
-        ]
-
-    def _count_strikes(self, digest: str) -> int:
-        """Counts the strikes; one in both states counts once.
+    def _remaining_s(self, digest: str, duration_s: float) -> float:
+        """Returns how much of a block is left since the last strike."""
+        ends_s = self._ledger.grew_s(digest) + duration_s * self._jitter
+        return max(0.0, ends_s - self._clock.now()) if duration_s else 0.0
 
-        Either the soft or the replicated state may receive a strike first.
-        """
-        soft = {
-            state.crash_id(*_parse_record_id(record_id))
-            for record_id in self._record_ids(digest, StrikeState.SUSPECTED)
-        }
-        return len(soft.union(self._recorded.get(digest, ())))
-
-    def _update_block(self, digest: str, before: int) -> None:
-        """Updates the time of the last strike if the content is blocked."""
-        count = self._count_strikes(digest)
-        if count < decisions.BLOCKING_STRIKES:
-            self._last_strike_s.pop(digest, None)
-        elif count > before:
-            self._last_strike_s[digest] = self._clock.now()
-
-    def _on_record(self, record: membership.Record) -> None:
-        if record.sequence not in _TTL_S_BY_STATE or not _RECORD_ID.fullmatch(
-            record.id
-        ):
-            # Written by a version with another record format.
-            self._counters.increment("gateway.strikes_not_understood")
-            return
-        digest, _, crash = record.id.partition("/")
+    def _was_sound(self, digest: str) -> bool:
+        """Whether a run of this instance was recently sound."""
         with self._lock:
-            before = self._count_strikes(digest)
-            state_by_id = self._states_by_digest[digest]
-            if record.removed:
-                state_by_id.pop(record.id, None)
-            else:
-                state_by_id[record.id] = StrikeState(record.sequence)
-            if not state_by_id:
-                del self._states_by_digest[digest]
-            self._update_block(digest, before)
-            left = len(self._record_ids(digest, StrikeState.SUSPECTED))
-        if record.removed and record.sequence == StrikeState.CONFIRMED:
+            completed_s = self._sound_s.get(digest, float("-inf"))
+        return self._clock.now() - completed_s < _SOUND_VALID_S
+
+    def _unexplained(self, digest: str) -> frozenset[str]:
+        """Returns the crashes of a content that no prompt part has caused."""
+        crashes = self._ledger.crashes(digest)
+        if not crashes:
+            return crashes
+        return crashes.difference(*self._causes().values())
+
+    def _causes(self) -> Mapping[str, frozenset[str]]:
+        """Returns the crashes that prompt parts have caused, by part."""
+        revision = self._ledger.revision
+        with self._lock:
+            if self._causes_revision == revision:
+                return self._crashes_by_cause
+        parts, contents = [], []
+        for digest in self._ledger.digests():
+            if _strike_records.is_part(digest):
+                parts.append(self._part_crashes(digest))
+                continue
+            crashes = self._ledger.crashes(digest)
+            if len(crashes) >= decisions.BLOCKING_STRIKES:
+                contents.append(crashes)
+        causes = decisions.crash_causes(parts, contents)
+        with self._lock:
+            before = self._crashes_by_cause
+            self._crashes_by_cause = causes
+            self._causes_revision = revision
+        for digest in causes.keys() ^ before.keys():
             self._log.note(
-                "strike_dropped",
+                "part_blocked" if digest in causes else "part_unblocked",
                 keep=True,
-                content=digest,
-                upstream=crash,
-                owner=record.owner,
-                left=left,
+                part=digest,
+                crashes=len(self._ledger.crashes(digest)),
             )
-
-    def _on_view(self, view: state.View) -> None:
-        with self._lock:
-            digests = {*self._recorded, *view.crashes_by_digest}
-            before = {digest: self._count_strikes(digest) for digest in digests}
-            self._recorded = view.crashes_by_digest
-            for digest, count in before.items():
-                self._update_block(digest, count)
+        return causes
+
+    def _part_crashes(self, digest: str) -> decisions.PartCrashes:
+        uncleared = self._ledger.uncleared(digest)
+        recorded = self._ledger.recorded(digest)
+        run_by_crash = {
+            crash: decisions.CrashedRun("", self._ledger.grew_s(digest))
+            for crash in recorded
+        }
+        run_by_crash |= {
+            seen.strike.crash_id: decisions.CrashedRun(
+                seen.strike.subject.content, seen.seen_s
+            )
+            for seen in uncleared
+        }
+        return decisions.PartCrashes(
+            digest,
+            max((seen.strike.subject.depth for seen in uncleared), default=0),
+            run_by_crash,
+            was_sound=self._was_sound(digest)
+            or self._ledger.was_cleared(digest),
+            was_cause=bool(recorded),
+        )
 
     def _set_gauges(self) -> None:
-        with self._lock:
-            suspected = len({*self._states_by_digest, *self._recorded})
-            blocked = len(self._last_strike_s)
-        self._counters.gauge("gateway.contents_with_strikes", suspected)
-        self._counters.gauge("gateway.contents_blocked", blocked)
-
-
-def _parse_record_id(record_id: str) -> tuple[str, int]:
-    """Returns the upstream and incarnation of a strike."""
-    found = _RECORD_ID.fullmatch(record_id)
-    assert found, record_id
-    name, incarnation = found.groups()
-    return name, int(incarnation)
+        digests = self._ledger.digests()
+        contents = [d for d in digests if not _strike_records.is_part(d)]
+        self._counters.gauge("gateway.contents_with_strikes", len(contents))
+        self._counters.gauge(
+            "gateway.contents_blocked",
+            sum(self.blocked_s(digest) > 0.0 for digest in contents),
+        )
+        self._counters.gauge(
+            "gateway.parts_blocked",
+            sum(self.part_blocked_s(digest) > 0.0 for digest in self._causes()),
+        )
--- /dev/null
+++ b/libs/gateway/mulberry_gateway/tests/quarantine_harness.py
@@ -0,0 +1,151 @@
+"""The quarantine of one instance, with upstreams that announce."""
+
+import dataclasses
+import itertools
+import time
+from collections.abc import Sequence
+
+import mulberry_core as core
+import mulberry_membership as membership
+import mulberry_state as state
+from mulberry_gateway import (
+    _dialect,
+    _exchange,
+    _quarantine,
+    _strike_records,
+)
+
+CONTENT = "00c0"
+ANNOUNCEMENT_TTL_S = 3.0
+
+
+@dataclasses.dataclass
+class _Metadata:
+    request_id: str = "r1"
+    prompt: tuple[_dialect.PromptPart, ...] = ()
+
+    @property
+    def shared_parts(self) -> tuple[_dialect.PromptPart, ...]:
+        return self.prompt
+
+
+@dataclasses.dataclass
+class _Exchange:
+    """The fields of an exchange that the quarantine reads."""
+
+    content_digest: str = CONTENT
+    part_digests: tuple[str, ...] = ()
+    metadata: _Metadata = dataclasses.field(default_factory=_Metadata)
+
+
+def exchange(content: str, *parts: str) -> _exchange.Exchange:
+    """Returns a request with this content and these shared parts."""
+    prompt = tuple(_dialect.PromptPart(part, 100) for part in parts)
+    return _Exchange(  # type: ignore[return-value]
+        content,
+        tuple(_strike_records.part_digest(part) for part in parts),
+        _Metadata("r1", prompt),
+    )
+
+
+class Instance:
+    """The quarantine of one instance, with upstreams that announce."""
+
+    def __init__(
+        self,
+        client: state.StateClient | None = None,
+        soft_state: membership.SoftState | None = None,
+        clock: core.ManualClock | None = None,
+    ) -> None:
+        self.clock = clock or core.ManualClock(1_000.0)
+        self._sequence = itertools.count(1)
+        self.client = client or state.LocalStateClient(
+            state.FileRulesParser(), self.clock
+        )
+        self.soft_state = soft_state or membership.LocalSoftState(
+            "here", self.clock
+        )
+        counters = core.MemoryCounters()
+        self.directory = membership.UpstreamDirectory(
+            self.soft_state, self.clock, counters, 0.0
+        )
+        self.quarantine = _quarantine.RequestQuarantine(
+            self.soft_state,
+            self.directory,
+            self.client,
+            self.clock,
+            counters,
+            core.DecisionLog(self.clock),
+        )
+
+    def announce(
+        self, name: str, incarnation: int, address: str = ""
+    ) -> membership.Upstream:
+        self.directory.announce(
+            membership.Announcement(
+                name=name,
+                address=address or f"{name}:80",
+                incarnation=incarnation,
+                sequence=next(self._sequence),
+                state=membership.UpstreamState.READY,
+                zone="gent",
+                versions=(),
+                service="s",
+                capacity=4,
+                running=0,
+                queued=0,
+                checks_fencing=False,
+                valid_s=ANNOUNCEMENT_TTL_S,
+            )
+        )
+        found = self.directory.find(name)
+        assert isinstance(found, membership.Upstream)
+        return found
+
+    def run(
+        self,
+        upstream: membership.Upstream,
+        outcome: str,
+        is_lost: bool = False,
+        request: _exchange.Exchange | None = None,
+    ) -> None:
+        attempt = _exchange.Attempt(upstream.name, 0.0, outcome=outcome)
+        self.quarantine.run_ended(
+            request or exchange(CONTENT), attempt, upstream, is_lost
+        )
+
+    def stream(
+        self,
+        upstream: membership.Upstream,
+        request: _exchange.Exchange,
+        event_times_s: Sequence[float],
+        outcome: str,
+    ) -> None:
+        """Runs a stream whose events come after these times from now."""
+        attempt = _exchange.Attempt(upstream.name, 0.0, outcome=outcome)
+        began_s = self.clock.now()
+        for time_s in event_times_s:
+            self.clock.advance(began_s + time_s - self.clock.now())
+            attempt.first_event_s = attempt.first_event_s or self.clock.now()
+            attempt.events += 1
+            self.quarantine.answer_continues(request, attempt)
+        self.quarantine.run_ended(request, attempt, upstream, is_lost=True)
+
+    def elapse(self, duration_s: float) -> None:
+        self.clock.advance(duration_s)
+        self.directory.tick()
+        # Reading the records expires old ones.
+        self.soft_state.records(membership.RecordKind.STRIKE)
+        self.quarantine.check_incomplete_runs()
+
+    @property
+    def strikes(self) -> int:
+        return self.quarantine.strikes(CONTENT)
+
+
+def recorded(instance: Instance, digest: str = CONTENT) -> int:
+    """Returns the recorded strikes after all proposals have completed."""
+    recorder = instance.quarantine._recorder
+    while recorder.waiting():
+        time.sleep(0.001)
+    return instance.client.view().strikes_by_digest.get(digest, 0)
--- a/libs/gateway/mulberry_gateway/tests/test_quarantine.py
+++ b/libs/gateway/mulberry_gateway/tests/test_quarantine.py
@@ -1,9 +1,6 @@
 """Strikes of contents are added, confirmed, recorded and cleared."""
 
-import dataclasses
-import itertools
 import threading
-import time
 from collections.abc import Callable
 
 import pytest
@@ -12,32 +9,12 @@
 import mulberry_decisions as decisions
 import mulberry_membership as membership
 import mulberry_state as state
-from mulberry_gateway import (
-    _dialect,
-    _exchange,
-    _quarantine,
-    _upstream_call,
-)
+from mulberry_gateway import _strike_ledger, _strike_records, _upstream_call
+from mulberry_gateway.tests import quarantine_harness as harness
 
-_CONTENT = "digest"
 _SILENT = _upstream_call.Fault.SILENT.value
 _NO_ANSWER = _upstream_call.Fault.NO_ANSWER.value
 _CALLER_GONE = _upstream_call.Fault.CALLER_GONE.value
-_ANNOUNCEMENT_TTL_S = 3.0
-
-
-@dataclasses.dataclass
-class _Metadata:
-    request_id: str = "r1"
-    prompt: tuple[_dialect.PromptPart, ...] = ()
-
-
-@dataclasses.dataclass
-class _Exchange:
-    """The fields of an exchange that the quarantine reads."""
-
-    content_digest: str = _CONTENT
-    metadata: _Metadata = dataclasses.field(default_factory=_Metadata)
 
 
 class _BlockingClient(state.LocalStateClient):
@@ -54,93 +31,27 @@
         return super().propose(command, timeout_s)
 
 
-class _Instance:
-    """The quarantine of one instance, with upstreams that announce."""
-
-    def __init__(self, client: state.StateClient | None = None) -> None:
-        self.clock = core.ManualClock(1_000.0)
-        self._sequence = itertools.count(1)
-        self.client = client or state.LocalStateClient(
-            state.FileRulesParser(), self.clock
-        )
-        self.soft_state = membership.LocalSoftState("here", self.clock)
-        counters = core.MemoryCounters()
-        self.directory = membership.UpstreamDirectory(
-            self.soft_state, self.clock, counters, 0.0
-        )
-        self.quarantine = _quarantine.RequestQuarantine(
-            self.soft_state,
-            self.directory,
-            self.client,
-            self.clock,
-            counters,
-            core.DecisionLog(self.clock),
-        )
-
-    def announce(
-        self, name: str, incarnation: int, address: str = ""
-    ) -> membership.Upstream:
-        self.directory.announce(
-            membership.Announcement(
-                name=name,
-                address=address or f"{name}:80",
-                incarnation=incarnation,
-                sequence=next(self._sequence),
-                state=membership.UpstreamState.READY,
-                zone="gent",
-                versions=(),
-                service="s",
-                capacity=4,
-                running=0,
-                queued=0,
-                checks_fencing=False,
-                valid_s=_ANNOUNCEMENT_TTL_S,
-            )
-        )
-        found = self.directory.find(name)
-        assert isinstance(found, membership.Upstream)
-        return found
-
-    def run(
-        self, upstream: membership.Upstream, outcome: str, is_lost: bool = False
-    ) -> None:
-        attempt = _exchange.Attempt(upstream.name, 0.0, outcome=outcome)
-        self.quarantine.run_ended(
-            _Exchange(),  # type: ignore[arg-type]
-            attempt,
-            upstream,
-            is_lost,
-        )
-
-    def elapse(self, duration_s: float) -> None:
-        self.clock.advance(duration_s)
-        self.directory.tick()
-        # Reading the records expires old ones.
-        self.soft_state.records(membership.RecordKind.STRIKE)
-        self.quarantine.check_incomplete_runs()
-
-    @property
-    def strikes(self) -> int:
-        return self.quarantine.strikes(_CONTENT)
-
-
-def _restarts(instance: _Instance, upstream: membership.Upstream) -> None:
+def _restarts(
+    instance: harness.Instance, upstream: membership.Upstream
+) -> None:
     instance.announce(upstream.name, upstream.incarnation + 5)
 
 
 def _restarts_under_another_name(
-    instance: _Instance, upstream: membership.Upstream
+    instance: harness.Instance, upstream: membership.Upstream
 ) -> None:
     instance.announce("other", upstream.incarnation + 5, upstream.address)
 
 
 def _stops_announcing(
-    instance: _Instance, upstream: membership.Upstream
+    instance: harness.Instance, upstream: membership.Upstream
 ) -> None:
-    instance.elapse(_ANNOUNCEMENT_TTL_S + 0.1)
+    instance.elapse(harness.ANNOUNCEMENT_TTL_S + 0.1)
 
 
-def _deregisters(instance: _Instance, upstream: membership.Upstream) -> None:
+def _deregisters(
+    instance: harness.Instance, upstream: membership.Upstream
+) -> None:
     instance.soft_state.put(
         membership.RecordKind.UPSTREAM,
         upstream.name,
@@ -152,7 +63,7 @@
 
 
 def _keeps_announcing(
-    instance: _Instance, upstream: membership.Upstream
+    instance: harness.Instance, upstream: membership.Upstream
 ) -> None:
     for _ in range(15):
         instance.elapse(1.0)
@@ -172,7 +83,7 @@
 )
 def test_announcements_confirm_or_dismiss_a_strike(
     outcome: str,
-    event: Callable[[_Instance, membership.Upstream], None],
+    event: Callable[[harness.Instance, membership.Upstream], None],
     strikes: int,
 ) -> None:
     """Guards against crashes that no refused connection reveals.
@@ -180,35 +91,27 @@
     The upstream restarts at once, is behind a proxy, stops announcing itself,
     or crashed after the caller disconnected.
     """
-    instance = _Instance()
+    instance = harness.Instance()
     upstream = instance.announce("w1", 1)
     instance.run(upstream, outcome)
     event(instance, upstream)
     instance.elapse(0.5)
     # Longer than an unconfirmed strike, shorter than a confirmed one.
-    instance.elapse(_quarantine._SUSPECTED_TTL_S + 1.0)
+    instance.elapse(_strike_ledger.SUSPECTED_TTL_S + 1.0)
     assert instance.strikes == strikes
 
 
 def test_incomplete_runs_block_until_the_upstreams_announce() -> None:
     """Guards against further losses before announcements confirm strikes."""
-    instance = _Instance()
+    instance = harness.Instance()
     for number in range(decisions.BLOCKING_STRIKES):
         instance.run(instance.announce(f"w{number}", 1), _NO_ANSWER)
-    assert instance.quarantine.blocked_s(_CONTENT) > 0.0
+    assert instance.quarantine.blocked_s(harness.CONTENT) > 0.0
     for _ in range(12):
         instance.elapse(1.0)
         for number in range(decisions.BLOCKING_STRIKES):
             instance.announce(f"w{number}", 1)
-    assert instance.quarantine.blocked_s(_CONTENT) == 0.0
-
-
-def _recorded(instance: _Instance) -> int:
-    """Returns the recorded strikes after all proposals have completed."""
-    recorder = instance.quarantine._recorder
-    while recorder.waiting():
-        time.sleep(0.001)
-    return instance.client.view().strikes_by_digest.get(_CONTENT, 0)
+    assert instance.quarantine.blocked_s(harness.CONTENT) == 0.0
 
 
 def test_second_strike_is_recorded_with_the_first() -> None:
@@ -216,16 +119,19 @@
 
     A single strike is common and is not recorded.
     """
-    instance = _Instance()
+    instance = harness.Instance()
     instance.run(instance.announce("w1", 1), _NO_ANSWER, is_lost=True)
-    assert _recorded(instance) == 0
+    assert harness.recorded(instance) == 0
     instance.run(instance.announce("w2", 1), _NO_ANSWER, is_lost=True)
-    assert _recorded(instance) == 2
-    restarted = _Instance(instance.client)
+    assert harness.recorded(instance) == 2
+    restarted = harness.Instance(instance.client)
     assert restarted.strikes == 2
     restarted.run(restarted.announce("w3", 1), _NO_ANSWER, is_lost=True)
-    assert _recorded(restarted) == 3
-    assert _Instance(instance.client).quarantine.blocked_s(_CONTENT) > 0.0
+    assert harness.recorded(restarted) == 3
+    assert (
+        harness.Instance(instance.client).quarantine.blocked_s(harness.CONTENT)
+        > 0.0
+    )
 
 
 def test_strike_present_in_both_states_counts_once() -> None:
@@ -234,47 +140,47 @@
     The replicated state may deliver strikes that the soft state still has, so
     that each would count twice.
     """
-    one = _Instance()
-    other = _Instance(one.client)
+    one = harness.Instance()
+    other = harness.Instance(one.client)
     for name in ("w0", "w1"):
         upstream = one.announce(name, 1)
         other.soft_state.put(
             membership.RecordKind.STRIKE,
-            f"{_CONTENT}/{name}.{upstream.incarnation}",
+            f"{harness.CONTENT}/{name}.{upstream.incarnation}",
             incarnation=0,
-            sequence=_quarantine.StrikeState.CONFIRMED,
+            sequence=_strike_records.StrikeState.CONFIRMED,
             payload=b"",
         )
         one.run(upstream, _NO_ANSWER, is_lost=True)
-    assert _recorded(one) == 2
+    assert harness.recorded(one) == 2
     assert other.strikes == 2
-    assert other.quarantine.blocked_s(_CONTENT) == 0.0
+    assert other.quarantine.blocked_s(harness.CONTENT) == 0.0
 
 
 def test_a_complete_run_clears_recorded_strikes() -> None:
     """Guards against a harmless content that stays blocked forever."""
-    instance = _Instance()
+    instance = harness.Instance()
     for number in range(2):
         upstream = instance.announce(f"w{number}", 1)
         instance.run(upstream, _NO_ANSWER, is_lost=True)
-    assert _recorded(instance) == 2
+    assert harness.recorded(instance) == 2
     instance.run(upstream, "404")
     assert instance.strikes == 2
     instance.run(upstream, "200")
-    assert _recorded(instance) == 0
+    assert harness.recorded(instance) == 0
     assert instance.strikes == 0
 
 
 def test_a_complete_run_clears_strikes_not_yet_committed() -> None:
     """Guards against strikes that are committed after they were cleared."""
     client = _BlockingClient()
-    instance = _Instance(client)
+    instance = harness.Instance(client)
     for number in range(2):
         upstream = instance.announce(f"w{number}", 1)
         instance.run(upstream, _NO_ANSWER, is_lost=True)
     instance.run(upstream, "200")
     client.has_quorum.set()
-    assert _recorded(instance) == 0
+    assert harness.recorded(instance) == 0
     assert instance.strikes == 0
 
 
@@ -284,16 +190,16 @@
     They run beside the request that crashes upstreams and get the same
     strikes, also when they are retried together with it.
     """
-    instance = _Instance()
+    instance = harness.Instance()
     for number in range(3):
         upstream = instance.announce(f"w{number}", 1)
         instance.run(upstream, _NO_ANSWER, is_lost=True)
-    first_s = instance.quarantine.blocked_s(_CONTENT)
+    first_s = instance.quarantine.blocked_s(harness.CONTENT)
     assert 0.0 < first_s <= 2 * decisions.block_duration_s(3)
     instance.elapse(first_s + 0.1)
-    assert instance.quarantine.blocked_s(_CONTENT) == 0.0
+    assert instance.quarantine.blocked_s(harness.CONTENT) == 0.0
     instance.run(upstream, "200")
-    assert _recorded(instance) == 0
+    assert harness.recorded(instance) == 0
     assert instance.strikes == 0
 
 
@@ -303,31 +209,31 @@
     The earlier strikes are in the replicated state, the new one is in the
     soft state.
     """
-    instance = _Instance()
+    instance = harness.Instance()
     for number in range(3):
         upstream = instance.announce(f"w{number}", 1)
         instance.run(upstream, _NO_ANSWER, is_lost=True)
-    assert _recorded(instance) == 3
-    restarted = _Instance(instance.client)
+    assert harness.recorded(instance) == 3
+    restarted = harness.Instance(instance.client)
     restarted.elapse(2 * decisions.block_duration_s(3))
-    assert restarted.quarantine.blocked_s(_CONTENT) == 0.0
+    assert restarted.quarantine.blocked_s(harness.CONTENT) == 0.0
     restarted.run(restarted.announce("w4", 1), _NO_ANSWER)
     assert restarted.strikes == 4
     assert restarted.quarantine.blocked_s(
-        _CONTENT
+        harness.CONTENT
     ) >= decisions.block_duration_s(4)
 
 
 def test_recently_completed_content_has_a_higher_threshold() -> None:
     """Guards against blocking common requests for losses others caused."""
-    instance = _Instance()
+    instance = harness.Instance()
     instance.run(instance.announce("w0", 1), "200")
     for number in range(1, 6):
         upstream = instance.announce(f"w{number}", 1)
         instance.run(upstream, _NO_ANSWER, is_lost=True)
-        assert instance.quarantine.blocked_s(_CONTENT) == 0.0
+        assert instance.quarantine.blocked_s(harness.CONTENT) == 0.0
     instance.run(instance.announce("w6", 1), _NO_ANSWER, is_lost=True)
-    assert instance.quarantine.blocked_s(_CONTENT) > 0.0
+    assert instance.quarantine.blocked_s(harness.CONTENT) > 0.0
 
 
 def test_each_further_strike_blocks_for_longer() -> None:
@@ -335,14 +241,14 @@
 
     The platform allows three losses that come more than 3 s after the third.
     """
-    instance = _Instance()
+    instance = harness.Instance()
     losses_s: list[float] = []
     while instance.clock.now() < 1_600.0:
-        if not instance.quarantine.blocked_s(_CONTENT):
+        if not instance.quarantine.blocked_s(harness.CONTENT):
             losses_s.append(instance.clock.now())
             upstream = instance.announce(f"w{len(losses_s)}", 1)
             instance.run(upstream, _NO_ANSWER, is_lost=True)
-            _recorded(instance)
+            harness.recorded(instance)
         instance.elapse(1.0)
     late = [at_s for at_s in losses_s if at_s > losses_s[2] + 3.0]
     assert len(late) <= 3
@@ -353,7 +259,7 @@
     [
         *(("w0.1", sequence) for sequence in (-1, 0, 99, 2**40)),
         *(
-            (name, _quarantine.StrikeState.CONFIRMED)
+            (name, _strike_records.StrikeState.CONFIRMED)
             for name in ("cleared", "w0.")
         ),
     ],
@@ -365,10 +271,10 @@
 
     Earlier versions use other record ids and sequence numbers.
     """
-    instance = _Instance()
+    instance = harness.Instance()
     instance.soft_state.put(
         membership.RecordKind.STRIKE,
-        f"{_CONTENT}/{name}",
+        f"{harness.CONTENT}/{name}",
         incarnation=1,
         sequence=sequence,
         payload=b"",
