--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -203,12 +203,12 @@
         self._apply_upstream_signals(upstream, metadata)
         if metadata.not_run or metadata.is_other_upstream:
             return self._handle_not_run(attempt, metadata)
-        components.model_selector.answered(exchange)
-        exchange.update_run_state(core.RunState.RAN)
         if not metadata.is_genuine:
             return self._handle_fault(
                 exchange, attempt, _upstream_call.Fault.GARBLED
             )
+        components.model_selector.answered(exchange)
+        exchange.update_run_state(core.RunState.RAN)
         if head.status < 300 and self._should_escalate(
             exchange, attempt, metadata
         ):
