Treat a stream without framing and without events as broken off

A stream may have neither a length nor chunks and end with its connection. It is TRUNCATED now, so it resumes elsewhere or closes the caller's connection.

--- a/libs/gateway/mulberry_gateway/_messages.py
+++ b/libs/gateway/mulberry_gateway/_messages.py
@@ -59,6 +59,12 @@
     reason: str
     headers: tuple[Header, ...]
 
+    @property
+    def has_framing(self) -> bool:
+        """Whether the end of the body differs from that of the connection."""
+        names = {key.lower() for key, _ in self.headers}
+        return bool(names & {"content-length", "transfer-encoding"})
+
     def header(self, name: str) -> str:
         """Returns the first value of a header, empty if there is none."""
         return find_header(self.headers, name)
--- a/libs/gateway/mulberry_gateway/_stream_relay.py
+++ b/libs/gateway/mulberry_gateway/_stream_relay.py
@@ -62,6 +62,7 @@
                 arrived together.
         """
         event_splitter = core.SseSplitter()
+        has_content = False
         if not exchange.answered and not self._send_head(exchange, head):
             return StreamFailure(_upstream_call.Fault.CALLER_GONE)
         while True:
@@ -75,13 +76,16 @@
                 _CONTENT.search(event) is not None for event in arrived
             )
             if with_content:
+                has_content = True
                 on_progress(with_content)
             events = _drop_forwarded(exchange, arrived)
             if event_splitter.pending_bytes > _body_limits.MAX_EVENT_BYTES:
                 return StreamFailure(_upstream_call.Fault.EXCESSIVE)
             if events and not self._forward(exchange, events):
                 return StreamFailure(_upstream_call.Fault.CALLER_GONE)
-        if event_splitter.pending_bytes:
+        # An upstream that ends before its first event also ends its connection.
+        may_have_ended_early = not head.has_framing and not has_content
+        if event_splitter.pending_bytes or may_have_ended_early:
             return StreamFailure(_upstream_call.Fault.TRUNCATED)
         attempt.outcome = str(head.status)
         sent = exchange.caller.send_all(_messages.LAST_CHUNK)
--- a/libs/gateway/mulberry_gateway/_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/_upstream_call.py
@@ -254,13 +254,9 @@
         if self._head is not None or status < 200:
             return
         self._head = _messages.ResponseHead(status, reason, headers)
-        names = {key.lower() for key, _ in headers}
         if self._head_only or status in _NO_BODY:
             self._is_complete = True
-        self._ends_with_connection = not names & {
-            "content-length",
-            "transfer-encoding",
-        }
+        self._ends_with_connection = not self._head.has_framing
 
     def on_body(self, body: bytes) -> None:
         """Adds a part of the body."""
