Chat entry: do not believe the refusal of another request

Engines are called on kept connections.

A refusal on a reused connection must now repeat the request's X-Request-Id; on a new connection it may leave it out, since nothing earlier was asked there. The stand-ins repeat it. Calls of services were safe, they have a connection each.

test_refusal_on_a_reused_connection_must_name_the_request failed before for a refusal with an earlier id and for one without an id.

--- a/libs/standins/mulberry_standins/_http.py
+++ b/libs/standins/mulberry_standins/_http.py
@@ -62,7 +62,10 @@
 
     def refuse(self, reason: str) -> None:
         """Answers 503 and states that the request was not run."""
-        self.answer(503, {"error": {"message": reason}}, {"X-Not-Run": "1"})
+        headers = {"X-Not-Run": "1"}
+        if request_id := self.header("X-Request-Id"):
+            headers["X-Request-Id"] = request_id
+        self.answer(503, {"error": {"message": reason}}, headers)
 
     def drop(self) -> None:
         """Closes the connection without completing the answer."""
--- a/libs/upstream/mulberry_upstream/_exchange.py
+++ b/libs/upstream/mulberry_upstream/_exchange.py
@@ -121,6 +121,7 @@
         self._end: End | None = None
         self._error = ""
         self._no_byte_sent = False
+        self._is_on_new_connection = False
         #: Start of the idle period: the start or the last progress.
         self._idle_since_s = time.monotonic()
         #: Time of the last bytes of the body, or the start.
@@ -156,6 +157,19 @@
         """Whether it is certain that no byte was sent; valid after the end."""
         return self._no_byte_sent
 
+    @property
+    def is_own_response(self) -> bool:
+        """Whether the response is to this request; valid after the end.
+
+        On a reused connection, a faulty upstream may send its response to an
+        earlier request again. A response that does not name its request is
+        accepted on a new connection only.
+        """
+        response_id = self._header_by_name.get("x-request-id")
+        if response_id is None:
+            return self._is_on_new_connection
+        return f"X-Request-Id: {response_id}" in self._request.headers
+
     def note_progress(self) -> None:
         """Resets the idle timeout."""
         self._idle_since_s = time.monotonic()
@@ -251,6 +265,7 @@
         # before libcurl failed to connect again.
         sent_bytes = self._easy.getinfo(pycurl.REQUEST_SIZE)
         self._no_byte_sent = sent_bytes == 0 and not self._status
+        self._is_on_new_connection = self._easy.getinfo(pycurl.NUM_CONNECTS) > 0
 
     def _record_curl_result(self, code: int, message: str) -> None:
         """Records the result that libcurl reported."""
--- a/libs/upstream/mulberry_upstream/_failures.py
+++ b/libs/upstream/mulberry_upstream/_failures.py
@@ -41,6 +41,7 @@
     return (
         transfer.status == 503
         and transfer.header_by_name.get("x-not-run") == "1"
+        and transfer.is_own_response
     )
 
 
--- a/libs/upstream/mulberry_upstream/tests/test_run_state.py
+++ b/libs/upstream/mulberry_upstream/tests/test_run_state.py
@@ -164,6 +164,55 @@
     assert bodies == [b"answer 1", b"answer 2", b"answer 3"]
 
 
+class RefusingServer(Server):
+    """Answers the first request on a connection, then refuses all others."""
+
+    def __init__(self, refused_id: str) -> None:
+        self._refused_id = refused_id
+        self._answered: set[socket.socket] = set()
+        super().__init__()
+
+    def _serve_one(self, connection: socket.socket) -> bool:
+        if not connection.recv(65_536):
+            return False
+        if connection not in self._answered:
+            self._answered.add(connection)
+            connection.sendall(_ANSWER)
+            return True
+        named = f"X-Request-Id: {self._refused_id}\r\n"
+        connection.sendall(
+            b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n"
+            + (named.encode() if self._refused_id else b"")
+            + b"\r\n"
+        )
+        return True
+
+
+@pytest.mark.parametrize(
+    ("refused_id", "run"),
+    [
+        ("request-3", _Run.NOT_RUN),
+        ("request-2", _Run.UNKNOWN),
+        ("", _Run.UNKNOWN),
+    ],
+)
+def test_refusal_on_a_reused_connection_must_name_the_request(
+    harness: Any, refused_id: str, run: core.RunState
+) -> None:
+    """Guards against `not_run` by a repeated refusal of an earlier request."""
+    server = RefusingServer(refused_id)
+    for content in ("first", "second"):
+        harness.new_request()
+        answer = harness.chat.chat(
+            harness.chat_request(
+                server.address, streamed=False, content=content
+            )
+        )
+    server.stop()
+    assert isinstance(answer, core.Refusal)
+    assert answer.run is run
+
+
 def _closed_address() -> str:
     with socket.create_server(("127.0.0.1", 0)) as listener:
         return f"127.0.0.1:{listener.getsockname()[1]}"
