--- a/libs/gateway/mulberry_gateway/tests/quarantine_harness.py
+++ b/libs/gateway/mulberry_gateway/tests/quarantine_harness.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import threading
 import time
 from collections.abc import Sequence
 
@@ -48,6 +49,20 @@
     )
 
 
+class BlockingClient(state.LocalStateClient):
+    """Blocks proposals until `has_quorum` is set."""
+
+    def __init__(self) -> None:
+        super().__init__(state.FileRulesParser(), core.ManualClock(1_000.0))
+        self.has_quorum = threading.Event()
+
+    def propose(
+        self, command: state.Command, timeout_s: float
+    ) -> state.Result | core.Refusal:
+        assert self.has_quorum.wait(timeout=10.0)
+        return super().propose(command, timeout_s)
+
+
 class Instance:
     """The quarantine of one instance, with upstreams that announce."""
 
--- a/libs/gateway/mulberry_gateway/tests/test_part_quarantine.py
+++ b/libs/gateway/mulberry_gateway/tests/test_part_quarantine.py
@@ -62,10 +62,26 @@
     beside = harness.exchange("be51de", "first", "other")
     for number in range(decisions.BLOCKING_STRIKES):
         _crash(instance, number, _deadly(number), beside)
+    assert harness.recorded(instance, _DEADLY) == 3
     assert instance.quarantine.strikes("be51de") == 3
     assert not _is_blocked(instance, beside)
 
 
+def test_a_cause_stays_one_until_it_is_recorded() -> None:
+    """Guards against a cause that a request beside it calls in doubt.
+
+    Without a quorum, causes are not recorded.
+    """
+    client = harness.BlockingClient()
+    instance = harness.Instance(client)
+    beside = harness.exchange("be51de", "first", "other")
+    for number in range(decisions.BLOCKING_STRIKES):
+        _crash(instance, number, _deadly(number), beside)
+    is_blocked = _is_blocked(instance, _deadly(90))
+    client.has_quorum.set()
+    assert is_blocked
+
+
 def test_one_request_that_crashes_upstreams_blocks_no_other() -> None:
     """Guards against blocking a route whose first request crashes upstreams."""
     instance = harness.Instance()
