Keep a cause until a run is sound, also before it is recorded

A part that was found at its third crash was unblocked when a sound content beside it got its third strike, until the fourth crash: only parts that were in the replicated state stayed causes, and without a quorum none is.

--- a/libs/decisions/mulberry_decisions/_crash_causes.py
+++ b/libs/decisions/mulberry_decisions/_crash_causes.py
@@ -62,7 +62,7 @@
     run_by_crash: Mapping[str, CrashedRun]
     #: Whether a run with the part was recently sound.
     was_sound: bool = False
-    #: Whether the part is recorded as a cause.
+    #: Whether the part was found to be a cause before.
     was_cause: bool = False
 
 
--- a/libs/gateway/mulberry_gateway/_quarantine.py
+++ b/libs/gateway/mulberry_gateway/_quarantine.py
@@ -358,10 +358,11 @@
         with self._lock:
             if self._causes_revision == revision:
                 return self._crashes_by_cause
+            known = self._crashes_by_cause
         parts, contents = [], []
         for digest in self._ledger.digests(decisions.BLOCKING_STRIKES):
             if _strike_records.is_part(digest):
-                parts.append(self._part_crashes(digest))
+                parts.append(self._part_crashes(digest, digest in known))
             else:
                 contents.append(self._ledger.crashes(digest))
         causes = decisions.crash_causes(parts, contents)
@@ -378,7 +379,9 @@
             )
         return causes
 
-    def _part_crashes(self, digest: str) -> decisions.PartCrashes:
+    def _part_crashes(
+        self, digest: str, is_known_cause: bool
+    ) -> decisions.PartCrashes:
         uncleared = self._ledger.uncleared(digest)
         recorded = self._ledger.recorded(digest)
         run_by_crash = {
@@ -397,7 +400,7 @@
             run_by_crash,
             was_sound=self._was_sound(digest)
             or self._ledger.was_cleared(digest),
-            was_cause=bool(recorded),
+            was_cause=is_known_cause or bool(recorded),
         )
 
     def _set_gauges(self) -> None:
