Tell other instances with a strike whether its part was sound before

What an instance has seen of sound runs was known to itself alone.

test_instances_tell_each_other_which_parts_are_sound failed before.

--- a/libs/gateway/mulberry_gateway/_cause_finder.py
+++ b/libs/gateway/mulberry_gateway/_cause_finder.py
@@ -124,7 +124,8 @@
             max((seen.strike.subject.depth for seen in uncleared), default=0),
             run_by_crash,
             was_sound=self._sound_runs.was_recent(digest)
-            or self._ledger.was_cleared(digest),
+            or self._ledger.was_cleared(digest)
+            or any(seen.strike.subject.was_sound for seen in uncleared),
             was_cause=is_known_cause or bool(recorded),
         )
 
--- a/libs/gateway/mulberry_gateway/_quarantine.py
+++ b/libs/gateway/mulberry_gateway/_quarantine.py
@@ -314,6 +314,7 @@
                     content,
                     depth,
                     is_trial=digest in trials,
+                    was_sound=self._sound_runs.was_recent(digest),
                 )
                 for depth, digest in enumerate(exchange.part_digests)
                 if not attempt.are_parts_sound
--- a/libs/gateway/mulberry_gateway/_strike_records.py
+++ b/libs/gateway/mulberry_gateway/_strike_records.py
@@ -12,9 +12,9 @@
 _PART_PREFIX = "part:"
 #: Record id: digest, upstream and incarnation.
 _RECORD_ID = re.compile(r"([^/]+)/(.+)\.([0-9]+)")
-#: Payload of the strike of a part: its depth, the content that ran, and whether
-#: the run was a trial.
-_PART_PAYLOAD = re.compile(rb"([0-9]{1,9}) ([0-9a-f]*)( trial)?")
+#: Payload of the strike of a part: its depth, the content that ran, whether the
+#: run was a trial, and whether the part was sound before.
+_PART_PAYLOAD = re.compile(rb"([0-9]{1,9}) ([0-9a-f]*)( trial)?( sound)?")
 
 
 #: Payload of the strike of a content: the keys of its shared parts.
@@ -45,6 +45,8 @@
     depth: int = 0
     #: Whether the run was to show if the part is still blocked rightly.
     is_trial: bool = False
+    #: Whether the instance that gave the strike had a sound run with the part.
+    was_sound: bool = False
     #: Keys of the shared parts of a content; empty if they are unknown.
     part_keys: frozenset[str] = frozenset()
 
@@ -78,6 +80,7 @@
             str(subject.depth),
             subject.content,
             *(["trial"] if subject.is_trial else []),
+            *(["sound"] if subject.was_sound else []),
         ]
         return " ".join(words).encode()
 
@@ -124,4 +127,5 @@
         found[2].decode(),
         int(found[1]),
         is_trial=bool(found[3]),
+        was_sound=bool(found[4]),
     )
--- a/libs/gateway/mulberry_gateway/tests/test_part_quarantine.py
+++ b/libs/gateway/mulberry_gateway/tests/test_part_quarantine.py
@@ -123,6 +123,50 @@
     assert is_blocked
 
 
+def test_instances_tell_each_other_which_parts_are_sound() -> None:
+    """Replays a day: an instance blamed a part that it had not seen before.
+
+    Others had answered requests with it until just before the crashes.
+    """
+    one = harness.Instance()
+    other = harness.Instance(one.client, one.soft_state, one.clock)
+    one.run(one.announce("w9", 1), "200", request=_sound(9))
+    for number in range(decisions.BLOCKING_STRIKES):
+        _crash(one, number, _sound(number))
+    assert not _is_blocked(other, _sound(90))
+
+
+def test_requests_with_a_cause_are_withdrawn_from_upstreams() -> None:
+    """Replays days: one to three crashes came after the part was blocked.
+
+    Upstreams had the requests in their queues, for seconds as fewer were left.
+    """
+    instance = harness.Instance()
+    for number in range(5):
+        instance.quarantine.find_block(_sound(number))
+    queued = instance.announce("w8", 1)
+    answering = instance.begin(queued, _deadly(70))
+    answering.head_s = instance.clock.now()
+    ended = instance.begin(queued, _deadly(71))
+    instance.quarantine.run_left(ended)
+    for request in (_deadly(80), _sound(80)):
+        instance.begin(queued, request)
+    for number in range(decisions.BLOCKING_STRIKES):
+        _crash(instance, number, _deadly(number))
+    assert instance.withdrawn == ["d80"]
+
+
+def test_requests_of_a_route_are_not_withdrawn_for_their_first_part() -> None:
+    """Guards against ending the runs that show a part to be sound."""
+    instance = harness.Instance()
+    for number in range(8):
+        instance.quarantine.find_block(harness.exchange(f"5{number}", "first"))
+    instance.begin(instance.announce("w8", 1), harness.exchange("58", "first"))
+    _block_route_at_its_start(instance)
+    assert _is_blocked(instance, harness.exchange("59", "first"))
+    assert instance.withdrawn == []
+
+
 def test_one_request_that_crashes_upstreams_blocks_no_other() -> None:
     """Guards against blocking a route whose first request crashes upstreams."""
     instance = harness.Instance()
--- a/libs/gateway/mulberry_gateway/tests/test_strike_records.py
+++ b/libs/gateway/mulberry_gateway/tests/test_strike_records.py
@@ -29,7 +29,8 @@
         _strike_records.Subject("00c0", part_keys=_KEYS),
         _strike_records.Subject(_PART, "00c0", 3),
         _strike_records.Subject(_PART, "00c0", 3, is_trial=True),
-        _strike_records.Subject(_PART, "", 0, is_trial=True),
+        _strike_records.Subject(_PART, "", 0, was_sound=True),
+        _strike_records.Subject(_PART, "", 0, is_trial=True, was_sound=True),
     ],
 )
 def test_a_strike_is_read_as_it_was_written(
