Count runs that the router ended itself if their upstream crashed with them

Traced by the log: the deadly request had got the head of an answer of low confidence, the router dropped it for one of a larger model, and the worker crashed at that moment. A dropped run ended neither broken nor complete, so nobody asked what became of its worker.

Dropped and withdrawn runs now get strikes if other runs show a crash of the upstream within 0.5 s of their end. Tried first: announcements as well, for runs that were alone. Upstreams are published on changes only, so they can't tell when an upstream was last alive; the largest model's answer is never dropped, so such a request is counted in the end.

test_a_dropped_answer_counts_if_its_upstream_crashes failed before.

--- a/libs/gateway/mulberry_gateway/_quarantine.py
+++ b/libs/gateway/mulberry_gateway/_quarantine.py
@@ -9,6 +9,7 @@
 from mulberry_gateway import (
     _blocks,
     _cause_finder,
+    _dropped_runs,
     _exchange,
     _incomplete_runs,
     _running_requests,
@@ -35,6 +36,10 @@
         _upstream_call.Fault.TRUNCATED.value,
     }
 )
+#: Outcomes of runs that the router ended.
+_DROPPED_OUTCOMES = frozenset(
+    {_exchange.UNSURE, _upstream_call.Fault.WITHDRAWN.value}
+)
 #: Outcomes that are no evidence about the upstream by themselves.
 _WATCHED_OUTCOMES = frozenset(
     {
@@ -91,6 +96,7 @@
         #: Ids of the crashes proposed for the replicated state, by digest.
         self._proposed: dict[str, set[str]] = {}
         self._trial_lock = threading.Lock()
+        self._dropped_runs = _dropped_runs.DroppedRuns(self._ledger, clock)
         self._running = _running_requests.RunningRequests()
         self._lock = threading.Lock()
         #: Causes that were recorded and whose requests were withdrawn.
@@ -221,6 +227,9 @@
             self._log_incomplete_run(exchange, attempt)
         if is_lost:
             self._add_strikes(run, outcome)
+            self._add_strikes_of_dropped_runs()
+        elif outcome in _DROPPED_OUTCOMES:
+            self._dropped_runs.add(run)
         elif outcome in PROBED_OUTCOMES:
             self._counters.increment("gateway.broken_off_without_strike")
             self._log.note(
@@ -245,6 +254,7 @@
         """
         for run in self._incomplete_runs.pop_lost():
             self._add_strikes(run, "ended_since")
+        self._add_strikes_of_dropped_runs()
         self._forget_proposed()
         self._record_causes()
         self._handle_new_causes()
@@ -321,6 +331,10 @@
             ),
         )
 
+    def _add_strikes_of_dropped_runs(self) -> None:
+        for run in self._dropped_runs.pop_lost():
+            self._add_strikes(run, "dropped")
+
     def _add_strikes(
         self, run: _incomplete_runs.IncompleteRun, reason: str
     ) -> None:
--- a/libs/gateway/mulberry_gateway/_strike_ledger.py
+++ b/libs/gateway/mulberry_gateway/_strike_ledger.py
@@ -170,6 +170,17 @@
                 dataclasses.replace(seen.strike, state=_StrikeState.CLEARED)
             )
 
+    def crash_seen_s(
+        self, upstream: str, incarnation: int
+    ) -> float | core.Missing:
+        """Returns `Clock.now` of the first strike by a crash, seconds.
+
+        Unset if no strike by it is known.
+        """
+        crash_id = state.crash_id(upstream, incarnation)
+        with self._lock:
+            return self._seen_by_crash.get(crash_id, core.Missing.UNSET)
+
     def crashes_since(self, since_s: float) -> Mapping[str, float]:
         """Returns `Clock.now` of the first strike of recent crashes, by id."""
         with self._lock:
--- a/libs/gateway/mulberry_gateway/tests/test_part_quarantine.py
+++ b/libs/gateway/mulberry_gateway/tests/test_part_quarantine.py
@@ -337,6 +337,42 @@
     assert _is_blocked(instance, _deadly(90))
 
 
+@pytest.mark.parametrize("is_first", [False, True])
+def test_a_dropped_answer_counts_if_its_upstream_crashes(
+    is_first: bool,
+) -> None:
+    """Replays a day: two of eight crashes were nobody's.
+
+    The request that crashed the upstream had got a head, and the router had
+    dropped the answer for one of a larger model.
+    """
+    instance = harness.Instance()
+    for number in range(decisions.BLOCKING_STRIKES):
+        upstream = instance.announce(f"w{number}", 1)
+        other = _sound(number)
+        if not is_first:
+            instance.run(upstream, _NO_ANSWER, is_lost=True, request=other)
+        instance.run(upstream, _exchange.UNSURE, request=_deadly(number))
+        if is_first:
+            instance.run(upstream, _NO_ANSWER, is_lost=True, request=other)
+        instance.elapse(0.5)
+    assert instance.quarantine.strikes(_DEADLY) == decisions.BLOCKING_STRIKES
+    assert _is_blocked(instance, _deadly(90))
+
+
+def test_an_answer_dropped_long_before_a_crash_counts_not() -> None:
+    """Guards against strikes for all that an upstream has run lately."""
+    instance = harness.Instance()
+    for number in range(decisions.BLOCKING_STRIKES):
+        upstream = instance.announce(f"w{number}", 1)
+        instance.run(upstream, _exchange.UNSURE, request=_deadly(number))
+        instance.elapse(1.0)
+        other = _sound(number)
+        instance.run(upstream, _NO_ANSWER, is_lost=True, request=other)
+        instance.elapse(0.5)
+    assert instance.quarantine.strikes(_DEADLY) == 0
+
+
 @pytest.mark.parametrize(
     ("event_times_s", "is_blocked"),
     [([], True), ([0.1], True), ([0.1, 0.3], True), ([0.1, 0.5], False)],
