Confirm suspected strikes of an instance that has ended

Every instance now watches the upstreams of all suspected strikes. It confirms one 1.5 to 3 s after the end of the upstream became known, if the instance that gave it has not: a live one does so within 0.5 s. An instance without contact to any other confirms nothing.

test_another_instance_confirms_the_strikes_of_one_that_ended failed before.

--- a/libs/gateway/mulberry_gateway/_quarantine.py
+++ b/libs/gateway/mulberry_gateway/_quarantine.py
@@ -1,5 +1,6 @@
 """Blocks requests that were running when several upstreams were lost."""
 
+import dataclasses
 import threading
 from collections.abc import Iterable
 
@@ -12,6 +13,7 @@
     _dropped_runs,
     _exchange,
     _incomplete_runs,
+    _orphaned_strikes,
     _running_requests,
     _sound_runs,
     _strike_ledger,
@@ -97,6 +99,9 @@
         self._proposed: dict[str, set[str]] = {}
         self._trial_lock = threading.Lock()
         self._dropped_runs = _dropped_runs.DroppedRuns(self._ledger, clock)
+        self._orphaned_strikes = _orphaned_strikes.OrphanedStrikes(
+            self._ledger, soft_state, clock
+        )
         self._running = _running_requests.RunningRequests()
         self._lock = threading.Lock()
         #: Causes that were recorded and whose requests were withdrawn.
@@ -255,6 +260,7 @@
         for run in self._incomplete_runs.pop_lost():
             self._add_strikes(run, "ended_since")
         self._add_strikes_of_dropped_runs()
+        self._confirm_orphaned_strikes()
         self._forget_proposed()
         self._record_causes()
         self._handle_new_causes()
@@ -335,6 +341,21 @@
         for run in self._dropped_runs.pop_lost():
             self._add_strikes(run, "dropped")
 
+    def _confirm_orphaned_strikes(self) -> None:
+        for strike in self._orphaned_strikes.find_lost():
+            confirmed = dataclasses.replace(
+                strike, state=_strike_records.StrikeState.CONFIRMED
+            )
+            if self._ledger.publish(confirmed):
+                self._log.note(
+                    "strike_adopted",
+                    keep=True,
+                    content=strike.subject.digest,
+                    upstream=strike.upstream,
+                    incarnation=strike.incarnation,
+                )
+                self._record_repeated(strike.subject.digest)
+
     def _add_strikes(
         self, run: _incomplete_runs.IncompleteRun, reason: str
     ) -> None:
--- a/libs/gateway/mulberry_gateway/_strike_ledger.py
+++ b/libs/gateway/mulberry_gateway/_strike_ledger.py
@@ -101,6 +101,16 @@
             if seen.strike.state is _StrikeState.CONFIRMED
         ]
 
+    def suspected(self) -> Sequence[_strike_records.Strike]:
+        """Returns the suspected strikes of all subjects."""
+        with self._lock:
+            return [
+                seen.strike
+                for seen_by_id in self._seen_by_digest.values()
+                for seen in seen_by_id.values()
+                if seen.strike.state is _StrikeState.SUSPECTED
+            ]
+
     def own_confirmed(self, digest: str) -> Sequence[_strike_records.Strike]:
         """Returns those of the confirmed strikes that this instance gave."""
         return [
--- a/libs/gateway/mulberry_gateway/tests/test_quarantine.py
+++ b/libs/gateway/mulberry_gateway/tests/test_quarantine.py
@@ -97,6 +97,28 @@
     assert instance.quarantine.blocked_s(harness.CONTENT) == 0.0
 
 
+@pytest.mark.parametrize(
+    ("event", "strikes"), [(_stops_announcing, 1), (_keeps_announcing, 0)]
+)
+def test_another_instance_confirms_the_strikes_of_one_that_ended(
+    event: Callable[[harness.Instance, membership.Upstream], None],
+    strikes: int,
+) -> None:
+    """Replays a soak: strikes expired when their instance was killed.
+
+    The request then crashed three more upstreams.
+    """
+    killed = harness.Instance()
+    other = harness.Instance(killed.client, killed.soft_state, killed.clock)
+    upstream = other.announce("w1", 1)
+    killed.run(upstream, _NO_ANSWER)
+    event(other, upstream)
+    for _ in range(10):
+        other.elapse(0.5)
+    other.elapse(_strike_ledger.SUSPECTED_TTL_S + 1.0)
+    assert other.strikes == strikes
+
+
 def test_second_strike_is_recorded_with_the_first() -> None:
     """Guards against a block that is lost when all instances restart.
 
--- a/libs/membership/mulberry_membership/_local.py
+++ b/libs/membership/mulberry_membership/_local.py
@@ -112,6 +112,10 @@
         """Returns zero, because there are no other instances."""
         return 0.0
 
+    def isolated_s(self) -> float:
+        """Returns zero, because there are no other instances."""
+        return 0.0
+
     def subscribe(
         self, kind: _records.RecordKind, callback: _soft_state.RecordCallback
     ) -> None:
--- a/libs/membership/mulberry_membership/_membership.py
+++ b/libs/membership/mulberry_membership/_membership.py
@@ -240,6 +240,10 @@
             )
         return staleness_s
 
+    def isolated_s(self) -> float:
+        """Returns how long all exchanges of this instance have failed."""
+        return self._peers.isolated_s()
+
     def subscribe(
         self, kind: _records.RecordKind, callback: _soft_state.RecordCallback
     ) -> None:
--- a/libs/membership/mulberry_membership/_soft_state.py
+++ b/libs/membership/mulberry_membership/_soft_state.py
@@ -101,6 +101,13 @@
         exchanges of this instance, started to fail; zero while they succeed.
         """
 
+    @abc.abstractmethod
+    def isolated_s(self) -> float:
+        """Returns how long all exchanges of this instance have failed, seconds.
+
+        Zero while any of them succeeds.
+        """
+
     @abc.abstractmethod
     def subscribe(
         self, kind: _records.RecordKind, callback: RecordCallback
