Let a trial follow one that showed nothing, and say when to come back

The block began again with its whole time, up to 40 s for a sound part of few requests, and a content whose answer is always a 404 was let through once in 10 to 20 s. And while a trial ran, callers were told to come back after the time of the block that would follow if it failed (16 s and more), though most know after a second.

A strike given in advance that is withdrawn or expires now leaves the time of the block as it was. The request itself holds no claim: its next attempt begins a trial like any other, so that there is one at a time. Callers come back after 2 s at most while a trial runs.

--- a/libs/gateway/mulberry_gateway/_blocks.py
+++ b/libs/gateway/mulberry_gateway/_blocks.py
@@ -19,6 +19,8 @@
 #: Factor of the time until a request whose other subjects have strikes may be a
 #: trial: its crash would not tell which of them caused it.
 _UNCLEAR_TRIAL_FACTOR = 2.0
+#: Time after which callers may come back while a trial runs, seconds.
+_TRIAL_RESULT_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -100,12 +102,12 @@
     def find(self, exchange: _exchange.Exchange) -> Block | core.Missing:
         """Returns why a request must not run now; unset if it may."""
         for subject in self.subjects(exchange):
-            if subject.digest in exchange.trial_digests:
-                continue
             duration_s = subject.duration_s
             if self._has_other_suspects(exchange, subject.digest):
                 duration_s *= _UNCLEAR_TRIAL_FACTOR
             remaining_s = self._remaining_s(subject.digest, duration_s)
+            if self._ledger.has_open_trial(subject.digest):
+                remaining_s = min(remaining_s, _TRIAL_RESULT_S)
             if remaining_s > 0.0:
                 return Block(subject.label, remaining_s)
         return core.Missing.UNSET
--- a/libs/gateway/mulberry_gateway/_exchange.py
+++ b/libs/gateway/mulberry_gateway/_exchange.py
@@ -102,8 +102,7 @@
     model: str = ""
     #: Id of the last event that was forwarded; empty before the first.
     last_event_id: str = ""
-    #: Digests of blocked subjects that this request may run with, as their
-    #: trial; empty once it has run.
+    #: Digests of the blocked subjects whose trial the running attempt is.
     trial_digests: frozenset[str] = frozenset()
 
     @functools.cached_property
--- a/libs/gateway/mulberry_gateway/_quarantine.py
+++ b/libs/gateway/mulberry_gateway/_quarantine.py
@@ -458,12 +458,8 @@
     def _trial_ended(
         self, exchange: _exchange.Exchange, attempt: _exchange.Attempt
     ) -> None:
-        """Withdraws the strikes of a trial that shows nothing.
-
-        A request that has not run may be sent again as the trial.
-        """
-        if attempt.may_have_run:
-            exchange.trial_digests = frozenset()
+        """Withdraws the strikes of a trial that shows nothing."""
+        exchange.trial_digests = frozenset()
         has_failed = attempt.may_have_run and not attempt.is_answered
         if not has_failed and not attempt.is_complete:
             for strike in attempt.trials:
--- a/libs/gateway/mulberry_gateway/_strike_ledger.py
+++ b/libs/gateway/mulberry_gateway/_strike_ledger.py
@@ -40,6 +40,8 @@
     seen_s: float
     #: Whether this instance gave the strike.
     is_own: bool
+    #: `Clock.now` of the last strike before this one, seconds.
+    grew_before_s: float
 
 
 class StrikeLedger:
@@ -191,6 +193,10 @@
         with self._lock:
             return self._seen_by_crash.get(crash_id, core.Missing.UNSET)
 
+    def has_open_trial(self, digest: str) -> bool:
+        """Whether a trial of a subject has begun and not ended."""
+        return any(seen.strike.is_open_trial for seen in self.uncleared(digest))
+
     def crashes_since(self, since_s: float) -> Mapping[str, float]:
         """Returns `Clock.now` of the first strike of recent crashes, by id."""
         with self._lock:
@@ -229,8 +235,7 @@
     def _crash_seen_s(self, strike: _strike_records.Strike) -> float:
         """Returns when the first strike by a crash became known, seconds."""
         now_s = self._clock.now()
-        if strike.subject.is_trial and strike.state is _StrikeState.SUSPECTED:
-            # The run has just begun.
+        if strike.is_open_trial:
             return now_s
         seen_s = self._seen_by_crash.setdefault(strike.crash_id, now_s)
         if len(self._seen_by_crash) > _MAX_CRASHES:
@@ -245,16 +250,20 @@
         digest = strike.subject.digest
         with self._lock:
             seen_by_id = self._seen_by_digest[digest]
-            seen_by_id.pop(record.id, None)
+            old = seen_by_id.pop(record.id, None)
             if not record.removed:
                 seen_by_id[record.id] = SeenStrike(
                     strike,
                     self._crash_seen_s(strike),
                     record.owner == self._soft_state.owner,
+                    self._grew_s.get(digest, 0.0),
                 )
             if not seen_by_id:
                 del self._seen_by_digest[digest]
             self._update(digest)
+            if record.removed and old is not None and old.strike.is_open_trial:
+                # The trial showed nothing, so the next one may follow.
+                self._grew_s[digest] = old.grew_before_s
             left = len(self._uncleared(digest))
         if record.removed and strike.state is _StrikeState.CONFIRMED:
             self._log.note(
--- a/libs/gateway/mulberry_gateway/_strike_records.py
+++ b/libs/gateway/mulberry_gateway/_strike_records.py
@@ -84,6 +84,11 @@
         ]
         return " ".join(words).encode()
 
+    @property
+    def is_open_trial(self) -> bool:
+        """Whether the strike was given in advance to a trial that still runs."""
+        return self.subject.is_trial and self.state is StrikeState.SUSPECTED
+
 
 def part_digest(part_id: str) -> str:
     """Returns the digest of a prompt part."""
