--- a/libs/gateway/mulberry_gateway/_quarantine.py
+++ b/libs/gateway/mulberry_gateway/_quarantine.py
@@ -60,7 +60,7 @@
     may crash upstreams by a prompt part that they share. Strikes are therefore
     counted by content digest and by prompt part. A content is blocked for a
     time from the third strike on, a part if it is the cause of several crashes;
-    a crash with a known cause counts against nothing else. A complete run
+    a crash with a known cause counts against no content. A complete run
     clears the strikes of its content and parts; those of the parts are cleared
     as soon as the answer is well under way. When the time of a block is over,
     one request in the whole deployment may run as its trial.
