Say what the second argument of crash_causes holds

The docstring said blocked contents; since the causes are found anew with each strike, contents with several crashes are given, blocked or not. No behaviour changes.

--- a/libs/decisions/mulberry_decisions/_crash_causes.py
+++ b/libs/decisions/mulberry_decisions/_crash_causes.py
@@ -86,7 +86,7 @@
 
     Args:
         parts: Crashes since the last sound run with the part.
-        contents: Contents that are blocked by themselves.
+        contents: Contents with several crashes.
 
     Returns:
         Crash ids by part.
