--- a/libs/gateway/mulberry_gateway/_dropped_runs.py
+++ b/libs/gateway/mulberry_gateway/_dropped_runs.py
@@ -1,4 +1,4 @@
-"""Runs whose answer was dropped because the model was not confident enough."""
+"""Runs that the router ended before their answer was complete."""
 
 import collections
 import threading
@@ -14,8 +14,9 @@
 class DroppedRuns:
     """Finds dropped runs that may have crashed their upstream.
 
-    The router ends such a run as soon as the head of the answer is there, so
-    that it never sees the connection break. Other runs show the crash.
+    The router drops an answer of low confidence at its head, and withdraws
+    requests that have been blocked, so that it never sees their connection
+    break. Other runs show the crash.
     """
 
     def __init__(
--- a/libs/gateway/mulberry_gateway/_strike_records.py
+++ b/libs/gateway/mulberry_gateway/_strike_records.py
@@ -15,8 +15,6 @@
 #: Payload of the strike of a part: its depth, the content that ran, whether the
 #: run was a trial, and whether the part was sound before.
 _PART_PAYLOAD = re.compile(rb"([0-9]{1,9}) ([0-9a-f]*)( trial)?( sound)?")
-
-
 #: Payload of the strike of a content: the keys of its shared parts.
 _CONTENT_PAYLOAD = re.compile(rb"[0-9a-f ]*")
 #: Length of the key of a part, characters of its digest.
