Keep the time of each crash in the replicated state

The spread of crashes over time tells a request that crashes upstreams from a loss of power. An instance hears of the crashes of others with its next renewal, up to a second later and several at once, so each instance saw another spread. The log has the time already. Records of earlier versions have the time 0.

test_other_instances_get_the_crashes_of_a_content has the times; test_crashes_that_an_earlier_version_recorded_have_no_time is new.

--- a/libs/state/mulberry_state/_commands.py
+++ b/libs/state/mulberry_state/_commands.py
@@ -155,17 +155,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class RecordCrash:
-    """Gives a strike to each content in flight on a crashed upstream."""
+    """Gives a strike to what was in flight on a crashed upstream."""
 
     command_id: str
     upstream: str
     incarnation: int
+    #: Of contents and of parts of their prompts.
     digests: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True)
 class ClearStrikes:
-    """Removes the strikes of contents that have since run to completion."""
+    """Removes the strikes of what has since run to completion."""
 
     command_id: str
     digests: tuple[str, ...]
--- a/libs/state/mulberry_state/_machine.py
+++ b/libs/state/mulberry_state/_machine.py
@@ -299,6 +299,10 @@
                 digest: strikes.crashes
                 for digest, strikes in versions.strikes_by_digest.items()
             },
+            crash_wall_s_by_digest={
+                digest: strikes.crash_wall_s
+                for digest, strikes in versions.strikes_by_digest.items()
+            },
         )
 
     def _add_audit_record(
@@ -464,7 +468,7 @@
             self._add_audit_record(
                 "crash guard",
                 f"upstream {command.upstream} crashed with "
-                f"{len(command.digests)} contents in flight",
+                f"{len(command.digests)} contents and prompt parts in flight",
                 in_view=True,
             )
         return result
--- a/libs/state/mulberry_state/_versions.py
+++ b/libs/state/mulberry_state/_versions.py
@@ -29,6 +29,8 @@
     crashes: tuple[str, ...]
     #: Unix time of the latest crash, seconds.
     wall_s: float
+    #: Unix time of each crash, seconds; 0 if an earlier version recorded it.
+    crash_wall_s: tuple[float, ...] = ()
 
     def is_expired(self, wall_s: float) -> bool:
         """Returns whether the strikes are past their retention."""
@@ -109,7 +111,9 @@
             if crash not in old.crashes:
                 changed = True
                 self.strikes_by_digest[digest] = Strikes(
-                    (*old.crashes, crash), wall_s
+                    (*old.crashes, crash),
+                    wall_s,
+                    (*old.crash_wall_s, wall_s),
                 )
         strikes = {d: self.strikes(d) for d in command.digests}
         return _commands.CrashRecorded(strikes), changed
@@ -142,7 +146,10 @@
         fill_rollouts(self.step_by_model, snapshot.rollouts)
         for digest, strikes in self.strikes_by_digest.items():
             snapshot.strikes.add(
-                digest=digest, crashes=strikes.crashes, wall_s=strikes.wall_s
+                digest=digest,
+                crashes=strikes.crashes,
+                wall_s=strikes.wall_s,
+                crash_wall_s=strikes.crash_wall_s,
             )
 
     def restore(self, snapshot: state_pb2.StateSnapshot) -> None:
@@ -150,11 +157,19 @@
         self.verdict_by_version = read_verdicts(snapshot.verdicts)
         self.step_by_model = read_rollouts(snapshot.rollouts)
         self.strikes_by_digest = {
-            item.digest: Strikes(tuple(item.crashes), item.wall_s)
+            item.digest: Strikes(
+                tuple(item.crashes), item.wall_s, crash_times(item)
+            )
             for item in snapshot.strikes
         }
 
 
+def crash_times(entry: state_pb2.StrikeEntry) -> tuple[float, ...]:
+    """Returns the Unix time of each crash, seconds; 0 if it is unknown."""
+    unknown = len(entry.crashes) - len(entry.crash_wall_s)
+    return (*(0.0 for _ in range(unknown)), *entry.crash_wall_s)
+
+
 def _has_step(
     command: _commands.AdvanceRollout, current: rules.Rules | core.Missing
 ) -> bool:
--- a/libs/state/mulberry_state/_view.py
+++ b/libs/state/mulberry_state/_view.py
@@ -83,6 +83,19 @@
     crashes_by_digest: Mapping[str, tuple[str, ...]] = dataclasses.field(
         default_factory=dict
     )
+    #: Unix time of each crash, in the same order, seconds; 0 if it is unknown.
+    crash_wall_s_by_digest: Mapping[str, tuple[float, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def crash_times_by_digest(self) -> Mapping[str, Mapping[str, float]]:
+        """Returns the Unix time of each crash by its id, seconds."""
+        return {
+            digest: dict(
+                zip(crashes, self.crash_wall_s_by_digest[digest], strict=True)
+            )
+            for digest, crashes in self.crashes_by_digest.items()
+        }
 
 
 def crash_id(upstream: str, incarnation: int) -> str:
--- a/libs/state/mulberry_state/_view_codec.py
+++ b/libs/state/mulberry_state/_view_codec.py
@@ -31,7 +31,11 @@
         message.service_rollouts_by_service,
     )
     for digest, crashes in view.crashes_by_digest.items():
-        message.strikes.add(digest=digest, crashes=crashes)
+        message.strikes.add(
+            digest=digest,
+            crashes=crashes,
+            crash_wall_s=view.crash_wall_s_by_digest.get(digest, ()),
+        )
     _versions.fill_verdicts(view.verdicts_by_version, message.verdicts)
     _versions.fill_rollouts(view.rollout_steps_by_model, message.rollouts)
     return message
@@ -76,4 +80,7 @@
         crashes_by_digest={
             item.digest: tuple(item.crashes) for item in message.strikes
         },
+        crash_wall_s_by_digest={
+            item.digest: _versions.crash_times(item) for item in message.strikes
+        },
     )
--- a/libs/state/mulberry_state/tests/test_machine.py
+++ b/libs/state/mulberry_state/tests/test_machine.py
@@ -195,10 +195,13 @@
 
 
 def test_other_instances_get_the_crashes_of_a_content(
-    client: state.LocalStateClient,
+    client: state.LocalStateClient, clock: core.ManualClock
 ) -> None:
     """Guards against counting a crash twice on instances that get the view."""
+    times_s = []
     for incarnation in (1, 2):
+        clock.advance(5.0)
+        times_s.append(clock.wall())
         client.propose(
             state.RecordCrash(state.new_command_id(), "u", incarnation, ("a",)),
             1.0,
@@ -210,6 +213,21 @@
     assert decoded.crashes_by_digest == {
         "a": (state.crash_id("u", 1), state.crash_id("u", 2))
     }
+    assert decoded.crash_times_by_digest() == {
+        "a": dict(zip(decoded.crashes_by_digest["a"], times_s, strict=True))
+    }
+
+
+def test_crashes_that_an_earlier_version_recorded_have_no_time(
+    client: state.LocalStateClient,
+) -> None:
+    """Guards against times that belong to other crashes after an upgrade."""
+    message = _view_codec.encode_view(client.view(), 0)
+    message.strikes.add(digest="a", crashes=["u 1", "u 2"], crash_wall_s=[7.0])
+    decoded = _view_codec.decode_view(
+        message, state.EMPTY_VIEW, state.FileRulesParser()
+    )
+    assert decoded.crash_times_by_digest() == {"a": {"u 1": 0.0, "u 2": 7.0}}
 
 
 def test_fencing_numbers_grow_and_orders_need_the_newest(
