Chat entry: block messages that chats share if they crash engines

PartGuard finds the messages that cause crashes with crash_causes, as the gateway does, from the crashes that all entries record, and blocks them for a time. One chat of an entry then runs as a trial; its crash is recorded under a digest of its own, so that all entries know how long the next block lasts. Crashes with a known cause count against no content.

Chats of one message have no shared part, so nothing changes for them.

--- a/libs/core/mulberry_core/_errors.py
+++ b/libs/core/mulberry_core/_errors.py
@@ -144,7 +144,7 @@
         410, "The request has run; its answer was too large to be kept."
     ),
     ErrorKind.CONTENT_BLOCKED: _permanent(
-        422, "This request has crashed two upstreams and is blocked."
+        422, "This request has crashed upstreams and is blocked."
     ),
     ErrorKind.LIMIT_EXCEEDED: _transient(
         429, 1.0, "The team has used up its limit for now."
--- a/libs/decisions/mulberry_decisions/_crash_causes.py
+++ b/libs/decisions/mulberry_decisions/_crash_causes.py
@@ -43,7 +43,7 @@
 
     #: Content digest of the request; empty if it is unknown.
     content: str
-    #: `Clock.now` when the crash became known, seconds.
+    #: When the crash became known, seconds, of one clock for all crashes.
     seen_s: float
 
 
--- a/libs/decisions/mulberry_decisions/_crashes.py
+++ b/libs/decisions/mulberry_decisions/_crashes.py
@@ -2,24 +2,29 @@
 
 import abc
 import dataclasses
+import types
 from collections.abc import Mapping, Sequence
 
 import mulberry_core as core
 from mulberry_decisions import _upstreams, _work
 
+#: No crashes are known by their ids.
+NO_CRASHES: Mapping[str, Mapping[str, float]] = types.MappingProxyType({})
+
 
 @dataclasses.dataclass(frozen=True)
 class CrashReport:
-    """Contents in flight on a lost upstream, to be recorded."""
+    """What was in flight on a lost upstream, to be recorded."""
 
     upstream: str
     incarnation: int
-    #: Sorted, without duplicates.
+    #: Digests of contents and of parts of their prompts, sorted, without
+    #: duplicates.
     digests: tuple[str, ...]
 
 
 class CrashGuard(abc.ABC):
-    """Prevents one content from crashing upstream after upstream.
+    """Prevents requests from crashing upstream after upstream.
 
     An entry records a `CrashReport` before it retries any of the work or
     answers its callers; otherwise the work could be sent again before the
@@ -60,7 +65,7 @@
         """Called when a run ends other than by the loss of the upstream.
 
         Returns:
-            Contents whose strikes are to be cleared.
+            Digests whose strikes are to be cleared.
         """
 
     @abc.abstractmethod
@@ -73,8 +78,18 @@
         """
 
     @abc.abstractmethod
-    def strikes_changed(self, strikes_by_digest: Mapping[str, int]) -> None:
-        """Called with the recorded strikes of all entries."""
+    def strikes_changed(
+        self,
+        strikes_by_digest: Mapping[str, int],
+        crashes_by_digest: Mapping[str, Mapping[str, float]] = NO_CRASHES,
+    ) -> None:
+        """Called with the recorded strikes of all entries.
+
+        Args:
+            strikes_by_digest: Number of crashes.
+            crashes_by_digest: Unix time of each of these crashes, by its id,
+                seconds; empty where they are not known.
+        """
 
 
 class NoCrashGuard(CrashGuard):
@@ -109,5 +124,9 @@
         """Reports nothing."""
         return core.Missing.UNSET
 
-    def strikes_changed(self, strikes_by_digest: Mapping[str, int]) -> None:
+    def strikes_changed(
+        self,
+        strikes_by_digest: Mapping[str, int],
+        crashes_by_digest: Mapping[str, Mapping[str, float]] = NO_CRASHES,
+    ) -> None:
         """Ignores the strikes."""
--- a/libs/decisions/mulberry_decisions/_strikes.py
+++ b/libs/decisions/mulberry_decisions/_strikes.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping, Sequence
 
 import mulberry_core as core
-from mulberry_decisions import _crashes, _upstreams, _work
+from mulberry_decisions import _crashes, _part_guard, _upstreams, _work
 
 #: Upstream losses after which a content is blocked.
 MAX_STRIKES = 2
@@ -34,11 +34,16 @@
     different ones, so that the one that crashes its upstream cannot cause the
     second strike of the other. Copies of a content without strikes run on at
     most two upstreams per entry.
+
+    Different contents may crash upstreams by a part of their prompts that they
+    share. Such a part is blocked for a time, and the crashes that it has caused
+    count against no content.
     """
 
     def __init__(self, clock: core.Clock) -> None:
         self._clock = clock
         self._lock = threading.Lock()
+        self._parts = _part_guard.PartGuard(clock)
         self._strikes: dict[str, int] = {}
         #: Time at which the strikes of a content were cleared.
         self._cleared_at_s: dict[str, float] = {}
@@ -51,6 +56,15 @@
         candidates: Sequence[_upstreams.UpstreamState],
     ) -> tuple[_upstreams.UpstreamState, ...] | core.Refusal:
         """Returns the candidates on which the work may run."""
+        self._parts.request_arrived(work)
+        blocked_s = self._parts.blocked_s(work)
+        if blocked_s > 0.0:
+            return core.Refusal(
+                core.ErrorKind.CONTENT_BLOCKED,
+                core.RunState.NOT_RUN,
+                "upstreams were lost while running a part of this prompt",
+                retry_after_s=blocked_s,
+            )
         with self._lock:
             strikes = self._strikes.get(work.content, 0)
             if strikes >= MAX_STRIKES:
@@ -78,7 +92,9 @@
     ) -> bool:
         """Counts the run unless it may no longer start on the upstream."""
         with self._lock:
-            if not self._may_start(work, upstream):
+            if not self._may_start(work, upstream) or not self._parts.started(
+                work, upstream
+            ):
                 return False
             key = (upstream.name, upstream.incarnation)
             contents = self._running.setdefault(key, {})
@@ -106,32 +122,42 @@
                 outcome is _work.Outcome.COMPLETED
                 and work.content in self._strikes
             )
-        return (work.content,) if clears_strikes else ()
+        cleared_parts = self._parts.finished(work, upstream, outcome)
+        return (*((work.content,) if clears_strikes else ()), *cleared_parts)
 
     def upstream_lost(
         self, upstream: str, incarnation: int
     ) -> _crashes.CrashReport | core.Missing:
-        """Returns the contents that were in flight on the upstream."""
+        """Returns what was in flight on the upstream."""
         with self._lock:
             contents = self._running.pop((upstream, incarnation), {})
+            parts = self._parts.upstream_lost(upstream, incarnation)
             if not contents:
                 return core.Missing.UNSET
             for digest in contents:
                 # Takes effect here at once, until the recorded strikes arrive.
                 self._strikes[digest] = self._strikes.get(digest, 0) + 1
         return _crashes.CrashReport(
-            upstream, incarnation, tuple(sorted(contents))
+            upstream, incarnation, tuple(sorted((*contents, *parts)))
         )
 
-    def strikes_changed(self, strikes_by_digest: Mapping[str, int]) -> None:
+    def strikes_changed(
+        self,
+        strikes_by_digest: Mapping[str, int],
+        crashes_by_digest: Mapping[
+            str, Mapping[str, float]
+        ] = _crashes.NO_CRASHES,
+    ) -> None:
         """Replaces the strikes with the recorded ones."""
         with self._lock:
             now_s = self._clock.now()
-            new = {
-                digest: count
-                for digest, count in strikes_by_digest.items()
-                if count > 0
-            }
+            explained = self._parts.crashes_changed(crashes_by_digest)
+            new = {}
+            for digest, recorded in strikes_by_digest.items():
+                crashes = crashes_by_digest.get(digest, ())
+                count = recorded - len(explained.intersection(crashes))
+                if count > 0 and not _part_guard.is_part(digest):
+                    new[digest] = count
             for digest, count in self._strikes.items():
                 if digest not in new and count < MAX_STRIKES:
                     self._cleared_at_s[digest] = now_s
--- a/libs/decisions/mulberry_decisions/_work.py
+++ b/libs/decisions/mulberry_decisions/_work.py
@@ -44,6 +44,9 @@
     content: str = ""
     #: Digests of prefixes of the prompt, shortest first.
     prefixes: tuple[str, ...] = ()
+    #: Digests of the parts of the prompt that other requests may share, the
+    #: first part first.
+    shared_parts: tuple[str, ...] = ()
     #: Tokens of prompt and answer together.
     expected_tokens: int = 0
     #: Whether the work may run more than once.
--- a/libs/entry/mulberry_entry/_dispatch.py
+++ b/libs/entry/mulberry_entry/_dispatch.py
@@ -95,7 +95,7 @@
         )
         components.state.subscribe(
             lambda view: components.decisions.crash_guard.strikes_changed(
-                view.strikes_by_digest
+                view.strikes_by_digest, view.crash_times_by_digest()
             )
         )
 
--- a/libs/entry/mulberry_entry/_work.py
+++ b/libs/entry/mulberry_entry/_work.py
@@ -21,6 +21,9 @@
 #: upstream that may have them cached.
 _PREFIX_BLOCK_BYTES = 2048
 _MAX_PREFIX_BLOCKS = 16
+#: Maximum number of shared parts of a chat, the first ones; bounds what is
+#: recorded of a long conversation when an upstream is lost.
+_MAX_SHARED_PARTS = 8
 
 #: Deadline of calls that match no kind in the rules, seconds.
 _DEFAULT_CALL_DEADLINE_S = 10.0
@@ -104,6 +107,7 @@
         session=request.session,
         content=request.body_digest,
         prefixes=_prefix_digests(request.body),
+        shared_parts=_shared_part_digests(chat),
         expected_tokens=chat.expected_tokens,
         is_idempotent=True,
         is_call=False,
@@ -175,6 +179,15 @@
     )
 
 
+def _shared_part_digests(chat: Chat) -> tuple[str, ...]:
+    """Returns the digests of all messages but the last."""
+    shared = chat.content["messages"][:-1]
+    return tuple(
+        core.digest128(json.dumps(message, sort_keys=True).encode())
+        for message in shared[:_MAX_SHARED_PARTS]
+    )
+
+
 def _message_text(message: _Message) -> str:
     if isinstance(message.content, str):
         return message.content
