--- a/libs/experiments/mulberry_experiments/_entry_client.py
+++ b/libs/experiments/mulberry_experiments/_entry_client.py
@@ -79,6 +79,14 @@
         return "".join(parts)
 
 
+def chat_messages(prompt: str, system: str = "") -> list[dict[str, str]]:
+    """Returns the messages of a chat, with a system message if it is given."""
+    messages = [{"role": "user", "content": prompt}]
+    if system:
+        messages.insert(0, {"role": "system", "content": system})
+    return messages
+
+
 class EntryClient:
     """Sends requests of one team, each on a new connection."""
 
@@ -93,6 +101,7 @@
         prompt: str,
         stream: bool = False,
         headers: Mapping[str, str] | None = None,
+        system: str = "",
     ) -> Reply:
         """Sends a chat request."""
         return self.send(
@@ -102,7 +111,7 @@
             {
                 "model": model,
                 "stream": stream,
-                "messages": [{"role": "user", "content": prompt}],
+                "messages": chat_messages(prompt, system),
             },
             headers,
         )
--- a/libs/experiments/mulberry_experiments/_soak/_callers.py
+++ b/libs/experiments/mulberry_experiments/_soak/_callers.py
@@ -189,7 +189,14 @@
                 entry, "GET", f"/services/{_soak_deployment.SERVICE}/{target}"
             )
         else:
-            reply = client.chat(entry, target, prompt, stream, given)
+            reply = client.chat(
+                entry,
+                target,
+                prompt,
+                stream,
+                given,
+                _soak_deployment.SYSTEM_MESSAGE,
+            )
         attempt = _history.Attempt(
             work,
             team,
--- a/libs/experiments/mulberry_experiments/_soak/_checks.py
+++ b/libs/experiments/mulberry_experiments/_soak/_checks.py
@@ -11,6 +11,7 @@
 
 import mulberry_rules as rules
 import mulberry_standins as standins
+from mulberry_experiments import _entry_client
 from mulberry_experiments._soak import _evidence, _history, _soak_deployment
 
 #: Guaranteed time until accepted rules are in effect, seconds.
@@ -269,7 +270,9 @@
         expected = standins.expected_text(
             attempt.reply.header_by_name["x-mulberry-model"],
             _version_of(attempt),
-            [{"role": "user", "content": attempt.prompt}],
+            _entry_client.chat_messages(
+                attempt.prompt, _soak_deployment.SYSTEM_MESSAGE
+            ),
             _soak_deployment.TOKENS,
             _soak_deployment.QUALITY,
         )
--- a/libs/experiments/mulberry_experiments/_soak/_soak_deployment.py
+++ b/libs/experiments/mulberry_experiments/_soak/_soak_deployment.py
@@ -23,6 +23,8 @@
 #: Versions of `MODEL`; operators withdraw one at a time and restore it.
 OLD_VERSION = "2026-02"
 NEW_VERSION = "2026-03"
+#: The message that all chats share.
+SYSTEM_MESSAGE = "Answer in short sentences."
 SERVICE = "taller-app"
 #: A team that may use only `OLD_VERSION` of `MODEL`.
 RESTRICTED_TEAM = "formacion"
--- a/libs/experiments/mulberry_experiments/tests/test_crashing_chats.py
+++ b/libs/experiments/mulberry_experiments/tests/test_crashing_chats.py
@@ -51,17 +51,11 @@
         )
         entries = deployment.entries
         for number in range(_CHAT_COUNT):
-            reply = client.send(
+            reply = client.chat(
                 entries[number % len(entries)],
-                "POST",
-                "/v1/chat/completions",
-                {
-                    "model": _MODEL,
-                    "messages": [
-                        {"role": "system", "content": _CRASH_MARKER},
-                        {"role": "user", "content": f"question {number}"},
-                    ],
-                },
+                _MODEL,
+                f"question {number}",
+                system=_CRASH_MARKER,
             )
             assert not reply.is_success
             time.sleep(_CHAT_PERIOD_S)
