Chat entry: tell which message of a chat is blocked

The refusal only said that a part of the prompt was. An operator who reads the trace now knows which message to give to those who run the engines. With several blocked messages the first one is named.

--- a/libs/decisions/mulberry_decisions/_part_guard.py
+++ b/libs/decisions/mulberry_decisions/_part_guard.py
@@ -46,6 +46,15 @@
     began_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class PartBlock:
+    """Why a request must not run, and for how long."""
+
+    #: Position of the part in the prompt, from 1.
+    position: int
+    remaining_s: float
+
+
 class PartGuard:
     """Blocks the prompt parts that are the cause of several crashes.
 
@@ -78,10 +87,10 @@
         if work.shared_parts:
             self._reach.add(work.kind, work.content, _parts(work))
 
-    def blocked_s(self, work: _work.Work) -> float:
-        """Returns how long the request must not run, seconds; 0 if it may."""
+    def find_block(self, work: _work.Work) -> PartBlock | core.Missing:
+        """Returns why a request must not run now; unset if it may."""
         with self._lock:
-            return self._blocked_s(work)
+            return self._find_block(work)
 
     def started(
         self, work: _work.Work, upstream: _upstreams.UpstreamState
@@ -94,7 +103,7 @@
         """
         key = (upstream.name, upstream.incarnation)
         with self._lock:
-            if self._blocked_s(work) > 0.0:
+            if isinstance(self._find_block(work), PartBlock):
                 return False
             trial = _Trial(key, self._clock.now())
             for part in _parts(work):
@@ -205,15 +214,13 @@
             was_cause=now_s - found_s > _CRASH_SETTLES_S,
         )
 
-    def _blocked_s(self, work: _work.Work) -> float:
-        return max(
-            (
-                self._remaining_s(work.kind, part)
-                for part in _parts(work)
-                if part in self._found_s_by_cause
-            ),
-            default=0.0,
-        )
+    def _find_block(self, work: _work.Work) -> PartBlock | core.Missing:
+        for position, part in enumerate(_parts(work), start=1):
+            if part in self._found_s_by_cause:
+                remaining_s = self._remaining_s(work.kind, part)
+                if remaining_s > 0.0:
+                    return PartBlock(position, remaining_s)
+        return core.Missing.UNSET
 
     def _remaining_s(self, kind: str, part: str) -> float:
         """Returns how long a cause remains blocked, seconds."""
--- a/libs/decisions/mulberry_decisions/_strikes.py
+++ b/libs/decisions/mulberry_decisions/_strikes.py
@@ -57,13 +57,14 @@
     ) -> tuple[_upstreams.UpstreamState, ...] | core.Refusal:
         """Returns the candidates on which the work may run."""
         self._parts.request_arrived(work)
-        blocked_s = self._parts.blocked_s(work)
-        if blocked_s > 0.0:
+        block = self._parts.find_block(work)
+        if isinstance(block, _part_guard.PartBlock):
             return core.Refusal(
                 core.ErrorKind.CONTENT_BLOCKED,
                 core.RunState.NOT_RUN,
-                "upstreams were lost while running a part of this prompt",
-                retry_after_s=blocked_s,
+                f"upstreams were lost while running part {block.position} of "
+                "this prompt",
+                retry_after_s=block.remaining_s,
             )
         with self._lock:
             strikes = self._strikes.get(work.content, 0)
--- a/libs/decisions/mulberry_decisions/tests/test_part_guard.py
+++ b/libs/decisions/mulberry_decisions/tests/test_part_guard.py
@@ -135,6 +135,15 @@
         assert self.is_blocked(_deadly(90))
 
 
+def test_the_refusal_names_the_part() -> None:
+    entries = _Entries()
+    entries.block()
+    refusal = entries.usable(_deadly(90))
+    assert isinstance(refusal, core.Refusal)
+    assert refusal.kind is core.ErrorKind.CONTENT_BLOCKED
+    assert "part 2 of this prompt" in refusal.reason
+
+
 def test_different_chats_crash_few_upstreams() -> None:
     """Guards against chats that crash upstreams by a message they share."""
     entries = _Entries()
