Log why runs are abandoned and why no further attempt follows

A request that ends with most of its time left shows the outcomes of its attempts, but neither why there was no other attempt nor how long an upstream had been silent when its run was given up.

`request` and `refused` now say `retry_denial`; `abandoned` gives the reason and the silence. The retry rules move to a class of their own, RetryPolicy.

--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -15,15 +15,13 @@
     _faults,
     _messages,
     _quarantine,
+    _retry_policy,
     _running_requests,
     _stall_detector,
     _stream_relay,
     _upstream_call,
 )
 
-#: Minimum time before the deadline to start an attempt, seconds.
-MIN_ATTEMPT_S = 0.03
-
 
 @dataclasses.dataclass(frozen=True)
 class AttemptFailure:
@@ -46,6 +44,13 @@
         self._relay = _stream_relay.StreamRelay(
             components.dialect, components.clock
         )
+        self._retries = _retry_policy.RetryPolicy(
+            components.retry_budget, components.clock
+        )
+
+    def request_started(self, exchange: _exchange.Exchange) -> None:
+        """Counts a request towards the retry budget."""
+        self._retries.request_started(exchange)
 
     def run(
         self, exchange: _exchange.Exchange
@@ -56,7 +61,7 @@
             if isinstance(failed, _stream_relay.Relayed):
                 return failed
             if not failed.retry_granted and not (
-                failed.may_retry and self._may_retry(exchange)
+                failed.may_retry and self._retries.take_retry(exchange)
             ):
                 return failed
 
@@ -75,24 +80,11 @@
         sent = exchange.caller.send_all(data)
         return _stream_relay.Relayed(sent and exchange.keep_alive)
 
-    def _may_retry(self, exchange: _exchange.Exchange) -> bool:
-        if len(exchange.attempts) >= exchange.route.max_attempts:
-            return False
-        if self._remaining_s(exchange) < MIN_ATTEMPT_S:
-            return False
-        if not any(attempt.may_have_arrived for attempt in exchange.attempts):
-            # No upstream can have received the request, so the next attempt
-            # does not count against the retry budget.
-            return True
-        return self._components.retry_budget.try_retry(
-            decision_inputs(exchange), exchange.run
-        )
-
     def _attempt(
         self, exchange: _exchange.Exchange
     ) -> _stream_relay.Relayed | AttemptFailure:
         components = self._components
-        if self._remaining_s(exchange) < MIN_ATTEMPT_S:
+        if self._retries.is_too_late(exchange):
             return AttemptFailure(deadline_refusal(exchange), may_retry=False)
         block = components.quarantine.find_block(exchange)
         if isinstance(block, _blocks.Block):
@@ -172,7 +164,7 @@
             request,
             _dialect.ForwardingMetadata(
                 upstream=attempt.upstream,
-                left_s=self._remaining_s(exchange),
+                left_s=self._retries.remaining_s(exchange),
                 team=exchange.team,
                 model=attempt.model,
                 last_event_id=exchange.last_event_id,
@@ -202,6 +194,7 @@
             self._silence_policy(exchange, exchange.route.target_latency_s),
         )
         if isinstance(head, _upstream_call.Fault):
+            self._log_abandoned(exchange, attempt, stall_detector)
             return self._handle_fault(exchange, attempt, head)
         attempt.head_s = components.clock.now()
         metadata = components.dialect.parse_response(
@@ -284,7 +277,7 @@
         if isinstance(model, core.Missing) or attempt.trials:
             # A trial must show whether the upstream outlives the answer.
             return False
-        if not self._may_retry(exchange):
+        if not self._retries.take_retry(exchange):
             return False
         exchange.model = model
         attempt.outcome = _exchange.UNSURE
@@ -379,10 +372,31 @@
         gap_meter.finish()
         if isinstance(relayed, _stream_relay.Relayed):
             return relayed
+        self._log_abandoned(exchange, attempt, stall_detector)
         failed = self._handle_fault(exchange, attempt, relayed.fault)
         resumable = exchange.route.is_resumable and failed.may_retry
         return dataclasses.replace(failed, may_retry=resumable)
 
+    def _log_abandoned(
+        self,
+        exchange: _exchange.Exchange,
+        attempt: _exchange.Attempt,
+        stall_detector: _stall_detector.StallDetector,
+    ) -> None:
+        """Logs that the router ended a run for lack of a sign of life."""
+        reason = stall_detector.abandon_reason
+        if isinstance(reason, core.Missing):
+            return
+        self._components.log.note(
+            "abandoned",
+            keep=True,
+            id=exchange.metadata.request_id,
+            upstream=attempt.upstream,
+            reason=reason.value,
+            inactive_ms=round(stall_detector.inactive_s * 1000),
+            events=attempt.events,
+        )
+
     def _handle_fault(
         self,
         exchange: _exchange.Exchange,
@@ -436,9 +450,6 @@
             may_retry=True,
         )
 
-    def _remaining_s(self, exchange: _exchange.Exchange) -> float:
-        return exchange.deadline_s - self._components.clock.now()
-
 
 def deadline_refusal(exchange: _exchange.Exchange) -> core.Refusal:
     """Returns the refusal of a request whose deadline has passed."""
@@ -464,16 +475,3 @@
         f"upstreams were lost while running {block.subject}",
         retry_after_s=block.remaining_s,
     )
-
-
-def decision_inputs(exchange: _exchange.Exchange) -> decisions.Work:
-    """Returns the attributes of a request that decisions use."""
-    return decisions.Work(
-        team=exchange.team,
-        kind=exchange.route.name,
-        priority=exchange.priority,
-        deadline_at_s=exchange.deadline_s,
-        service=exchange.service,
-        is_idempotent=exchange.route.is_idempotent,
-        is_call=exchange.route.kind is not routing.RouteKind.STREAMING,
-    )
--- a/libs/gateway/mulberry_gateway/_exchange.py
+++ b/libs/gateway/mulberry_gateway/_exchange.py
@@ -104,6 +104,9 @@
     last_event_id: str = ""
     #: Digests of the blocked subjects whose trial the running attempt is.
     trial_digests: frozenset[str] = frozenset()
+    #: Why the last failed attempt was not followed by another; empty if none
+    #: failed or the request could not be tried again for other reasons.
+    retry_denial: str = ""
 
     @functools.cached_property
     def content_digest(self) -> str:
@@ -162,6 +165,7 @@
             if self.first_byte_s
             else -1,
             "left_ms": round((self.deadline_s - now_s) * 1000),
+            "retry_denial": self.retry_denial,
             "tries": [
                 [
                     attempt.upstream,
--- a/libs/gateway/mulberry_gateway/_forwarder.py
+++ b/libs/gateway/mulberry_gateway/_forwarder.py
@@ -161,9 +161,7 @@
 
     def _run(self, exchange: _exchange.Exchange) -> bool:
         """Runs a request; returns whether to keep the connection."""
-        self._components.retry_budget.request_started(
-            _attempts.decision_inputs(exchange)
-        )
+        self._attempts.request_started(exchange)
         try:
             keep_alive = self._try_upstreams(exchange)
         except Exception:
--- /dev/null
+++ b/libs/gateway/mulberry_gateway/_retry_policy.py
@@ -0,0 +1,80 @@
+"""Whether a request may be sent to another upstream."""
+
+import enum
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+import mulberry_routing as routing
+from mulberry_gateway import _exchange
+
+#: Minimum time before the deadline to start an attempt, seconds.
+MIN_ATTEMPT_S = 0.03
+
+
+class RetryDenial(enum.Enum):
+    """Why a failed attempt is not followed by another one."""
+
+    #: The route allows no further attempt.
+    ATTEMPTS = "attempts"
+    #: Too little time is left.
+    DEADLINE = "deadline"
+    #: The retry budget is used up, or the work must not run twice.
+    BUDGET = "budget"
+
+
+class RetryPolicy:
+    """Applies the limits of the route, the deadline and the retry budget."""
+
+    def __init__(
+        self, budget: decisions.RetryBudget, clock: core.Clock
+    ) -> None:
+        self._budget = budget
+        self._clock = clock
+
+    def request_started(self, exchange: _exchange.Exchange) -> None:
+        """Counts a request towards the retry budget."""
+        self._budget.request_started(decision_inputs(exchange))
+
+    def remaining_s(self, exchange: _exchange.Exchange) -> float:
+        """Returns the time until the deadline, seconds."""
+        return exchange.deadline_s - self._clock.now()
+
+    def is_too_late(self, exchange: _exchange.Exchange) -> bool:
+        """Whether too little time is left for an attempt."""
+        return self.remaining_s(exchange) < MIN_ATTEMPT_S
+
+    def take_retry(self, exchange: _exchange.Exchange) -> bool:
+        """Whether another attempt may follow; takes it from the budget."""
+        denial = self._denial(exchange)
+        if isinstance(denial, core.Missing):
+            return True
+        exchange.retry_denial = denial.value
+        return False
+
+    def _denial(
+        self, exchange: _exchange.Exchange
+    ) -> RetryDenial | core.Missing:
+        if len(exchange.attempts) >= exchange.route.max_attempts:
+            return RetryDenial.ATTEMPTS
+        if self.is_too_late(exchange):
+            return RetryDenial.DEADLINE
+        if not any(attempt.may_have_arrived for attempt in exchange.attempts):
+            # No upstream can have received the request, so the next attempt
+            # does not count against the retry budget.
+            return core.Missing.UNSET
+        if self._budget.try_retry(decision_inputs(exchange), exchange.run):
+            return core.Missing.UNSET
+        return RetryDenial.BUDGET
+
+
+def decision_inputs(exchange: _exchange.Exchange) -> decisions.Work:
+    """Returns the attributes of a request that decisions use."""
+    return decisions.Work(
+        team=exchange.team,
+        kind=exchange.route.name,
+        priority=exchange.priority,
+        deadline_at_s=exchange.deadline_s,
+        service=exchange.service,
+        is_idempotent=exchange.route.is_idempotent,
+        is_call=exchange.route.kind is not routing.RouteKind.STREAMING,
+    )
--- a/libs/gateway/mulberry_gateway/_stall_detector.py
+++ b/libs/gateway/mulberry_gateway/_stall_detector.py
@@ -1,5 +1,6 @@
 """Detects upstreams that stop making progress on a request."""
 
+import enum
 import math
 import time
 from collections.abc import Callable
@@ -15,6 +16,17 @@
 _CHECK_PERIOD_S = 0.5
 
 
+class AbandonReason(enum.Enum):
+    """Why an upstream was abandoned while it had the request."""
+
+    #: It sent nothing and accepted no other connection.
+    NO_CONNECTION = "no_connection"
+    #: It sent nothing, also for other requests.
+    INACTIVE = "inactive"
+    #: It sent bytes, but no part of the answer.
+    NO_PROGRESS = "no_progress"
+
+
 class StallDetector:
     """Reads the response of one attempt and detects stalls."""
 
@@ -33,6 +45,13 @@
         #: before the answer begins. Excludes the time in which the caller
         #: accepts no bytes, because nothing is read then.
         self._stalled_s = -math.inf
+        #: Why the upstream was abandoned; unset before that.
+        self.abandon_reason: AbandonReason | core.Missing = core.Missing.UNSET
+
+    @property
+    def inactive_s(self) -> float:
+        """Time since data arrived for this request, seconds."""
+        return time.monotonic() - self._call.last_received_s
 
     def note_progress(self) -> None:
         """Records that the upstream made progress on the request."""
@@ -57,6 +76,7 @@
         timeout_s = policy.first_check_s
         while True:
             if policy.is_stalled(self._stalled_s):
+                self.abandon_reason = AbandonReason.NO_PROGRESS
                 return _upstream_call.Fault.LOST
             remaining_s = deadline_s - self._clock.now()
             began_s = time.monotonic()
@@ -67,16 +87,25 @@
                 or remaining_s <= timeout_s
             ):
                 return result
-            if self._is_lost(policy):
+            self.abandon_reason = self._check(policy)
+            if isinstance(self.abandon_reason, AbandonReason):
                 return _upstream_call.Fault.LOST
             timeout_s = _CHECK_PERIOD_S
 
-    def _is_lost(self, policy: decisions.InactivityPolicy) -> bool:
-        inactive_s = time.monotonic() - self._call.last_received_s
+    def _check(
+        self, policy: decisions.InactivityPolicy
+    ) -> AbandonReason | core.Missing:
+        """Returns why to abandon an inactive upstream; unset to wait."""
+        inactive_s = self.inactive_s
         last_success_s = self._health.last_success_s(self._upstream)
         action = policy.next_action(
             inactive_s, self._clock.now() - last_success_s < inactive_s
         )
-        if action is decisions.InactivityAction.PROBE:
-            return not self._call.accepts_connections()
-        return action is decisions.InactivityAction.ABANDON
+        if action is decisions.InactivityAction.ABANDON:
+            return AbandonReason.INACTIVE
+        if (
+            action is decisions.InactivityAction.PROBE
+            and not self._call.accepts_connections()
+        ):
+            return AbandonReason.NO_CONNECTION
+        return core.Missing.UNSET
