Failing test: a stream whose upstream takes no new work is not rerun

A stream that is cut is resumed at the same upstream first. If that one has restarted or is leaving, the reservation is refused with NO_UPSTREAM, which replaces the cause of the cut and is not retryable: the caller gets an error event in the middle of the answer although another upstream is free.

--- a/libs/entry/mulberry_entry/tests/test_entry.py
+++ b/libs/entry/mulberry_entry/tests/test_entry.py
@@ -12,6 +12,7 @@
 import mulberry_decisions as decisions
 import mulberry_rules as rules
 import mulberry_state as state
+from mulberry_entry import _dispatch as dispatch
 from mulberry_entry.tests import harness
 
 _LIMITS = rules.Limits(
@@ -286,6 +287,41 @@
     assert _bills(entry) == 2
 
 
+@pytest.mark.parametrize(
+    "announced",
+    [{"incarnation": 2}, {"state": "leaving"}],
+    ids=["restarted", "leaving"],
+)
+def test_cut_stream_is_rerun_if_its_upstream_takes_no_new_work(
+    entry: harness.Harness,
+    monkeypatch: pytest.MonkeyPatch,
+    announced: dict[str, Any],
+) -> None:
+    """Guards against closing a stream while another upstream is free."""
+    reserve = dispatch.Dispatcher.reserve_for_resume
+
+    def announce_and_reserve(
+        dispatcher: dispatch.Dispatcher,
+        previous: dispatch.Reservation,
+        *arguments: Any,
+    ) -> dispatch.Reservation | core.Refusal:
+        serves = [{"model": "m", "version": "v1"}]
+        entry.announce(previous.chosen.name, serves=serves, **announced)
+        for name in ("engine-1", "engine-2"):
+            entry.set_faults(name)
+        return reserve(dispatcher, previous, *arguments)
+
+    monkeypatch.setattr(
+        dispatch.Dispatcher, "reserve_for_resume", announce_and_reserve
+    )
+    expected = entry.chat(stream=True)[2].count(b"data: ")
+    for name in ("engine-1", "engine-2"):
+        entry.set_faults(name, cut_after=3)
+    _, _, body = entry.chat(stream=True)
+    assert body.endswith(b"data: [DONE]\n\n")
+    assert body.count(b"data: ") == expected
+
+
 def test_slot_is_released_when_caller_disconnects(
     entry: harness.Harness,
 ) -> None:
