Failing test: the rerun of a stream does not wait for a slot

A retry of a whole answer waits for a free slot (ChatRun._wait_for_slot), since requests of a lost upstream are isolated from each other and each may have to wait. The rerun of a stream does not: its caller gets an error event in the middle of the answer if all slots are taken at that moment.

The test fails.

--- a/libs/entry/mulberry_entry/tests/test_entry.py
+++ b/libs/entry/mulberry_entry/tests/test_entry.py
@@ -1,9 +1,10 @@
 """Tests of the entry against stand-in upstreams."""
 
+import itertools
 import json
 import socket
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Container, Iterator, Sequence
 from typing import Any
 
 import pytest
@@ -322,6 +323,37 @@
     assert body.count(b"data: ") == expected
 
 
+def _refuse_selections(
+    entry: harness.Harness,
+    monkeypatch: pytest.MonkeyPatch,
+    numbers: Container[int],
+    kind: core.ErrorKind,
+) -> None:
+    """Refuses the selections of an upstream with the given numbers, from 1."""
+    chooser = entry.components.decisions.upstream_chooser
+    choose, counter = chooser.choose, itertools.count(1)
+
+    def choose_or_refuse(
+        work: decisions.Work, usable: Sequence[decisions.UpstreamState]
+    ) -> decisions.UpstreamState | core.Refusal:
+        if next(counter) in numbers:
+            return core.Refusal(kind, core.RunState.NOT_RUN, "test")
+        return choose(work, usable)
+
+    monkeypatch.setattr(chooser, "choose", choose_or_refuse)
+
+
+def test_rerun_of_a_stream_waits_for_a_free_slot(
+    entry: harness.Harness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against closing a stream as all slots are taken for a moment."""
+    for name in ("engine-1", "engine-2"):
+        entry.set_faults(name, drop_at=3, times=1)
+    _refuse_selections(entry, monkeypatch, {2}, core.ErrorKind.NO_UPSTREAM)
+    _, _, body = entry.chat(stream=True)
+    assert body.endswith(b"data: [DONE]\n\n")
+
+
 def test_slot_is_released_when_caller_disconnects(
     entry: harness.Harness,
 ) -> None:
