Rerun a stream whose upstream takes no new work

The refusal to reserve the upstream for a resume replaced the cause of the cut. It is not retryable, so the stream ended with an error event although another upstream was free. Now the rerun depends on the cause of the cut, and a resume that was not sent does not count as an attempt.

Both cases of test_cut_stream_is_rerun_if_its_upstream_takes_no_new_work failed before and pass now.

--- a/libs/upstream/mulberry_upstream/_resume.py
+++ b/libs/upstream/mulberry_upstream/_resume.py
@@ -105,7 +105,15 @@
             if not isinstance(opened, core.Refusal):
                 self._stream = opened
                 return True
-            cause = opened
+            if (
+                recovery is _adapter.Recovery.RESUME
+                and opened.kind is core.ErrorKind.NO_UPSTREAM
+            ):
+                # Nothing was sent, as the upstream takes no new work. Whether
+                # to rerun depends on why the stream ended.
+                self._reopens_left += 1
+            else:
+                cause = opened
             recovery = _adapter.Recovery.RERUN
         return False
 
