Wait for a free slot before the rerun of a stream

As for whole answers: the requests of a lost upstream are isolated from each other, and each may have to wait for a slot of its own.

test_rerun_of_a_stream_waits_for_a_free_slot failed before and passes now.

--- a/libs/entry/mulberry_entry/_chat_run.py
+++ b/libs/entry/mulberry_entry/_chat_run.py
@@ -1,6 +1,7 @@
 """Execution of one chat request: attempts, retries and billing."""
 
 import dataclasses
+import functools
 import time
 from collections.abc import Callable, Mapping
 from typing import TypeVar
@@ -214,11 +215,14 @@
         exclude: set[str] = set()
         failure: core.Refusal | core.Missing = core.Missing.UNSET
         for _ in range(_MAX_ATTEMPTS):
-            request = self._reserve(model, version, stream, exclude)
-            if isinstance(failure, core.Refusal):
-                request = self._wait_for_slot(
-                    request, model, version, stream, exclude
-                )
+            reserve = functools.partial(
+                self._reserve, model, version, stream, exclude
+            )
+            request = (
+                reserve()
+                if isinstance(failure, core.Missing)
+                else self._wait_for_slot(reserve)
+            )
             if isinstance(request, core.Refusal):
                 return request if isinstance(failure, core.Missing) else failure
             result = send(request)
@@ -247,14 +251,9 @@
         return self._build_request(reservation, model, stream)
 
     def _wait_for_slot(
-        self,
-        request: upstream.ChatRequest | core.Refusal,
-        model: str,
-        version: str,
-        stream: bool,
-        exclude: set[str],
-    ) -> upstream.ChatRequest | core.Refusal:
-        """Retries the reservation until an upstream slot is free.
+        self, reserve: Callable[[], T | core.Refusal]
+    ) -> T | core.Refusal:
+        """Repeats a reservation until an upstream slot is free.
 
         Requests that were in flight on a lost upstream are isolated from each
         other until they have completed, so each may have to wait for a slot.
@@ -262,15 +261,16 @@
         until_s = self.components.clock.now() + min(
             _SLOT_WAIT_S, self.remaining_s
         )
+        reserved = reserve()
         while (
-            isinstance(request, core.Refusal)
-            and request.kind is core.ErrorKind.NO_UPSTREAM
+            isinstance(reserved, core.Refusal)
+            and reserved.kind is core.ErrorKind.NO_UPSTREAM
             and self.components.clock.now() < until_s
             and not self._is_abandoned()
         ):
             time.sleep(_SLOT_POLL_S)
-            request = self._reserve(model, version, stream, exclude)
-        return request
+            reserved = reserve()
+        return reserved
 
     def _build_request(
         self, reservation: _dispatch.Reservation, model: str, stream: bool
@@ -310,11 +310,14 @@
             )
         else:
             self.record_failure(model, version, plan.cause)
-            reservation = self._dispatcher.reserve(
-                self.work,
-                _dispatch.Destination(self.request.team, model, version),
-                self.record.run,
-                {previous.chosen.name} if previous else (),
+            reservation = self._wait_for_slot(
+                functools.partial(
+                    self._dispatcher.reserve,
+                    self.work,
+                    _dispatch.Destination(self.request.team, model, version),
+                    self.record.run,
+                    {previous.chosen.name} if previous else (),
+                )
             )
         if isinstance(reservation, core.Refusal):
             return reservation
