Failing test: retries that are not sent stay in the retry budget

A retry is taken before the upstream is reserved. If the reservation is refused, as no slot is free or the request has been blocked, the retry is not returned: the budget of other requests shrinks by a retry that no upstream received.

--- a/libs/entry/mulberry_entry/tests/test_entry.py
+++ b/libs/entry/mulberry_entry/tests/test_entry.py
@@ -354,6 +354,47 @@
     assert body.endswith(b"data: [DONE]\n\n")
 
 
+_STOCK = ("GET", "/services/taller/stock/board")
+
+
+@pytest.mark.parametrize(
+    ("name", "faults", "sent"),
+    [
+        ("engine", {"status": 500}, _CHAT),
+        ("engine", {"drop_at": 2}, (*_CHAT[:2], {**_CHAT[2], "stream": True})),
+        ("taller", {"close_without_answer": True}, _STOCK),
+    ],
+    ids=["whole", "stream", "call"],
+)
+def test_retry_that_is_not_sent_is_returned_to_the_budget(
+    entry: harness.Harness,
+    monkeypatch: pytest.MonkeyPatch,
+    name: str,
+    faults: dict[str, Any],
+    sent: tuple[Any, ...],
+) -> None:
+    """Guards against a budget used up by retries that no upstream received."""
+    for standin in entry.upstreams:
+        if standin.startswith(name):
+            entry.set_faults(standin, **faults)
+    # The request is blocked after its first attempt.
+    _refuse_selections(
+        entry, monkeypatch, range(2, 99), core.ErrorKind.CONTENT_BLOCKED
+    )
+    budget = entry.components.decisions.retry_budget
+    changes: list[int] = []
+
+    def take(work: decisions.Work, run: core.RunState) -> bool:
+        changes.append(1)
+        return True
+
+    monkeypatch.setattr(budget, "try_retry", take)
+    monkeypatch.setattr(budget, "return_retry", lambda work: changes.append(-1))
+    entry.send(*sent)
+    assert changes
+    assert sum(changes) == 0
+
+
 def test_slot_is_released_when_caller_disconnects(
     entry: harness.Harness,
 ) -> None:
