Return retries that are not sent to the budget

A retry whose upstream could not be reserved stayed counted, for whole answers, reopened streams and calls.

The three cases of test_retry_that_is_not_sent_is_returned_to_the_budget failed before and pass now.

--- a/libs/entry/mulberry_entry/_calls.py
+++ b/libs/entry/mulberry_entry/_calls.py
@@ -213,11 +213,10 @@
                 frozenset(call.tried_upstreams),
             )
             if isinstance(reservation, core.Refusal):
-                return (
-                    reservation
-                    if isinstance(failure, core.Missing)
-                    else failure
-                )
+                if isinstance(failure, core.Missing):
+                    return reservation
+                self._components.decisions.retry_budget.return_retry(call.work)
+                return failure
             call.tried_upstreams.add(reservation.chosen.name)
             answer = self._send(call, reservation, is_answered)
             if not isinstance(answer, core.Refusal):
--- a/libs/entry/mulberry_entry/_chat_run.py
+++ b/libs/entry/mulberry_entry/_chat_run.py
@@ -224,7 +224,10 @@
                 else self._wait_for_slot(reserve)
             )
             if isinstance(request, core.Refusal):
-                return request if isinstance(failure, core.Missing) else failure
+                if isinstance(failure, core.Missing):
+                    return request
+                self._return_retry()
+                return failure
             result = send(request)
             if not isinstance(result, core.Refusal):
                 return result
@@ -320,6 +323,7 @@
                 )
             )
         if isinstance(reservation, core.Refusal):
+            self._return_retry()
             return reservation
         if plan.resume and previous is not None:
             previous.end(decisions.Outcome.TRUNCATED)
@@ -344,6 +348,10 @@
             )
         )
 
+    def _return_retry(self) -> None:
+        """Returns a retry that `_may_retry` took and that is not sent."""
+        self.components.decisions.retry_budget.return_retry(self.work)
+
     def _end_failed(self, refusal: core.Refusal) -> None:
         reservation = self._reservation
         sent = refusal.run is not core.RunState.NOT_RUN
