--- a/libs/gateway/mulberry_gateway/_retry_policy.py
+++ b/libs/gateway/mulberry_gateway/_retry_policy.py
@@ -52,11 +52,13 @@
         """Whether to connect to another upstream after a failed connection.
 
         A caller that has a part of the answer cannot use a refusal, so the
-        search goes on until its deadline.
+        search goes on until its deadline or until it has left.
         """
         failed = len(exchange.attempts) - exchange.sent_attempts
-        return not self.is_too_late(exchange) and (
-            exchange.answered or failed < _MAX_FAILED_CONNECTIONS
+        return (
+            not self.is_too_late(exchange)
+            and not exchange.caller.is_closed()
+            and (exchange.answered or failed < _MAX_FAILED_CONNECTIONS)
         )
 
     def take_retry(
