--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -105,6 +105,7 @@
         refusal = self._opener.refusal(exchange)
         if isinstance(refusal, core.Refusal):
             call.close()
+            self._retries.return_retry(exchange)
             return _attempt_failure.AttemptFailure(refusal, may_retry=False)
         exchange.model = model = components.model_selector.choose(exchange)
         attempt = _exchange.Attempt(
@@ -122,6 +123,7 @@
         )
         if isinstance(block, _blocks.Block):
             call.close()
+            self._retries.return_retry(exchange)
             return _attempt_failure.AttemptFailure(
                 _attempt_failure.quarantine_refusal(exchange, block),
                 may_retry=False,
