Failing test: unreachable entries use up the attempts of a caller

Connections that were refused count as attempts of the request.

The test fails with connection_failed and not_run.

--- a/libs/caller/mulberry_caller/tests/test_caller.py
+++ b/libs/caller/mulberry_caller/tests/test_caller.py
@@ -240,6 +240,20 @@
     assert again.attempts == 1
 
 
+def test_unreachable_entries_do_not_use_up_the_attempts(
+    make_entry: Callable[[], ScriptedEntry], delays: list[float]
+) -> None:
+    """Guards against giving up while entries of another zone are reachable.
+
+    The entries of the caller's own zone come first in the list.
+    """
+    entry = make_entry()
+    entry.listed = [*(_unused_address() for _ in range(5)), entry.address]
+    entry.script.append(_CHAT_ANSWER)
+    reply = caller.Caller([entry.address], "key-1").chat("planes", _MESSAGES)
+    assert isinstance(reply, caller.ChatReply)
+
+
 def test_unreachable_entries_report_not_run(delays: list[float]) -> None:
     """Guards against reporting `unknown` for a request never sent."""
     client = caller.Caller([_unused_address()], "key-1")
