--- a/libs/entry/mulberry_entry/tests/test_entry.py
+++ b/libs/entry/mulberry_entry/tests/test_entry.py
@@ -1,9 +1,10 @@
 """Tests of the entry against stand-in upstreams."""
 
+import itertools
 import json
 import socket
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Container, Iterator, Sequence
 from typing import Any
 
 import pytest
@@ -12,6 +13,7 @@
 import mulberry_decisions as decisions
 import mulberry_rules as rules
 import mulberry_state as state
+from mulberry_entry import _dispatch as dispatch
 from mulberry_entry.tests import harness
 
 _LIMITS = rules.Limits(
@@ -286,6 +288,113 @@
     assert _bills(entry) == 2
 
 
+@pytest.mark.parametrize(
+    "announced",
+    [{"incarnation": 2}, {"state": "leaving"}],
+    ids=["restarted", "leaving"],
+)
+def test_cut_stream_is_rerun_if_its_upstream_takes_no_new_work(
+    entry: harness.Harness,
+    monkeypatch: pytest.MonkeyPatch,
+    announced: dict[str, Any],
+) -> None:
+    """Guards against closing a stream while another upstream is free."""
+    reserve = dispatch.Dispatcher.reserve_for_resume
+
+    def announce_and_reserve(
+        dispatcher: dispatch.Dispatcher,
+        previous: dispatch.Reservation,
+        *arguments: Any,
+    ) -> dispatch.Reservation | core.Refusal:
+        serves = [{"model": "m", "version": "v1"}]
+        entry.announce(previous.chosen.name, serves=serves, **announced)
+        for name in ("engine-1", "engine-2"):
+            entry.set_faults(name)
+        return reserve(dispatcher, previous, *arguments)
+
+    monkeypatch.setattr(
+        dispatch.Dispatcher, "reserve_for_resume", announce_and_reserve
+    )
+    expected = entry.chat(stream=True)[2].count(b"data: ")
+    for name in ("engine-1", "engine-2"):
+        entry.set_faults(name, cut_after=3)
+    _, _, body = entry.chat(stream=True)
+    assert body.endswith(b"data: [DONE]\n\n")
+    assert body.count(b"data: ") == expected
+
+
+def _refuse_selections(
+    entry: harness.Harness,
+    monkeypatch: pytest.MonkeyPatch,
+    numbers: Container[int],
+    kind: core.ErrorKind,
+) -> None:
+    """Refuses the selections of an upstream with the given numbers, from 1."""
+    chooser = entry.components.decisions.upstream_chooser
+    choose, counter = chooser.choose, itertools.count(1)
+
+    def choose_or_refuse(
+        work: decisions.Work, usable: Sequence[decisions.UpstreamState]
+    ) -> decisions.UpstreamState | core.Refusal:
+        if next(counter) in numbers:
+            return core.Refusal(kind, core.RunState.NOT_RUN, "test")
+        return choose(work, usable)
+
+    monkeypatch.setattr(chooser, "choose", choose_or_refuse)
+
+
+def test_rerun_of_a_stream_waits_for_a_free_slot(
+    entry: harness.Harness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against closing a stream as all slots are taken for a moment."""
+    for name in ("engine-1", "engine-2"):
+        entry.set_faults(name, drop_at=3, times=1)
+    _refuse_selections(entry, monkeypatch, {2}, core.ErrorKind.NO_UPSTREAM)
+    _, _, body = entry.chat(stream=True)
+    assert body.endswith(b"data: [DONE]\n\n")
+
+
+_STOCK = ("GET", "/services/taller/stock/board")
+
+
+@pytest.mark.parametrize(
+    ("name", "faults", "sent"),
+    [
+        ("engine", {"status": 500}, _CHAT),
+        ("engine", {"drop_at": 2}, (*_CHAT[:2], {**_CHAT[2], "stream": True})),
+        ("taller", {"close_without_answer": True}, _STOCK),
+    ],
+    ids=["whole", "stream", "call"],
+)
+def test_retry_that_is_not_sent_is_returned_to_the_budget(
+    entry: harness.Harness,
+    monkeypatch: pytest.MonkeyPatch,
+    name: str,
+    faults: dict[str, Any],
+    sent: tuple[Any, ...],
+) -> None:
+    """Guards against a budget used up by retries that no upstream received."""
+    for standin in entry.upstreams:
+        if standin.startswith(name):
+            entry.set_faults(standin, **faults)
+    # The request is blocked after its first attempt.
+    _refuse_selections(
+        entry, monkeypatch, range(2, 99), core.ErrorKind.CONTENT_BLOCKED
+    )
+    budget = entry.components.decisions.retry_budget
+    changes: list[int] = []
+
+    def take(work: decisions.Work, run: core.RunState) -> bool:
+        changes.append(1)
+        return True
+
+    monkeypatch.setattr(budget, "try_retry", take)
+    monkeypatch.setattr(budget, "return_retry", lambda work: changes.append(-1))
+    entry.send(*sent)
+    assert changes
+    assert sum(changes) == 0
+
+
 def test_slot_is_released_when_caller_disconnects(
     entry: harness.Harness,
 ) -> None:
