Notice a caller that left also without waiting

A read without a timeout looked at the upstream only. The last read before a run is given up has none, so that a caller that left while the replacement was connected still cost a retry and a new run at another upstream.

The second assertion of the new test failed before and passes now.

--- a/libs/gateway/mulberry_gateway/_connection.py
+++ b/libs/gateway/mulberry_gateway/_connection.py
@@ -92,8 +92,9 @@
             poller.register(partner.fileno(), _READ_HANGUP)
         until_s = time.monotonic() + timeout_s
         while True:
+            # Without time left, a partner that has closed is still noticed.
             left_s = until_s - time.monotonic()
-            events = poller.poll(max(0.0, left_s * 1000)) if left_s > 0 else []
+            events = poller.poll(max(0.0, left_s * 1000))
             if not events:
                 return ConnectionFailure.TIMEOUT
             for fd, _ in events:
--- a/libs/gateway/mulberry_gateway/tests/test_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/tests/test_upstream_call.py
@@ -176,3 +176,13 @@
     call.withdraw()
     caller.close()
     remote.close()
+
+
+def test_a_caller_that_left_is_noticed_without_waiting() -> None:
+    """Guards against new attempts for a caller that left meanwhile."""
+    caller, remote = _caller()
+    upstream, _ = _caller()
+    remote.close()
+    partner_gone = gateway.ConnectionFailure.PARTNER_GONE
+    assert upstream.receive(1.0, caller) is partner_gone
+    assert upstream.receive(0.0, caller) is partner_gone
