Go on with the search for an upstream while there is something to find

Callers with a part of their answer lost it, and others got 502, with most of their time left, though the search was meant to go on:

- Upstreams that were not reached are left out until their backoff is over.
Links that are reset use up all of them within milliseconds, and the search ended with NO_UPSTREAM.
For a caller that has a part of the answer it now selects again after 0.1 s, until the deadline or until the caller has left.
- Failed connections of replacements that were sought while a run paused counted against the three of the search after the run.
Each search counts its own.
- A connection could take 0.4 s beyond the deadline.
It has the time left at most.

Two tests that had failed pass: test_a_stream_outlives_the_backoff_of_all_other_ upstreams and test_replacements_that_were_not_reached_leave_attempts_for_later.

--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -292,8 +292,10 @@
         load = self._components.upstream_selector.load
         attempt.outcome = _exchange.UNSURE
         load.ended(attempt.upstream)
-        is_secured = replacement.secure()
-        load.started(attempt.upstream)
+        try:
+            is_secured = replacement.secure()
+        finally:
+            load.started(attempt.upstream)
         if not is_secured:
             attempt.outcome = _exchange.RUNNING
             return False
--- a/libs/gateway/mulberry_gateway/_retry_policy.py
+++ b/libs/gateway/mulberry_gateway/_retry_policy.py
@@ -48,13 +48,14 @@
         """Whether too little time is left for an attempt."""
         return self.remaining_s(exchange) < MIN_ATTEMPT_S
 
-    def may_connect_again(self, exchange: _exchange.Exchange) -> bool:
+    def may_connect_again(
+        self, exchange: _exchange.Exchange, failed: int
+    ) -> bool:
         """Whether to connect to another upstream after a failed connection.
 
         A caller that has a part of the answer cannot use a refusal, so the
         search goes on until its deadline or until it has left.
         """
-        failed = len(exchange.attempts) - exchange.sent_attempts
         return (
             not self.is_too_late(exchange)
             and not exchange.caller.is_closed()
--- a/libs/gateway/mulberry_gateway/_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/_upstream_call.py
@@ -91,10 +91,12 @@
         #: `time.monotonic` when the last bytes arrived, seconds.
         self.last_received_s = 0.0
 
-    def connect(self) -> Fault | core.Missing:
+    def connect(
+        self, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> Fault | core.Missing:
         """Opens the connection; nothing is sent before that."""
         connection = _connection.Connection.connect(
-            self._address, CONNECT_TIMEOUT_S
+            self._address, min(timeout_s, CONNECT_TIMEOUT_S)
         )
         if connection is _connection.ConnectionFailure.TIMEOUT:
             return Fault.UNREACHABLE
--- a/libs/gateway/mulberry_gateway/_upstream_opener.py
+++ b/libs/gateway/mulberry_gateway/_upstream_opener.py
@@ -1,6 +1,7 @@
 """Selects the upstream of an attempt and opens the connection to it."""
 
 import dataclasses
+import time
 
 import mulberry_core as core
 from mulberry_gateway import (
@@ -13,6 +14,9 @@
     _upstream_call,
 )
 
+#: Interval between selections while no upstream is free, seconds.
+_SELECTION_PERIOD_S = 0.1
+
 
 class UpstreamOpener:
     """Opens the connection of an attempt, if the request may be sent."""
@@ -45,14 +49,20 @@
         self, exchange: _exchange.Exchange
     ) -> _attempt_failure.ConnectedUpstream | _attempt_failure.AttemptFailure:
         """Connects to one upstream after another until a connection opens."""
+        failed = 0
         while True:
             opened = self.open_once(exchange)
             if isinstance(opened, _attempt_failure.ConnectedUpstream):
                 return opened
+            is_none_free = opened.refusal.kind is core.ErrorKind.NO_UPSTREAM
+            failed += opened.may_retry
             if not (
-                opened.may_retry and self._retries.may_connect_again(exchange)
+                (opened.may_retry or (is_none_free and exchange.answered))
+                and self._retries.may_connect_again(exchange, failed)
             ):
                 return dataclasses.replace(opened, may_retry=False)
+            if is_none_free:
+                time.sleep(_SELECTION_PERIOD_S)
 
     def open_once(
         self, exchange: _exchange.Exchange
@@ -75,7 +85,7 @@
         call = _upstream_call.UpstreamCall(
             upstream.address, exchange.caller, components.answer_limits
         )
-        fault = call.connect()
+        fault = call.connect(self._retries.remaining_s(exchange))
         if not isinstance(fault, _upstream_call.Fault):
             return _attempt_failure.ConnectedUpstream(selection, call, began_s)
         exchange.attempts.append(
