Count requests that connect as load of their upstream

Since a run is given up only once its replacement is connected, a request was counted only after its connection was open. An upstream whose connections hang had no load of this instance for 0.4 s, and the selection preferred it.

test_the_load_of_an_upstream_counts_requests_that_connect_to_it had failed and passes. That requests pile up there is inferred, not measured.

--- a/libs/gateway/mulberry_gateway/_upstream_opener.py
+++ b/libs/gateway/mulberry_gateway/_upstream_opener.py
@@ -85,7 +85,12 @@
         call = _upstream_call.UpstreamCall(
             upstream.address, exchange.caller, components.answer_limits
         )
-        fault = call.connect(self._retries.remaining_s(exchange))
+        load = components.upstream_selector.load
+        load.started(upstream.name)
+        try:
+            fault = call.connect(self._retries.remaining_s(exchange))
+        finally:
+            load.ended(upstream.name)
         if not isinstance(fault, _upstream_call.Fault):
             return _attempt_failure.ConnectedUpstream(selection, call, began_s)
         exchange.attempts.append(
