Decisions: health of an instance's own links to upstreams

A failed direct connection does not tell a lost upstream from a lost link. LinkHealth tells them apart by whether a relay reached the upstream, and says which path comes first, whether the instance is cut off, and whether it can blame an upstream.

--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -76,6 +76,10 @@
         TeamLimiter,
         TokenReservation,
     )
+    from mulberry_decisions._link_health import (
+        LinkHealth,
+        PathOrder,
+    )
     from mulberry_decisions._load_estimator import (
         LoadEstimator,
         LoadReport,
@@ -251,6 +255,10 @@
                 "TeamLimit",
                 "TeamLimiter",
             ),
+            "_link_health": (
+                "LinkHealth",
+                "PathOrder",
+            ),
             "_load_estimator": (
                 "LoadEstimator",
                 "LoadReport",
@@ -414,6 +422,7 @@
     "InactivityPolicy",
     "LearnedCascade",
     "LeastReportedLoad",
+    "LinkHealth",
     "LoadEstimator",
     "LoadReport",
     "ModelChooser",
@@ -426,6 +435,7 @@
     "Outcome",
     "PartCrashes",
     "PartReach",
+    "PathOrder",
     "Placement",
     "PowerOfTwoChoices",
     "PriorityAdmission",
