Entries that are cut off from upstreams are listed only where no others are

Entry records carry a relay address and whether the instance is cut off; payloads of other versions stay readable.

--- a/libs/membership/mulberry_membership/_entry_list.py
+++ b/libs/membership/mulberry_membership/_entry_list.py
@@ -30,6 +30,11 @@
     #: Rows of model, version, and the number of requests that run or found no
     #: upstream.
     wanted: Sequence[tuple[str, str, int]] = ()
+    #: Address as `IP:PORT` at which it relays connections to upstreams for
+    #: other instances; empty if it does not.
+    relay_address: str = ""
+    #: Whether it reaches most upstreams only over other instances.
+    cut_off: bool = False
 
     def encode(self) -> bytes:
         """Returns the payload of the `entry` soft-state record."""
@@ -62,11 +67,14 @@
 ) -> list[EntryState]:
     """Sorts entries by preference: the caller's zone first, then by load.
 
-    Leaving entries are left out. Entries with similar load are shuffled;
-    otherwise all callers would choose the same one until the next report.
+    Leaving entries are left out, and so are entries that are cut off from
+    upstreams unless there are no others. Entries with similar load are
+    shuffled; otherwise all callers would choose the same one until the next
+    report.
     """
+    staying = [entry for entry in entries if not entry.leaving]
     return sorted(
-        (entry for entry in entries if not entry.leaving),
+        [entry for entry in staying if not entry.cut_off] or staying,
         key=lambda entry: (
             entry.zone != zone,
             round(entry.load / _LOAD_STEP),
