Relay connections to upstreams for other instances

A send that met a reset made the end of the connection look like one in order, since the system reports a reset once; an answer without a length would have looked complete. Connection remembers it now.

--- a/libs/decisions/mulberry_decisions/_link_health.py
+++ b/libs/decisions/mulberry_decisions/_link_health.py
@@ -164,18 +164,26 @@
         return 2 * relayed > len(reached)
 
     def is_known_down(self, name: str) -> bool:
-        """Whether the direct path would only hang, like those to all others.
+        """Whether the direct path would only hang, as it did just now.
 
-        True only with two upstreams at least, since a single silent one does
-        not show that the links are at fault.
+        A hanging path alone does not show that the link is at fault. It is if
+        relays reached the upstream, or if the direct paths to all upstreams
+        that were just tried hang, and these are two at least.
         """
-        after_s = self._clock.now() - INITIAL_RETRY_S
+        now_s = self._clock.now()
+        after_s = now_s - INITIAL_RETRY_S
         with self._lock:
             record = self._record_by_name.get(name)
-            if record is None or record.tried_s <= after_s:
+            if record is None or not record.did_hang:
                 return False
+            if record.is_relayed:
+                return now_s < record.retry_at_s
             records = self._tried_after(after_s)
-            return len(records) >= 2 and all(r.did_hang for r in records)
+            return (
+                record.tried_s > after_s
+                and len(records) >= 2
+                and all(other.did_hang for other in records)
+            )
 
     def vouches_for_links(self, name: str) -> bool:
         """Whether a failure to reach an upstream cannot be due to the links.
--- a/libs/decisions/mulberry_decisions/tests/test_link_health.py
+++ b/libs/decisions/mulberry_decisions/tests/test_link_health.py
@@ -235,6 +235,10 @@
         ([(0, "b", "dead"), (0, "c", "dead")], False),
         ([(0, "a", "dead"), (0, "b", "direct")], False),
         ([(0, "a", "dead"), (0, "b", "refused, relayed")], False),
+        ([(0, "a", "relayed")], True),
+        ([(0, "a", "relayed"), (0, "b", "direct")], True),
+        ([(0, "a", "refused, relayed")], False),
+        ([(0, "a", "relayed"), (1, "b", "dead")], False),
         ([(0, "a", "dead"), (0.5, "b", "dead"), (0.6, "b", "dead")], False),
     ],
 )
--- a/libs/gateway/mulberry_gateway/__init__.py
+++ b/libs/gateway/mulberry_gateway/__init__.py
@@ -2,7 +2,11 @@
 
 from mulberry_gateway._catalog import UpstreamCatalog
 from mulberry_gateway._components import GatewayComponents
-from mulberry_gateway._connection import Connection, ConnectionFailure
+from mulberry_gateway._connection import (
+    Connection,
+    ConnectionFailure,
+    ConnectionStarter,
+)
 from mulberry_gateway._control import Control
 from mulberry_gateway._dialect import (
     Dialect,
@@ -14,6 +18,7 @@
 from mulberry_gateway._endpoints import JSON, Endpoint, EndpointHandler
 from mulberry_gateway._forwarder import Forwarder
 from mulberry_gateway._instance import GatewayInstance
+from mulberry_gateway._link_recorder import LinkRecorder
 from mulberry_gateway._listener import Handler, Listener
 from mulberry_gateway._messages import (
     Header,
@@ -26,6 +31,9 @@
 from mulberry_gateway._metrics import MetricsEndpoint
 from mulberry_gateway._model_selection import ModelSelector
 from mulberry_gateway._quarantine import RequestQuarantine
+from mulberry_gateway._relay_server import RelayServer
+from mulberry_gateway._relayed_connection import RelayedConnection
+from mulberry_gateway._relays import PublishedRelays, Relay, RelaySource
 from mulberry_gateway._request_reader import InvalidRequest, RequestReader
 from mulberry_gateway._rollout_controller import RolloutController
 from mulberry_gateway._rollout_filter import RolloutFilter
@@ -37,6 +45,7 @@
     "JSON",
     "Connection",
     "ConnectionFailure",
+    "ConnectionStarter",
     "Control",
     "Dialect",
     "Endpoint",
@@ -50,10 +59,16 @@
     "Handler",
     "Header",
     "InvalidRequest",
+    "LinkRecorder",
     "Listener",
     "MetricsEndpoint",
     "ModelSelector",
     "PromptPart",
+    "PublishedRelays",
+    "Relay",
+    "RelayServer",
+    "RelaySource",
+    "RelayedConnection",
     "Request",
     "RequestMetadata",
     "RequestQuarantine",
--- a/libs/gateway/mulberry_gateway/_connection.py
+++ b/libs/gateway/mulberry_gateway/_connection.py
@@ -2,9 +2,15 @@
 
 import enum
 import errno
+import fcntl
 import select
 import socket
+import struct
+import termios
 import time
+from collections.abc import Callable
+
+import mulberry_core as core
 
 #: A send fails if the peer accepts no bytes for this long, seconds. Longer than
 #: any pause after which a caller still reads a stream.
@@ -42,31 +48,52 @@
         )
         self._sock = sock
         self._fd = sock.fileno()
+        #: Whether sending failed because the connection broke. The system
+        #: reports this once, and then the end of a connection in order.
+        self._is_broken = False
 
     @classmethod
     def connect(
         cls, address: str, timeout_s: float
     ) -> "Connection | ConnectionFailure":
         """Opens a connection to `IP:PORT`."""
+        connection = cls.start_connecting(address)
+        if isinstance(connection, ConnectionFailure):
+            return connection
+        if not connection.wait_writable(timeout_s):
+            connection.close()
+            return ConnectionFailure.TIMEOUT
+        if isinstance(connection.finish_connecting(), ConnectionFailure):
+            connection.close()
+            return ConnectionFailure.RESET
+        return connection
+
+    @classmethod
+    def start_connecting(cls, address: str) -> "Connection | ConnectionFailure":
+        """Starts to open a connection to `IP:PORT` without waiting.
+
+        It is open, or has failed, as soon as bytes can be sent;
+        `finish_connecting` then tells which.
+        """
         host, _, port = address.rpartition(":")
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             connection = cls(sock)
             code = sock.connect_ex((host, int(port)))
-            if code not in (0, errno.EINPROGRESS):
-                sock.close()
-                return ConnectionFailure.RESET
-            if code and not connection.wait_writable(timeout_s):
-                sock.close()
-                return ConnectionFailure.TIMEOUT
-            if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-                sock.close()
-                return ConnectionFailure.RESET
         except (OSError, ValueError, OverflowError):
             sock.close()
             return ConnectionFailure.RESET
+        if code not in (0, errno.EINPROGRESS):
+            sock.close()
+            return ConnectionFailure.RESET
         return connection
 
+    def finish_connecting(self) -> ConnectionFailure | core.Missing:
+        """Returns why a connection attempt failed, unset if it is open."""
+        if self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            return ConnectionFailure.RESET
+        return core.Missing.UNSET
+
     def fileno(self) -> int:
         """Returns the file descriptor, for polling."""
         return self._fd
@@ -81,7 +108,7 @@
             partner: Another connection; the wait also ends if it closes.
         """
         try:
-            return self._sock.recv(_RECEIVE_BYTES) or ConnectionFailure.CLOSED
+            return self._sock.recv(_RECEIVE_BYTES) or self._end()
         except BlockingIOError:
             pass
         except OSError:
@@ -101,9 +128,7 @@
                 if fd != self._fd:
                     return ConnectionFailure.PARTNER_GONE
             try:
-                return (
-                    self._sock.recv(_RECEIVE_BYTES) or ConnectionFailure.CLOSED
-                )
+                return self._sock.recv(_RECEIVE_BYTES) or self._end()
             except BlockingIOError:
                 continue
             except OSError:
@@ -115,7 +140,8 @@
             return self._sock.send(data)
         except BlockingIOError:
             return 0
-        except OSError:
+        except OSError as error:
+            self._note_broken(error)
             return ConnectionFailure.RESET
 
     def send_all(self, data: bytes, stall_s: float = WRITE_STALL_S) -> bool:
@@ -127,7 +153,8 @@
             except BlockingIOError:
                 if not self.wait_writable(stall_s):
                     return False
-            except OSError:
+            except OSError as error:
+                self._note_broken(error)
                 return False
         return True
 
@@ -146,6 +173,22 @@
             for _, event in poller.poll(0)
         )
 
+    def unacknowledged_bytes(self) -> int:
+        """Returns how much of what was sent the peer has not confirmed."""
+        try:
+            answer = fcntl.ioctl(self._fd, termios.TIOCOUTQ, b"\0" * 4)
+        except OSError:
+            return 0
+        return int(struct.unpack("i", answer)[0])
+
+    def finish_sending(self) -> None:
+        """Ends the sending side in order; the peer may still send."""
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            # It has ended already.
+            return
+
     def interrupt(self) -> None:
         """Ends the connection and every wait for it, from any thread."""
         try:
@@ -179,6 +222,22 @@
                 break
         self.close()
 
+    def _end(self) -> ConnectionFailure:
+        """Returns how the connection ended after its last byte."""
+        return (
+            ConnectionFailure.RESET
+            if self._is_broken
+            else ConnectionFailure.CLOSED
+        )
+
+    def _note_broken(self, error: OSError) -> None:
+        """Remembers a reset; sending after an end in order is none."""
+        if not isinstance(error, BrokenPipeError):
+            self._is_broken = True
+
 
 #: How long to wait for the peer to close after the last answer, seconds.
 _LINGER_S = 0.5
+
+#: Starts to connect to `IP:PORT`, like `Connection.start_connecting`.
+ConnectionStarter = Callable[[str], Connection | ConnectionFailure]
