--- a/libs/gateway/mulberry_gateway/__init__.py
+++ b/libs/gateway/mulberry_gateway/__init__.py
@@ -39,6 +39,7 @@
 from mulberry_gateway._rollout_filter import RolloutFilter
 from mulberry_gateway._routing_table_store import RoutingTableStore
 from mulberry_gateway._settings import GatewayBounds, GatewaySettings
+from mulberry_gateway._upstream_connector import UpstreamConnector
 from mulberry_gateway._upstream_selection import UpstreamSelector
 
 __all__ = [
@@ -80,6 +81,7 @@
     "RolloutFilter",
     "RoutingTableStore",
     "UpstreamCatalog",
+    "UpstreamConnector",
     "UpstreamSelector",
     "end_to_end",
     "find_header",
