--- a/libs/gateway/mulberry_gateway/_catalog.py
+++ b/libs/gateway/mulberry_gateway/_catalog.py
@@ -46,17 +46,27 @@
 
     def for_service(self, service: str) -> Sequence[membership.Upstream]:
         """Returns the upstreams of a service, including leaving ones."""
-        snapshot = self._directory.upstreams()
         with self._lock:
-            if snapshot is not self._directory_snapshot:
-                self._rebuild(snapshot)
+            self._refresh()
             return self._by_service.get(service, ())
 
+    def find(self, name: str) -> membership.Upstream | core.Missing:
+        """Returns the upstream with this name; unset if there is none."""
+        with self._lock:
+            self._refresh()
+            entry = self._entry_by_name.get(name)
+        return core.Missing.UNSET if entry is None else entry.upstream
+
     def names(self) -> frozenset[str]:
         """Returns the names of all upstreams in use."""
         with self._lock:
             return frozenset(self._entry_by_name)
 
+    def _refresh(self) -> None:
+        snapshot = self._directory.upstreams()
+        if snapshot is not self._directory_snapshot:
+            self._rebuild(snapshot)
+
     def _rebuild(self, snapshot: Mapping[str, membership.Upstream]) -> None:
         now_s = self._clock.now()
         self._directory_snapshot = snapshot
--- a/libs/gateway/mulberry_gateway/_components.py
+++ b/libs/gateway/mulberry_gateway/_components.py
@@ -13,6 +13,7 @@
     _rollout_controller,
     _rollout_filter,
     _routing_table_store,
+    _upstream_connector,
     _upstream_selection,
 )
 
@@ -38,6 +39,7 @@
     rollout_controller: _rollout_controller.RolloutController
     rollout_filter: _rollout_filter.RolloutFilter
     quarantine: _quarantine.RequestQuarantine
+    connector: _upstream_connector.UpstreamConnector
     #: Shared by all upstream calls.
     answer_limits: core.BodyLimits = dataclasses.field(
         default_factory=_body_limits.for_answers
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -22,13 +22,17 @@
     _control,
     _dialect,
     _forwarder,
+    _link_recorder,
     _listener,
     _model_selection,
     _quarantine,
+    _relay_server,
+    _relays,
     _rollout_controller,
     _rollout_filter,
     _routing_table_store,
     _settings,
+    _upstream_connector,
     _upstream_selection,
 )
 
@@ -118,9 +122,13 @@
         self.control = _control.Control(
             self.client, self.directory, self.membership, log
         )
-        catalog = _catalog.UpstreamCatalog(
+        self._catalog = catalog = _catalog.UpstreamCatalog(
             self.directory, self.membership, clock, log
         )
+        self._links = _link_recorder.LinkRecorder(
+            decisions.LinkHealth(clock), self.counters, log
+        )
+        self._links.on_cut_off_change = self._publish_entry
         self._watch = _rollout_controller.RolloutController(
             self.client,
             self._node,
@@ -173,7 +181,13 @@
                 self.counters,
                 log,
             ),
+            connector=_upstream_connector.UpstreamConnector(
+                _relays.PublishedRelays(self.membership, settings.zone),
+                self._links,
+            ),
         )
+        self._relay = self._open_relay()
+        self._publishing = threading.Lock()
         self._entry = _listener.Listener(
             "entry",
             settings.entry_address,
@@ -207,7 +221,9 @@
         self.directory.start(self.timers)
         self._watch.start()
         self._tasks.spawn("entry", self._open_entry)
-        self.timers.every(1.0, self._publish_entry, "entry")
+        if not isinstance(self._relay, core.Missing):
+            self._relay.start()
+        self.timers.every(1.0, self._refresh_entry, "entry")
         self.timers.every(
             _STRIKE_CHECK_PERIOD_S,
             self.components.quarantine.check_incomplete_runs,
@@ -215,7 +231,7 @@
         )
         self.timers.every(
             _PRUNE_PERIOD_S,
-            self.components.upstream_selector.prune_removed,
+            self._prune_removed,
             "forget",
         )
         self._log.note(
@@ -266,6 +282,8 @@
         self._log.note("stopping", keep=True, busy=self._entry.busy)
         self._drain.begin()
         self._entry.draining.set()
+        if not isinstance(self._relay, core.Missing):
+            self._relay.leave()
         self._publish_entry()
         grace_s = self._settings.bounds.grace_s
         listed_s = began_s + min(3 * self.entry_list_s, grace_s * _ACCEPT_SHARE)
@@ -281,9 +299,12 @@
             "stopped",
             keep=True,
             busy=self._entry.busy,
+            relayed=self._relayed,
             took_s=round(self._clock.now() - began_s, 2),
         )
         self._log.stop()
+        if not isinstance(self._relay, core.Missing):
+            self._relay.stop()
         self.membership.leave()
         if not isinstance(self._node, core.Missing):
             self._node.stop(transfer_timeout_s=0.5)
@@ -294,20 +315,42 @@
         bounds = self._settings.bounds
         return min(bounds.entry_list_s, bounds.grace_s * _ENTRY_LIST_SHARE)
 
+    @property
+    def _relayed(self) -> int:
+        """Number of connections that are relayed for other instances."""
+        if isinstance(self._relay, core.Missing):
+            return 0
+        return self._relay.open_connections
+
     def _wait_until_idle(self, until_s: float) -> None:
-        while self._entry.busy and self._clock.now() < until_s:
+        while self._entry.busy or self._relayed:
+            if self._clock.now() >= until_s:
+                return
             time.sleep(0.02)
 
     def _wait_until(self, until_s: float) -> None:
         while (left_s := until_s - self._clock.now()) > 0:
             time.sleep(min(left_s, 0.25))
 
+    def _refresh_entry(self) -> None:
+        """Publishes the entry anew if it has changed, also with time."""
+        self._links.check_cut_off()
+        self._publish_entry()
+
     def _publish_entry(self) -> None:
+        # Called from request threads as well; an older entry must not follow
+        # a newer one.
+        with self._publishing:
+            self._publish_changed_entry()
+
+    def _publish_changed_entry(self) -> None:
         entry = membership.EntryState(
             address=self._settings.entry_address,
             zone=self._settings.zone,
             leaving=not self.is_ready,
             load=0.0,
+            relay_address=self._settings.relay_address,
+            cut_off=self._links.is_cut_off,
         )
         payload = entry.encode()
         current = self.membership.latest(
@@ -321,6 +364,20 @@
                 urgent=True,
             )
 
+    def _prune_removed(self) -> None:
+        self.components.upstream_selector.prune_removed()
+        self._links.health.keep_only(self._catalog.names())
+
+    def _open_relay(self) -> _relay_server.RelayServer | core.Missing:
+        if not self._settings.relay_address:
+            return core.Missing.UNSET
+        return _relay_server.RelayServer(
+            self._settings.relay_address,
+            self._catalog.find,
+            self._links,
+            self.counters,
+        )
+
     def _open_node(self) -> state.StateNode | core.Missing:
         settings = self._settings
         if isinstance(settings.data_dir, core.Missing):
--- a/libs/gateway/mulberry_gateway/_link_recorder.py
+++ b/libs/gateway/mulberry_gateway/_link_recorder.py
@@ -26,6 +26,12 @@
         #: replaced before the first connection.
         self.on_cut_off_change: Callable[[], None] = _do_nothing
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this instance was cut off when that was last checked."""
+        with self._lock:
+            return self._is_cut_off
+
     def direct_opened(self, upstream: str) -> None:
         """Records a direct connection."""
         if self.health.direct_opened(upstream):
--- a/libs/gateway/mulberry_gateway/_settings.py
+++ b/libs/gateway/mulberry_gateway/_settings.py
@@ -82,6 +82,9 @@
     #: Minimum number of voters that must remain until lost ones are replaced.
     min_voters: int
     bounds: GatewayBounds = GatewayBounds()
+    #: Address at which this instance relays connections to upstreams for other
+    #: instances; empty if it does not.
+    relay_address: str = ""
 
     @property
     def timing(self) -> rules.Timing:
