Open the connections of requests through the connector

UpstreamCall takes the connector and the upstream. The connector still uses the direct path only, so nothing changes for callers; the relays behind it are not used yet. A run counts as lost with its upstream if the connector can't reach the upstream.

--- a/libs/gateway/mulberry_gateway/__init__.py
+++ b/libs/gateway/mulberry_gateway/__init__.py
@@ -40,6 +40,7 @@
 from mulberry_gateway._routing_table_store import RoutingTableStore
 from mulberry_gateway._settings import GatewayBounds, GatewaySettings
 from mulberry_gateway._upstream_connector import UpstreamConnector
+from mulberry_gateway._upstream_paths import UpstreamConnection
 from mulberry_gateway._upstream_selection import UpstreamSelector
 
 __all__ = [
@@ -81,6 +82,7 @@
     "RolloutFilter",
     "RoutingTableStore",
     "UpstreamCatalog",
+    "UpstreamConnection",
     "UpstreamConnector",
     "UpstreamSelector",
     "end_to_end",
--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -138,7 +138,8 @@
             result = self._call(exchange, attempt, call, upstream, replacement)
             is_lost = (
                 attempt.outcome in _quarantine.PROBED_OUTCOMES
-                and not call.accepts_connections()
+                # A cut of this instance's links is no crash.
+                and not call.is_reachable()
             )
             if is_lost:
                 components.upstream_selector.health.unreachable(upstream.name)
--- a/libs/gateway/mulberry_gateway/_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/_upstream_call.py
@@ -12,11 +12,15 @@
 import httptools
 
 import mulberry_core as core
-from mulberry_gateway import _body_limits, _connection, _messages
+import mulberry_membership as membership
+from mulberry_gateway import (
+    _body_limits,
+    _connection,
+    _messages,
+    _upstream_connector,
+    _upstream_paths,
+)
 
-#: Connect timeout, seconds. An upstream in the same region accepts within
-#: milliseconds; a lost SYN packet is only retransmitted after a second.
-CONNECT_TIMEOUT_S = 0.4
 _NO_BODY = frozenset({204, 304})
 
 
@@ -57,18 +61,21 @@
 
     def __init__(
         self,
-        address: str,
+        connector: _upstream_connector.UpstreamConnector,
+        upstream: membership.Upstream,
         caller: _connection.Connection,
         limits: core.BodyLimits | None = None,
     ) -> None:
         """Creates a call that is not connected yet.
 
         Args:
-            address: `IP:PORT` of the upstream.
+            connector: Opens the connection.
+            upstream: The upstream.
             caller: Connection of the caller; the call ends when it closes.
             limits: Budget shared with other calls; by default a separate one.
         """
-        self._address = address
+        self._connector = connector
+        self._upstream = upstream
         self._caller = caller
         self._limits = limits or _body_limits.for_answers()
         #: Size of the body granted by the limits, bytes.
@@ -76,7 +83,7 @@
         self._counted_chunks = 0
         #: Bytes received since the last part of the body, or since the start.
         self._framing_bytes = 0
-        self._connection: _connection.Connection | None = None
+        self._connection: _upstream_paths.UpstreamConnection | None = None
         self._unsent = b""
         self._parser = httptools.HttpResponseParser(self)
         self._reason = b""
@@ -92,12 +99,10 @@
         self.last_received_s = 0.0
 
     def connect(
-        self, timeout_s: float = CONNECT_TIMEOUT_S
+        self, timeout_s: float = _upstream_connector.CONNECT_TIMEOUT_S
     ) -> Fault | core.Missing:
         """Opens the connection; nothing is sent before that."""
-        connection = _connection.Connection.connect(
-            self._address, min(timeout_s, CONNECT_TIMEOUT_S)
-        )
+        connection = self._connector.connect(self._upstream, timeout_s)
         if connection is _connection.ConnectionFailure.TIMEOUT:
             return Fault.UNREACHABLE
         if isinstance(connection, _connection.ConnectionFailure):
@@ -168,12 +173,16 @@
         return data
 
     def accepts_connections(self) -> bool:
-        """Whether the upstream accepts another connection."""
-        probe = _connection.Connection.connect(self._address, CONNECT_TIMEOUT_S)
-        if isinstance(probe, _connection.ConnectionFailure):
-            return False
-        probe.close()
-        return True
+        """Whether the path of the connection opens another one."""
+        if self._connection is None:
+            return self.is_reachable()
+        return self._connector.accepts_connections(
+            self._upstream, self._connection
+        )
+
+    def is_reachable(self) -> bool:
+        """Whether any path to the upstream opens a connection."""
+        return self._connector.is_reachable(self._upstream)
 
     def withdraw(self) -> None:
         """Ends the run; reading then returns `Fault.WITHDRAWN`."""
@@ -205,7 +214,7 @@
         return self._feed(data)
 
     def _send_rest(
-        self, connection: _connection.Connection, until_s: float
+        self, connection: _upstream_paths.UpstreamConnection, until_s: float
     ) -> Fault | core.Missing:
         """Sends the rest of the request unless a response begins early."""
         while self._unsent:
--- a/libs/gateway/mulberry_gateway/_upstream_connector.py
+++ b/libs/gateway/mulberry_gateway/_upstream_connector.py
@@ -46,21 +46,23 @@
         self._start_connecting = start_connecting
 
     def connect(
-        self, upstream: membership.Upstream
+        self,
+        upstream: membership.Upstream,
+        timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> _upstream_paths.UpstreamConnection | _connection.ConnectionFailure:
         """Opens a connection to an upstream over any path.
 
+        Args:
+            upstream: The upstream.
+            timeout_s: Time left, seconds; less than this may be used.
+
         Returns:
             The connection, or `TIMEOUT` or `RESET`; no byte has been sent to
             the upstream then.
         """
         health = self._recorder.health
-        if health.is_known_down(upstream.name) and all(
-            health.has_relay_failed(relay.name) for relay in self._candidates()
-        ):
-            return _connection.ConnectionFailure.TIMEOUT
         order = health.choose_order(upstream.name)
-        race = self._begin_race(upstream, CONNECT_TIMEOUT_S)
+        race = self._begin_race(upstream, min(timeout_s, CONNECT_TIMEOUT_S))
         return race.run(
             self._paths(race, order),
             is_trial=order is decisions.PathOrder.RELAYS_AND_DIRECT,
@@ -68,7 +70,7 @@
 
     def is_reachable(self, upstream: membership.Upstream) -> bool:
         """Whether an upstream accepts a connection over any path."""
-        return _close_opened(self.connect(upstream))
+        return _close_opened(self.connect(upstream, TEST_TIMEOUT_S))
 
     def accepts_connections(
         self,
@@ -98,8 +100,6 @@
         is_direct_last = order is decisions.PathOrder.RELAYS_FIRST
         if not is_direct_last:
             yield race.start_direct()
-        for relay in self._candidates()[:_MAX_RELAYS]:
-            yield race.start_relay(relay)
         if is_direct_last:
             yield race.start_direct()
 
--- a/libs/gateway/mulberry_gateway/_upstream_opener.py
+++ b/libs/gateway/mulberry_gateway/_upstream_opener.py
@@ -83,7 +83,10 @@
         began_s = components.clock.now()
         upstream = selection.upstream
         call = _upstream_call.UpstreamCall(
-            upstream.address, exchange.caller, components.answer_limits
+            components.connector,
+            upstream,
+            exchange.caller,
+            components.answer_limits,
         )
         load = components.upstream_selector.load
         load.started(upstream.name)
--- a/libs/gateway/mulberry_gateway/tests/relay_harness.py
+++ b/libs/gateway/mulberry_gateway/tests/relay_harness.py
@@ -11,7 +11,7 @@
 import mulberry_decisions as decisions
 import mulberry_gateway as gateway
 import mulberry_membership as membership
-from mulberry_gateway import _relay_protocol
+from mulberry_gateway import _relay_protocol, _upstream_call
 
 #: Longest wait for something that must happen, seconds.
 LIMIT_S = 10.0
@@ -245,3 +245,17 @@
 
     def close(self) -> None:
         self._stack.close()
+
+
+def call(
+    address: str,
+    caller: gateway.Connection,
+    limits: core.BodyLimits | None = None,
+) -> _upstream_call.UpstreamCall:
+    """Returns a call to an address without relays."""
+    connector = gateway.UpstreamConnector(
+        FixedRelays(), recorder(core.MemoryCounters())
+    )
+    return _upstream_call.UpstreamCall(
+        connector, upstream("i-1", address), caller, limits
+    )
--- a/libs/gateway/mulberry_gateway/tests/test_endless_answers.py
+++ b/libs/gateway/mulberry_gateway/tests/test_endless_answers.py
@@ -14,6 +14,7 @@
 import mulberry_routing as routing
 import mulberry_standins as standins
 from mulberry_gateway import _body_limits, _request_reader, _upstream_call
+from mulberry_gateway.tests import relay_harness
 
 Fault = _upstream_call.Fault
 _REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -59,7 +60,7 @@
     """
     limits = core.BodyLimits(4 * 1024 * 1024, _body_limits.TOTAL_BODY_BYTES)
     server = standins.serve_endless(answer.start, answer.part)
-    call = _upstream_call.UpstreamCall(server, caller, limits)
+    call = relay_harness.call(server, caller, limits)
     tracemalloc.start()
     try:
         assert _read_answer(call) is Fault.EXCESSIVE
@@ -77,7 +78,7 @@
     server = standins.serve_endless(
         _CHUNKED + b"1\r\na\r\n" * 50_000 + b"0\r\n\r\n", b" "
     )
-    call = _upstream_call.UpstreamCall(server, caller)
+    call = relay_harness.call(server, caller)
     assert _read_answer(call) == b"a" * 50_000
 
 
@@ -90,7 +91,7 @@
         _OK + b"Content-Length: %d\r\n\r\n" % size, b"y" * 65_536
     )
     limits = core.BodyLimits(4 * 1024 * 1024, _body_limits.TOTAL_BODY_BYTES)
-    call = _upstream_call.UpstreamCall(server, caller, limits)
+    call = relay_harness.call(server, caller, limits)
     assert _read_answer(call) == b"y" * size
     assert limits.held_bytes == 0
 
@@ -105,7 +106,7 @@
     lock = threading.Lock()
 
     def read_endless() -> None:
-        call = _upstream_call.UpstreamCall(
+        call = relay_harness.call(
             standins.serve_endless(_OK + b"\r\n", _FILL), caller, limits
         )
         result = _read_answer(call)
@@ -115,7 +116,7 @@
     threads = [threading.Thread(target=read_endless) for _ in range(16)]
     for thread in threads:
         thread.start()
-    small = _upstream_call.UpstreamCall(
+    small = relay_harness.call(
         standins.serve_endless(_OK + b"Content-Length: 2\r\n\r\nok", b" "),
         caller,
         limits,
--- a/libs/gateway/mulberry_gateway/tests/test_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/tests/test_upstream_call.py
@@ -9,6 +9,7 @@
 import mulberry_core as core
 import mulberry_gateway as gateway
 from mulberry_gateway import _upstream_call
+from mulberry_gateway.tests import relay_harness
 
 Fault = _upstream_call.Fault
 _REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -52,7 +53,7 @@
             _reset(connection)
 
     caller, remote = _caller()
-    call = _upstream_call.UpstreamCall(_serve(respond), caller)
+    call = relay_harness.call(_serve(respond), caller)
     assert call.send(_REQUEST, head_only=False) is core.Missing.UNSET
     head = call.read_head(1.0)
     result = head if isinstance(head, Fault) else call.read_body(1.0)
@@ -112,7 +113,7 @@
     caller, remote = _caller()
     with socket.create_server(("127.0.0.1", 0)) as server:
         port = server.getsockname()[1]
-    call = _upstream_call.UpstreamCall(f"127.0.0.1:{port}", caller)
+    call = relay_harness.call(f"127.0.0.1:{port}", caller)
     assert call.send(_REQUEST, head_only=False) in _upstream_call.NOT_SENT
     caller.close()
     remote.close()
@@ -128,7 +129,7 @@
         release.wait(5.0)
 
     address = _serve(stay_silent)
-    call = _upstream_call.UpstreamCall(address, caller)
+    call = relay_harness.call(address, caller)
     assert call.send(_REQUEST, head_only=False) is core.Missing.UNSET
     remote.close()
     assert call.read_head(5.0) is Fault.CALLER_GONE
@@ -144,7 +145,7 @@
             b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
         )
     )
-    call = _upstream_call.UpstreamCall(address, caller)
+    call = relay_harness.call(address, caller)
     body = b"x" * 8_000_000
     data = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8000000\r\n\r\n"
     assert call.send(data + body, head_only=False) is core.Missing.UNSET
@@ -165,7 +166,7 @@
             ended.set()
 
     caller, remote = _caller()
-    call = _upstream_call.UpstreamCall(_serve(wait_for_end), caller)
+    call = relay_harness.call(_serve(wait_for_end), caller)
     assert call.send(_REQUEST, head_only=False) is core.Missing.UNSET
     timer = threading.Timer(0.1, call.withdraw)
     timer.start()
