Reach upstreams through another instance where the own links are cut

Cause: an instance that reaches no upstream had no other way to send a request, and learned of each upstream for itself, by a failed attempt of a caller's request. Nothing told a lost link from a lost upstream. The class is to take the own view of a peer for the peer's state.

The connector now starts up to three relays beside a direct path that has failed or has not opened after 0.1 s; the first that opens is used.

--- a/libs/gateway/mulberry_gateway/_upstream_connector.py
+++ b/libs/gateway/mulberry_gateway/_upstream_connector.py
@@ -61,6 +61,10 @@
             the upstream then.
         """
         health = self._recorder.health
+        if health.is_known_down(upstream.name) and all(
+            health.has_relay_failed(relay.name) for relay in self._candidates()
+        ):
+            return _connection.ConnectionFailure.TIMEOUT
         order = health.choose_order(upstream.name)
         race = self._begin_race(upstream, min(timeout_s, CONNECT_TIMEOUT_S))
         return race.run(
@@ -100,6 +104,8 @@
         is_direct_last = order is decisions.PathOrder.RELAYS_FIRST
         if not is_direct_last:
             yield race.start_direct()
+        for relay in self._candidates()[:_MAX_RELAYS]:
+            yield race.start_relay(relay)
         if is_direct_last:
             yield race.start_direct()
 
