Refuse announced addresses to which sockets cannot connect

A heartbeat with the address 10.0.0.1:99999, 10.0.0.1:0, 999.999.1.1:80 or 1.......:80 was listed as a live worker on all instances, and announcements of the chat entry also with host names such as a..b. Each request that was sent there failed, and a name that is no IP address is looked up by the thread that connects.

Cause: the border compared the characters of the address only. Now IPv4 addresses have four decimal parts (IPv6 in brackets for the chat entry), and ports are 1 to 65,535. Leading zeros are refused: the socket layer reads 010.0.0.1 as 8.0.0.1. The unspecified address is refused, since connecting to it reaches the connecting machine itself.

Ruled out: decode_heartbeat on deep nesting, 5,000 digits, bytes that are no UTF-8 and a sequence of 2**53 refuses each.

--- a/libs/membership/mulberry_membership/__init__.py
+++ b/libs/membership/mulberry_membership/__init__.py
@@ -5,6 +5,10 @@
 import mulberry_core as core
 
 if typing.TYPE_CHECKING:
+    from mulberry_membership._addresses import (
+        is_endpoint,
+        is_ipv4_endpoint,
+    )
     from mulberry_membership._announcement_body import (
         MAX_ANNOUNCEMENT_BYTES,
         parse_announcement,
@@ -68,6 +72,10 @@
     __getattr__ = core.import_on_demand(
         __name__,
         {
+            "_addresses": (
+                "is_endpoint",
+                "is_ipv4_endpoint",
+            ),
             "_announcement_body": (
                 "MAX_ANNOUNCEMENT_BYTES",
                 "parse_announcement",
@@ -148,6 +156,8 @@
     "UpstreamState",
     "add_peers_service",
     "entry_list_body",
+    "is_endpoint",
+    "is_ipv4_endpoint",
     "parse_announcement",
     "preferred_entries",
 ]
--- /dev/null
+++ b/libs/membership/mulberry_membership/_addresses.py
@@ -0,0 +1,34 @@
+"""Validation of addresses that upstreams and instances announce."""
+
+import re
+import socket
+
+_MAX_PORT = 65_535
+#: `IP:PORT`, the IP address of version 6 in brackets. A port has no leading
+#: zeros, so that one address has one spelling.
+_ENDPOINT = re.compile(r"([0-9.]+|\[([0-9A-Fa-f:.]+)\]):([1-9][0-9]{0,4})")
+
+
+def is_endpoint(text: str) -> bool:
+    """Whether a text is an address `IP:PORT` to which sockets can connect.
+
+    Host names are no addresses: looking one up would block the thread that
+    connects. IPv4 addresses have four decimal parts without leading zeros,
+    because the socket layer reads `010.0.0.1` as octal and `10.1` as
+    `10.0.0.1`. The unspecified address would lead to the connecting machine
+    itself.
+    """
+    found = _ENDPOINT.fullmatch(text)
+    if found is None or int(found[3]) > _MAX_PORT:
+        return False
+    family = socket.AF_INET if found[2] is None else socket.AF_INET6
+    try:
+        packed = socket.inet_pton(family, found[2] or found[1])
+    except OSError:
+        return False
+    return any(packed)
+
+
+def is_ipv4_endpoint(text: str) -> bool:
+    """Whether a text is an address `IP:PORT` with an IPv4 address."""
+    return not text.startswith("[") and is_endpoint(text)
--- a/libs/membership/mulberry_membership/_announcement_body.py
+++ b/libs/membership/mulberry_membership/_announcement_body.py
@@ -4,12 +4,13 @@
 does not have to build these models.
 """
 
+import re
 from typing import Annotated, Literal
 
 import pydantic
 
 import mulberry_core as core
-from mulberry_membership import _announcements
+from mulberry_membership import _addresses, _announcements
 
 #: Maximum size of one announcement, bytes; 256 versions with long names fit.
 MAX_ANNOUNCEMENT_BYTES = 65_536
@@ -27,12 +28,25 @@
         min_length=1, max_length=128, pattern=r"^[A-Za-z0-9][A-Za-z0-9._:/@-]*$"
     ),
 ]
+
+
+_SCHEME = re.compile(r"^https?://")
+
+
+def _check_address(address: str) -> str:
+    endpoint = _SCHEME.sub("", address).removesuffix("/")
+    if not _addresses.is_endpoint(endpoint):
+        raise ValueError(
+            "must be IP:PORT with a port of 1 to 65535, with or without "
+            "http:// or https://"
+        )
+    return address
+
+
 _Address = Annotated[
     str,
-    pydantic.StringConstraints(
-        max_length=128,
-        pattern=r"^(https?://)?([A-Za-z0-9.-]+|\[[0-9A-Fa-f:.]+\]):[0-9]{1,5}/?$",
-    ),
+    pydantic.StringConstraints(max_length=128),
+    pydantic.AfterValidator(_check_address),
 ]
 _Number = Annotated[int, pydantic.Field(ge=0, le=_MAX_NUMBER)]
 _Requests = Annotated[int, pydantic.Field(ge=0, le=_MAX_REQUESTS)]
--- a/libs/membership/mulberry_membership/tests/test_directory.py
+++ b/libs/membership/mulberry_membership/tests/test_directory.py
@@ -62,6 +62,14 @@
         ({"name": 7}, "name"),
         ({"address": "file:///etc/passwd"}, "address"),
         ({"address": "http://127.0.0.1:8000/v1"}, "address"),
+        ({"address": "http://10.0.0.1:99999"}, "address"),
+        ({"address": "http://10.0.0.1:0"}, "address"),
+        ({"address": "999.999.1.1:80"}, "address"),
+        ({"address": "http://1.......:80"}, "address"),
+        ({"address": "http://010.0.0.1:80"}, "address"),
+        ({"address": "http://a..b:80"}, "address"),
+        ({"address": "http://https://10.0.0.1:80"}, "address"),
+        ({"address": "http://10.0.0.1:80//"}, "address"),
         ({"incarnation": -1}, "incarnation"),
         ({"incarnation": 2**63}, "incarnation"),
         ({"sequence": "1"}, "sequence"),
@@ -109,6 +117,23 @@
     assert isinstance(membership.parse_announcement(body), core.Refusal)
 
 
+@pytest.mark.parametrize(
+    "address",
+    [
+        "127.0.0.1:8000",
+        "http://127.0.0.1:8000/",
+        "https://10.0.0.1:65535",
+        "http://[::1]:1",
+    ],
+)
+def test_proper_address_is_accepted(address: str) -> None:
+    """Guards against an upstream that is refused for a proper address."""
+    body = json.dumps({**BODY, "address": address}).encode()
+    parsed = membership.parse_announcement(body)
+    assert isinstance(parsed, membership.Announcement)
+    assert parsed.address == address.removesuffix("/")
+
+
 def test_oversized_announcement_is_refused() -> None:
     """Guards against excessive memory use by one announcement."""
     body = b" " * (membership.MAX_ANNOUNCEMENT_BYTES + 1)
