--- a/libs/membership/mulberry_membership/_link.py
+++ b/libs/membership/mulberry_membership/_link.py
@@ -31,10 +31,19 @@
 
 def decode_records(
     message: peer_pb2.ExchangeRequest | peer_pb2.ExchangeResponse,
+    counters: core.Counters,
 ) -> list[tuple[_records.Record, float]]:
-    """Decodes the valid records of a message, with their times to live."""
-    decoded = (_codec.from_wire(wire) for wire in message.records)
-    return [item for item in decoded if not isinstance(item, core.Missing)]
+    """Decodes the valid records of a message, with their times to live.
+
+    Invalid ones are left out and counted.
+    """
+    decoded = [_codec.from_wire(wire) for wire in message.records]
+    valid = [item for item in decoded if not isinstance(item, core.Missing)]
+    if len(valid) < len(decoded):
+        counters.increment(
+            "membership.invalid_records", len(decoded) - len(valid)
+        )
+    return valid
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/membership/mulberry_membership/_membership.py
+++ b/libs/membership/mulberry_membership/_membership.py
@@ -255,7 +255,9 @@
     ) -> peer_pb2.ExchangeResponse:
         """Merges the records of a peer and returns those it lacks."""
         self._peers.record_contact()
-        self._merge_received(_link.decode_records(request), request.sender)
+        self._merge_received(
+            _link.decode_records(request, self._counters), request.sender
+        )
         is_current_session = request.receiver_session == self._session
         differing: _store.StoreDifference | core.Missing = core.Missing.UNSET
         if request.digests:
--- a/libs/membership/mulberry_membership/_peers.py
+++ b/libs/membership/mulberry_membership/_peers.py
@@ -219,7 +219,9 @@
             return False
         self._counters.increment("membership.bytes_in", response.ByteSize())
         self.record_contact()
-        self._on_records(_link.decode_records(response), link.name)
+        self._on_records(
+            _link.decode_records(response, self._counters), link.name
+        )
         link.record_success(response, sent)
         return True
 
--- /dev/null
+++ b/libs/membership/mulberry_membership/tests/test_odd_records.py
@@ -0,0 +1,141 @@
+"""Tests of records that no instance of this version would write.
+
+They come from another writer, or from an instance of another version that
+accepted and passed them on.
+"""
+
+import pytest
+
+import mulberry_core as core
+import mulberry_membership as membership
+from mulberry_wire import peer_pb2
+
+ENTRY = membership.RecordKind.ENTRY
+MEMBER = membership.RecordKind.MEMBER
+SUSPICION = membership.RecordKind.SUSPICION
+UPSTREAM = membership.RecordKind.UPSTREAM
+
+_MAX_UINT64 = 2**64 - 1
+
+
+class _Instance:
+    """An instance without threads that receives records from a fake peer."""
+
+    def __init__(self) -> None:
+        self.clock = core.ManualClock(1_000.0)
+        self.counters = core.MemoryCounters()
+        network = membership.FakeNetwork(self.clock)
+        self.membership = membership.Membership(
+            "own",
+            "address-own",
+            "zone",
+            "region",
+            (),
+            network.transport("address-own"),
+            self.clock,
+            self.counters,
+        )
+
+    def receive(
+        self, *records: peer_pb2.WireRecord
+    ) -> peer_pb2.ExchangeResponse:
+        """Handles an exchange of a peer and returns the response."""
+        response = self.membership.handle_exchange(
+            peer_pb2.ExchangeRequest(sender="peer", records=records, full=True)
+        )
+        # The response passes through the network.
+        return peer_pb2.ExchangeResponse.FromString(
+            response.SerializeToString()
+        )
+
+
+def _record(
+    kind: membership.RecordKind,
+    id: str = "x",
+    owner: str = "peer",
+    **fields: int,
+) -> peer_pb2.WireRecord:
+    wire = peer_pb2.WireRecord(
+        kind=list(membership.RecordKind).index(kind) + 1,  # type: ignore[arg-type]
+        id=id,
+        owner=owner,
+        epoch=5,
+        incarnation=5,
+        sequence=1,
+        payload=b"{}",
+    )
+    for name, value in fields.items():
+        setattr(wire, name, value)
+    return wire
+
+
+def _peer_member() -> peer_pb2.WireRecord:
+    record = _record(MEMBER, "peer")
+    record.payload = peer_pb2.MemberPayload(
+        address="address-peer", zone="z", region="r"
+    ).SerializeToString()
+    return record
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        _record(SUSPICION, "own", incarnation=_MAX_UINT64),
+        _record(SUSPICION, "own", incarnation=2**62 + 1),
+        _record(MEMBER, "own", "own", incarnation=_MAX_UINT64),
+        _record(MEMBER, "own", "own", epoch=_MAX_UINT64),
+        _record(ENTRY, "own", "own", epoch=_MAX_UINT64),
+        _record(ENTRY, "own", "own", incarnation=_MAX_UINT64),
+        _record(ENTRY, "x", sequence=_MAX_UINT64),
+        _record(UPSTREAM, "x", "own", epoch=_MAX_UINT64),
+        _record(UPSTREAM, "x", incarnation=_MAX_UINT64),
+        _record(UPSTREAM, "x", sequence=_MAX_UINT64),
+    ],
+    ids=str,
+)
+def test_number_too_large_ends_no_exchange(odd: peer_pb2.WireRecord) -> None:
+    """Guards against an instance that no peer can exchange with any more.
+
+    It answered such a number with the next one, which fits no message, also
+    after a restart, when its peers sent it the record again.
+    """
+    instance = _Instance()
+    before = instance.membership.incarnation
+    response = instance.receive(_peer_member(), odd, _record(ENTRY, "sound"))
+    own = [record for record in response.records if record.owner == "own"]
+    assert [record.incarnation for record in own] == [before]
+    assert instance.receive().records
+    assert "sound" in instance.membership.records(ENTRY)
+    assert instance.counters.count("membership.invalid_records") == 1
+
+
+def test_number_of_an_earlier_process_is_overruled() -> None:
+    """Guards against a limit below the numbers that an instance overrules."""
+    instance = _Instance()
+    response = instance.receive(
+        _record(MEMBER, "own", "own", epoch=2**53, incarnation=2**53)
+    )
+    own = [record for record in response.records if record.owner == "own"]
+    assert own[0].epoch > 2**53
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        peer_pb2.WireRecord(),
+        peer_pb2.WireRecord(kind=99, id="x", owner="peer"),  # type: ignore[arg-type]
+        _record(ENTRY, ""),
+        _record(ENTRY, owner=""),
+        _record(ENTRY, "x" * 513),
+        _record(ENTRY, "x", payload=bytes(32_769)),  # type: ignore[arg-type]
+        _record(MEMBER, "x", payload=b"\xff\xff"),  # type: ignore[arg-type]
+    ],
+    ids=lambda wire: str(wire)[:40],
+)
+def test_invalid_record_is_counted(odd: peer_pb2.WireRecord) -> None:
+    """Guards against records that are dropped without a trace."""
+    instance = _Instance()
+    instance.receive(_peer_member(), odd, _record(ENTRY, "sound"))
+    assert instance.counters.count("membership.invalid_records") == 1
+    assert set(instance.membership.records(ENTRY)) == {"sound"}
+    assert set(instance.membership.members()) == {"own", "peer"}
