Keep following peers after an error in one record

If a subscription callback raised on a record, the exchange that brought the record failed: the other callbacks and the records after it were left out, the task of the link ended and no exchange with that peer was made until a restart. The probe task, through which instances find each other again, ended likewise. A publisher got the error of another component's callback.

Cause: RecordStore called callbacks without a guard, and the tasks of Peers had none either. Now an error of a callback is logged with the record and counted (membership.callbacks_failed), and a task logs the first error in a row, counts all of them (membership.tasks_failed) and goes on. A record is announced to callbacks once per change, so it gives one line.

--- a/libs/membership/mulberry_membership/_membership.py
+++ b/libs/membership/mulberry_membership/_membership.py
@@ -93,7 +93,9 @@
             core.Missing.UNSET
         )
         self._table = _member_table.MemberTable(clock, timing.dead_after_s)
-        self._store = _store.RecordStore(clock, self._table.is_owner_valid)
+        self._store = _store.RecordStore(
+            clock, self._table.is_owner_valid, counters
+        )
         self._store.subscribe(_MEMBER, self._on_member)
         self._store.subscribe(_SUSPICION, self._on_suspicion)
         self._peers = _peers.Peers(
--- a/libs/membership/mulberry_membership/_peers.py
+++ b/libs/membership/mulberry_membership/_peers.py
@@ -5,6 +5,8 @@
 import threading
 from collections.abc import Callable, Mapping
 
+from absl import logging
+
 import mulberry_core as core
 from mulberry_membership import (
     _link,
@@ -301,9 +303,17 @@
             )
 
     def _run_link(self, link: _link.PeerLink, stop: threading.Event) -> None:
+        is_sound = True
         while not link.closed and not stop.is_set():
             if link.is_due():
-                self.exchange(link)
+                is_sound = self._run_logged(
+                    f"exchange with {link.name}",
+                    lambda: self.exchange(link),
+                    is_sound,
+                )
+                if not is_sound:
+                    stop.wait(self._timing.exchange_period_s)
+                    continue
                 stop.wait(self._min_interval_s)
             link.wait(
                 self._timing.exchange_period_s
@@ -312,11 +322,28 @@
             )
 
     def _run_probes(self, stop: threading.Event) -> None:
+        is_sound = True
         while not stop.is_set():
-            probed = self.probe()
-            has_no_links = probed and not self._links()
+            is_sound = self._run_logged("probe", self.probe, is_sound)
+            is_joining = self._probe_addresses and not self._links()
             stop.wait(
-                self._timing.exchange_period_s
-                if has_no_links
-                else PROBE_PERIOD_S
+                self._timing.exchange_period_s if is_joining else PROBE_PERIOD_S
             )
+
+    def _run_logged(
+        self, name: str, run: Callable[[], object], was_sound: bool
+    ) -> bool:
+        """Runs one step of a task; returns whether it raised no error.
+
+        The task goes on after an error, because nothing would start it again:
+        the peer would be followed no more until a restart. Only the first error
+        in a row is logged.
+        """
+        try:
+            run()
+        except Exception:
+            if was_sound:
+                logging.exception("%s failed; it is tried again", name)
+            self._counters.increment("membership.tasks_failed")
+            return False
+        return True
--- a/libs/membership/mulberry_membership/_store.py
+++ b/libs/membership/mulberry_membership/_store.py
@@ -5,6 +5,8 @@
 import threading
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
+from absl import logging
+
 import mulberry_core as core
 from mulberry_membership import _record_index, _records, _soft_state
 
@@ -63,6 +65,7 @@
         self,
         clock: core.Clock,
         is_valid: Callable[[_records.Record], bool] = lambda _: True,
+        counters: core.Counters | core.Missing = core.Missing.UNSET,
     ) -> None:
         """Creates an empty store.
 
@@ -71,7 +74,9 @@
             is_valid: Returns whether the owner of a record is alive and the
                 record may be listed. It is called with the lock held, so it
                 must not call the store.
+            counters: Receives `membership.callbacks_failed`.
         """
+        self._counters = counters
         self._clock = clock
         self._is_valid = is_valid
         self._lock = threading.RLock()
@@ -336,7 +341,20 @@
         with self._lock:
             callbacks = tuple(self._callbacks[record.kind])
         for callback in callbacks:
-            callback(record)
+            try:
+                callback(record)
+            except Exception:
+                # The callback may be unable to read what another writer has
+                # published. The other callbacks and records must still be
+                # handled, and the exchange that brought them must not fail.
+                logging.exception(
+                    "callback for %s record %r of %r failed",
+                    record.kind.value,
+                    record.id,
+                    record.owner,
+                )
+                if not isinstance(self._counters, core.Missing):
+                    self._counters.increment("membership.callbacks_failed")
 
 
 def _with_epoch(record: _records.Record, epoch: int) -> _records.Record:
--- a/libs/membership/mulberry_membership/tests/test_odd_records.py
+++ b/libs/membership/mulberry_membership/tests/test_odd_records.py
@@ -4,6 +4,8 @@
 accepted and passed them on.
 """
 
+import threading
+
 import pytest
 
 import mulberry_core as core
@@ -139,3 +141,87 @@
     assert instance.counters.count("membership.invalid_records") == 1
     assert set(instance.membership.records(ENTRY)) == {"sound"}
     assert set(instance.membership.members()) == {"own", "peer"}
+
+
+def _raise(record: membership.Record) -> None:
+    raise RecursionError(f"cannot decode {record.id}")
+
+
+def test_failing_callback_stops_no_other() -> None:
+    """Guards against one record that ends the exchange which brought it.
+
+    The other callbacks and the records after it were left out, and the task of
+    the link to the peer ended for good.
+    """
+    instance = _Instance()
+    seen: list[str] = []
+    instance.membership.subscribe(ENTRY, _raise)
+    instance.membership.subscribe(ENTRY, lambda record: seen.append(record.id))
+    instance.receive(_peer_member(), _record(ENTRY, "a"), _record(ENTRY, "b"))
+    assert seen == ["a", "b"]
+    assert set(instance.membership.records(ENTRY)) == {"a", "b"}
+    assert instance.counters.count("membership.callbacks_failed") == 2
+
+
+def test_failing_callback_stops_no_publication() -> None:
+    """Guards against a publisher that fails because of another component."""
+    instance = _Instance()
+    instance.membership.subscribe(ENTRY, _raise)
+    instance.membership.publish(ENTRY, "own", b"{}", ttl_s=1.0)
+    instance.clock.advance(2.0)
+    instance.membership.tick()
+    assert instance.membership.records(ENTRY) == {}
+    assert instance.counters.count("membership.callbacks_failed") == 2
+
+
+class _FailingTransport(membership.PeerTransport):
+    """Raises at the first exchanges, then reports that the peer is down."""
+
+    def __init__(self, failures: int) -> None:
+        self.failures = failures
+        self.answered = threading.Event()
+
+    def exchange(
+        self, address: str, request: peer_pb2.ExchangeRequest, timeout_s: float
+    ) -> peer_pb2.ExchangeResponse | core.Refusal:
+        if self.failures:
+            self.failures -= 1
+            raise OverflowError("value out of range")
+        self.answered.set()
+        return core.Refusal(
+            core.ErrorKind.UPSTREAM_FAILED, core.RunState.UNKNOWN, "down"
+        )
+
+    def disconnect(self, address: str) -> None:
+        pass
+
+
+@pytest.mark.parametrize("has_link", [False, True])
+def test_tasks_outlive_an_error(has_link: bool) -> None:
+    """Guards against a peer, or all new ones, not followed until a restart."""
+    transport = _FailingTransport(failures=2)
+    counters = core.MemoryCounters()
+    clock = core.SystemClock()
+    instance = membership.Membership(
+        "own",
+        "address-own",
+        "zone",
+        "region",
+        () if has_link else ("address-seed",),
+        transport,
+        clock,
+        counters,
+        membership.Timing(exchange_period_s=0.01),
+    )
+    if has_link:
+        instance.handle_exchange(
+            peer_pb2.ExchangeRequest(sender="peer", records=[_peer_member()])
+        )
+    timers = core.TimerService(clock)
+    instance.start(timers)
+    try:
+        instance.tick()
+        assert transport.answered.wait(10.0)
+    finally:
+        instance.stop()
+    assert counters.count("membership.tasks_failed") == 2
