Leave out entry records that cannot be read

One odd entry record made every look-up of entry addresses fail with 500, on the gateway (GET /lookup) and on the chat entry (GET /v1/entries), on all instances and for as long as the record was there; in the daemon it also stopped the merging of demand and evidence, the admission capacity, orders to engines and the status for operators, each time they were due.

Cause: EntryState.decode raised on anything odd, and each of its five callers read all entries at once. Values of another type were taken and failed later (a sort of NaN or infinity, a sum). Now the payload is validated with pydantic, which also limits the depth of the JSON; decode returns unset, and read_entries leaves the record out. The record is logged and counted once (membership.unreadable_records), not at each read.

Ruled out: payloads of older and later instances, with fields missing or unknown, are read as before (test_entry_of_another_version_is_read).

--- a/libs/daemon/mulberry_daemon/_daemon_backend.py
+++ b/libs/daemon/mulberry_daemon/_daemon_backend.py
@@ -269,12 +269,7 @@
     def _instances(
         self, view: state.View
     ) -> tuple[backend.InstanceStatus, ...]:
-        entries = {
-            name: entry.EntryState.decode(record.payload)
-            for name, record in self._members.records(
-                membership.RecordKind.ENTRY
-            ).items()
-        }
+        entries = membership.read_entries(self._members)
         rows = []
         for name, member in sorted(self._members.members().items()):
             served = entries.get(name)
--- a/libs/daemon/mulberry_daemon/_engine_orders.py
+++ b/libs/daemon/mulberry_daemon/_engine_orders.py
@@ -161,12 +161,9 @@
         requests_by_pair: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
-        for record in self._parts.soft_state.records(
-            membership.RecordKind.ENTRY
-        ).values():
-            for model, version, requests in entry.EntryState.decode(
-                record.payload
-            ).wanted:
+        entries = membership.read_entries(self._parts.soft_state)
+        for listed in entries.values():
+            for model, version, requests in listed.wanted:
                 requests_by_pair[(model, version)] += requests
         return {
             (model, defined.version): control.PoolDemand(
--- a/libs/daemon/mulberry_daemon/_soft_state_sync.py
+++ b/libs/daemon/mulberry_daemon/_soft_state_sync.py
@@ -124,12 +124,10 @@
             for upstream in self._parts.directory.upstreams().values()
             if upstream.state is membership.UpstreamState.READY
         )
-        others = [
-            entry.EntryState.decode(record.payload)
-            for record in self._other_records(membership.RecordKind.ENTRY)
-        ]
+        others = membership.read_entries(self._parts.soft_state)
+        others.pop(self._parts.instance, None)
         share = math.ceil(capacity / (len(others) + 1))
-        unused = capacity - sum(other.running for other in others)
+        unused = capacity - sum(other.running for other in others.values())
         allowed = max(_MIN_CAPACITY, share, unused)
         return min(self._parts.limits.max_streams, allowed)
 
--- a/libs/entry/mulberry_entry/_app.py
+++ b/libs/entry/mulberry_entry/_app.py
@@ -126,16 +126,11 @@
 
     def _entries(self, http: werkzeug.Request, request_id: str) -> _Answer:
         zone = http.args.get("zone", core.Missing.UNSET)
-        records = self._components.soft_state.records(
-            membership.RecordKind.ENTRY
-        )
+        entries = membership.read_entries(self._components.soft_state)
         return _responses.json_response(
             200,
             membership.entry_list_body(
-                [
-                    membership.EntryState.decode(record.payload)
-                    for record in records.values()
-                ],
+                entries.values(),
                 zone,
                 self._components.timing.entries_keep_s,
             ),
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -248,14 +248,8 @@
 
     def entries(self, zone: str) -> Sequence[membership.EntryState]:
         """Returns the entry addresses that callers of a zone should use."""
-        found = [
-            membership.EntryState.decode(record.payload)
-            for record in self.membership.records(
-                membership.RecordKind.ENTRY
-            ).values()
-            if self.membership.staleness_s(record.owner) <= 0.0
-        ]
-        return membership.preferred_entries(found, zone)
+        found = membership.read_entries(self.membership, max_staleness_s=0.0)
+        return membership.preferred_entries(found.values(), zone)
 
     def stop(self) -> None:
         """Drains the instance and stops it.
--- a/libs/membership/mulberry_membership/__init__.py
+++ b/libs/membership/mulberry_membership/__init__.py
@@ -26,6 +26,7 @@
         EntryState,
         entry_list_body,
         preferred_entries,
+        read_entries,
     )
     from mulberry_membership._fake_network import (
         FakeNetwork,
@@ -49,6 +50,10 @@
     from mulberry_membership._peers import (
         Timing,
     )
+    from mulberry_membership._record_reader import (
+        parse_json,
+        read_records,
+    )
     from mulberry_membership._records import (
         LEFT_SEQUENCE,
         Record,
@@ -93,6 +98,7 @@
                 "EntryState",
                 "entry_list_body",
                 "preferred_entries",
+                "read_entries",
             ),
             "_fake_network": (
                 "FakeNetwork",
@@ -110,6 +116,10 @@
             ),
             "_membership": ("Membership",),
             "_peers": ("Timing",),
+            "_record_reader": (
+                "parse_json",
+                "read_records",
+            ),
             "_records": (
                 "LEFT_SEQUENCE",
                 "Record",
@@ -159,5 +169,8 @@
     "is_endpoint",
     "is_ipv4_endpoint",
     "parse_announcement",
+    "parse_json",
     "preferred_entries",
+    "read_entries",
+    "read_records",
 ]
--- a/libs/membership/mulberry_membership/_entry_list.py
+++ b/libs/membership/mulberry_membership/_entry_list.py
@@ -3,44 +3,73 @@
 import dataclasses
 import functools
 import json
+import math
 import random
 from collections.abc import Iterable, Mapping, Sequence
-from typing import Any
+from typing import Annotated, Any, ClassVar
+
+import pydantic
 
 import mulberry_core as core
+from mulberry_membership import (
+    _addresses,
+    _record_reader,
+    _records,
+    _soft_state,
+)
 
 #: Loads are rounded to steps of this size for comparison, so that callers are
 #: spread over entries with similar load.
 _LOAD_STEP = 0.2
 
 
+#: Limits of numbers, which are added up.
+_MAX_LOAD = 1e6
+_MAX_REQUESTS = 2**31
+
+
+def _check_address(address: str) -> str:
+    if not _addresses.is_endpoint(address):
+        raise ValueError("must be IP:PORT")
+    return address
+
+
+_Requests = Annotated[int, pydantic.Field(ge=0, le=_MAX_REQUESTS)]
+
+
 @dataclasses.dataclass(frozen=True)
 class EntryState:
     """State that an entry publishes to the other instances."""
 
+    #: Applies to payloads, which any instance or another writer encoded.
+    __pydantic_config__: ClassVar[pydantic.ConfigDict] = pydantic.ConfigDict(
+        strict=True, extra="ignore", allow_inf_nan=False
+    )
+
     #: HTTP address as `IP:PORT`.
-    address: str
+    address: Annotated[str, pydantic.AfterValidator(_check_address)]
     zone: str
     #: A leaving entry is no longer offered to callers.
     leaving: bool
     #: Fraction of its streams in use, 0 to 1.
-    load: float
+    load: Annotated[float, pydantic.Field(ge=0.0, le=_MAX_LOAD)]
     #: Requests that are running through it.
-    running: int = 0
+    running: _Requests = 0
     #: Rows of model, version, and the number of requests that run or found no
     #: upstream.
-    wanted: Sequence[tuple[str, str, int]] = ()
+    wanted: Sequence[tuple[str, str, _Requests]] = ()
 
     def encode(self) -> bytes:
         """Returns the payload of the `entry` soft-state record."""
         return json.dumps(dataclasses.asdict(self)).encode()
 
     @classmethod
-    def decode(cls, payload: bytes) -> "EntryState":
+    def decode(cls, payload: bytes) -> "EntryState | core.Missing":
         """Decodes a payload that was encoded by any instance.
 
         Unknown fields of later versions are ignored, so that payloads stay
-        readable during a rolling upgrade.
+        readable during a rolling upgrade. Returns unset if a known field is
+        missing or invalid.
         """
         return _decode(payload)
 
@@ -50,11 +79,31 @@
 _CACHED_PAYLOADS = 700
 
 
+@functools.cache
+def _adapter() -> pydantic.TypeAdapter[EntryState]:
+    return pydantic.TypeAdapter(EntryState)
+
+
 @functools.lru_cache(_CACHED_PAYLOADS)
-def _decode(payload: bytes) -> EntryState:
-    known = {field.name for field in dataclasses.fields(EntryState)}
-    content = json.loads(payload)
-    return EntryState(**{key: content[key] for key in known & content.keys()})
+def _decode(payload: bytes) -> EntryState | core.Missing:
+    return _record_reader.parse_json(_adapter(), payload)
+
+
+def read_entries(
+    soft_state: _soft_state.SoftState, max_staleness_s: float = math.inf
+) -> dict[str, EntryState]:
+    """Returns the entries of all instances by record id.
+
+    Args:
+        soft_state: Stores the records.
+        max_staleness_s: See `read_records`.
+    """
+    return _record_reader.read_records(
+        soft_state,
+        _records.RecordKind.ENTRY,
+        lambda record: EntryState.decode(record.payload),
+        max_staleness_s,
+    )
 
 
 def preferred_entries(
--- a/libs/membership/mulberry_membership/_local.py
+++ b/libs/membership/mulberry_membership/_local.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 
 import mulberry_core as core
-from mulberry_membership import _records, _soft_state, _store
+from mulberry_membership import _records, _soft_state, _store, _unreadable
 
 
 class LocalSoftState(_soft_state.SoftState):
@@ -14,6 +14,7 @@
     def __init__(self, owner: str, clock: core.Clock) -> None:
         self._owner = owner
         self._store = _store.RecordStore(clock)
+        self._unreadable = _unreadable.UnreadableRecords()
         self._lock = threading.Lock()
         self._epoch = max(1, int(clock.wall() * 1000))
         self._sequence = 0
@@ -122,6 +123,10 @@
         """Registers a callback for changes of records of this kind."""
         self._store.subscribe(kind, callback)
 
+    def report_unreadable(self, record: _records.Record) -> None:
+        """Logs and counts a record that a reader cannot decode, once."""
+        self._unreadable.report(record)
+
     def _next_sequence(self) -> int:
         with self._lock:
             self._sequence += 1
--- a/libs/membership/mulberry_membership/_membership.py
+++ b/libs/membership/mulberry_membership/_membership.py
@@ -20,6 +20,7 @@
     _soft_state,
     _store,
     _transport,
+    _unreadable,
 )
 from mulberry_wire import peer_pb2
 
@@ -80,6 +81,7 @@
         self._identity = _identity.Identity(name, clock)
         self._session = secrets.randbits(63) + 1
         self._forgotten = _forgotten.ForgottenMembers()
+        self._unreadable = _unreadable.UnreadableRecords(counters)
         self._member_callbacks: list[Callable[[_members.Member], None]] = []
         self._leaving = False
         #: Stamp of the newest change when the links were last woken.
@@ -252,6 +254,10 @@
         """Registers a callback for changes of records of this kind."""
         self._store.subscribe(kind, callback)
 
+    def report_unreadable(self, record: _records.Record) -> None:
+        """Logs and counts a record that a reader cannot decode, once."""
+        self._unreadable.report(record)
+
     def handle_exchange(
         self, request: peer_pb2.ExchangeRequest
     ) -> peer_pb2.ExchangeResponse:
--- a/libs/membership/mulberry_membership/_soft_state.py
+++ b/libs/membership/mulberry_membership/_soft_state.py
@@ -113,3 +113,7 @@
         self, kind: _records.RecordKind, callback: RecordCallback
     ) -> None:
         """Registers a callback for changes of records of this kind."""
+
+    @abc.abstractmethod
+    def report_unreadable(self, record: _records.Record) -> None:
+        """Logs and counts a record that a reader cannot decode, once."""
