Merge demand and evidence beside an odd record

One demand or evidence record that could not be decoded ended the merge of the chat entry each second: limits and evidence of the other entries, and the admission capacity after it, were no longer updated. Records that could be decoded but held numbers of another type made the judge of versions raise at each proposal, NaN in a demand made a team's limit meaningless, and a count of 1e300 hid the others.

Cause: json.loads without a guard or a check of types. A record that fails is left out and reported once (read_records). The encoding moves to a module of its own, _shared_counts.

--- a/libs/daemon/mulberry_daemon/_soft_state_sync.py
+++ b/libs/daemon/mulberry_daemon/_soft_state_sync.py
@@ -1,14 +1,15 @@
 """Shares load, demand and evidence between instances as soft state."""
 
-import dataclasses
-import json
 import math
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Sequence
+from typing import TypeVar
 
 import mulberry_core as core
-import mulberry_decisions as decisions
 import mulberry_entry as entry
 import mulberry_membership as membership
+from mulberry_daemon import _shared_counts
+
+_T = TypeVar("_T")
 
 _PERIOD_S = 1.0
 
@@ -48,11 +49,11 @@
         decision_set = self._parts.decisions
         self._publish(
             membership.RecordKind.DEMAND,
-            _encode_demand(decision_set.team_limiter),
+            _shared_counts.encode_demand(decision_set.team_limiter),
         )
         self._publish(
             membership.RecordKind.EVIDENCE,
-            _encode_evidence(
+            _shared_counts.encode_evidence(
                 decision_set.version_judge, decision_set.model_chooser
             ),
         )
@@ -90,27 +91,25 @@
     def _merge(self) -> None:
         decision_set = self._parts.decisions
         decision_set.team_limiter.merge(
-            {
-                record.id: _decode_demand(record.payload)
-                for record in self._other_records(membership.RecordKind.DEMAND)
-            }
+            self._read_others(
+                membership.RecordKind.DEMAND, _shared_counts.decode_demand
+            )
         )
-        for record in self._other_records(membership.RecordKind.EVIDENCE):
-            evidence, ratings = _decode_evidence(record.payload)
-            # Each process of an instance counts from zero.
-            incarnation = f"{record.id}/{record.epoch}"
-            decision_set.version_judge.merge(incarnation, evidence)
-            decision_set.model_chooser.merge(incarnation, ratings)
-
-    def _other_records(
-        self, kind: membership.RecordKind
-    ) -> Iterable[membership.Record]:
-        records = self._parts.soft_state.records(kind)
-        return [
-            record
-            for name, record in records.items()
-            if name != self._parts.instance
-        ]
+        for shared in self._read_others(
+            membership.RecordKind.EVIDENCE, _shared_counts.decode_evidence
+        ).values():
+            decision_set.version_judge.merge(shared.process, shared.evidence)
+            decision_set.model_chooser.merge(shared.process, shared.ratings)
+
+    def _read_others(
+        self,
+        kind: membership.RecordKind,
+        decode: Callable[[membership.Record], _T | core.Missing],
+    ) -> dict[str, _T]:
+        """Returns the readable records of the other entries by id."""
+        decoded = membership.read_records(self._parts.soft_state, kind, decode)
+        decoded.pop(self._parts.instance, None)
+        return decoded
 
     def _admission_capacity(self) -> int:
         """Returns how many requests this entry may run at once.
@@ -130,61 +129,3 @@
         unused = capacity - sum(other.running for other in others.values())
         allowed = max(_MIN_CAPACITY, share, unused)
         return min(self._parts.limits.max_streams, allowed)
-
-
-def _encode_demand(limiter: decisions.TeamLimiter) -> bytes:
-    return json.dumps(
-        {
-            team: [round(demand.requests_per_s, 1), round(demand.tokens_per_s)]
-            for team, demand in limiter.demand().items()
-        }
-    ).encode()
-
-
-def _decode_demand(payload: bytes) -> Mapping[str, decisions.Demand]:
-    return {
-        team: decisions.Demand(requests_per_s, tokens_per_s)
-        for team, (requests_per_s, tokens_per_s) in json.loads(payload).items()
-    }
-
-
-def _encode_evidence(
-    judge: decisions.VersionJudge, chooser: decisions.ModelChooser
-) -> bytes:
-    evidence = [
-        [
-            dataclasses.astuple(key),
-            dataclasses.astuple(series.now),
-            [
-                [span, dataclasses.astuple(counts)]
-                for span, counts in series.before_by_span.items()
-            ],
-        ]
-        for key, series in judge.export().items()
-    ]
-    ratings = [
-        [dataclasses.astuple(key), dataclasses.astuple(counts)]
-        for key, counts in chooser.export().items()
-    ]
-    return json.dumps({"evidence": evidence, "ratings": ratings}).encode()
-
-
-def _decode_evidence(
-    payload: bytes,
-) -> tuple[decisions.Evidence, decisions.RatingExport]:
-    content = json.loads(payload)
-    evidence = {
-        decisions.EvidenceKey(*key): decisions.EvidenceSeries(
-            decisions.EvidenceCounts(*now),
-            {
-                span: decisions.EvidenceCounts(*counts)
-                for span, counts in before
-            },
-        )
-        for key, now, before in content["evidence"]
-    }
-    ratings = {
-        decisions.RatingKey(*key): decisions.RatingCounts(*counts)
-        for key, counts in content["ratings"]
-    }
-    return evidence, ratings
