Found the voters beside odd candidates and founding records

One storage record of another writer that could not be decoded kept a new deployment from forming its group of voters, since the check failed at each call, and on the leader it ended the task that replaces lost voters, until a restart. Records with other types or an impossible address were taken as candidates. An odd founding record, for example a list or a number as address, was handed to the task that forms the group, which ended with an AttributeError or TypeError; the record was still there after a restart.

Cause: json.loads without a guard or a check of types.

--- a/libs/gateway/mulberry_gateway/_bootstrap.py
+++ b/libs/gateway/mulberry_gateway/_bootstrap.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Mapping
 
 from absl import logging
@@ -15,7 +14,7 @@
 import mulberry_core as core
 import mulberry_membership as membership
 import mulberry_state as state
-from mulberry_gateway import _settings
+from mulberry_gateway import _settings, _voter_records
 
 #: Interval between checks for instances with a data directory, seconds.
 PERIOD_S = 0.25
@@ -57,7 +56,7 @@
             self._soft_state.publish(
                 membership.RecordKind.STORAGE,
                 candidate.name,
-                json.dumps([candidate.address, candidate.identity]).encode(),
+                _voter_records.encode_candidate(candidate),
                 urgent=True,
             )
             node.reconcile_voters(self.candidates, self._settings.min_voters)
@@ -65,16 +64,12 @@
 
     def candidates(self) -> Mapping[str, state.VoterCandidate]:
         """Returns the live instances with a data directory, by name."""
-        candidates_by_name = {}
-        records = self._soft_state.records(membership.RecordKind.STORAGE)
-        for name, record in records.items():
-            if self._soft_state.staleness_s(record.owner) > 0.0:
-                continue
-            address, identity = json.loads(record.payload)
-            candidates_by_name[name] = state.VoterCandidate(
-                name, address, identity
-            )
-        return candidates_by_name
+        return membership.read_records(
+            self._soft_state,
+            membership.RecordKind.STORAGE,
+            _voter_records.decode_candidate,
+            max_staleness_s=0.0,
+        )
 
     def tick(self) -> None:
         """Updates the candidates and bootstraps the group when it is due."""
@@ -100,9 +95,7 @@
         self._soft_state.publish(
             membership.RecordKind.FOUNDING,
             "voters",
-            json.dumps(
-                {name: c.address for name, c in candidates.items()}
-            ).encode(),
+            _voter_records.encode_voters(candidates),
             urgent=True,
         )
 
@@ -115,6 +108,8 @@
         )
         if isinstance(record, core.Missing) or record.removed:
             return
-        initial_voters = json.loads(record.payload)
-        if self._settings.name in initial_voters:
+        initial_voters = _voter_records.decode_voters(record)
+        if isinstance(initial_voters, core.Missing):
+            self._soft_state.report_unreadable(record)
+        elif self._settings.name in initial_voters:
             node.bootstrap_with(initial_voters)
