Let no refused candidate keep out the other voters

A candidate that could not be added, for example because a record of another writer names an address where nobody answers with that name, was tried again every 0.25 s by the leader. Candidates behind it in sorted order, among them the replacement of a lost voter, were never tried. An error of a reader of candidates ended the task for good.

Cause: next_change has one order and no memory of refusals. A refused candidate now comes after the others for 5 s; with nothing else to do it is tried as often as before. The task logs the first error in a row and goes on.

Ruled out: that such a candidate becomes a voter. The group asks the address for its name and identity before it adds it, and takes the identity from the answer.

--- a/libs/state/mulberry_state/_voter_reconciler.py
+++ b/libs/state/mulberry_state/_voter_reconciler.py
@@ -18,6 +18,9 @@
 PERIOD_S = 0.25
 #: Seconds for one change, including the catch-up of the learner.
 _CHANGE_TIMEOUT_S = 3.0
+#: Seconds for which a candidate that was refused comes after the others. A
+#: candidate that can never be added must not keep out the others.
+REFUSED_LAST_S = 5.0
 _AUDIT_NAME = "upkeep"
 
 
@@ -110,20 +113,51 @@
         self._get_voters = get_voters
         self._get_candidates = get_candidates
         self._min_voters = min_voters
+        #: `Clock.now` of the last refusal, seconds, by candidate.
+        self._refused_s: dict[VoterCandidate, float] = {}
 
     def run(self, stop: threading.Event) -> None:
         """Task: makes one change at a time while this voter leads."""
+        is_sound = True
         while not stop.wait(PERIOD_S):
-            if self._raft.role is _raft.Role.LEADER:
+            if self._raft.role is not _raft.Role.LEADER:
+                continue
+            try:
                 self._make_next_change()
+            except Exception:
+                # Without this task, no voter would be replaced until the next
+                # start of this process.
+                if is_sound:
+                    logging.exception("checking the voters failed")
+                is_sound = False
+            else:
+                is_sound = True
+
+    def _choose_change(self) -> VoterChange | core.Missing:
+        voters = self._get_voters()
+        candidates = self._get_candidates()
+        oldest_s = self._raft.clock.now() - REFUSED_LAST_S
+        self._refused_s = {
+            candidate: refused_s
+            for candidate, refused_s in self._refused_s.items()
+            if refused_s > oldest_s
+        }
+        others = {
+            name: candidate
+            for name, candidate in candidates.items()
+            if candidate not in self._refused_s
+        }
+        change = next_change(voters, others, self._min_voters, self._raft.name)
+        if isinstance(change, VoterChange) and isinstance(
+            change.add, VoterCandidate
+        ):
+            return change
+        return next_change(
+            voters, candidates, self._min_voters, self._raft.name
+        )
 
     def _make_next_change(self) -> None:
-        change = next_change(
-            self._get_voters(),
-            self._get_candidates(),
-            self._min_voters,
-            self._raft.name,
-        )
+        change = self._choose_change()
         if isinstance(change, core.Missing):
             return
         add: dict[str, str] = {}
@@ -134,6 +168,8 @@
                 add, change.remove, _AUDIT_NAME, _CHANGE_TIMEOUT_S
             )
         except (_group.ChangeRefused, _raft.LeadershipLost) as error:
+            if isinstance(change.add, VoterCandidate):
+                self._refused_s[change.add] = self._raft.clock.now()
             logging.warning(
                 "voters not changed (%s): %s",
                 change.reason,
--- a/libs/state/mulberry_state/tests/test_voter_reconciler.py
+++ b/libs/state/mulberry_state/tests/test_voter_reconciler.py
@@ -4,10 +4,15 @@
 or a machine replaced, until an operator runs `voters replace`.
 """
 
+import threading
+import types
+from collections.abc import Mapping
+from typing import Any, cast
+
 import pytest
 
 import mulberry_core as core
-from mulberry_state import _reports, _voter_reconciler
+from mulberry_state import _group, _raft, _reports, _voter_reconciler
 
 _NONE = core.Missing.UNSET
 
@@ -91,3 +96,96 @@
         else _NONE
     )
     assert (added, change.remove) == expected
+
+
+class _Group:
+    """Refuses candidates whose name begins with `bad`, like a real group.
+
+    A real one refuses candidates that do not answer at their address, or not
+    with their name.
+    """
+
+    def __init__(self) -> None:
+        self.tried: list[str] = []
+        self.added = threading.Event()
+
+    def change(
+        self, add: Mapping[str, str], remove: str, who: str, timeout_s: float
+    ) -> str:
+        name = next(iter(add), remove)
+        self.tried.append(name)
+        if name.startswith("bad"):
+            raise _group.ChangeRefused("does not answer")
+        self.added.set()
+        return f"added {name}"
+
+
+def _reconciler(
+    group: _Group,
+    voters: list[_reports.VoterStatus],
+    get_candidates: Any,
+    clock: core.Clock,
+) -> _voter_reconciler.VoterReconciler:
+    raft = types.SimpleNamespace(role=_raft.Role.LEADER, name="a", clock=clock)
+    return _voter_reconciler.VoterReconciler(
+        cast(_raft.RaftState, raft),
+        cast(_group.Group, group),
+        lambda: voters,
+        get_candidates,
+        3,
+    )
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        _candidates("bad-b"),
+        {"bad-c": _voter_reconciler.VoterCandidate("bad-c", "x:1", "other")},
+    ],
+    ids=["unknown", "other identity of a voter"],
+)
+def test_candidate_that_cannot_be_added_keeps_out_no_other(
+    odd: dict[str, _voter_reconciler.VoterCandidate],
+) -> None:
+    """Guards against a lost voter that is never replaced.
+
+    The first candidate in sorted order was tried again and again.
+    """
+    group = _Group()
+    clock = core.ManualClock(1_000.0)
+    voters = [_voter("a"), _voter("bad-c"), _voter("c", _LOST_S)]
+    candidates = {**_candidates("a", "d"), **odd}
+    reconciler = _reconciler(group, voters, lambda: candidates, clock)
+    for _ in range(2):
+        reconciler._make_next_change()
+        clock.advance(_voter_reconciler.PERIOD_S)
+    assert group.tried == [next(iter(odd)), "d"]
+    # Once nothing else is left to do, it is tried as before.
+    voters[2] = _voter("d")
+    reconciler._make_next_change()
+    assert group.tried[-1] == next(iter(odd))
+
+
+def test_reconciler_outlives_an_error() -> None:
+    """Guards against voters that are replaced no more until a restart."""
+    group = _Group()
+    calls = 0
+
+    def get_candidates() -> Mapping[str, _voter_reconciler.VoterCandidate]:
+        nonlocal calls
+        calls += 1
+        if calls <= 2:
+            raise RecursionError("odd record")
+        return _candidates("d")
+
+    reconciler = _reconciler(
+        group, [_voter("a")], get_candidates, core.SystemClock()
+    )
+    stop = threading.Event()
+    thread = threading.Thread(target=reconciler.run, args=(stop,))
+    thread.start()
+    try:
+        assert group.added.wait(10.0)
+    finally:
+        stop.set()
+        thread.join()
