Leave out upstream records that nothing can be sent to

An instance of an earlier version publishes what it accepted: an upstream with the address 10.0.0.1:99999, or with a host name, which the connecting thread then looks up. Records of another writer could also have no capacity, by which the choice among the upstreams of a service divides (each request of the service fails if no other is listed), or a name that fits no header, so that each request to that upstream fails with an internal error.

Cause: the protobuf payload was decoded without a check of its values. Now the address, the capacity and the name are checked when a record is read, and the record is left out and reported once.

Both now use proper ones; what they assert is unchanged.

--- a/libs/gateway/mulberry_gateway/tests/quarantine_harness.py
+++ b/libs/gateway/mulberry_gateway/tests/quarantine_harness.py
@@ -57,6 +57,12 @@
     )
 
 
+def _address(upstream: str) -> str:
+    """Returns the address of an upstream, the same on all instances."""
+    digest = core.digest32(upstream.encode())
+    return f"10.{digest >> 16 & 255}.{digest >> 8 & 255}.{digest & 255}:80"
+
+
 class BlockingClient(state.LocalStateClient):
     """Blocks proposals until `has_quorum` is set."""
 
@@ -109,7 +115,7 @@
         self.directory.announce(
             membership.Announcement(
                 name=name,
-                address=address or f"{name}:80",
+                address=address or _address(name),
                 incarnation=incarnation,
                 sequence=next(self._sequence),
                 state=membership.UpstreamState.READY,
--- a/libs/membership/mulberry_membership/__init__.py
+++ b/libs/membership/mulberry_membership/__init__.py
@@ -72,6 +72,7 @@
     )
     from mulberry_membership._upstreams import (
         Upstream,
+        is_upstream_name,
     )
 else:
     __getattr__ = core.import_on_demand(
@@ -134,7 +135,10 @@
                 "PeerHandler",
                 "PeerTransport",
             ),
-            "_upstreams": ("Upstream",),
+            "_upstreams": (
+                "Upstream",
+                "is_upstream_name",
+            ),
         },
     )
 
@@ -168,6 +172,7 @@
     "entry_list_body",
     "is_endpoint",
     "is_ipv4_endpoint",
+    "is_upstream_name",
     "parse_announcement",
     "parse_json",
     "preferred_entries",
--- a/libs/membership/mulberry_membership/_addresses.py
+++ b/libs/membership/mulberry_membership/_addresses.py
@@ -8,6 +8,8 @@
 #: zeros, so that one address has one spelling.
 _ENDPOINT = re.compile(r"([0-9.]+|\[([0-9A-Fa-f:.]+)\]):([1-9][0-9]{0,4})")
 
+_SCHEME = re.compile(r"https?://")
+
 
 def is_endpoint(text: str) -> bool:
     """Whether a text is an address `IP:PORT` to which sockets can connect.
@@ -29,6 +31,12 @@
     return any(packed)
 
 
+def is_base_address(text: str) -> bool:
+    """Whether a text is `IP:PORT`, with or without `http://` or `https://`."""
+    scheme = _SCHEME.match(text)
+    return is_endpoint(text[scheme.end() :] if scheme else text)
+
+
 def is_ipv4_endpoint(text: str) -> bool:
     """Whether a text is an address `IP:PORT` with an IPv4 address."""
     return not text.startswith("[") and is_endpoint(text)
--- a/libs/membership/mulberry_membership/_announcement_body.py
+++ b/libs/membership/mulberry_membership/_announcement_body.py
@@ -4,7 +4,6 @@
 does not have to build these models.
 """
 
-import re
 from typing import Annotated, Literal
 
 import pydantic
@@ -30,12 +29,8 @@
 ]
 
 
-_SCHEME = re.compile(r"^https?://")
-
-
 def _check_address(address: str) -> str:
-    endpoint = _SCHEME.sub("", address).removesuffix("/")
-    if not _addresses.is_endpoint(endpoint):
+    if not _addresses.is_base_address(address.removesuffix("/")):
         raise ValueError(
             "must be IP:PORT with a port of 1 to 65535, with or without "
             "http:// or https://"
--- a/libs/membership/mulberry_membership/_directory.py
+++ b/libs/membership/mulberry_membership/_directory.py
@@ -177,6 +177,7 @@
             record, self._soft_state.age_s(_KIND, record.id)
         )
         if isinstance(upstream, core.Missing):
+            self._soft_state.report_unreadable(record)
             return upstream
         return self._with_newest_load(upstream)
 
--- a/libs/membership/mulberry_membership/_upstreams.py
+++ b/libs/membership/mulberry_membership/_upstreams.py
@@ -1,13 +1,19 @@
 """Upstreams and their encoding as soft-state records."""
 
 import dataclasses
+import re
 
 from google.protobuf import message
 
 import mulberry_core as core
-from mulberry_membership import _announcements, _records
+from mulberry_membership import _addresses, _announcements, _records
 from mulberry_wire import peer_pb2
 
+#: Names of upstreams are sent to them in headers: visible ASCII characters.
+_NAME = re.compile(r"[!-~]{1,512}")
+#: Most requests that an upstream may run at once; loads are divided by it.
+_MAX_CAPACITY = 1_000_000
+
 
 @dataclasses.dataclass(frozen=True)
 class Upstream:
@@ -49,6 +55,11 @@
         return _announcements.ServedVersion(model, version) in self.versions
 
 
+def is_upstream_name(name: str) -> bool:
+    """Whether requests can name an upstream like this in a header."""
+    return bool(_NAME.fullmatch(name))
+
+
 def encode_upstream(announcement: _announcements.Announcement) -> bytes:
     """Encodes an announcement as the payload of an upstream record."""
     service = announcement.service
@@ -71,12 +82,23 @@
 def decode_upstream(
     record: _records.Record, load_age_s: float
 ) -> Upstream | core.Missing:
-    """Decodes an upstream record; unset if its payload is malformed."""
+    """Decodes an upstream record.
+
+    Unset if its payload is malformed, or names an upstream to which nothing can
+    be sent. An instance of an earlier version may have accepted and published
+    such an announcement.
+    """
     payload = peer_pb2.UpstreamPayload()
     try:
         payload.ParseFromString(record.payload)
     except message.DecodeError:
         return core.Missing.UNSET
+    if not (
+        is_upstream_name(record.id)
+        and _addresses.is_base_address(payload.address)
+        and 1 <= payload.capacity <= _MAX_CAPACITY
+    ):
+        return core.Missing.UNSET
     state = _announcements.UpstreamState
     return Upstream(
         name=record.id,
--- a/libs/membership/mulberry_membership/tests/test_directory.py
+++ b/libs/membership/mulberry_membership/tests/test_directory.py
@@ -8,6 +8,7 @@
 
 import mulberry_core as core
 import mulberry_membership as membership
+from mulberry_membership import _upstreams
 
 BODY: dict[str, Any] = {
     "name": "pool-1",
@@ -201,7 +202,12 @@
     fixture = _DirectoryFixture()
     fixture.announce(sequence=7)
     fixture.state.put(
-        membership.RecordKind.UPSTREAM, "pool-1", 5, 8, b"", urgent=True
+        membership.RecordKind.UPSTREAM,
+        "pool-1",
+        5,
+        8,
+        _upstreams.encode_upstream(_announcement(sequence=8)),
+        urgent=True,
     )
     fixture.advance(3.0)
     assert "pool-1" in fixture.directory.upstreams()
