Parse numbers in headers without errors

"²".isdigit() is true, but int("²") raises, and int() raises above 4,300 digits.

Cause: str.isdigit before int, and no upper limits. core.parse_count takes ASCII digits only, up to a limit.

--- a/libs/core/mulberry_core/__init__.py
+++ b/libs/core/mulberry_core/__init__.py
@@ -28,6 +28,7 @@
     hash_key,
     ring_position,
 )
+from mulberry_core._numbers import parse_count
 from mulberry_core._on_demand import import_on_demand
 from mulberry_core._process import end_process_after
 from mulberry_core._sentinels import Missing
@@ -65,5 +66,6 @@
     "end_process_after",
     "hash_key",
     "import_on_demand",
+    "parse_count",
     "ring_position",
 ]
--- a/libs/gateway/mulberry_gateway/_request_reader.py
+++ b/libs/gateway/mulberry_gateway/_request_reader.py
@@ -238,8 +238,10 @@
             self._fault = self._fault or InvalidRequest(
                 core.ErrorKind.BAD_REQUEST, "the target is not a path"
             )
-        length = _messages.find_header(partial.headers, "content-length")
-        if length.isdigit() and int(length) > self._limits.max_body_bytes:
+        length = core.parse_count(
+            _messages.find_header(partial.headers, "content-length")
+        )
+        if isinstance(length, int) and length > self._limits.max_body_bytes:
             self._reject_body()
 
     def _reject_body(self) -> None:
--- a/libs/gateway/mulberry_gateway/_stream_relay.py
+++ b/libs/gateway/mulberry_gateway/_stream_relay.py
@@ -13,6 +13,8 @@
     _upstream_call,
 )
 
+#: Ids with more digits are compared with no other.
+_MAX_ID_DIGITS = 100
 _EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 #: Events with content. Comments only keep a connection open and do not count.
 _CONTENT = re.compile(rb"^(?:data|id)\b", re.MULTILINE)
@@ -118,9 +120,16 @@
         found = _EVENT_ID.search(event)
         event_id = found.group(1).decode("latin-1") if found else ""
         last = exchange.last_event_id
-        if event_id.isdigit() and last.isdigit() and int(event_id) <= int(last):
+        if _is_forwarded(event_id, last):
             continue
         if event_id:
             exchange.last_event_id = event_id
         kept.append(event)
     return b"".join(kept)
+
+
+def _is_forwarded(event_id: str, last_event_id: str) -> bool:
+    """Whether an event with a number is not after the last forwarded one."""
+    number = core.parse_count(event_id, _MAX_ID_DIGITS)
+    last = core.parse_count(last_event_id, _MAX_ID_DIGITS)
+    return isinstance(number, int) and isinstance(last, int) and number <= last
