Take odd answers of engines, raters and control as faulty

An answer of an engine with deeply nested JSON raised RecursionError: on the thread that reads all streams of the process (libcurl's callback ends that stream), or in the request, whose run was then reported as unknown. An event number of 5,000 digits and a Retry-After of "²" raised ValueError. A token count beyond 64 bits cannot be encoded in a bill, so the answer was withheld after it had run. A rating of 400 digits and an engine's list of orders with an infinite fencing number raised OverflowError in the request and in the task of orders.

Cause: handlers for ValueError only, str.isdigit before float, and no upper limit. Each of these is now the fault, the refusal or the absent value that other malformed answers give.

--- a/libs/control/mulberry_control/_engine_client.py
+++ b/libs/control/mulberry_control/_engine_client.py
@@ -195,7 +195,14 @@
 ) -> tuple[ReceivedOrder, ...] | core.Refusal:
     try:
         return tuple(_decode_received(item) for item in json.loads(data))
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except (
+        ValueError,
+        TypeError,
+        KeyError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         return _refusal(f"{name} responded with an invalid list: {error!r}")
 
 
--- a/libs/control/mulberry_control/tests/test_engine_client.py
+++ b/libs/control/mulberry_control/tests/test_engine_client.py
@@ -8,6 +8,7 @@
 import mulberry_control as control
 import mulberry_core as core
 import mulberry_standins as standins
+from mulberry_control import _engine_client
 
 OUTCOME = control.OrderOutcome
 LOAD = control.Order(control.OrderKind.LOAD, "cedro", "2", "order-1")
@@ -114,3 +115,20 @@
         _target(f"http://127.0.0.1:{port}")
     )
     assert isinstance(answer, core.Refusal)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"[" * 30_000,
+        b'[{"order":"load","model":"m","version":"v","fencing_number":1e400}]',
+        b'[{"order":["load"],"model":"m","version":"v","fencing_number":1}]',
+        b"[" + b"9" * 5_000 + b"]",
+        b"null",
+        b"[[]]",
+        b"\xff",
+    ],
+)
+def test_odd_list_of_orders_is_a_refusal(body: bytes) -> None:
+    """Guards against a task that an engine's answer ends."""
+    assert isinstance(_engine_client._decode_list(body, "e"), core.Refusal)
--- a/libs/entry/mulberry_entry/_rater.py
+++ b/libs/entry/mulberry_entry/_rater.py
@@ -107,7 +107,7 @@
 def _parse_score(body: bytes) -> float | core.Missing:
     try:
         score = float(json.loads(body)["score"])
-    except (ValueError, TypeError, KeyError):
+    except (ValueError, TypeError, KeyError, OverflowError, RecursionError):
         return core.Missing.UNSET
     if math.isnan(score) or not 0.0 <= score <= 1.0:
         return core.Missing.UNSET
--- a/libs/entry/mulberry_entry/tests/test_ratings.py
+++ b/libs/entry/mulberry_entry/tests/test_ratings.py
@@ -2,9 +2,12 @@
 
 import threading
 
+import pytest
+
 import mulberry_core as core
 import mulberry_decisions as decisions
 import mulberry_entry as entry
+from mulberry_entry import _rater
 
 _RUNS = 50
 
@@ -46,3 +49,21 @@
     assert judge.done.wait(10)
     rating_queue.stop()
     assert judge.rated.count("old") == judge.rated.count("new") == _RUNS
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"[" * 30_000,
+        b'{"score":' + b"9" * 5_000 + b"}",
+        b'{"score":1' + b"0" * 400 + b"}",
+        b'{"score":1e400}',
+        b'{"score":NaN}',
+        b'{"score":[1]}',
+        b"[]",
+        b"\xff",
+    ],
+)
+def test_odd_rating_is_absent(body: bytes) -> None:
+    """Guards against a request that fails for what the rater answers."""
+    assert _rater._parse_score(body) is core.Missing.UNSET
--- a/libs/upstream/mulberry_upstream/_checker.py
+++ b/libs/upstream/mulberry_upstream/_checker.py
@@ -15,6 +15,8 @@
 _MAX_TEMPLATE_ATTEMPTS = 8
 #: Data of an event without a data field, for example a comment.
 _NO_DATA = b""
+#: Token counts above count as absent; bills have 64 bits for them.
+_MAX_TOKENS = 10**12
 
 
 class Verdict(enum.Enum):
@@ -167,7 +169,7 @@
             return fault
         try:
             chunk = json.loads(data)
-        except ValueError:
+        except (ValueError, RecursionError):
             return _incomplete(f"chunk {self.chunks + 1} is not valid JSON")
         if not isinstance(chunk, dict):
             return _incomplete(f"chunk {self.chunks + 1} is not an object")
@@ -188,7 +190,8 @@
 
     def _check_number(self, number: bytes) -> Fault | None:
         expected = self.chunks + 1
-        if not number.isdigit():
+        found = core.parse_count(number.decode("latin-1"))
+        if isinstance(found, core.Missing):
             if self._numbered:
                 return _incomplete(f"event {expected} has no number")
             return None
@@ -197,7 +200,6 @@
                 f"event {expected} has a number, earlier events have none"
             )
         self._numbered = True
-        found = int(number)
         if found == expected:
             return None
         problem = "repeated" if found < expected else "out of order"
@@ -311,7 +313,7 @@
     """
     try:
         answer = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return _incomplete("the answer is not valid JSON")
     if not isinstance(answer, dict):
         return _incomplete("the answer is not an object")
@@ -374,6 +376,8 @@
 def _read_usage(usage: dict[str, Any]) -> Usage:
     def count(name: str) -> int:
         value = usage.get(name)
-        return value if isinstance(value, int) and value >= 0 else 0
+        if isinstance(value, int) and 0 <= value <= _MAX_TOKENS:
+            return value
+        return 0
 
     return Usage(count("prompt_tokens"), count("completion_tokens"))
--- a/libs/upstream/mulberry_upstream/_failures.py
+++ b/libs/upstream/mulberry_upstream/_failures.py
@@ -104,5 +104,5 @@
 
 
 def _retry_after(transfer: _exchange.Exchange) -> float | core.Missing:
-    value = transfer.header_by_name.get("retry-after", "")
-    return float(value) if value.isdigit() else core.Missing.UNSET
+    seconds = core.parse_count(transfer.header_by_name.get("retry-after", ""))
+    return seconds if isinstance(seconds, core.Missing) else float(seconds)
--- a/libs/upstream/mulberry_upstream/_template.py
+++ b/libs/upstream/mulberry_upstream/_template.py
@@ -74,7 +74,7 @@
     try:
         text = event[start:].decode()
         _, end = json.JSONDecoder().raw_decode(text)
-    except ValueError:
+    except (ValueError, RecursionError):
         return b""
     return text[:end].encode() if text.startswith('"') else b""
 
