Decide rollouts beside an odd report of answers

A report of answer counts that another writer or version sent with a lease renewal ended the leader's decisions on rollouts: deep nesting raised RecursionError and an infinite count OverflowError, which were not caught, and the task ended. Nobody rolled a bad version back until the leader changed or restarted. Reports with negative counts, text or NaN in the durations, or 400 digits were added up with the others. Unreadable reports were logged at each decision, 2.5 times a second.

Cause: json.loads and int() with a list of errors that was not complete.

Evidence: 13 new cases of test_unreadable_report_is_ignored and test_decisions_go_on_after_an_error failed before and pass now. The eight cases that existed passed before; they now also ask for one line in the log.

--- a/libs/gateway/mulberry_gateway/_rollout_controller.py
+++ b/libs/gateway/mulberry_gateway/_rollout_controller.py
@@ -5,15 +5,14 @@
 import dataclasses
 import json
 import threading
-from collections.abc import Iterator, Mapping, Sequence
-from typing import Any
+from collections.abc import Mapping, Sequence
 
 from absl import logging
 
 import mulberry_core as core
 import mulberry_decisions as decisions
 import mulberry_state as state
-from mulberry_gateway import _exchange
+from mulberry_gateway import _exchange, _rollout_reports
 
 #: Interval between decisions, seconds.
 PERIOD_S = 0.4
@@ -27,16 +26,11 @@
     decisions.RolloutVerdict.ROLL_BACK: state.RolloutPhase.ROLLED_BACK,
 }
 
-#: Key prefix of the duration histograms of a rollout in a report. They have
-#: keys of their own because earlier versions read only the answer counts.
-_DURATIONS_PREFIX = "paces "
 _NO_ANSWERS = decisions.AnswerCounts()
 
 #: Counts by route, by version, by `SERVICE/NUMBER` of the rollout.
 _Counts = dict[str, dict[str, dict[str, decisions.AnswerCounts]]]
 _EncodedCounts = Mapping[str, Mapping[str, Mapping[str, list[int]]]]
-#: Number of answers by duration bucket, by route, by version.
-_EncodedHistograms = Mapping[str, Mapping[str, Mapping[str, int]]]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -166,11 +160,21 @@
         self._running_by_service = running
 
     def _run(self, node: state.StateNode, stop: threading.Event) -> None:
+        failed: set[str] = set()
         while not stop.wait(PERIOD_S):
             if self._running_by_service and node.is_leader:
                 reports = node.reports.all()
                 for running in list(self._running_by_service.values()):
-                    self._decide(running, reports)
+                    try:
+                        self._decide(running, reports)
+                    except Exception:
+                        # Without this task, no rollout would be decided until
+                        # the next start of this process.
+                        if running.key not in failed:
+                            logging.exception(
+                                "deciding rollout %s failed", running.key
+                            )
+                        failed.add(running.key)
 
     def _decide(
         self, running: _RunningRollout, reports: Sequence[bytes]
@@ -240,12 +244,9 @@
     new: dict[str, decisions.AnswerCounts] = {}
     old: dict[str, decisions.AnswerCounts] = {}
     for report in reports:
-        try:
-            rows = list(_parse_report(json.loads(report), key))
-        except (AttributeError, TypeError, ValueError):
-            # Another software version may have written it. The other reports
-            # still count.
-            logging.warning("ignoring a rollout report that cannot be parsed")
+        rows = _rollout_reports.parse_report(report, key)
+        if isinstance(rows, core.Missing):
+            # The other reports still count.
             continue
         for version, route, counts in rows:
             totals = new if version == target else old
@@ -253,32 +254,6 @@
     return decisions.RolloutEvidence(new, old)
 
 
-def _parse_report(
-    document: Any, key: str
-) -> Iterator[tuple[str, str, decisions.AnswerCounts]]:
-    """Yields the version, route and counts of each row of a report."""
-    durations = document.get(f"{_DURATIONS_PREFIX}{key}", {})
-    for version, by_route in document.get(key, {}).items():
-        for route, (answers, bad) in by_route.items():
-            counts = decisions.AnswerCounts(
-                int(answers),
-                int(bad),
-                _parse_histogram(durations, version, route),
-            )
-            yield version, route, counts
-
-
-def _parse_histogram(
-    durations: _EncodedHistograms, version: str, route: str
-) -> decisions.DurationHistogram:
-    """Returns the duration histogram of one version on one route.
-
-    JSON object keys are strings, so the buckets are converted back.
-    """
-    counts = durations.get(version, {}).get(route, {})
-    return {int(bucket): count for bucket, count in counts.items()}
-
-
 def _evidence_fields(
     evidence: decisions.RolloutEvidence,
 ) -> Mapping[str, object]:
@@ -313,7 +288,7 @@
 
 def _encode_durations(counts: _Counts) -> Mapping[str, object]:
     return {
-        f"{_DURATIONS_PREFIX}{key}": {
+        f"{_rollout_reports.DURATIONS_PREFIX}{key}": {
             version: {
                 route: count.durations for route, count in by_route.items()
             }
--- a/libs/gateway/mulberry_gateway/tests/test_rollout_filter.py
+++ b/libs/gateway/mulberry_gateway/tests/test_rollout_filter.py
@@ -2,6 +2,9 @@
 
 import json
 import re
+import threading
+import types
+from typing import Any, cast
 
 import pytest
 
@@ -9,7 +12,11 @@
 import mulberry_decisions as decisions
 import mulberry_membership as membership
 import mulberry_state as state
-from mulberry_gateway import _rollout_controller, _rollout_filter
+from mulberry_gateway import (
+    _rollout_controller,
+    _rollout_filter,
+    _rollout_reports,
+)
 
 _SESSION_S = 5.0
 _IDLE_S = _SESSION_S + 1.0
@@ -46,14 +53,71 @@
         b'{"s/1": {"v2": {"r": [1, 0, 7]}}}',
         b'{"s/1": {"v2": {"r": ["x", 0]}}}',
         b'{"s/1": {"v2": {"r": [1, 0]}}, "paces s/1": {"v2": {"r": 3}}}',
+        b"[" * 30_000,
+        b'{"s/1":' * 3_000 + b"1" + b"}" * 3_000,
+        b'{"s/1": {"v2": {"r": [1e400, 0]}}}',
+        b'{"s/1": {"v2": {"r": [Infinity, 0]}}}',
+        b'{"s/1": {"v2": {"r": [NaN, 0]}}}',
+        b'{"s/1": {"v2": {"r": [1' + b"0" * 400 + b", 0]}}}",
+        b'{"s/1": {"v2": {"r": [' + b"9" * 5_000 + b", 0]}}}",
+        b'{"s/1": {"v2": {"r": [-1, 0]}}}',
+        b'{"s/1": {"v2": {"r": [1, 2]}}}',
+        b'{"s/1": {"v2": {"r": [1, 0]}}, "paces s/1": {"v2": {"r": {"x": 1}}}}',
+        b'{"s/1": {"v2": {"r": [1, 0]}}, "paces s/1": {"v2": {"r": {"1": "x"}}}}',
+        b'{"s/1": {"v2": {"r": [1, 0]}}, "paces s/1": {"v2": {"r": {"1": -1}}}}',
+        b'{"s/1": {"v2": {"r": [1, 0]}}, "paces s/1": {"v2": {"r": {"1": NaN}}}}',
     ],
 )
-def test_unreadable_report_is_ignored(report: bytes) -> None:
+def test_unreadable_report_is_ignored(
+    report: bytes, caplog: pytest.LogCaptureFixture
+) -> None:
     """Guards against an unreadable report that prevents all decisions."""
+    _rollout_reports._log_unreadable.cache_clear()
     evidence = _rollout_controller.sum_reports(
         [report, _report("s/1", "v2", 5, 1)], "s/1", "v2"
     )
     assert evidence.target_by_route == {"r": decisions.AnswerCounts(5, 1)}
+    _rollout_controller.sum_reports([report], "s/1", "v2")
+    assert sum("cannot be parsed" in line for line in caplog.messages) == 1
+
+
+class _FailingPlan(decisions.RolloutPlan):
+    """Raises at the first decisions."""
+
+    def __init__(self) -> None:
+        super().__init__(0.1)
+        self.calls = 0
+        self.decided = threading.Event()
+
+    def decide(self, *args: Any) -> Any:
+        self.calls += 1
+        if self.calls <= 2:
+            raise OverflowError("odd counts")
+        self.decided.set()
+        return core.Missing.UNSET
+
+
+def test_decisions_go_on_after_an_error() -> None:
+    """Guards against a rollout that nobody decides until a restart."""
+    clock = core.SystemClock()
+    client = state.LocalStateClient(state.FileRulesParser(), clock)
+    plan = _FailingPlan()
+    node = types.SimpleNamespace(
+        is_leader=True, reports=types.SimpleNamespace(all=lambda: ())
+    )
+    controller = _rollout_controller.RolloutController(
+        client,
+        cast(state.StateNode, node),
+        plan,
+        clock,
+        core.DecisionLog(clock),
+    )
+    client.propose(state.BeginServiceRollout("c", "s", "v2", 60.0), 1.0)
+    controller.start()
+    try:
+        assert plan.decided.wait(10.0)
+    finally:
+        controller._pool.stop()
 
 
 class _RecordingSoftState(membership.LocalSoftState):
