Let no bill stop the state of the deployment

A bill whose cost is infinite, no number, or above 9.2 trillion raised an error where committed records are applied: OverflowError or ValueError on each voter. The task that applies records ended on all of them, and again after each restart, since the record is in the log: no change of rules, no bill and no claim could be recorded any more. An engine was enough for it: token counts of an answer were taken as they came, and 2**62 tokens cost more than that.

Cause: the ledger counts in millionths as 64-bit integers and had no limits. A bill now counts at most 10**12 units and at least 0, with a line in the log, and sums stop at 2**63 - 1. Applying must not refuse such a record, as it may be in the log already. Token counts above 10**9 are absent at the border.

Ruled out: the other commands.

--- a/libs/state/mulberry_state/_ledger.py
+++ b/libs/state/mulberry_state/_ledger.py
@@ -3,6 +3,8 @@
 import dataclasses
 from collections.abc import Iterable, Iterator
 
+from absl import logging
+
 from mulberry_state import _codec, _commands, _invariants
 from mulberry_wire import state_pb2
 
@@ -11,6 +13,11 @@
 BILL_RETENTION_S = 30 * 86_400.0
 
 _MICROS = 1_000_000
+#: Highest cost of one bill, in the unit of the rule file. Higher ones, and those
+#: that are no number, can only come from a faulty instance or upstream.
+MAX_COST = 1e12
+#: Sums stop here instead of leaving the range of the snapshot's fields.
+_MAX_SUM = 2**63 - 1
 
 SumKey = tuple[str, str, str, str]
 
@@ -72,9 +79,7 @@
             key not in self._row_by_key,
             f"request {bill.request_id} uses a key that is already billed",
         )
-        row = state_pb2.BillRow(
-            wall_s=wall_s, cost_micros=round(bill.cost * _MICROS)
-        )
+        row = state_pb2.BillRow(wall_s=wall_s, cost_micros=_cost_micros(bill))
         _codec.fill(bill, row.bill)
         self._row_by_key[key] = row.SerializeToString()
         self._total_bills += 1
@@ -156,12 +161,35 @@
     sums[key] = LedgerSum(
         *key,
         bills=old.bills + 1,
-        tokens_in=old.tokens_in + bill.tokens_in,
-        tokens_out=old.tokens_out + bill.tokens_out,
-        cost_micros=old.cost_micros + row.cost_micros,
+        tokens_in=_bounded_sum(old.tokens_in, bill.tokens_in),
+        tokens_out=_bounded_sum(old.tokens_out, bill.tokens_out),
+        cost_micros=_bounded_sum(old.cost_micros, row.cost_micros),
     )
 
 
+def _bounded_sum(total: int, added: int) -> int:
+    """Returns the sum; the same in whatever order numbers are added."""
+    return min(_MAX_SUM, total + max(0, added))
+
+
+def _cost_micros(bill: _commands.Bill) -> int:
+    """Returns the cost in millionths, limited to what the ledger can hold.
+
+    Applying a record must never fail: it would fail on all voters, and again
+    after each restart, since the record stays in the log.
+    """
+    cost = bill.cost if bill.cost > 0.0 else 0.0
+    cost = min(cost, MAX_COST)
+    if cost != bill.cost:
+        logging.warning(
+            "the cost %r of request %s is billed as %r",
+            bill.cost,
+            bill.request_id,
+            cost,
+        )
+    return round(cost * _MICROS)
+
+
 def _read_sums(
     messages: Iterable[state_pb2.LedgerSum],
 ) -> dict[SumKey, LedgerSum]:
--- a/libs/upstream/mulberry_upstream/_checker.py
+++ b/libs/upstream/mulberry_upstream/_checker.py
@@ -15,8 +15,9 @@
 _MAX_TEMPLATE_ATTEMPTS = 8
 #: Data of an event without a data field, for example a comment.
 _NO_DATA = b""
-#: Token counts above count as absent; bills have 64 bits for them.
-_MAX_TOKENS = 10**12
+#: Token counts above count as absent. The cost of more tokens at the highest
+#: price that rules may name is beyond what a bill can hold.
+_MAX_TOKENS = 10**9
 
 
 class Verdict(enum.Enum):
