--- a/libs/state/mulberry_state/_applier.py
+++ b/libs/state/mulberry_state/_applier.py
@@ -8,7 +8,6 @@
 from mulberry_state import (
     _codec,
     _disk,
-    _invariants,
     _machine,
     _raft,
     _view,
@@ -68,10 +67,21 @@
         self._callbacks.append(callback)
 
     def restore(self, state: bytes) -> None:
-        """Replaces the state; the caller holds `machine_lock`."""
-        if state:
+        """Replaces the state; the caller holds `machine_lock`.
+
+        Raises:
+            StorageError: The snapshot cannot be read. Another version may have
+                taken it.
+        """
+        if not state:
+            return
+        try:
             self.machine.restore(state)
-            self._snapshot_size = len(state)
+        except Exception as error:
+            raise _disk.StorageError(
+                f"the snapshot cannot be read: {type(error).__name__}: {error}"
+            ) from error
+        self._snapshot_size = len(state)
 
     def run(self, stop: threading.Event) -> None:
         """Task: applies committed records."""
@@ -84,11 +94,14 @@
             try:
                 self._apply_next()
                 self._maybe_snapshot()
-            except (_disk.StorageError, _invariants.InvariantError) as error:
+            except Exception as error:
+                # Also a record that only another version can apply. A voter
+                # that no longer applied records, but led, would keep its
+                # followers from applying theirs.
                 logging.exception(
                     "%s cannot apply committed records", raft.name
                 )
-                raft.fail(str(error))
+                raft.fail(f"{type(error).__name__}: {error}")
                 return
 
     def _apply_next(self) -> None:
@@ -111,8 +124,7 @@
                 raft.lock.notify_all()
                 raft.ack_condition.notify_all()
         if view.revision != old_revision:
-            for callback in tuple(self._callbacks):
-                callback(view)
+            _view.notify(self._callbacks, view)
 
     def _complete_proposals(
         self, records: Sequence[log_pb2.LogRecord], results: Sequence[object]
--- a/libs/state/mulberry_state/_view.py
+++ b/libs/state/mulberry_state/_view.py
@@ -1,7 +1,9 @@
 """The part of the replicated state that every instance holds."""
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Callable, Iterable, Mapping
+
+from absl import logging
 
 import mulberry_core as core
 import mulberry_rules as rules
@@ -98,6 +100,21 @@
         }
 
 
+def notify(callbacks: Iterable[Callable[[View], None]], view: View) -> None:
+    """Calls each callback with a new view; logs their errors.
+
+    The task that received the view must go on: it applies later records, or
+    renews the lease of the instance.
+    """
+    for callback in tuple(callbacks):
+        try:
+            callback(view)
+        except Exception:
+            logging.exception(
+                "a callback for revision %d of the view failed", view.revision
+            )
+
+
 def crash_id(upstream: str, incarnation: int) -> str:
     """Returns an id that is unique for each crash of an upstream."""
     return f"{upstream} {incarnation}"
