--- a/libs/state/mulberry_state/_remote.py
+++ b/libs/state/mulberry_state/_remote.py
@@ -69,6 +69,8 @@
         #: `Clock.now` when the last granted renewal was sent.
         self._last_renewal_s = float("-inf")
         self._callbacks: list[Callable[[_view.View], None]] = []
+        #: Revision of the last view that could not be decoded, 0 for none.
+        self._undecodable_revision = 0
         self._process_id = uuid.uuid4().hex[:8]
         self._report_source: Callable[[], bytes] = bytes
         self._pool = core.TaskPool(f"state-client-{instance}", 1)
@@ -113,7 +115,7 @@
                 return _codec.read_result(reply.result)
             else:
                 reason = f"{address}: {reply.refusal.reason}"
-                kind = core.ErrorKind(reply.refusal.kind)
+                kind = _read_kind(reply.refusal.kind)
                 if kind in _FINAL_KINDS:
                     break
         self._counters.increment("state.propose_failed")
@@ -176,7 +178,7 @@
         while not stop.is_set():
             before = self._view.revision
             started_s = self._clock.now()
-            granted = self.renew_once(self._timing.lease_renew_period_s)
+            granted = self._renew_logged()
             if self._view.revision != before:
                 # Renew at once, so that the leader learns that this instance
                 # has the new view.
@@ -194,6 +196,19 @@
                 max(0.0, period_s - took_s) if granted else _RETRY_DELAY_S
             )
 
+    def _renew_logged(self) -> bool:
+        """Renews the lease; an error counts as a renewal that was refused.
+
+        Without renewals this instance would serve no request with a key until
+        its next start.
+        """
+        try:
+            return self.renew_once(self._timing.lease_renew_period_s)
+        except Exception:
+            logging.exception("renewing the rules lease failed")
+            self._counters.increment("state.renew_failed")
+            return False
+
     def _accept_reply(
         self, reply: state_pb2.RenewReply, previous: _view.View, sent_s: float
     ) -> bool:
@@ -214,8 +229,15 @@
                 new = _view_codec.decode_view(
                     reply.view, previous, self._parser
                 )
-            except ValueError:
-                logging.exception("could not decode the view from the leader")
+            except Exception:
+                # Another version may have encoded it. Without the newest view
+                # the lease is not extended.
+                if reply.view.revision != self._undecodable_revision:
+                    logging.exception(
+                        "could not decode view %d from the leader",
+                        reply.view.revision,
+                    )
+                self._undecodable_revision = reply.view.revision
                 return False
         term_s = self._timing.lease_term_s * (1 - _rules_leases.MAX_CLOCK_DRIFT)
         with self._lock:
@@ -229,11 +251,19 @@
             callbacks = tuple(self._callbacks)
         if new is not previous:
             self.voter_client.set_voters(new.voters_by_name)
-            for callback in callbacks:
-                callback(new)
+            _view.notify(callbacks, new)
         return True
 
 
+def _read_kind(text: str) -> core.ErrorKind:
+    """Returns the kind of a refusal; a later version may have other kinds."""
+    try:
+        return core.ErrorKind(text)
+    except ValueError:
+        logging.warning("a voter refused a command for %r", text)
+        return core.ErrorKind.INTERNAL
+
+
 def new_command_id() -> str:
     """Returns a random id for a new command."""
     return uuid.uuid4().hex
--- a/libs/state/mulberry_state/_versions.py
+++ b/libs/state/mulberry_state/_versions.py
@@ -167,7 +167,9 @@
 def crash_times(entry: state_pb2.StrikeEntry) -> tuple[float, ...]:
     """Returns the Unix time of each crash, seconds; 0 if it is unknown."""
     unknown = len(entry.crashes) - len(entry.crash_wall_s)
-    return (*(0.0 for _ in range(unknown)), *entry.crash_wall_s)
+    times = (*(0.0 for _ in range(unknown)), *entry.crash_wall_s)
+    # Another version may record more times than crashes.
+    return times[: len(entry.crashes)]
 
 
 def _has_step(
