--- a/libs/membership/mulberry_membership/_upstreams.py
+++ b/libs/membership/mulberry_membership/_upstreams.py
@@ -10,7 +10,8 @@
 from mulberry_wire import peer_pb2
 
 #: Names of upstreams are sent to them in headers: visible ASCII characters.
-_NAME = re.compile(r"[!-~]{1,512}")
+#: Ids of records also contain other parts, and have 512 characters at most.
+_NAME = re.compile(r"[!-~]{1,256}")
 #: Most requests that an upstream may run at once; loads are divided by it.
 _MAX_CAPACITY = 1_000_000
 
