Take no strike whose crash cannot be recorded

A strike record with an incarnation of 2**63 or more, or of 400 digits, was taken as a strike. Once its upstream was seen to have ended, its crash was to be recorded in the replicated state, which has 64 bits for an incarnation: encoding the command raised ValueError, and the queue of strikes proposed it again for as long as the process ran, with a traceback each time.

Such a record, and one whose upstream has a name that no upstream can have, now counts as gateway.strikes_not_understood.

--- a/libs/gateway/mulberry_gateway/_strike_records.py
+++ b/libs/gateway/mulberry_gateway/_strike_records.py
@@ -11,7 +11,9 @@
 #: Prefix of the digest of a prompt part; digests of contents have none.
 _PART_PREFIX = "part:"
 #: Record id: digest, upstream and incarnation.
-_RECORD_ID = re.compile(r"([^/]+)/(.+)\.([0-9]+)")
+_RECORD_ID = re.compile(r"([^/]+)/([!-~]+)\.([0-9]{1,19})")
+#: Highest incarnation; the replicated state has 64 bits for it.
+_MAX_INCARNATION = 2**63 - 1
 #: Payload of the strike of a part: its depth, the content that ran, whether the
 #: run was a trial, and whether the part was sound before.
 _PART_PAYLOAD = re.compile(rb"([0-9]{1,9}) ([0-9a-f]*)( trial)?( sound)?")
@@ -104,11 +106,16 @@
 
 
 def decode(record: membership.Record) -> Strike | core.Missing:
-    """Returns the strike of a record; unset if another version wrote it."""
+    """Returns the strike of a record; unset if another version wrote it.
+
+    Also unset if it could not be recorded in the replicated state.
+    """
     found = _RECORD_ID.fullmatch(record.id)
     if found is None or record.sequence not in list(StrikeState):
         return core.Missing.UNSET
     digest, upstream, incarnation = found.groups()
+    if int(incarnation) > _MAX_INCARNATION:
+        return core.Missing.UNSET
     return Strike(
         _decode_subject(digest, record.payload),
         upstream,
