Refuse announcements beyond the size of a record

An announcement with many versions, or with a long release, was accepted by its home, but other instances leave out records with more than 32,768 bytes of payload: the upstream was listed at one instance only.

Also exports MAX_NAME_LENGTH, the limit of ids of records.

--- a/libs/membership/mulberry_membership/__init__.py
+++ b/libs/membership/mulberry_membership/__init__.py
@@ -18,6 +18,9 @@
         ServedVersion,
         UpstreamState,
     )
+    from mulberry_membership._codec import (
+        MAX_NAME_LENGTH,
+    )
     from mulberry_membership._directory import (
         AnnounceOutcome,
         UpstreamDirectory,
@@ -72,6 +75,7 @@
     )
     from mulberry_membership._upstreams import (
         Upstream,
+        check_size,
         is_upstream_name,
     )
 else:
@@ -91,6 +95,7 @@
                 "ServedVersion",
                 "UpstreamState",
             ),
+            "_codec": ("MAX_NAME_LENGTH",),
             "_directory": (
                 "AnnounceOutcome",
                 "UpstreamDirectory",
@@ -137,6 +142,7 @@
             ),
             "_upstreams": (
                 "Upstream",
+                "check_size",
                 "is_upstream_name",
             ),
         },
@@ -145,6 +151,7 @@
 __all__ = [
     "LEFT_SEQUENCE",
     "MAX_ANNOUNCEMENT_BYTES",
+    "MAX_NAME_LENGTH",
     "SERVER_OPTIONS",
     "AnnounceOutcome",
     "Announcement",
@@ -169,6 +176,7 @@
     "UpstreamDirectory",
     "UpstreamState",
     "add_peers_service",
+    "check_size",
     "entry_list_body",
     "is_endpoint",
     "is_ipv4_endpoint",
--- a/libs/membership/mulberry_membership/_announcement_body.py
+++ b/libs/membership/mulberry_membership/_announcement_body.py
@@ -9,9 +9,10 @@
 import pydantic
 
 import mulberry_core as core
-from mulberry_membership import _addresses, _announcements
+from mulberry_membership import _addresses, _announcements, _upstreams
 
-#: Maximum size of one announcement, bytes; 256 versions with long names fit.
+#: Maximum size of one announcement, bytes; 256 versions with names of 50
+#: characters fit. The record of an upstream has a limit of its own.
 MAX_ANNOUNCEMENT_BYTES = 65_536
 _MAX_NUMBER = 2**63 - 1
 _MAX_REQUESTS = 1_000_000
@@ -116,7 +117,9 @@
             core.RunState.NOT_RUN,
             f"invalid announcement: {_describe(error)}",
         )
-    return _to_announcement(parsed)
+    announcement = _to_announcement(parsed)
+    too_large = _upstreams.check_size(announcement)
+    return too_large if isinstance(too_large, core.Refusal) else announcement
 
 
 def _describe(error: pydantic.ValidationError) -> str:
--- a/libs/membership/mulberry_membership/_upstreams.py
+++ b/libs/membership/mulberry_membership/_upstreams.py
@@ -6,7 +6,12 @@
 from google.protobuf import message
 
 import mulberry_core as core
-from mulberry_membership import _addresses, _announcements, _records
+from mulberry_membership import (
+    _addresses,
+    _announcements,
+    _codec,
+    _records,
+)
 from mulberry_wire import peer_pb2
 
 #: Names of upstreams are sent to them in headers: visible ASCII characters.
@@ -80,6 +85,21 @@
     return bytes(payload.SerializeToString())
 
 
+def check_size(
+    announcement: _announcements.Announcement,
+) -> core.Missing | core.Refusal:
+    """Returns a refusal if other instances would not take the record."""
+    size = len(encode_upstream(announcement))
+    if size <= _codec.MAX_PAYLOAD_BYTES:
+        return core.Missing.UNSET
+    return core.Refusal(
+        core.ErrorKind.REQUEST_TOO_LARGE,
+        core.RunState.NOT_RUN,
+        f"the announcement of {announcement.name} takes {size} bytes in a "
+        f"record, more than {_codec.MAX_PAYLOAD_BYTES}",
+    )
+
+
 def decode_upstream(
     record: _records.Record, load_age_s: float
 ) -> Upstream | core.Missing:
--- a/libs/membership/mulberry_membership/tests/test_directory.py
+++ b/libs/membership/mulberry_membership/tests/test_directory.py
@@ -135,6 +135,26 @@
     assert parsed.address == address.removesuffix("/")
 
 
+@pytest.mark.parametrize(("name_length", "fits"), [(50, True), (70, False)])
+def test_announcement_beyond_the_size_of_a_record_is_refused(
+    name_length: int, fits: bool
+) -> None:
+    """Guards against an upstream that only its home lists.
+
+    The other instances leave out a record above their limit.
+    """
+    serves = [
+        {"model": f"{number:0{name_length}}", "version": "v" * name_length}
+        for number in range(256)
+    ]
+    body = json.dumps({**BODY, "serves": serves}).encode()
+    assert len(body) < membership.MAX_ANNOUNCEMENT_BYTES
+    parsed = membership.parse_announcement(body)
+    assert isinstance(parsed, membership.Announcement) == fits
+    if isinstance(parsed, core.Refusal):
+        assert parsed.kind is core.ErrorKind.REQUEST_TOO_LARGE
+
+
 def test_oversized_announcement_is_refused() -> None:
     """Guards against excessive memory use by one announcement."""
     body = b" " * (membership.MAX_ANNOUNCEMENT_BYTES + 1)
