Share the pins of sessions with long names

The name of a session is a part of the prompt that a caller names, up to the limit of headers. During a rollout its pin was published under an id that contains it, and other instances leave out records whose id has more than 512 characters. They moved such a session to the new version in the first half of the rollout, which breaks its version.

Such an id now contains the digest of the session. Others are unchanged, so that they are the same for instances of an earlier version.

Evidence: two cases of test_pin_of_a_long_session_reaches_the_others failed before and pass now.

--- a/libs/gateway/mulberry_gateway/_rollout_filter.py
+++ b/libs/gateway/mulberry_gateway/_rollout_filter.py
@@ -191,4 +191,12 @@
 
 
 def _pin_id(service: str, rollout: state.ServiceRollout, session: str) -> str:
-    return f"{service}/{rollout.number}/{session}"
+    """Returns the id of a pin's record.
+
+    A caller names the session, and other instances leave out records whose id
+    is too long. Earlier versions share the ids of all others.
+    """
+    pin_id = f"{service}/{rollout.number}/{session}"
+    if len(pin_id) > membership.MAX_NAME_LENGTH:
+        return _pin_id(service, rollout, core.digest128(session.encode()))
+    return pin_id
--- a/libs/gateway/mulberry_gateway/tests/test_rollout_filter.py
+++ b/libs/gateway/mulberry_gateway/tests/test_rollout_filter.py
@@ -243,3 +243,18 @@
     instance = _Instance()
     instance.version_of("a")
     assert re.fullmatch(r"s/1/a", instance.soft_state.published[0])
+
+
+@pytest.mark.parametrize("session", ["a" * 508, "a" * 509, "\xe9" * 8_000])
+def test_pin_of_a_long_session_reaches_the_others(session: str) -> None:
+    """Guards against a session that other instances move to the target.
+
+    They leave out a record whose id is longer than the limit.
+    """
+    instance = _Instance()
+    assert instance.version_of(session) == "v1"
+    (pin_id,) = set(instance.soft_state.published)
+    assert len(pin_id) <= membership.MAX_NAME_LENGTH
+    assert (pin_id == f"s/1/{session}") == (len(session) == 508)
+    assert instance.version_of(session + "b") == "v1"
+    assert len(set(instance.soft_state.published)) == 2
