Read the other recorded orders beside an odd one

Other orders that could not be decoded were left out without a trace.

Both are now left out with a line in the log, once for each new holder.

Evidence: nine texts in test_odd_recorded_order_hides_no_other failed before, one with the error and eight without a line; all pass now.

--- a/libs/control/mulberry_control/_journal.py
+++ b/libs/control/mulberry_control/_journal.py
@@ -4,6 +4,8 @@
 import dataclasses
 from collections.abc import Callable
 
+from absl import logging
+
 import mulberry_core as core
 import mulberry_state as state
 from mulberry_control import _orders
@@ -73,10 +75,14 @@
             )
         found = []
         for item in leases.orders():
+            if item.lease_name != lease_name:
+                continue
             decoded = _orders.decode_order(item.order)
-            if item.lease_name != lease_name or isinstance(
-                decoded, core.Missing
-            ):
+            if isinstance(decoded, core.Missing):
+                logging.warning(
+                    "leaving out a recorded order to %r that cannot be read",
+                    item.upstream,
+                )
                 continue
             order, loaded_wall_s = decoded
             found.append(
--- a/libs/control/mulberry_control/_orders.py
+++ b/libs/control/mulberry_control/_orders.py
@@ -87,7 +87,7 @@
     try:
         kind = OrderKind(fields[0])
         loaded_wall_s = int(fields[4]) / 1000
-    except ValueError:
+    except (ValueError, OverflowError):
         return core.Missing.UNSET
     return Order(kind, fields[1], fields[2], fields[3]), loaded_wall_s
 
--- a/libs/control/mulberry_control/tests/test_executor.py
+++ b/libs/control/mulberry_control/tests/test_executor.py
@@ -393,3 +393,41 @@
     )
     assert isinstance(holder.prepare(), core.Refusal)
     assert isinstance(holder.execute(setup.target("a"), _order()), core.Refusal)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "load",
+        "later cedro 2 id 0",
+        "load cedro 2 id x",
+        "load cedro 2 id \u00b2",
+        "load cedro 2 id nan",
+        "load cedro 2 id 0 more",
+        f"load cedro 2 id {'9' * 400}",
+        f"load cedro 2 id {'9' * 5_000}",
+    ],
+)
+def test_odd_recorded_order_hides_no_other(
+    setup: _Setup, text: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a lease that no holder can use, also after a restart.
+
+    The recorded orders are read when the lease has a new holder.
+    """
+    old = _prepared(setup, "x")
+    order = _order()
+    assert old.execute(setup.target("b"), order) is OUTCOME.DONE
+    (lease,) = setup.client.machine.leases.leases()
+    odd = state.RecordOrder(
+        "c", LEASE, lease.fencing_number, "a", text, state.OrderState.BEGUN
+    )
+    assert setup.client.propose(odd, 1.0) == state.OrderRecorded()
+    setup.clock.advance(2 * LEASE_S)
+    new = _prepared(setup, "y")
+    assert new.unfinished_orders() == {}
+    assert new.loads_available() == 1
+    lines = [line for line in caplog.messages if "cannot be read" in line]
+    assert len(lines) == 1
+    assert "'a'" in lines[0]
