Go on judging versions and ordering loads after an error

The daemon's tasks for verdicts and rollouts, and for orders to engines, ended with the first error, and nothing started them again before the next start of the process: a bad version was no longer judged.

core.run_step runs one step of such a task, logs the first error in a row and lets the task go on.

--- a/libs/core/mulberry_core/__init__.py
+++ b/libs/core/mulberry_core/__init__.py
@@ -34,7 +34,7 @@
 from mulberry_core._sentinels import Missing
 from mulberry_core._signals import call_on_hangup, call_on_termination
 from mulberry_core._sse import SseSplitter
-from mulberry_core._tasks import TaskPool
+from mulberry_core._tasks import TaskPool, run_step
 from mulberry_core._timers import Subscription, TimerService
 
 __all__ = [
@@ -68,4 +68,5 @@
     "import_on_demand",
     "parse_count",
     "ring_position",
+    "run_step",
 ]
--- a/libs/core/mulberry_core/_tasks.py
+++ b/libs/core/mulberry_core/_tasks.py
@@ -43,3 +43,26 @@
         except Exception:
             logging.exception("task %s failed", name)
             raise
+
+
+def run_step(name: str, step: Callable[[], object], was_sound: bool) -> bool:
+    """Runs one step of a task that must go on after an error.
+
+    Nothing would start the task again before the next start of the process.
+    Only the first error in a row is logged.
+
+    Args:
+        name: Shown in the log line.
+        step: The step.
+        was_sound: What the step before returned; true for the first.
+
+    Returns:
+        Whether the step raised no error.
+    """
+    try:
+        step()
+    except Exception:
+        if was_sound:
+            logging.exception("%s failed; it is tried again", name)
+        return False
+    return True
--- a/libs/daemon/mulberry_daemon/_engine_orders.py
+++ b/libs/daemon/mulberry_daemon/_engine_orders.py
@@ -92,8 +92,11 @@
             self._submit_orders(targets[name], orders)
 
     def _run(self, stop: threading.Event) -> None:
+        is_sound = True
         while not stop.wait(_PERIOD_S):
-            self.run_once()
+            is_sound = core.run_step(
+                "planning engine orders", self.run_once, is_sound
+            )
 
     def _submit_orders(
         self, target: control.EngineTarget, orders: list[control.PlannedOrder]
--- a/libs/daemon/mulberry_daemon/_rollouts.py
+++ b/libs/daemon/mulberry_daemon/_rollouts.py
@@ -56,10 +56,13 @@
             self._advance_rollouts(self._client.view())
 
     def _run(self, stop: threading.Event) -> None:
+        is_sound = True
         while not stop.is_set():
             if self._wake.wait(_PERIOD_S):
                 self._wake.clear()
-                self.run_once()
+                is_sound = core.run_step(
+                    "judging versions", self.run_once, is_sound
+                )
 
     def _on_view_changed(self, view: state.View) -> None:
         for (model, version), verdict in view.verdicts_by_version.items():
--- a/libs/membership/mulberry_membership/_peers.py
+++ b/libs/membership/mulberry_membership/_peers.py
@@ -5,8 +5,6 @@
 import threading
 from collections.abc import Callable, Mapping
 
-from absl import logging
-
 import mulberry_core as core
 from mulberry_membership import (
     _link,
@@ -333,17 +331,8 @@
     def _run_logged(
         self, name: str, run: Callable[[], object], was_sound: bool
     ) -> bool:
-        """Runs one step of a task; returns whether it raised no error.
-
-        The task goes on after an error, because nothing would start it again:
-        the peer would be followed no more until a restart. Only the first error
-        in a row is logged.
-        """
-        try:
-            run()
-        except Exception:
-            if was_sound:
-                logging.exception("%s failed; it is tried again", name)
+        """Runs and counts one step of a task, see `core.run_step`."""
+        is_sound = core.run_step(name, run, was_sound)
+        if not is_sound:
             self._counters.increment("membership.tasks_failed")
-            return False
-        return True
+        return is_sound
--- a/libs/state/mulberry_state/_voter_reconciler.py
+++ b/libs/state/mulberry_state/_voter_reconciler.py
@@ -122,16 +122,9 @@
         while not stop.wait(PERIOD_S):
             if self._raft.role is not _raft.Role.LEADER:
                 continue
-            try:
-                self._make_next_change()
-            except Exception:
-                # Without this task, no voter would be replaced until the next
-                # start of this process.
-                if is_sound:
-                    logging.exception("checking the voters failed")
-                is_sound = False
-            else:
-                is_sound = True
+            is_sound = core.run_step(
+                "checking the voters", self._make_next_change, is_sound
+            )
 
     def _choose_change(self) -> VoterChange | core.Missing:
         voters = self._get_voters()
