Test that odd records of each kind stop no instance

An older instance passes on a record of each kind with four payloads that cannot be read; the others, one of them started again twice, go on with the exchanges, the members and a sound record.

--- a/libs/membership/mulberry_membership/tests/test_odd_records.py
+++ b/libs/membership/mulberry_membership/tests/test_odd_records.py
@@ -225,3 +225,46 @@
     finally:
         instance.stop()
     assert counters.count("membership.tasks_failed") == 2
+
+
+_ODD_PAYLOADS = {
+    "empty": b"",
+    "nested": b"[" * 30_000,
+    "no UTF-8": b"\xff\xfe\xff",
+    "many digits": b"9" * 5_000,
+}
+
+
+@pytest.mark.parametrize("payload", _ODD_PAYLOADS.values(), ids=_ODD_PAYLOADS)
+@pytest.mark.parametrize("kind", membership.RecordKind)
+def test_odd_record_comes_back_and_stops_nothing(
+    kind: membership.RecordKind, payload: bytes
+) -> None:
+    """Guards against an instance that an odd record stops at each start.
+
+    An earlier version has accepted the record and passes it on, also to an
+    instance that has just started.
+    """
+    simulation = membership.Simulation(3)
+    simulation.rounds(10)
+    old = simulation.instances_by_name["i0"]
+    old.put(kind, "odd", 7, 1, payload, ttl_s=600.0)
+    old.publish(ENTRY, "sound", b"{}")
+    for _ in range(2):
+        simulation.rounds(20)
+        for name in ("i1", "i2"):
+            instance = simulation.instances_by_name[name]
+            assert "sound" in instance.records(ENTRY)
+            assert {"i0", "i1", "i2"} <= set(instance.members())
+        simulation.crash("i1")
+        simulation.rounds(30)
+        simulation.start("i1")
+    simulation.rounds(20)
+    assert {"i0", "i1", "i2"} <= simulation.alive_members("i2")
+    directory = membership.UpstreamDirectory(
+        simulation.instances_by_name["i1"],
+        simulation.clock,
+        core.MemoryCounters(),
+    )
+    assert directory.upstreams() == {}
+    assert membership.read_entries(simulation.instances_by_name["i2"]) == {}
