Give callers a failure for odd answers, not an exception

The client library raised ValueError for a Retry-After of "²", returned an infinite delay for one of 400 digits, and raised RecursionError, TypeError or AttributeError for deeply nested JSON, for events of a stream whose choices are no objects and for token counts that are no numbers.

These are now failures, or values that are absent, like other answers that cannot be read.

--- a/libs/caller/mulberry_caller/_caller.py
+++ b/libs/caller/mulberry_caller/_caller.py
@@ -256,7 +256,7 @@
         return False
     try:
         content = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return False
     return isinstance(content, dict) and "run" in content and "kind" in content
 
@@ -283,7 +283,7 @@
         choice = content["choices"][0]
         text = str(choice["message"]["content"] or "")
         finish_reason = str(choice["finish_reason"])
-    except (ValueError, TypeError, KeyError, IndexError):
+    except (ValueError, TypeError, KeyError, IndexError, RecursionError):
         return _replies.parse_failure(
             reply.status, reply.header_by_name, reply.body, reply.attempts
         )
--- a/libs/caller/mulberry_caller/_entries.py
+++ b/libs/caller/mulberry_caller/_entries.py
@@ -75,6 +75,12 @@
             content = json.loads(body)
             entries = [str(item["address"]) for item in content["entries"]]
             keep_s = float(content["keep_s"])
-        except (ValueError, TypeError, KeyError):
+        except (
+            ValueError,
+            TypeError,
+            KeyError,
+            OverflowError,
+            RecursionError,
+        ):
             return None
         return (entries, keep_s) if entries else None
--- a/libs/caller/mulberry_caller/_replies.py
+++ b/libs/caller/mulberry_caller/_replies.py
@@ -2,9 +2,12 @@
 
 import dataclasses
 import json
+import re
 from collections.abc import Mapping, Sequence
 from typing import Any
 
+#: `Retry-After` in seconds; `str.isdigit` also holds for `²`, which is no float.
+_SECONDS = re.compile(r"[0-9]{1,9}")
 #: `Failure.status` of a request that received no HTTP response.
 NO_RESPONSE = 0
 
@@ -65,7 +68,7 @@
     """Parses the error response of an entry."""
     try:
         content = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         content = {}
     if not isinstance(content, dict):
         content = {}
@@ -79,7 +82,9 @@
         run=str(content.get("run", "unknown")),
         message=str(message) or f"status {status}",
         request_id=header_by_name.get("x-request-id", ""),
-        retry_after_s=float(retry_after) if retry_after.isdigit() else -1.0,
+        retry_after_s=float(retry_after)
+        if _SECONDS.fullmatch(retry_after)
+        else -1.0,
         attempts=attempts,
     )
 
@@ -111,8 +116,13 @@
         finish_reason=finish_reason,
         model=header_by_name.get("x-mulberry-model", ""),
         version=header_by_name.get("x-mulberry-version", ""),
-        tokens_in=int(counts.get("prompt_tokens", 0)),
-        tokens_out=int(counts.get("completion_tokens", 0)),
+        tokens_in=_count(counts.get("prompt_tokens")),
+        tokens_out=_count(counts.get("completion_tokens")),
         request_id=header_by_name.get("x-request-id", ""),
         attempts=attempts,
     )
+
+
+def _count(value: object) -> int:
+    """Returns a count of an answer, 0 if it is none."""
+    return value if isinstance(value, int) else 0
--- a/libs/caller/mulberry_caller/_stream.py
+++ b/libs/caller/mulberry_caller/_stream.py
@@ -54,7 +54,7 @@
             return ""
         try:
             chunk = json.loads(event)
-        except ValueError:
+        except (ValueError, RecursionError):
             return ""
         if not isinstance(chunk, dict):
             return ""
@@ -65,13 +65,22 @@
             )
             return ""
         self._usage = chunk.get("usage") or self._usage
-        return self._process_choices(chunk.get("choices") or [])
+        choices = chunk.get("choices")
+        return self._process_choices(
+            choices if isinstance(choices, list) else []
+        )
 
     def _process_choices(self, choices: Any) -> str:
         text = ""
         for choice in choices:
+            if not isinstance(choice, dict):
+                continue
             if choice.get("index", 0) == 0:
-                text += choice.get("delta", {}).get("content") or ""
+                delta = choice.get("delta")
+                content = (
+                    delta.get("content") if isinstance(delta, dict) else ""
+                )
+                text += content if isinstance(content, str) else ""
                 self._finish_reason = (
                     choice.get("finish_reason") or self._finish_reason
                 )
