Import no log of the voters with the records of candidates

The gateway's module for these records evaluated its annotations at import, which loaded the voter's modules on instances without a disk as well (test_startup_imports_no_unused_module failed since "Found the voters beside odd candidates and founding records").

--- a/libs/gateway/mulberry_gateway/_voter_records.py
+++ b/libs/gateway/mulberry_gateway/_voter_records.py
@@ -1,5 +1,7 @@
 """Voter candidates and the first voters as soft-state records."""
 
+from __future__ import annotations
+
 import functools
 import json
 from collections.abc import Mapping
