Limit the bytes of records in one message

An exchange sent up to 1,000 changes whatever their size, and a record has up to 32 KiB: 200 large ones make a message of more than 4 MiB, which gRPC refuses. The exchange failed each time it was tried again, so that the peer was followed no more and suspected. Messages now hold up to 2 MiB of records, and the rest follows at once, as with more than 1,000.

Evidence: test_large_records_fit_into_messages failed before and passes now.

--- a/libs/membership/mulberry_membership/_store.py
+++ b/libs/membership/mulberry_membership/_store.py
@@ -16,6 +16,10 @@
 #: Maximum number of records; limits the memory that a faulty or malicious peer
 #: can consume.
 MAX_RECORDS = 50_000
+#: Bytes of records in one message; gRPC refuses messages of more than 4 MiB.
+MAX_MESSAGE_BYTES = 2 << 20
+#: Bytes of a record in a message besides its payload, id and owner, at most.
+_RECORD_OVERHEAD_BYTES = 64
 
 
 @dataclasses.dataclass(frozen=True)
@@ -177,7 +181,7 @@
         owner: str = "",
         differing: StoreDifference | core.Missing = core.Missing.UNSET,
     ) -> Changes:
-        """Returns the changes after `stamp`, oldest first.
+        """Returns the changes after `stamp`, oldest first, for one message.
 
         Args:
             stamp: Stamp of the newest change that the reader already has.
@@ -204,6 +208,7 @@
                     newer.append(stored)
             newest_stamp = self._stamp
         newer.reverse()
+        limit = min(limit, _fitting_count(newer))
         if len(newer) <= limit:
             return Changes(tuple(newer), newest_stamp, False)
         return Changes(tuple(newer[:limit]), newer[limit - 1].stamp, True)
@@ -357,6 +362,22 @@
                     self._counters.increment("membership.callbacks_failed")
 
 
+def _fitting_count(stored_records: list[_record_index.StoredRecord]) -> int:
+    """Returns how many of the first records fit into a message; at least 1."""
+    size = 0
+    for count, stored in enumerate(stored_records):
+        record = stored.record
+        size += (
+            len(record.payload)
+            + len(record.id.encode())
+            + len(record.owner.encode())
+            + _RECORD_OVERHEAD_BYTES
+        )
+        if count and size > MAX_MESSAGE_BYTES:
+            return count
+    return max(1, len(stored_records))
+
+
 def _with_epoch(record: _records.Record, epoch: int) -> _records.Record:
     if record.kind in _records.EXTERNALLY_ORDERED:
         return dataclasses.replace(record, epoch=epoch)
--- a/libs/membership/mulberry_membership/tests/test_odd_records.py
+++ b/libs/membership/mulberry_membership/tests/test_odd_records.py
@@ -268,3 +268,22 @@
     )
     assert directory.upstreams() == {}
     assert membership.read_entries(simulation.instances_by_name["i2"]) == {}
+
+
+def test_large_records_fit_into_messages() -> None:
+    """Guards against exchanges that gRPC refuses for ever.
+
+    It refuses messages of more than 4 MiB; 200 records at the limit take 6 MiB.
+    """
+    simulation = membership.Simulation(2)
+    simulation.rounds(10)
+    writer, reader = simulation.instances_by_name.values()
+    for number in range(200):
+        writer.publish(ENTRY, f"e{number}", bytes([number]) * 32_768)
+    response = writer.handle_exchange(
+        peer_pb2.ExchangeRequest(sender="late", full=True)
+    )
+    assert response.more
+    assert response.ByteSize() < 4 << 20
+    simulation.seconds(10)
+    assert len(reader.records(ENTRY)) == 200
