--- a/libs/core/mulberry_core/__init__.py
+++ b/libs/core/mulberry_core/__init__.py
@@ -28,12 +28,13 @@
     hash_key,
     ring_position,
 )
+from mulberry_core._numbers import parse_count
 from mulberry_core._on_demand import import_on_demand
 from mulberry_core._process import end_process_after
 from mulberry_core._sentinels import Missing
 from mulberry_core._signals import call_on_hangup, call_on_termination
 from mulberry_core._sse import SseSplitter
-from mulberry_core._tasks import TaskPool
+from mulberry_core._tasks import TaskPool, run_step
 from mulberry_core._timers import Subscription, TimerService
 
 __all__ = [
@@ -65,5 +66,7 @@
     "end_process_after",
     "hash_key",
     "import_on_demand",
+    "parse_count",
     "ring_position",
+    "run_step",
 ]
--- a/libs/daemon/mulberry_daemon/_engine_orders.py
+++ b/libs/daemon/mulberry_daemon/_engine_orders.py
@@ -92,8 +92,11 @@
             self._submit_orders(targets[name], orders)
 
     def _run(self, stop: threading.Event) -> None:
+        is_sound = True
         while not stop.wait(_PERIOD_S):
-            self.run_once()
+            is_sound = core.run_step(
+                "planning engine orders", self.run_once, is_sound
+            )
 
     def _submit_orders(
         self, target: control.EngineTarget, orders: list[control.PlannedOrder]
@@ -161,12 +164,9 @@
         requests_by_pair: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
-        for record in self._parts.soft_state.records(
-            membership.RecordKind.ENTRY
-        ).values():
-            for model, version, requests in entry.EntryState.decode(
-                record.payload
-            ).wanted:
+        entries = membership.read_entries(self._parts.soft_state)
+        for listed in entries.values():
+            for model, version, requests in listed.wanted:
                 requests_by_pair[(model, version)] += requests
         return {
             (model, defined.version): control.PoolDemand(
--- a/libs/gateway/mulberry_gateway/_relays.py
+++ b/libs/gateway/mulberry_gateway/_relays.py
@@ -38,23 +38,18 @@
 
     def relays(self) -> Sequence[Relay]:
         """Returns the candidates, preferred ones first."""
+        entry_by_name = membership.read_entries(
+            self._soft_state, max_staleness_s=0.0
+        )
         ranked = [
-            (entry.zone != self._zone, random.random(), record.owner, entry)
-            for record, entry in self._other_entries()
-            if entry.relay_address and not entry.leaving and not entry.cut_off
+            (entry.zone != self._zone, random.random(), name, entry)
+            for name, entry in entry_by_name.items()
+            if name != self._soft_state.owner
+            and entry.relay_address
+            and not entry.leaving
+            and not entry.cut_off
         ]
         return [
-            Relay(owner, entry.relay_address)
-            for _, _, owner, entry in sorted(ranked, key=lambda row: row[:2])
-        ]
-
-    def _other_entries(
-        self,
-    ) -> Sequence[tuple[membership.Record, membership.EntryState]]:
-        records = self._soft_state.records(membership.RecordKind.ENTRY)
-        return [
-            (record, membership.EntryState.decode(record.payload))
-            for record in records.values()
-            if record.owner != self._soft_state.owner
-            and self._soft_state.staleness_s(record.owner) <= 0.0
+            Relay(name, entry.relay_address)
+            for _, _, name, entry in sorted(ranked, key=lambda row: row[:2])
         ]
--- a/libs/membership/mulberry_membership/__init__.py
+++ b/libs/membership/mulberry_membership/__init__.py
@@ -5,6 +5,10 @@
 import mulberry_core as core
 
 if typing.TYPE_CHECKING:
+    from mulberry_membership._addresses import (
+        is_endpoint,
+        is_ipv4_endpoint,
+    )
     from mulberry_membership._announcement_body import (
         MAX_ANNOUNCEMENT_BYTES,
         parse_announcement,
@@ -14,6 +18,9 @@
         ServedVersion,
         UpstreamState,
     )
+    from mulberry_membership._codec import (
+        MAX_NAME_LENGTH,
+    )
     from mulberry_membership._directory import (
         AnnounceOutcome,
         UpstreamDirectory,
@@ -22,6 +29,7 @@
         EntryState,
         entry_list_body,
         preferred_entries,
+        read_entries,
     )
     from mulberry_membership._fake_network import (
         FakeNetwork,
@@ -45,6 +53,10 @@
     from mulberry_membership._peers import (
         Timing,
     )
+    from mulberry_membership._record_reader import (
+        parse_json,
+        read_records,
+    )
     from mulberry_membership._records import (
         LEFT_SEQUENCE,
         Record,
@@ -63,11 +75,17 @@
     )
     from mulberry_membership._upstreams import (
         Upstream,
+        check_size,
+        is_upstream_name,
     )
 else:
     __getattr__ = core.import_on_demand(
         __name__,
         {
+            "_addresses": (
+                "is_endpoint",
+                "is_ipv4_endpoint",
+            ),
             "_announcement_body": (
                 "MAX_ANNOUNCEMENT_BYTES",
                 "parse_announcement",
@@ -77,6 +95,7 @@
                 "ServedVersion",
                 "UpstreamState",
             ),
+            "_codec": ("MAX_NAME_LENGTH",),
             "_directory": (
                 "AnnounceOutcome",
                 "UpstreamDirectory",
@@ -85,6 +104,7 @@
                 "EntryState",
                 "entry_list_body",
                 "preferred_entries",
+                "read_entries",
             ),
             "_fake_network": (
                 "FakeNetwork",
@@ -102,6 +122,10 @@
             ),
             "_membership": ("Membership",),
             "_peers": ("Timing",),
+            "_record_reader": (
+                "parse_json",
+                "read_records",
+            ),
             "_records": (
                 "LEFT_SEQUENCE",
                 "Record",
@@ -116,13 +140,18 @@
                 "PeerHandler",
                 "PeerTransport",
             ),
-            "_upstreams": ("Upstream",),
+            "_upstreams": (
+                "Upstream",
+                "check_size",
+                "is_upstream_name",
+            ),
         },
     )
 
 __all__ = [
     "LEFT_SEQUENCE",
     "MAX_ANNOUNCEMENT_BYTES",
+    "MAX_NAME_LENGTH",
     "SERVER_OPTIONS",
     "AnnounceOutcome",
     "Announcement",
@@ -147,7 +176,14 @@
     "UpstreamDirectory",
     "UpstreamState",
     "add_peers_service",
+    "check_size",
     "entry_list_body",
+    "is_endpoint",
+    "is_ipv4_endpoint",
+    "is_upstream_name",
     "parse_announcement",
+    "parse_json",
     "preferred_entries",
+    "read_entries",
+    "read_records",
 ]
--- a/libs/membership/mulberry_membership/_announcement_body.py
+++ b/libs/membership/mulberry_membership/_announcement_body.py
@@ -9,9 +9,10 @@
 import pydantic
 
 import mulberry_core as core
-from mulberry_membership import _announcements
+from mulberry_membership import _addresses, _announcements, _upstreams
 
-#: Maximum size of one announcement, bytes; 256 versions with long names fit.
+#: Maximum size of one announcement, bytes; 256 versions with names of 50
+#: characters fit. The record of an upstream has a limit of its own.
 MAX_ANNOUNCEMENT_BYTES = 65_536
 _MAX_NUMBER = 2**63 - 1
 _MAX_REQUESTS = 1_000_000
@@ -27,12 +28,21 @@
         min_length=1, max_length=128, pattern=r"^[A-Za-z0-9][A-Za-z0-9._:/@-]*$"
     ),
 ]
+
+
+def _check_address(address: str) -> str:
+    if not _addresses.is_base_address(address.removesuffix("/")):
+        raise ValueError(
+            "must be IP:PORT with a port of 1 to 65535, with or without "
+            "http:// or https://"
+        )
+    return address
+
+
 _Address = Annotated[
     str,
-    pydantic.StringConstraints(
-        max_length=128,
-        pattern=r"^(https?://)?([A-Za-z0-9.-]+|\[[0-9A-Fa-f:.]+\]):[0-9]{1,5}/?$",
-    ),
+    pydantic.StringConstraints(max_length=128),
+    pydantic.AfterValidator(_check_address),
 ]
 _Number = Annotated[int, pydantic.Field(ge=0, le=_MAX_NUMBER)]
 _Requests = Annotated[int, pydantic.Field(ge=0, le=_MAX_REQUESTS)]
@@ -107,7 +117,9 @@
             core.RunState.NOT_RUN,
             f"invalid announcement: {_describe(error)}",
         )
-    return _to_announcement(parsed)
+    announcement = _to_announcement(parsed)
+    too_large = _upstreams.check_size(announcement)
+    return too_large if isinstance(too_large, core.Refusal) else announcement
 
 
 def _describe(error: pydantic.ValidationError) -> str:
--- a/libs/membership/mulberry_membership/_membership.py
+++ b/libs/membership/mulberry_membership/_membership.py
@@ -20,6 +20,7 @@
     _soft_state,
     _store,
     _transport,
+    _unreadable,
 )
 from mulberry_wire import peer_pb2
 
@@ -80,6 +81,7 @@
         self._identity = _identity.Identity(name, clock)
         self._session = secrets.randbits(63) + 1
         self._forgotten = _forgotten.ForgottenMembers()
+        self._unreadable = _unreadable.UnreadableRecords(counters)
         self._member_callbacks: list[Callable[[_members.Member], None]] = []
         self._leaving = False
         #: Stamp of the newest change when the links were last woken.
@@ -93,7 +95,9 @@
             core.Missing.UNSET
         )
         self._table = _member_table.MemberTable(clock, timing.dead_after_s)
-        self._store = _store.RecordStore(clock, self._table.is_owner_valid)
+        self._store = _store.RecordStore(
+            clock, self._table.is_owner_valid, counters
+        )
         self._store.subscribe(_MEMBER, self._on_member)
         self._store.subscribe(_SUSPICION, self._on_suspicion)
         self._peers = _peers.Peers(
@@ -250,12 +254,18 @@
         """Registers a callback for changes of records of this kind."""
         self._store.subscribe(kind, callback)
 
+    def report_unreadable(self, record: _records.Record) -> None:
+        """Logs and counts a record that a reader cannot decode, once."""
+        self._unreadable.report(record)
+
     def handle_exchange(
         self, request: peer_pb2.ExchangeRequest
     ) -> peer_pb2.ExchangeResponse:
         """Merges the records of a peer and returns those it lacks."""
         self._peers.record_contact()
-        self._merge_received(_link.decode_records(request), request.sender)
+        self._merge_received(
+            _link.decode_records(request, self._counters), request.sender
+        )
         is_current_session = request.receiver_session == self._session
         differing: _store.StoreDifference | core.Missing = core.Missing.UNSET
         if request.digests:
--- a/libs/membership/mulberry_membership/_peers.py
+++ b/libs/membership/mulberry_membership/_peers.py
@@ -219,7 +219,9 @@
             return False
         self._counters.increment("membership.bytes_in", response.ByteSize())
         self.record_contact()
-        self._on_records(_link.decode_records(response), link.name)
+        self._on_records(
+            _link.decode_records(response, self._counters), link.name
+        )
         link.record_success(response, sent)
         return True
 
@@ -299,9 +301,17 @@
             )
 
     def _run_link(self, link: _link.PeerLink, stop: threading.Event) -> None:
+        is_sound = True
         while not link.closed and not stop.is_set():
             if link.is_due():
-                self.exchange(link)
+                is_sound = self._run_logged(
+                    f"exchange with {link.name}",
+                    lambda: self.exchange(link),
+                    is_sound,
+                )
+                if not is_sound:
+                    stop.wait(self._timing.exchange_period_s)
+                    continue
                 stop.wait(self._min_interval_s)
             link.wait(
                 self._timing.exchange_period_s
@@ -310,11 +320,19 @@
             )
 
     def _run_probes(self, stop: threading.Event) -> None:
+        is_sound = True
         while not stop.is_set():
-            probed = self.probe()
-            has_no_links = probed and not self._links()
+            is_sound = self._run_logged("probe", self.probe, is_sound)
+            is_joining = self._probe_addresses and not self._links()
             stop.wait(
-                self._timing.exchange_period_s
-                if has_no_links
-                else PROBE_PERIOD_S
+                self._timing.exchange_period_s if is_joining else PROBE_PERIOD_S
             )
+
+    def _run_logged(
+        self, name: str, run: Callable[[], object], was_sound: bool
+    ) -> bool:
+        """Runs and counts one step of a task, see `core.run_step`."""
+        is_sound = core.run_step(name, run, was_sound)
+        if not is_sound:
+            self._counters.increment("membership.tasks_failed")
+        return is_sound
--- a/libs/membership/mulberry_membership/_store.py
+++ b/libs/membership/mulberry_membership/_store.py
@@ -5,6 +5,8 @@
 import threading
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
+from absl import logging
+
 import mulberry_core as core
 from mulberry_membership import _record_index, _records, _soft_state
 
@@ -14,6 +16,10 @@
 #: Maximum number of records; limits the memory that a faulty or malicious peer
 #: can consume.
 MAX_RECORDS = 50_000
+#: Bytes of records in one message; gRPC refuses messages of more than 4 MiB.
+MAX_MESSAGE_BYTES = 2 << 20
+#: Bytes of a record in a message besides its payload, id and owner, at most.
+_RECORD_OVERHEAD_BYTES = 64
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,6 +69,7 @@
         self,
         clock: core.Clock,
         is_valid: Callable[[_records.Record], bool] = lambda _: True,
+        counters: core.Counters | core.Missing = core.Missing.UNSET,
     ) -> None:
         """Creates an empty store.
 
@@ -71,7 +78,9 @@
             is_valid: Returns whether the owner of a record is alive and the
                 record may be listed. It is called with the lock held, so it
                 must not call the store.
+            counters: Receives `membership.callbacks_failed`.
         """
+        self._counters = counters
         self._clock = clock
         self._is_valid = is_valid
         self._lock = threading.RLock()
@@ -172,7 +181,7 @@
         owner: str = "",
         differing: StoreDifference | core.Missing = core.Missing.UNSET,
     ) -> Changes:
-        """Returns the changes after `stamp`, oldest first.
+        """Returns the changes after `stamp`, oldest first, for one message.
 
         Args:
             stamp: Stamp of the newest change that the reader already has.
@@ -199,6 +208,7 @@
                     newer.append(stored)
             newest_stamp = self._stamp
         newer.reverse()
+        limit = min(limit, _fitting_count(newer))
         if len(newer) <= limit:
             return Changes(tuple(newer), newest_stamp, False)
         return Changes(tuple(newer[:limit]), newer[limit - 1].stamp, True)
@@ -336,7 +346,36 @@
         with self._lock:
             callbacks = tuple(self._callbacks[record.kind])
         for callback in callbacks:
-            callback(record)
+            try:
+                callback(record)
+            except Exception:
+                # The callback may be unable to read what another writer has
+                # published. The other callbacks and records must still be
+                # handled, and the exchange that brought them must not fail.
+                logging.exception(
+                    "callback for %s record %r of %r failed",
+                    record.kind.value,
+                    record.id,
+                    record.owner,
+                )
+                if not isinstance(self._counters, core.Missing):
+                    self._counters.increment("membership.callbacks_failed")
+
+
+def _fitting_count(stored_records: list[_record_index.StoredRecord]) -> int:
+    """Returns how many of the first records fit into a message; at least 1."""
+    size = 0
+    for count, stored in enumerate(stored_records):
+        record = stored.record
+        size += (
+            len(record.payload)
+            + len(record.id.encode())
+            + len(record.owner.encode())
+            + _RECORD_OVERHEAD_BYTES
+        )
+        if count and size > MAX_MESSAGE_BYTES:
+            return count
+    return max(1, len(stored_records))
 
 
 def _with_epoch(record: _records.Record, epoch: int) -> _records.Record:
