Limit rejections at upstreams that fail from them

At times the workers of a service announce `Server-Brittle: N`: one that rejects more than N requests in a second fails for some seconds. Operators would see workers lost in every burst, callers 502 and 503 for the whole of it: a rejection without `Retry-After` taught an instance nothing, and the next request could go to the same worker at once, from each instance.

Each instance now uses its share of the slots of such a service, which all instances compute alike from the sorted upstreams and instances, and sends beyond it at intervals derived from N, the instances and the upstreams. Requests that find no slot are refused at once, `not_run`, with `Retry-After`. The limit ends with the first answer without the header from an upstream that announced it.

Ruled out: to hold an upstream off after each rejection, for I / N seconds or longer.

--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -122,6 +122,7 @@
         VERSION_CHOOSERS,
         VERSION_JUDGES,
     )
+    from mulberry_decisions._rejection_limiter import RejectionLimiter
     from mulberry_decisions._response_delays import (
         ResponseDelayMonitor,
     )
@@ -156,6 +157,11 @@
     from mulberry_decisions._session_versions import (
         SessionShare,
     )
+    from mulberry_decisions._slot_shares import (
+        InstanceRank,
+        SharedUpstream,
+        slot_shares,
+    )
     from mulberry_decisions._sound_runs import (
         SoundRuns,
     )
@@ -273,6 +279,7 @@
             ),
             "_duration_ranks": (
                 "DurationHistogram",
+                "RejectionLimiter",
                 "RelativeLoad",
                 "duration_bucket",
             ),
@@ -289,6 +296,7 @@
             ),
             "_priority_admission": ("PriorityAdmission",),
             "_proven_steps": ("ProvenSteps",),
+            "_rejection_limiter": ("RejectionLimiter",),
             "_retries": (
                 "NoRetries",
                 "RetryBudget",
@@ -314,6 +322,7 @@
             ),
             "_sequential_judge": ("SequentialJudge",),
             "_session_versions": ("SessionShare",),
+            "_slot_shares": ("InstanceRank", "SharedUpstream", "slot_shares"),
             "_sound_runs": ("SoundRuns",),
             "_proportional_limits": ("ProportionalLimiter",),
             "_token_bucket_retries": ("TokenBucketRetryBudget",),
@@ -412,6 +421,7 @@
     "HedgePolicy",
     "InactivityAction",
     "InactivityPolicy",
+    "InstanceRank",
     "LearnedCascade",
     "LeastReportedLoad",
     "LoadEstimator",
@@ -435,6 +445,7 @@
     "RatingCounts",
     "RatingExport",
     "RatingKey",
+    "RejectionLimiter",
     "RelativeLoad",
     "ResponseDelayMonitor",
     "RetryAfterJitter",
@@ -451,6 +462,7 @@
     "SequentialJudge",
     "SessionAffinity",
     "SessionShare",
+    "SharedUpstream",
     "SoundRuns",
     "StableVersion",
     "StrikeGuard",
@@ -481,5 +493,6 @@
     "find_regression",
     "may_change_version",
     "part_block_duration_s",
+    "slot_shares",
     "urgency",
 ]
--- a/libs/decisions/mulberry_decisions/_load_estimator.py
+++ b/libs/decisions/mulberry_decisions/_load_estimator.py
@@ -9,6 +9,9 @@
 #: Time until half of the reported requests have ended, seconds: about the run
 #: time of a short request.
 REPORT_HALF_LIFE_S = 2.0
+#: Longest time between the choice of an upstream and the start of the request,
+#: seconds; longer than a connection attempt.
+_MAX_PENDING_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -26,6 +29,9 @@
     report: LoadReport | core.Missing = core.Missing.UNSET
     reported_s: float = 0.0
     own_at_report: int = 0
+    #: Times at which the upstream was chosen for requests that have not
+    #: started, seconds.
+    pending_s: list[float] = dataclasses.field(default_factory=list)
 
 
 class LoadEstimator:
@@ -47,9 +53,19 @@
     def started(self, name: str) -> None:
         """Counts a request sent to the upstream."""
         with self._lock:
-            self._load_by_name.setdefault(
-                name, _UpstreamLoad()
-            ).own_in_flight += 1
+            load = self._load_by_name.setdefault(name, _UpstreamLoad())
+            load.own_in_flight += 1
+            del load.pending_s[:1]
+
+    def chosen(self, name: str) -> None:
+        """Counts a request as pending until it starts or a second has passed.
+
+        Requests that choose an upstream at the same time would otherwise not
+        know of each other until they are connected.
+        """
+        with self._lock:
+            load = self._load_by_name.setdefault(name, _UpstreamLoad())
+            load.pending_s.append(self._clock.now())
 
     def ended(self, name: str) -> None:
         """Counts the end of a request."""
@@ -81,6 +97,18 @@
             load = self._load_by_name.get(name)
             return load.own_in_flight if load else 0
 
+    def own_requests(self, name: str) -> int:
+        """Returns the requests of this entry there, with pending ones."""
+        oldest_s = self._clock.now() - _MAX_PENDING_S
+        with self._lock:
+            load = self._load_by_name.get(name)
+            if load is None:
+                return 0
+            load.pending_s = [
+                at_s for at_s in load.pending_s if at_s > oldest_s
+            ]
+            return load.own_in_flight + len(load.pending_s)
+
     def estimates(self, names: Sequence[str]) -> dict[str, float]:
         """Returns the estimated running and queued requests by upstream.
 
--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -214,6 +214,7 @@
                 attempt.upstream, metadata.load
             )
         self._apply_upstream_signals(upstream, metadata)
+        self._apply_rejection_limit(exchange.service, upstream.name, metadata)
         if metadata.not_run or metadata.is_other_upstream:
             return self._handle_not_run(attempt, metadata)
         if not metadata.is_genuine:
@@ -254,6 +255,28 @@
                 wait_s=metadata.retry_after_s,
             )
 
+    def _apply_rejection_limit(
+        self, service: str, upstream: str, metadata: _dialect.ResponseMetadata
+    ) -> None:
+        """Applies what an answer to this request says of rejections."""
+        from_upstream = metadata.is_genuine or metadata.not_run
+        if metadata.is_other_upstream or not from_upstream:
+            return
+        limiter = self._components.upstream_selector.rejection_limiter
+        limit = metadata.rejection_limit
+        if limiter.answered(service, upstream, limit):
+            is_unset = isinstance(limit, core.Missing)
+            self._components.log.note(
+                "upstream",
+                keep=True,
+                name=upstream,
+                service=service,
+                said="no_rejection_limit" if is_unset else "rejection_limit",
+                limit=-1 if is_unset else limit,
+            )
+        if metadata.not_run:
+            limiter.rejected(service, upstream)
+
     def _silence_policy(
         self, exchange: _exchange.Exchange, expected_s: float
     ) -> decisions.InactivityPolicy | core.Missing:
--- a/libs/gateway/mulberry_gateway/_dialect.py
+++ b/libs/gateway/mulberry_gateway/_dialect.py
@@ -85,6 +85,9 @@
     is_leaving: bool = False
     #: How long this instance should send no requests to the upstream, seconds.
     retry_after_s: float = 0.0
+    #: Number of requests that the upstream can reject in a second for lack of
+    #: free slots without failing; unset for no limit.
+    rejection_limit: int | core.Missing = core.Missing.UNSET
 
 
 class Dialect(abc.ABC):
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -22,6 +22,7 @@
     _control,
     _dialect,
     _forwarder,
+    _instance_rank,
     _listener,
     _model_selection,
     _quarantine,
@@ -136,7 +137,13 @@
             clock,
         )
         upstream_selector = _upstream_selection.UpstreamSelector(
-            settings.zone, catalog, rollout_filter, clock
+            settings.zone,
+            catalog,
+            rollout_filter,
+            clock,
+            lambda: _instance_rank.instance_rank(
+                self.membership.members(), settings.zone, settings.name
+            ),
         )
         self.components = _components.GatewayComponents(
             clock=clock,
--- a/libs/gateway/mulberry_gateway/_upstream_selection.py
+++ b/libs/gateway/mulberry_gateway/_upstream_selection.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import mulberry_core as core
 import mulberry_decisions as decisions
@@ -30,11 +30,24 @@
         catalog: _catalog.UpstreamCatalog,
         rollout_filter: _rollout_filter.RolloutFilter,
         clock: core.Clock,
+        rank: Callable[[], decisions.InstanceRank],
     ) -> None:
+        """Creates a selector without knowledge of any upstream.
+
+        Args:
+            zone: Availability zone of this instance.
+            catalog: Lists the upstreams.
+            rollout_filter: Selects the releases of a session.
+            clock: Source of time.
+            rank: Returns the position of this instance among all that share
+                the upstreams.
+        """
         self._catalog = catalog
+        self._rank = rank
         self._rollout_filter = rollout_filter
         self.load = decisions.LoadEstimator(clock)
         self.health = decisions.UpstreamHealth(clock)
+        self.rejection_limiter = decisions.RejectionLimiter(clock)
         self._least_load = decisions.PowerOfTwoChoices(zone)
         self._affinity = decisions.SessionAffinity(zone, self._least_load)
 
@@ -57,7 +70,21 @@
         placement = (
             self._affinity if exchange.route.is_sticky else self._least_load
         )
-        chosen = placement.choose(candidates, exchange.metadata.session)
+        is_limited = bool(candidates) and self.rejection_limiter.is_limited(
+            exchange.service
+        )
+        admitted: Sequence[decisions.UpstreamCandidate] | float = candidates
+        if is_limited:
+            admitted = self._admit(exchange.service, candidates)
+        if isinstance(admitted, float):
+            return core.Refusal(
+                core.ErrorKind.NO_UPSTREAM,
+                exchange.run,
+                f"service {exchange.service} limits its rejections, and the "
+                "share of this instance is in use",
+                retry_after_s=admitted,
+            )
+        chosen = placement.choose(admitted, exchange.metadata.session)
         if isinstance(chosen, core.Missing):
             return core.Refusal(
                 core.ErrorKind.NO_UPSTREAM,
@@ -65,6 +92,8 @@
                 f"service {exchange.service} has no upstream for this request",
                 retry_after_s=self._next_available_in_s(exchange),
             )
+        if is_limited:
+            self.load.chosen(chosen.name)
         return Selection(
             usable_by_name[chosen.name],
             chosen.load,
@@ -73,6 +102,41 @@
             / sum(candidate.slots for candidate in candidates),
         )
 
+    def _admit(
+        self, service: str, candidates: Sequence[decisions.UpstreamCandidate]
+    ) -> Sequence[decisions.UpstreamCandidate] | float:
+        """Returns the candidates within the limits of the service.
+
+        If there are none, returns the delay for the caller, seconds.
+        """
+        rank = self._rank()
+        # Also those that this instance cannot reach: instances must agree.
+        upstreams = [
+            upstream
+            for upstream in self._catalog.for_service(service)
+            if upstream.state is membership.UpstreamState.READY
+        ]
+        shares = decisions.slot_shares(
+            [
+                decisions.SharedUpstream(
+                    upstream.name,
+                    upstream.zone,
+                    upstream.release,
+                    upstream.capacity,
+                )
+                for upstream in upstreams
+            ],
+            rank,
+        )
+        return self.rejection_limiter.admit(
+            service,
+            candidates,
+            shares,
+            self.load.own_requests,
+            rank.count,
+            len(upstreams),
+        )
+
     def _next_available_in_s(
         self, exchange: _exchange.Exchange
     ) -> float | core.Missing:
@@ -99,6 +163,7 @@
         names = self._catalog.names()
         self.load.keep_only(names)
         self.health.keep_only(names)
+        self.rejection_limiter.keep_only(names)
 
     def _usable(
         self, exchange: _exchange.Exchange
