Tell other instances the rejection limits of services

An instance hears that the upstreams of a service announce a rejection limit only in answers of its own. Where a service has few slots and there are many instances, most of them have had no answer when a burst begins, and send as if there were no limit: operators would see all upstreams of the service fail.

The first instance by name that has heard a limit within 3 s publishes it in its entry record, and the others apply it. An answer of one's own without the limit outweighs them for 5 s, so that a limit ends where it is seen to end. A limit that nobody confirms ends after 10 s (60 s before); an instance without slots of its own may get no answer that shows the end.

Ruled out: publishing from all instances, whose records would all change at once; a record kind of its own, which older instances could not read.

--- a/libs/decisions/mulberry_decisions/_rejection_limiter.py
+++ b/libs/decisions/mulberry_decisions/_rejection_limiter.py
@@ -9,10 +9,18 @@
 import mulberry_core as core
 from mulberry_decisions import _placement
 
-#: Longest interval between requests beyond the instance's share, and longest
-#: time for which an unconfirmed limit counts, seconds. An instance without
-#: slots of its own learns only from such a request that the limit is gone.
+#: Longest interval between requests beyond the instance's share, seconds.
 _MAX_INTERVAL_S = 60.0
+#: Time for which a limit counts after the last answer or the last word of
+#: another instance that confirmed it, seconds. An instance without slots of its
+#: own may get no answer that shows the end of the limit.
+_MAX_UNCONFIRMED_S = 10.0
+#: Age up to which an answer counts for other instances, seconds. Requests of
+#: one instance or another confirm a limit more often.
+_MAX_CONFIRMED_AGE_S = 3.0
+#: Time for which an answer without a limit outweighs other instances, seconds;
+#: they learn of the end of a limit later.
+_OWN_ANSWER_S = 5.0
 #: Shortest pause in requests beyond the share after a rejection, seconds. An
 #: overload lasts longer than the interval of a service with many upstreams.
 _MIN_PAUSE_S = 5.0
@@ -35,7 +43,9 @@
 class _ServiceState:
     #: Rejections in a second that each upstream withstands.
     limit: int
+    #: Time of the last confirmation, and of the last answer that confirmed it.
     heard_s: float
+    answered_s: float = -math.inf
     #: Upstreams that announced the limit.
     announced_by: set[str] = dataclasses.field(default_factory=set)
     #: Interval between requests beyond the share, seconds.
@@ -69,6 +79,8 @@
         self._random = rng or random.Random()
         self._lock = threading.Lock()
         self._state_by_service: dict[str, _ServiceState] = {}
+        #: Times of the last answers without a limit, seconds.
+        self._unlimited_s: dict[str, float] = {}
 
     def answered(
         self, service: str, upstream: str, limit: int | core.Missing
@@ -85,20 +97,54 @@
         """
         with self._lock:
             state = self._current(service)
+            now_s = self._clock.now()
             if isinstance(limit, core.Missing):
-                if state is None or upstream not in state.announced_by:
+                self._unlimited_s[service] = now_s
+                if state is None or (
+                    state.announced_by and upstream not in state.announced_by
+                ):
                     return False
                 del self._state_by_service[service]
                 return True
             began = state is None
             if state is None:
-                state = _ServiceState(limit, self._clock.now())
+                state = _ServiceState(limit, now_s)
                 self._state_by_service[service] = state
             state.limit = limit
-            state.heard_s = self._clock.now()
+            state.heard_s = state.answered_s = now_s
             state.announced_by.add(upstream)
             return began
 
+    def heard_elsewhere(self, service: str, limit: int) -> bool:
+        """Records a limit that the upstreams announce to another instance.
+
+        Returns:
+            Whether the limit of the service has begun.
+        """
+        with self._lock:
+            state = self._current(service)
+            now_s = self._clock.now()
+            if state is not None:
+                state.heard_s = now_s
+                if not state.announced_by:
+                    state.limit = limit
+                return False
+            unlimited_s = self._unlimited_s.get(service, -math.inf)
+            if now_s - unlimited_s <= _OWN_ANSWER_S:
+                return False
+            self._state_by_service[service] = _ServiceState(limit, now_s)
+            return True
+
+    def confirmed_limits(self) -> Mapping[str, int]:
+        """Returns the limits by service that recent answers announce."""
+        with self._lock:
+            oldest_s = self._clock.now() - _MAX_CONFIRMED_AGE_S
+            return {
+                service: state.limit
+                for service, state in self._state_by_service.items()
+                if state.answered_s >= oldest_s
+            }
+
     def rejected(self, service: str, upstream: str) -> None:
         """Records that an upstream without free slots rejected a request."""
         with self._lock:
@@ -208,7 +254,7 @@
     def _current(self, service: str) -> _ServiceState | None:
         """Returns the state of a service whose limit counts; needs the lock."""
         state = self._state_by_service.get(service)
-        if state and state.heard_s + _MAX_INTERVAL_S < self._clock.now():
+        if state and state.heard_s + _MAX_UNCONFIRMED_S < self._clock.now():
             del self._state_by_service[service]
             return None
         return state
--- a/libs/decisions/mulberry_decisions/tests/rejection_simulation.py
+++ b/libs/decisions/mulberry_decisions/tests/rejection_simulation.py
@@ -18,6 +18,10 @@
 _ANNOUNCED_AT_S = 2.0
 _RESTART_S = 4.0
 _BACKOFF_S = 1.0
+#: Interval at which instances publish limits, and the time until the others
+#: receive them, seconds.
+_PUBLICATION_PERIOD_S = 1.0
+_PUBLICATION_DELAY_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -155,6 +159,7 @@
         """Runs the scenario to its end."""
         self._after(0.0, self._arrive)
         self._after(self.scenario.lost_at_s, self._lose_upstreams)
+        self._after(0.0, self._publish)
         while self._events:
             at_s, _, event = heapq.heappop(self._events)
             if at_s > self.scenario.end_s:
@@ -289,6 +294,19 @@
         instance.load.ended(name)
         instance.answered(name, limit)
 
+    def _publish(self) -> None:
+        limits: dict[str, int] = {}
+        for instance in self.instances:
+            limits.update(instance.limiter.confirmed_limits())
+
+        def receive() -> None:
+            for service, limit in limits.items():
+                for instance in self.instances:
+                    instance.limiter.heard_elsewhere(service, limit)
+
+        self._after(_PUBLICATION_DELAY_S, receive)
+        self._after(_PUBLICATION_PERIOD_S, self._publish)
+
     def _lose_upstreams(self) -> None:
         scenario = self.scenario
         lost = round(scenario.lost_share * scenario.upstreams)
--- a/libs/decisions/mulberry_decisions/tests/test_rejection_limiter.py
+++ b/libs/decisions/mulberry_decisions/tests/test_rejection_limiter.py
@@ -18,7 +18,8 @@
     Scenario(instances=90, upstreams=3, limit=2),
     Scenario(instances=90, upstreams=3, limit=10),
     Scenario(instances=90, upstreams=3, limit=50),
-    Scenario(instances=330, upstreams=3, limit=50),
+    Scenario(instances=330, upstreams=3, limit=2),
+    Scenario(instances=330, upstreams=3, limit=10),
 )
 _LARGE = tuple(
     Scenario(
@@ -139,9 +140,9 @@
     def admit_excess(self) -> Sequence[str] | float:
         """Asks again after the longest interval between excess requests."""
         self.admit()
-        self.clock.advance(30.0)
-        self.answered("a", 2)
-        self.clock.advance(31.0)
+        for _ in range(7):
+            self.clock.advance(9.0)
+            self.answered("a", 2)
         return self.admit()
 
 
@@ -206,13 +207,37 @@
     """Guards against a limit that lasts because nobody asks any more."""
     case = _Limiter()
     case.answered("a", 2)
-    case.clock.advance(59.0)
+    case.clock.advance(9.0)
+    assert not case.limiter.heard_elsewhere("s", 2)
+    case.clock.advance(9.0)
     assert case.limiter.is_limited("s")
     case.clock.advance(2.0)
     assert not case.limiter.is_limited("s")
     assert case.answered("a", 2)
 
 
+def test_limits_of_other_instances_apply_without_own_answers() -> None:
+    """Guards against idle instances that learn a limit from rejections."""
+    case = _Limiter()
+    assert case.limiter.heard_elsewhere("s", 2)
+    assert case.admit() == ["a"]
+    assert not case.limiter.confirmed_limits()
+    case.answered("a", 2)
+    assert case.limiter.confirmed_limits() == {"s": 2}
+    case.clock.advance(3.1)
+    assert not case.limiter.confirmed_limits()
+
+
+def test_own_answer_without_limit_outweighs_other_instances() -> None:
+    """Guards against a limit that instances keep alive among each other."""
+    case = _Limiter()
+    case.limiter.heard_elsewhere("s", 2)
+    assert case.answered("b", core.Missing.UNSET)
+    assert not case.limiter.heard_elsewhere("s", 2)
+    case.clock.advance(5.1)
+    assert case.limiter.heard_elsewhere("s", 2)
+
+
 def test_limit_of_zero_allows_own_slots() -> None:
     """Guards against a division by zero, and against refusing everything."""
     case = _Limiter()
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -23,6 +23,7 @@
     _dialect,
     _forwarder,
     _instance_rank,
+    _limit_exchange,
     _listener,
     _model_selection,
     _quarantine,
@@ -181,6 +182,9 @@
                 log,
             ),
         )
+        self._limit_exchange = _limit_exchange.LimitExchange(
+            self.membership, upstream_selector.rejection_limiter, log
+        )
         self._entry = _listener.Listener(
             "entry",
             settings.entry_address,
@@ -315,6 +319,7 @@
             zone=self._settings.zone,
             leaving=not self.is_ready,
             load=0.0,
+            rejection_limits=self._limit_exchange.exchange(),
         )
         payload = entry.encode()
         current = self.membership.latest(
--- a/libs/membership/mulberry_membership/_entry_list.py
+++ b/libs/membership/mulberry_membership/_entry_list.py
@@ -30,6 +30,9 @@
     #: Rows of model, version, and the number of requests that run or found no
     #: upstream.
     wanted: Sequence[tuple[str, str, int]] = ()
+    #: Rows of service and the rejections in a second that each of its upstreams
+    #: withstands, as the upstreams announce to this instance.
+    rejection_limits: Sequence[tuple[str, int]] = ()
 
     def encode(self) -> bytes:
         """Returns the payload of the `entry` soft-state record."""
