Keep the pace of excess requests while none is rejected

The interval between requests beyond an instance's share shrank to an eighth while they were accepted. After a long calm all instances had the shortest interval when a burst began, and upstreams at which nothing could wait failed more often than allowed.

The interval now stays as the limit, the instances and the upstreams give it.

--- a/libs/decisions/mulberry_decisions/_rejection_limiter.py
+++ b/libs/decisions/mulberry_decisions/_rejection_limiter.py
@@ -28,8 +28,6 @@
 #: The instance's own slots there come free as soon as requests of other
 #: instances end.
 _MAX_HOLD_S = 2.0
-#: Smallest factor by which accepted requests shorten the interval.
-_MIN_INTERVAL_FACTOR = 0.125
 #: Standard deviations between the expected rejections in a second and the
 #: limit, if they are independent of each other.
 _DEVIATIONS = 2.0
@@ -53,8 +51,6 @@
     #: Earliest time of the next request beyond the share, seconds; unset until
     #: the first one is asked for.
     next_excess_s: float | core.Missing = core.Missing.UNSET
-    #: Requests beyond the share since the last rejection.
-    excess_sent: int = 0
     held_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
@@ -152,7 +148,6 @@
             if state is None:
                 return
             now_s = self._clock.now()
-            state.excess_sent = 0
             resume_s = now_s + max(_MIN_PAUSE_S, state.interval_s)
             if (
                 isinstance(state.next_excess_s, core.Missing)
@@ -229,10 +224,9 @@
             ]
             if not excess:
                 return _MAX_CALLER_DELAY_S
-            state.excess_sent += 1
-            state.next_excess_s = now_s + state.interval_s * max(
-                _MIN_INTERVAL_FACTOR, 1.0 / state.excess_sent
-            )
+            # Not shortened while all are accepted: the first moment of a burst
+            # follows a calm.
+            state.next_excess_s = now_s + state.interval_s
             return excess
 
     def keep_only(self, names: Container[str]) -> None:
--- a/libs/decisions/mulberry_decisions/tests/test_rejection_limiter.py
+++ b/libs/decisions/mulberry_decisions/tests/test_rejection_limiter.py
@@ -67,6 +67,26 @@
     assert simulation.failures <= simulation.allowed_failures
 
 
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_long_calm_does_not_prepare_a_failure(seed: int) -> None:
+    """Guards against pacing that is relaxed while nothing is rejected.
+
+    The burst begins long after the limit, and nothing may wait.
+    """
+    scenario = Scenario(
+        instances=90,
+        upstreams=9,
+        limit=5,
+        slots=16,
+        burst_from_s=30.0,
+        burst_until_s=33.0,
+        end_s=33.0,
+        short_queue=0.0,
+    )
+    simulation = rejection_simulation.Simulation(scenario, seed).run()
+    assert simulation.failures <= simulation.allowed_failures
+
+
 @pytest.mark.parametrize("scenario", _SMALL)
 def test_scenarios_fail_without_limit(scenario: Scenario) -> None:
     """Guards against scenarios that no design could fail."""
