--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -126,6 +126,7 @@
         VERSION_CHOOSERS,
         VERSION_JUDGES,
     )
+    from mulberry_decisions._rejection_limiter import RejectionLimiter
     from mulberry_decisions._response_delays import (
         ResponseDelayMonitor,
     )
@@ -160,6 +161,11 @@
     from mulberry_decisions._session_versions import (
         SessionShare,
     )
+    from mulberry_decisions._slot_shares import (
+        InstanceRank,
+        SharedUpstream,
+        slot_shares,
+    )
     from mulberry_decisions._sound_runs import (
         SoundRuns,
     )
@@ -281,6 +287,7 @@
             ),
             "_duration_ranks": (
                 "DurationHistogram",
+                "RejectionLimiter",
                 "RelativeLoad",
                 "duration_bucket",
             ),
@@ -297,6 +304,7 @@
             ),
             "_priority_admission": ("PriorityAdmission",),
             "_proven_steps": ("ProvenSteps",),
+            "_rejection_limiter": ("RejectionLimiter",),
             "_retries": (
                 "NoRetries",
                 "RetryBudget",
@@ -322,6 +330,7 @@
             ),
             "_sequential_judge": ("SequentialJudge",),
             "_session_versions": ("SessionShare",),
+            "_slot_shares": ("InstanceRank", "SharedUpstream", "slot_shares"),
             "_sound_runs": ("SoundRuns",),
             "_proportional_limits": ("ProportionalLimiter",),
             "_token_bucket_retries": ("TokenBucketRetryBudget",),
@@ -420,6 +429,7 @@
     "HedgePolicy",
     "InactivityAction",
     "InactivityPolicy",
+    "InstanceRank",
     "LearnedCascade",
     "LeastReportedLoad",
     "LinkHealth",
@@ -445,6 +455,7 @@
     "RatingCounts",
     "RatingExport",
     "RatingKey",
+    "RejectionLimiter",
     "RelativeLoad",
     "ResponseDelayMonitor",
     "RetryAfterJitter",
@@ -461,6 +472,7 @@
     "SequentialJudge",
     "SessionAffinity",
     "SessionShare",
+    "SharedUpstream",
     "SoundRuns",
     "StableVersion",
     "StrikeGuard",
@@ -491,5 +503,6 @@
     "find_regression",
     "may_change_version",
     "part_block_duration_s",
+    "slot_shares",
     "urgency",
 ]
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -22,6 +22,8 @@
     _control,
     _dialect,
     _forwarder,
+    _instance_rank,
+    _limit_exchange,
     _link_recorder,
     _listener,
     _model_selection,
@@ -144,7 +146,13 @@
             clock,
         )
         upstream_selector = _upstream_selection.UpstreamSelector(
-            settings.zone, catalog, rollout_filter, clock
+            settings.zone,
+            catalog,
+            rollout_filter,
+            clock,
+            lambda: _instance_rank.instance_rank(
+                self.membership.members(), settings.zone, settings.name
+            ),
         )
         self.components = _components.GatewayComponents(
             clock=clock,
@@ -188,6 +196,9 @@
         )
         self._relay = self._open_relay()
         self._publishing = threading.Lock()
+        self._limit_exchange = _limit_exchange.LimitExchange(
+            self.membership, upstream_selector.rejection_limiter, log
+        )
         self._entry = _listener.Listener(
             "entry",
             settings.entry_address,
@@ -345,6 +356,7 @@
             load=0.0,
             relay_address=self._settings.relay_address,
             cut_off=self._links.is_cut_off,
+            rejection_limits=self._limit_exchange.exchange(),
         )
         payload = entry.encode()
         current = self.membership.latest(
--- a/libs/membership/mulberry_membership/_entry_list.py
+++ b/libs/membership/mulberry_membership/_entry_list.py
@@ -69,6 +69,9 @@
     ] = ""
     #: Whether it reaches most upstreams only over other instances.
     cut_off: bool = False
+    #: Rows of service and the rejections in a second that each of its upstreams
+    #: withstands, as the upstreams announce to this instance.
+    rejection_limits: Sequence[tuple[str, _Requests]] = ()
 
     def encode(self) -> bytes:
         """Returns the payload of the `entry` soft-state record."""
