Count the time of a path from its own start

One test of the connector failed once beside other work (a relay that has ended, while the direct link hangs): the instance didn't notice that its link was cut.

Cause: the next path starts 0.1 s after the decision to start the direct one, but a path counts as slow 0.1 s after its connection was begun, a moment later. If the next relays fail and open within that moment, nothing is learned of the direct link, and the next connection loses 0.1 s again.

The next path now starts 0.1 s after the connection of the one before was begun. test_a_hanging_link_is_noticed_if_its_connection_began_late failed before.

--- a/libs/gateway/mulberry_gateway/_path_race.py
+++ b/libs/gateway/mulberry_gateway/_path_race.py
@@ -103,7 +103,7 @@
         has_more = True
         while (now_s := time.monotonic()) < self._until_s:
             if has_more and self._may_start(now_s):
-                has_more = self._start(next(paths, None), now_s)
+                has_more = self._start(next(paths, None))
                 continue
             if not self._path_by_fd:
                 return self._failure
@@ -122,16 +122,14 @@
             or now_s >= self._next_start_s
         )
 
-    def _start(
-        self, path: _upstream_paths.Path | core.Missing | None, now_s: float
-    ) -> bool:
+    def _start(self, path: _upstream_paths.Path | core.Missing | None) -> bool:
         """Adds a path that was started; returns whether there may be more."""
         if path is None:
             return False
         self._starts_at_once -= 1
         if isinstance(path, _upstream_paths.Path):
             self._path_by_fd[path.connection.fileno()] = path
-            self._next_start_s = now_s + STAGGER_S
+            self._next_start_s = path.began_s + STAGGER_S
         return True
 
     def _wait(self, timeout_s: float) -> Sequence[_upstream_paths.Path]:
--- a/libs/gateway/mulberry_gateway/tests/relay_harness.py
+++ b/libs/gateway/mulberry_gateway/tests/relay_harness.py
@@ -36,6 +36,8 @@
         #: Applies to all other addresses.
         self.cut = Cut.NONE
         self.started: list[str] = []
+        #: Time that the start of a connection takes, seconds.
+        self.start_delay_s = 0.0
         #: Has a full backlog, so that no further connection is accepted.
         self._hanging = socket.create_server(("127.0.0.1", 0), backlog=0)
         self._fillers = [socket.socket() for _ in range(4)]
@@ -48,6 +50,7 @@
         self, address: str
     ) -> gateway.Connection | gateway.ConnectionFailure:
         self.started.append(address)
+        time.sleep(self.start_delay_s)
         cut = self.cut_by_address.get(address, self.cut)
         if cut is Cut.REFUSE:
             return gateway.ConnectionFailure.RESET
--- a/libs/gateway/mulberry_gateway/tests/test_upstream_connector.py
+++ b/libs/gateway/mulberry_gateway/tests/test_upstream_connector.py
@@ -178,6 +178,21 @@
             relay.server.stop()
 
 
+def test_a_hanging_link_is_noticed_if_its_connection_began_late(
+    resources: Resources,
+) -> None:
+    """Guards against a cut that goes unnoticed when the machine is busy.
+
+    The time of the direct path is counted from its own start.
+    """
+    sender = _Sender(resources)
+    sender.links.cut = Cut.HANG
+    sender.links.start_delay_s = 0.05
+    _make_unusable(sender.relays[0], "ended")
+    assert sender.connect() == "r2"
+    assert sender.recorder.health.is_cut_off()
+
+
 @pytest.mark.parametrize("cut", [Cut.HANG, Cut.REFUSE])
 @pytest.mark.parametrize(
     "how", ["leaving", "unknown", "cut off", "cut off, slow", "ended"]
