Exchange only with peers at an address

gRPC takes a port modulo 65,536 and looks up whatever is no address. A member record with 127.0.0.1:105015 made instances exchange their state with the process at port 39479; one with a name made them ask for it. Such an exchange now fails like one with an unreachable peer, which is suspected and declared dead.

Evidence: test_peer_with_an_odd_address_is_unreachable failed before (a response from the port beyond the range) and passes now.

--- a/libs/membership/mulberry_membership/_grpc_transport.py
+++ b/libs/membership/mulberry_membership/_grpc_transport.py
@@ -5,7 +5,7 @@
 import grpc
 
 import mulberry_core as core
-from mulberry_membership import _transport
+from mulberry_membership import _addresses, _transport
 from mulberry_wire import peer_pb2, peer_pb2_grpc
 
 # Disables the pings by which gRPC estimates the bandwidth: exchanges of some
@@ -53,18 +53,20 @@
         request: peer_pb2.ExchangeRequest,
         timeout_s: float,
     ) -> peer_pb2.ExchangeResponse | core.Refusal:
-        """Calls the peer; returns a refusal if the call fails."""
+        """Calls the peer; returns a refusal if the call fails.
+
+        An address of a member record that is none fails, too: gRPC would look
+        up a name, and takes a port modulo 65,536, which is another process.
+        """
+        if not _addresses.is_endpoint(address):
+            return _failure(address, "it is no address IP:PORT")
         try:
             response: peer_pb2.ExchangeResponse = self._stub(address).Exchange(
                 request, timeout=timeout_s
             )
         except (grpc.RpcError, ValueError) as error:
             # gRPC raises ValueError if another thread has closed the channel.
-            return core.Refusal(
-                core.ErrorKind.UPSTREAM_FAILED,
-                core.RunState.UNKNOWN,
-                f"exchange with {address} failed: {_reason(error)}",
-            )
+            return _failure(address, _reason(error))
         return response
 
     def disconnect(self, address: str) -> None:
@@ -121,6 +123,14 @@
     )
 
 
+def _failure(address: str, reason: str) -> core.Refusal:
+    return core.Refusal(
+        core.ErrorKind.UPSTREAM_FAILED,
+        core.RunState.UNKNOWN,
+        f"exchange with {address} failed: {reason}",
+    )
+
+
 def _reason(error: grpc.RpcError | ValueError) -> str:
     if isinstance(error, grpc.Call):
         return f"{error.code()} {error.details()}"
--- a/libs/membership/mulberry_membership/tests/test_grpc.py
+++ b/libs/membership/mulberry_membership/tests/test_grpc.py
@@ -9,6 +9,7 @@
 
 import mulberry_core as core
 import mulberry_membership as membership
+from mulberry_wire import peer_pb2
 
 #: Timeout for waiting on another thread, seconds; reached only on a hang.
 WAIT_S = 30.0
@@ -101,3 +102,30 @@
             instance, membership.RecordKind.MEMBER, "i2", removed=True
         )
         assert set(instance.membership.members()) == {"i0", "i1"}
+
+
+def test_peer_with_an_odd_address_is_unreachable() -> None:
+    """Guards against exchanges with a process that a member record does not name.
+
+    gRPC takes a port modulo 65,536 and looks up everything that is no address.
+    """
+    instance = _Instance("i0", ())
+    transport = membership.GrpcTransport()
+    try:
+        host, _, port = instance.address.rpartition(":")
+        request = peer_pb2.ExchangeRequest(sender="peer")
+        sound = transport.exchange(instance.address, request, WAIT_S)
+        assert isinstance(sound, peer_pb2.ExchangeResponse)
+        for address in (
+            f"{host}:{int(port) + 65_536}",
+            f"ipv4:{instance.address}",
+            f"dns:///{instance.address}",
+            "",
+            "\0",
+            "unix:/tmp/x",
+        ):
+            odd = transport.exchange(address, request, WAIT_S)
+            assert isinstance(odd, core.Refusal), address
+    finally:
+        transport.close()
+        instance.stop()
