Queue no command that cannot be encoded

A command with a value out of the range of its field raised ValueError when it was proposed, and the queue proposed it again every 0.5 s for as long as the process ran, with a traceback each time. It is now refused when it is added, with one line in the log; the two callers say so in theirs.

Evidence: test_command_that_cannot_be_encoded_is_not_queued failed before and passes now.

--- a/libs/entry/mulberry_entry/_billing.py
+++ b/libs/entry/mulberry_entry/_billing.py
@@ -92,8 +92,8 @@
             # An open claim is safe: repeated calls are refused with run state
             # "unknown" and never run again.
             logging.error(
-                "queue full: dropped a claim settlement or release; "
-                "the claim stays open"
+                "queue full, or the command cannot be encoded: dropped a claim "
+                "settlement or release; the claim stays open"
             )
 
 
--- a/libs/gateway/mulberry_gateway/_strike_recorder.py
+++ b/libs/gateway/mulberry_gateway/_strike_recorder.py
@@ -47,7 +47,11 @@
 
     def _add(self, command: state.RecordCrash | state.ClearStrikes) -> None:
         if not self._queue.add(command):
-            self._log.note("strike_not_recorded", keep=True, reason="full")
+            self._log.note(
+                "strike_not_recorded",
+                keep=True,
+                reason="the queue is full, or the command cannot be encoded",
+            )
 
     def _on_refused(
         self, command: state.Command, refusal: core.Refusal
--- a/libs/state/mulberry_state/_proposal_queue.py
+++ b/libs/state/mulberry_state/_proposal_queue.py
@@ -8,7 +8,7 @@
 from absl import logging
 
 import mulberry_core as core
-from mulberry_state import _client, _commands
+from mulberry_state import _client, _codec, _commands
 
 _PROPOSE_TIMEOUT_S = 2.0
 #: Minimum time from the start of a failed proposal to the next one, seconds.
@@ -69,9 +69,15 @@
         """Queues a command.
 
         Returns:
-            False if the queue is full or stopped; the command is then not
-            proposed.
+            False if the queue is full or stopped, or if the command cannot be
+            encoded; the command is then not proposed.
         """
+        try:
+            _codec.encode_command(command)
+        except (ValueError, TypeError):
+            # It would be tried again for ever.
+            logging.exception("cannot encode %s", type(command).__name__)
+            return False
         with self._lock:
             if (
                 len(self._waiting) >= self._max_waiting
--- a/libs/state/mulberry_state/tests/test_proposal_queue.py
+++ b/libs/state/mulberry_state/tests/test_proposal_queue.py
@@ -128,3 +128,18 @@
     tasks.stop()
     assert not queue.add(_clear("a"))
     assert client.proposed == []
+
+
+def test_command_that_cannot_be_encoded_is_not_queued(
+    tasks: core.TaskPool, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a command that is proposed again for ever."""
+    client = Client()
+    client.is_open.set()
+    queue = state.ProposalQueue(client, tasks, 10)
+    odd = state.RecordCrash(state.new_command_id(), "w", 2**63, ("d",))
+    assert not queue.add(odd)
+    assert any("cannot encode" in line for line in caplog.messages)
+    assert queue.add(_clear("a"))
+    _wait_for(lambda: not queue.waiting())
+    assert client.proposed == ["a"]
