Accept requests during a stop only if they end before the process

Callers saw payments that were forwarded late in a planned stop and then closed without a response; they did not learn whether the payment had run.

Cause: Drain compared the time since SIGTERM and the request's timeout with the whole grace period (8 s), but the process no longer waits for requests after 0.94 of it (7.52 s). A request that arrived in the 0.48 s between and took nearly its timeout was cut: with a timeout of 1.5 s one that arrived 6.02 to 6.5 s after SIGTERM. Non-resumable calls with a timeout longer than the rest were refused already; that stays so.

The end of the wait now has one place, Drain.remaining_s, and a request is accepted if its own deadline lies 0.1 s before that. Until 0.35 of the period a request that the caller can send again, a stream or a safe call, is accepted on expectation too; an unsafe call never is.

Ruled out: the moment between "no request is running" and Drain.end. The second wait counts a request that was accepted just before.

--- a/libs/decisions/mulberry_decisions/_drain.py
+++ b/libs/decisions/mulberry_decisions/_drain.py
@@ -1,12 +1,21 @@
 """Connection draining: requests accepted during a shutdown."""
 
+import math
 import threading
 
 import mulberry_core as core
 
-#: Share of the grace period after which new streams are refused. They last a
-#: few seconds and would most likely be cut off at the end of the period.
-_STREAM_CUTOFF = 0.35
+#: Share of the grace period for which running requests are awaited. The rest is
+#: for the last shutdown steps before SIGKILL.
+_WAIT_SHARE = 0.94
+#: Time from the end of a response at the upstream until it has been sent to the
+#: caller, seconds.
+_RESPONSE_MARGIN_S = 0.1
+#: Share of the grace period after which a request is accepted only if its
+#: deadline lies within the period. Before that, one that takes much longer
+#: than expected is still running when the period ends; after that, it would
+#: have been cut off although another instance could have served it.
+_EXPECTATION_SHARE = 0.35
 
 
 class Drain:
@@ -42,19 +51,48 @@
         """Whether the shutdown has begun."""
         return self._begun.is_set()
 
-    def may_accept(self, is_stream: bool, max_duration_s: float) -> bool:
+    @property
+    def has_ended(self) -> bool:
+        """Whether all further requests are refused."""
+        return self._ended.is_set()
+
+    def remaining_s(self) -> float:
+        """Returns how long running requests are still awaited, seconds."""
+        began_s = self._began_s
+        if isinstance(began_s, core.Missing):
+            return math.inf
+        return began_s + self._grace_s * _WAIT_SHARE - self._clock.now()
+
+    def may_accept(
+        self,
+        deadline_s: float,
+        expected_s: float | core.Missing,
+        may_break_off: bool,
+    ) -> bool:
         """Whether a request is expected to end within the grace period.
 
+        Must be asked again right before each send: a request may have waited
+        for its body, for other upstreams or for a connection, or the process
+        may have been suspended.
+
         Args:
-            is_stream: Whether the response is an event stream.
-            max_duration_s: Longest duration of other requests, seconds.
+            deadline_s: `Clock.now` by which the request ends in any case.
+            expected_s: Time that such requests usually take at most, seconds;
+                unset if it is not known.
+            may_break_off: Whether the caller can send the request again if it
+                takes longer than expected and is cut off.
         """
         if self._ended.is_set():
             return False
         began_s = self._began_s
         if isinstance(began_s, core.Missing):
             return True
-        elapsed_s = self._clock.now() - began_s
-        if is_stream:
-            return elapsed_s < self._grace_s * _STREAM_CUTOFF
-        return elapsed_s + max_duration_s < self._grace_s
+        now_s = self._clock.now()
+        left_s = self.remaining_s() - _RESPONSE_MARGIN_S
+        if deadline_s - now_s <= left_s:
+            return True
+        if not may_break_off:
+            return False
+        if now_s - began_s >= self._grace_s * _EXPECTATION_SHARE:
+            return False
+        return isinstance(expected_s, core.Missing) or expected_s <= left_s
--- a/libs/gateway/mulberry_gateway/_forwarder.py
+++ b/libs/gateway/mulberry_gateway/_forwarder.py
@@ -16,11 +16,10 @@
     _listener,
     _messages,
     _request_reader,
+    _stop_check,
     _stream_relay,
 )
 
-#: `Retry-After` for callers that should ask another instance, seconds.
-_LEAVING_RETRY_AFTER_S = 0.02
 #: Time before the deadline reserved for sending the answer, seconds.
 ANSWER_MARGIN_S = 0.02
 
@@ -92,14 +91,9 @@
                 f"routing {table.version} has no route for this host and path",
             )
         answer_timeout_s = min(metadata.caller_timeout_s, route.timeout_s)
-        is_stream = route.kind is routing.RouteKind.STREAMING
-        if not self._components.drain.may_accept(is_stream, answer_timeout_s):
-            return core.Refusal(
-                core.ErrorKind.ENTRY_LEAVING,
-                core.RunState.NOT_RUN,
-                "this instance stops before the answer can be complete",
-                retry_after_s=_LEAVING_RETRY_AFTER_S,
-            )
+        deadline_s = request.received_s + answer_timeout_s - ANSWER_MARGIN_S
+        if not _stop_check.may_accept(self._components, route, deadline_s):
+            return _stop_check.leaving_refusal()
         team = self._authenticate(table, route, metadata)
         if isinstance(team, core.Refusal):
             return team
@@ -118,7 +112,7 @@
             priority=priority,
             caller=caller,
             keep_alive=keep_alive,
-            deadline_s=request.received_s + answer_timeout_s - ANSWER_MARGIN_S,
+            deadline_s=deadline_s,
         )
 
     def _authenticate(
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -46,9 +46,6 @@
 _MAX_SNAPSHOT_AGE_S = 1.0
 #: Threads for gossip exchanges, in addition to those of a voter.
 _PEER_THREADS = 24
-#: Share of the grace period after which running requests are no longer
-#: awaited. The rest is for the last shutdown steps before SIGKILL.
-_STOP_SHARE = 0.94
 #: Upper bound on the lifetime of an entry list as a share of the grace period.
 #: Some callers use a list for three times its lifetime, and a stream that they
 #: start then must still finish.
@@ -269,14 +266,13 @@
         self._publish_entry()
         grace_s = self._settings.bounds.grace_s
         listed_s = began_s + min(3 * self.entry_list_s, grace_s * _ACCEPT_SHARE)
-        last_s = began_s + grace_s * _STOP_SHARE
         self._wait_until(listed_s)
         self._entry.stop_accepting()
-        self._wait_until_idle(last_s)
+        self._wait_until_idle()
         # Requests still arrive on open connections. A request accepted just
         # before this call counts as running.
         self._drain.end()
-        self._wait_until_idle(last_s)
+        self._wait_until_idle()
         self._log.note(
             "stopped",
             keep=True,
@@ -294,8 +290,8 @@
         bounds = self._settings.bounds
         return min(bounds.entry_list_s, bounds.grace_s * _ENTRY_LIST_SHARE)
 
-    def _wait_until_idle(self, until_s: float) -> None:
-        while self._entry.busy and self._clock.now() < until_s:
+    def _wait_until_idle(self) -> None:
+        while self._entry.busy and self._drain.remaining_s() > 0.0:
             time.sleep(0.02)
 
     def _wait_until(self, until_s: float) -> None:
