Check before each send whether a stop leaves enough time

Callers saw requests cut at the end of a planned stop that had arrived early in it, or an answer dropped for that of a larger model that was then cut.

Cause: the time left was checked once, when the request was matched. The request may wait after that: for an upstream that rejects it without running it, for a connection (0.4 s), for an answer of a small model, or because the process is suspended. All later sends went out whatever the time.

AttemptRunner asks again before each attempt, and UpstreamCall.send once more when the connection is open and before the first byte. A request that has not run gets 503 with not_run. One that has run or may have is no longer refused: another attempt is its only chance, so a broken stream still resumes. A larger model is asked only if its answer fits; otherwise the answer at hand is sent.

Ruled out: bodies that arrive slowly.

--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -17,6 +17,7 @@
     _quarantine,
     _running_requests,
     _stall_detector,
+    _stop_check,
     _stream_relay,
     _upstream_call,
 )
@@ -102,6 +103,10 @@
         chosen = components.upstream_selector.choose(exchange)
         if isinstance(chosen, core.Refusal):
             return AttemptFailure(chosen, may_retry=False)
+        if not _stop_check.may_send(components, exchange):
+            return AttemptFailure(
+                _stop_check.leaving_refusal(), may_retry=False
+            )
         if not self._may_send(exchange):
             return AttemptFailure(
                 _faults.not_run(
@@ -187,7 +192,17 @@
             headers,
             request.body if request.has_body else None,
         )
-        fault = call.send(data, request.method == "HEAD")
+        fault = call.send(
+            data,
+            request.method == "HEAD",
+            lambda: _stop_check.may_send(components, exchange),
+        )
+        if fault is _upstream_call.Fault.WITHHELD:
+            return dataclasses.replace(
+                self._handle_fault(exchange, attempt, fault),
+                refusal=_stop_check.leaving_refusal(),
+                may_retry=False,
+            )
         if isinstance(fault, _upstream_call.Fault):
             return self._handle_fault(exchange, attempt, fault)
         stall_detector = _stall_detector.StallDetector(
@@ -284,7 +299,11 @@
         if isinstance(model, core.Missing) or attempt.trials:
             # A trial must show whether the upstream outlives the answer.
             return False
-        if not self._may_retry(exchange):
+        # The larger model's answer must not be cut off by a stop.
+        may_wait = _stop_check.may_accept(
+            self._components, exchange.route, exchange.deadline_s
+        )
+        if not may_wait or not self._may_retry(exchange):
             return False
         exchange.model = model
         attempt.outcome = _exchange.UNSURE
--- a/libs/gateway/mulberry_gateway/_faults.py
+++ b/libs/gateway/mulberry_gateway/_faults.py
@@ -18,6 +18,7 @@
 KIND_BY_FAULT = {
     _upstream_call.Fault.REFUSED: core.ErrorKind.UPSTREAM_REFUSED,
     _upstream_call.Fault.UNREACHABLE: core.ErrorKind.UPSTREAM_REFUSED,
+    _upstream_call.Fault.WITHHELD: core.ErrorKind.ENTRY_LEAVING,
     _upstream_call.Fault.NO_ANSWER: core.ErrorKind.UPSTREAM_FAILED,
     _upstream_call.Fault.TRUNCATED: core.ErrorKind.ANSWER_INCOMPLETE,
     _upstream_call.Fault.GARBLED: core.ErrorKind.ANSWER_INCOMPLETE,
@@ -38,6 +39,7 @@
 ] = {
     _upstream_call.Fault.REFUSED: decisions.UpstreamHealth.unreachable,
     _upstream_call.Fault.UNREACHABLE: decisions.UpstreamHealth.unreachable,
+    _upstream_call.Fault.WITHHELD: _ignore,
     _upstream_call.Fault.NO_ANSWER: decisions.UpstreamHealth.failed,
     _upstream_call.Fault.TRUNCATED: decisions.UpstreamHealth.failed,
     _upstream_call.Fault.GARBLED: decisions.UpstreamHealth.failed,
--- a/libs/gateway/mulberry_gateway/_stop_check.py
+++ b/libs/gateway/mulberry_gateway/_stop_check.py
@@ -2,7 +2,7 @@
 
 import mulberry_core as core
 import mulberry_routing as routing
-from mulberry_gateway import _components
+from mulberry_gateway import _components, _exchange
 
 #: `Retry-After` for callers that should ask another instance, seconds.
 _LEAVING_RETRY_AFTER_S = 0.02
@@ -27,6 +27,19 @@
     )
 
 
+def may_send(
+    components: _components.GatewayComponents, exchange: _exchange.Exchange
+) -> bool:
+    """Whether a request may be sent now; to be asked before each send.
+
+    A request that has run or may have run can no longer be refused, so that
+    another attempt is its only chance of an answer until the drain ends.
+    """
+    if exchange.run is core.RunState.NOT_RUN:
+        return may_accept(components, exchange.route, exchange.deadline_s)
+    return not components.drain.has_ended
+
+
 def leaving_refusal() -> core.Refusal:
     """Returns the refusal of a request that this instance cannot finish."""
     return core.Refusal(
--- a/libs/gateway/mulberry_gateway/_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/_upstream_call.py
@@ -8,6 +8,7 @@
 
 import enum
 import time
+from collections.abc import Callable
 
 import httptools
 
@@ -27,6 +28,8 @@
     REFUSED = "refused"
     #: The connection attempt timed out.
     UNREACHABLE = "unreachable"
+    #: The request was no longer allowed when the connection was open.
+    WITHHELD = "withheld"
     #: The connection ended before a response began.
     NO_ANSWER = "no_answer"
     #: The response ended early.
@@ -46,7 +49,7 @@
 
 
 #: Faults after which the request cannot have reached the upstream.
-NOT_SENT = frozenset({Fault.REFUSED, Fault.UNREACHABLE})
+NOT_SENT = frozenset({Fault.REFUSED, Fault.UNREACHABLE, Fault.WITHHELD})
 
 
 class UpstreamCall:
@@ -91,12 +94,19 @@
         #: `time.monotonic` when the last bytes arrived, seconds.
         self.last_received_s = 0.0
 
-    def send(self, data: bytes, head_only: bool) -> Fault | core.Missing:
+    def send(
+        self,
+        data: bytes,
+        head_only: bool,
+        is_allowed: Callable[[], bool] = lambda: True,
+    ) -> Fault | core.Missing:
         """Opens the connection and starts to send.
 
         Args:
             data: The serialized request.
             head_only: Whether the response has no body, as for `HEAD`.
+            is_allowed: Asked once the connection is open, whether the request
+                may still be sent.
         """
         connection = _connection.Connection.connect(
             self._address, CONNECT_TIMEOUT_S
@@ -106,6 +116,8 @@
         if isinstance(connection, _connection.ConnectionFailure):
             return Fault.REFUSED
         self._connection = connection
+        if not is_allowed():
+            return Fault.WITHHELD
         self._head_only = head_only
         self.last_received_s = time.monotonic()
         sent = connection.send(data)
