Refuse streams earlier in a stop where their route is slow

Callers saw streams cut at the end of a planned stop although the instance had accepted them after SIGTERM.

Cause: new streams were accepted for a fixed 0.35 of the grace period, whatever time the streams of their route take. Their timeout (20 s) says little: a stream usually lasts a second or two, some routes' six or more.

Each instance keeps the last 128 durations of complete requests by route (RecentDurations). In a stop a request that does not fit by its timeout is accepted only if the 98th percentile of its route fits, and never after 0.35 of the period. With fewer than 20 durations the share alone decides.

--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -110,6 +110,9 @@
     from mulberry_decisions._proven_steps import (
         ProvenSteps,
     )
+    from mulberry_decisions._recent_durations import (
+        RecentDurations,
+    )
     from mulberry_decisions._registry import (
         ADMISSIONS,
         CRASH_GUARDS,
@@ -224,6 +227,7 @@
                 "CrashReport",
                 "NoCrashGuard",
             ),
+            "_recent_durations": ("RecentDurations",),
             "_response_delays": ("ResponseDelayMonitor",),
             "_drain": ("Drain",),
             "_error_threshold": ("ErrorThreshold",),
@@ -435,6 +439,7 @@
     "RatingCounts",
     "RatingExport",
     "RatingKey",
+    "RecentDurations",
     "RelativeLoad",
     "ResponseDelayMonitor",
     "RetryAfterJitter",
--- a/libs/experiments/mulberry_experiments/_measure.py
+++ b/libs/experiments/mulberry_experiments/_measure.py
@@ -46,6 +46,7 @@
             "crashes",
             "hedging",
             "placement",
+            "drain",
         )
     },
     "entry": "mulberry_experiments._deployed:run_entry",
@@ -66,6 +67,7 @@
         "crashes",
         "hedging",
         "placement",
+        "drain",
     }
 )
 #: Maximum number of concurrent simulated runs.
--- a/libs/gateway/mulberry_gateway/_components.py
+++ b/libs/gateway/mulberry_gateway/_components.py
@@ -38,6 +38,10 @@
     rollout_controller: _rollout_controller.RolloutController
     rollout_filter: _rollout_filter.RolloutFilter
     quarantine: _quarantine.RequestQuarantine
+    #: Durations of complete requests by route.
+    durations: decisions.RecentDurations = dataclasses.field(
+        default_factory=decisions.RecentDurations
+    )
     #: Shared by all upstream calls.
     answer_limits: core.BodyLimits = dataclasses.field(
         default_factory=_body_limits.for_answers
--- a/libs/gateway/mulberry_gateway/_forwarder.py
+++ b/libs/gateway/mulberry_gateway/_forwarder.py
@@ -182,6 +182,11 @@
     def _try_upstreams(self, exchange: _exchange.Exchange) -> bool:
         outcome = self._attempts.run(exchange)
         if isinstance(outcome, _stream_relay.Relayed):
+            if exchange.status < 300:
+                self._components.durations.record(
+                    exchange.route.name,
+                    self._components.clock.now() - exchange.request.read_s,
+                )
             return outcome.keep_alive
         return self._send_failure(exchange, outcome)
 
--- a/libs/gateway/mulberry_gateway/_stop_check.py
+++ b/libs/gateway/mulberry_gateway/_stop_check.py
@@ -20,9 +20,11 @@
         route: Route of the request.
         deadline_s: `Clock.now` by which the answer must be complete, seconds.
     """
+    if not components.drain.has_begun:
+        return True
     return components.drain.may_accept(
         deadline_s,
-        core.Missing.UNSET,
+        components.durations.usual_maximum_s(route.name),
         route.kind is not routing.RouteKind.UNSAFE,
     )
 
