Answer requests that still run at the end of a stop

Callers saw their connection close without a response when a request that was sent before SIGTERM took longer than the grace period. They did not learn that it may have run, and waited for the exit of the process.

Cause: the instance stopped waiting at 0.94 of the period and exited some tenths of a second later, while the tasks of these requests still waited for their upstreams.

The instance now ends these runs when it stops waiting. The caller of a request without a response gets 502 with run unknown, and no other upstream is tried. A stream that has begun is closed without its last chunk, as before. The line "stopped" still tells how many there were.

--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -77,9 +77,10 @@
         return _stream_relay.Relayed(sent and exchange.keep_alive)
 
     def _may_retry(self, exchange: _exchange.Exchange) -> bool:
+        drain = self._components.drain
         if len(exchange.attempts) >= exchange.route.max_attempts:
             return False
-        if self._remaining_s(exchange) < MIN_ATTEMPT_S:
+        if self._remaining_s(exchange) < MIN_ATTEMPT_S or drain.has_ended:
             return False
         if not any(attempt.may_have_arrived for attempt in exchange.attempts):
             # No upstream can have received the request, so the next attempt
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -273,10 +273,15 @@
         # before this call counts as running.
         self._drain.end()
         self._wait_until_idle()
+        busy = self._entry.busy
+        if busy:
+            # Their callers would wait for the end of the process and then
+            # get no response.
+            self.components.quarantine.withdraw_all()
         self._log.note(
             "stopped",
             keep=True,
-            busy=self._entry.busy,
+            busy=busy,
             took_s=round(self._clock.now() - began_s, 2),
         )
         self._log.stop()
--- a/libs/gateway/mulberry_gateway/_quarantine.py
+++ b/libs/gateway/mulberry_gateway/_quarantine.py
@@ -138,6 +138,11 @@
         self._running.add(request)
         return core.Missing.UNSET
 
+    def withdraw_all(self) -> None:
+        """Ends all runs; callers without a response get an error response."""
+        for request in self._running.all():
+            request.withdraw()
+
     def run_left(self, attempt: _exchange.Attempt) -> None:
         """Must be called when an attempt is over, however it ended."""
         self._running.remove(attempt)
--- a/libs/gateway/mulberry_gateway/_running_requests.py
+++ b/libs/gateway/mulberry_gateway/_running_requests.py
@@ -1,4 +1,4 @@
-"""Requests that upstreams have and did not begin to answer."""
+"""Requests that upstreams have."""
 
 import dataclasses
 import threading
@@ -34,8 +34,11 @@
         with self._lock:
             self._by_attempt.pop(id(attempt), None)
 
+    def all(self) -> Sequence[RunningRequest]:
+        """Returns all requests at upstreams."""
+        with self._lock:
+            return list(self._by_attempt.values())
+
     def unanswered(self) -> Sequence[RunningRequest]:
         """Returns the requests without the head of an answer."""
-        with self._lock:
-            requests = list(self._by_attempt.values())
-        return [r for r in requests if not r.attempt.head_s]
+        return [r for r in self.all() if not r.attempt.head_s]
