Refuse connections as soon as the listener has stopped

Callers with an old entry list connected to a stopping instance, sent their request, and were reset up to a second later without a response.

Cause: stop_accepting closed the listening socket while the accepting thread polled it. The poll keeps the socket open until its timeout of 1 s; the kernel goes on accepting connections and resets them in the end.

The socket is shut down before it is closed, after the connections in its backlog have been taken. The poll then ends at once.

Evidence: test_connections_are_refused_once_the_listener_has_stopped: before, the connection was accepted and reset after 0.90 s; now it is refused. Nothing of such a request was read, so none ran.

--- a/libs/gateway/mulberry_gateway/_listener.py
+++ b/libs/gateway/mulberry_gateway/_listener.py
@@ -1,6 +1,7 @@
 """Accepts connections and serves each on a task of its own."""
 
 import abc
+import contextlib
 import socket
 import threading
 from concurrent import futures
@@ -113,6 +114,10 @@
                 # The backlog is empty.
                 break
             self._submit_connection(sock)
+        # While the accepting thread polls, close() would leave the socket
+        # open: callers would connect, and be reset up to a second later.
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
         self._sock.close()
 
     def _accept(self) -> None:
--- a/libs/gateway/mulberry_gateway/tests/test_listener.py
+++ b/libs/gateway/mulberry_gateway/tests/test_listener.py
@@ -64,6 +64,23 @@
         caller.close()
 
 
+def test_connections_are_refused_once_the_listener_has_stopped(
+    listener: gateway.Listener,
+) -> None:
+    """Guards against callers that wait for a stopped listener.
+
+    The accepting thread kept the socket open while it polled: a caller
+    connected, sent its request, and was reset 0.9 s later.
+    """
+    listener.start()
+    address = ("127.0.0.1", listener.port)
+    # Until then the accepting thread polls the socket.
+    time.sleep(0.1)
+    listener.stop_accepting()
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(address)
+
+
 def test_thread_start_failure_does_not_end_the_listener(
     listener: gateway.Listener, monkeypatch: pytest.MonkeyPatch
 ) -> None:
