Close all callers' connections before the last steps of a stop

A request that reached a stopping instance while it left the membership and handed over its leadership could be read and then left without a response.

Cause: callers' connections stayed open until the exit of the process. A request was not counted as running between its last byte and its handling, and connections that waited for a thread were not counted at all.

Listener.close ends the waits for input, answers what has arrived whole (the drain refuses it with not_run), tells the sender of a partial request so too, and closes the connections. A request counts as running from its last byte on. Input of a running request is not ended: the forwarder would take that for a caller that has left and cancel the run.

Evidence: test_all_connections_are_closed_in_order_on_close and test_a_running_request_is_answered_on_close; before there was no such step. Found by reading; no run has shown a request that was lost in this moment.

--- a/libs/gateway/mulberry_gateway/_connection.py
+++ b/libs/gateway/mulberry_gateway/_connection.py
@@ -145,6 +145,17 @@
             for _, event in poller.poll(0)
         )
 
+    def stop_reading(self) -> None:
+        """Ends waits for input, from any thread.
+
+        Bytes that have arrived can still be read, and answers be sent.
+        """
+        try:
+            self._sock.shutdown(socket.SHUT_RD)
+        except OSError:
+            # It has ended already.
+            return
+
     def interrupt(self) -> None:
         """Ends the connection and every wait for it, from any thread."""
         try:
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -53,6 +53,8 @@
 #: Share of the grace period after which no new connection is accepted. Callers
 #: use an entry list for up to three times its lifetime.
 _ACCEPT_SHARE = 0.8
+#: Longest wait for open connections to close at the end of a stop, seconds.
+_CLOSE_TIMEOUT_S = 0.2
 #: A view counts as current up to this share of the time within which a change
 #: must be applied.
 _CURRENT_VIEW_SHARE = 0.8
@@ -278,10 +280,14 @@
             # Their callers would wait for the end of the process and then
             # get no response.
             self.components.quarantine.withdraw_all()
+        # The last steps may take longer than the rest of the grace period.
+        # No request may be read and left without a response meanwhile.
+        closed = self._entry.close(_CLOSE_TIMEOUT_S)
         self._log.note(
             "stopped",
             keep=True,
             busy=busy,
+            closed=closed,
             took_s=round(self._clock.now() - began_s, 2),
         )
         self._log.stop()
--- a/libs/gateway/mulberry_gateway/_listener.py
+++ b/libs/gateway/mulberry_gateway/_listener.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 import threading
+import time
 from concurrent import futures
 
 from absl import logging
@@ -23,6 +24,7 @@
 #: Connections served at once; further ones wait.
 _MAX_CONNECTIONS = 1_024
 _ACCEPT_PERIOD_S = 1.0
+_CLOSE_POLL_S = 0.01
 
 
 class Handler(abc.ABC):
@@ -70,8 +72,16 @@
         self._pool = futures.ThreadPoolExecutor(
             _MAX_CONNECTIONS, thread_name_prefix=name
         )
+        self._accept_thread = threading.Thread(
+            target=self._accept, name=f"{name}-accept", daemon=True
+        )
         self._lock = threading.Lock()
         self._busy = 0
+        #: Accepted and not closed yet, also those that wait for a thread.
+        self._open: set[socket.socket] = set()
+        #: Connections on which a request is awaited or being read.
+        self._reading: set[_connection.Connection] = set()
+        self._is_closing = False
         #: Budget for bodies of requests that are being read or answered.
         self._body_budget = _body_limits.for_requests()
         self._stopping = threading.Event()
@@ -89,13 +99,17 @@
         with self._lock:
             return self._busy
 
+    @property
+    def open_connections(self) -> int:
+        """Number of accepted connections that are not closed yet."""
+        with self._lock:
+            return len(self._open)
+
     def start(self) -> None:
         """Starts to accept connections."""
         self._sock.listen(_BACKLOG)
         self._sock.settimeout(_ACCEPT_PERIOD_S)
-        threading.Thread(
-            target=self._accept, name=f"{self._name}-accept", daemon=True
-        ).start()
+        self._accept_thread.start()
 
     def stop_accepting(self) -> None:
         """Refuses new connections; open ones are still served.
@@ -120,6 +134,30 @@
             self._sock.shutdown(socket.SHUT_RDWR)
         self._sock.close()
 
+    def close(self, timeout_s: float) -> bool:
+        """Answers the requests that have arrived, closes all connections.
+
+        The handler must refuse requests by now. A request that arrives later
+        crosses the closing of its connection.
+
+        Args:
+            timeout_s: Longest wait for the connections to close.
+
+        Returns:
+            Whether all connections are closed.
+        """
+        self.stop_accepting()
+        if self._accept_thread.is_alive():
+            self._accept_thread.join(timeout_s)
+        with self._lock:
+            self._is_closing = True
+            for connection in self._reading:
+                connection.stop_reading()
+        until_s = time.monotonic() + timeout_s
+        while self.open_connections and time.monotonic() < until_s:
+            time.sleep(_CLOSE_POLL_S)
+        return not self.open_connections
+
     def _accept(self) -> None:
         while not self._stopping.is_set():
             try:
@@ -135,6 +173,8 @@
 
     def _submit_connection(self, sock: socket.socket) -> None:
         """Serves a connection on a task of its own."""
+        with self._lock:
+            self._open.add(sock)
         try:
             self._pool.submit(self._serve, sock)
         except RuntimeError:
@@ -142,8 +182,19 @@
             # accepting thread must not end.
             logging.exception("%s: no thread for a new connection", self._name)
             sock.close()
+            self._remove(sock)
+
+    def _remove(self, sock: socket.socket) -> None:
+        with self._lock:
+            self._open.discard(sock)
 
     def _serve(self, sock: socket.socket) -> None:
+        try:
+            self._serve_socket(sock)
+        finally:
+            self._remove(sock)
+
+    def _serve_socket(self, sock: socket.socket) -> None:
         try:
             connection = _connection.Connection(sock)
         except OSError:
@@ -172,7 +223,7 @@
     ) -> None:
         while True:
             reader.limits = self._handler.limits()
-            request = reader.read()
+            request = self._read(connection, reader)
             if isinstance(request, _connection.ConnectionFailure):
                 connection.close()
                 return
@@ -181,8 +232,6 @@
                 connection.close_gracefully()
                 return
             keep = request.keep_alive and not self.draining.is_set()
-            with self._lock:
-                self._busy += 1
             try:
                 keep = self._handler.handle(request, connection, keep) and keep
             finally:
@@ -192,3 +241,39 @@
             if not keep:
                 connection.close_gracefully()
                 return
+
+    def _read(
+        self,
+        connection: _connection.Connection,
+        reader: _request_reader.RequestReader,
+    ) -> (
+        _messages.Request
+        | _request_reader.InvalidRequest
+        | _connection.ConnectionFailure
+    ):
+        """Reads a request; a complete one counts as busy from then on."""
+        with self._lock:
+            self._reading.add(connection)
+            if self._is_closing:
+                connection.stop_reading()
+        request: (
+            _messages.Request
+            | _request_reader.InvalidRequest
+            | _connection.ConnectionFailure
+        ) = _connection.ConnectionFailure.CLOSED
+        try:
+            request = reader.read()
+        finally:
+            with self._lock:
+                self._reading.discard(connection)
+                self._busy += isinstance(request, _messages.Request)
+        if (
+            isinstance(request, _connection.ConnectionFailure)
+            and self._is_closing
+            and reader.has_partial_request
+        ):
+            return _request_reader.InvalidRequest(
+                core.ErrorKind.ENTRY_LEAVING,
+                "this instance stops before the request is complete",
+            )
+        return request
--- a/libs/gateway/mulberry_gateway/_request_reader.py
+++ b/libs/gateway/mulberry_gateway/_request_reader.py
@@ -78,6 +78,11 @@
     def limits(self, limits: routing.Limits) -> None:
         self._limits = limits
 
+    @property
+    def has_partial_request(self) -> bool:
+        """Whether a request has begun to arrive and is not complete."""
+        return self._started
+
     def read(
         self,
     ) -> _messages.Request | InvalidRequest | _connection.ConnectionFailure:
--- a/libs/gateway/mulberry_gateway/tests/test_listener.py
+++ b/libs/gateway/mulberry_gateway/tests/test_listener.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import threading
 import time
 from collections.abc import Iterator
 from typing import Any
@@ -40,10 +41,12 @@
     new_listener.stop_accepting()
 
 
-def _connect(listener: gateway.Listener) -> socket.socket:
+def _connect(
+    listener: gateway.Listener, request: bytes = _REQUEST
+) -> socket.socket:
     caller = socket.create_connection(("127.0.0.1", listener.port))
     caller.settimeout(5.0)
-    caller.sendall(_REQUEST)
+    caller.sendall(request)
     return caller
 
 
@@ -81,6 +84,93 @@
         socket.create_connection(address)
 
 
+class _BlockingHandler(_FixedHandler):
+    """Answers only once it is told to."""
+
+    def __init__(self) -> None:
+        self.running = threading.Event()
+        self.may_answer = threading.Event()
+
+    def handle(
+        self,
+        request: gateway.Request,
+        caller: gateway.Connection,
+        keep_alive: bool,
+    ) -> bool:
+        if request.path == "/slow":
+            self.running.set()
+            self.may_answer.wait(5.0)
+            assert not caller.is_closed()
+        caller.send_all(_ANSWER)
+        return keep_alive
+
+
+@pytest.fixture
+def blocking() -> Iterator[tuple[gateway.Listener, _BlockingHandler]]:
+    handler = _BlockingHandler()
+    new_listener = gateway.Listener(
+        "test", "127.0.0.1:0", handler, core.SystemClock()
+    )
+    new_listener.start()
+    yield new_listener, handler
+    handler.may_answer.set()
+    new_listener.stop_accepting()
+
+
+def _receive_all(caller: socket.socket) -> bytes:
+    data = b""
+    while part := caller.recv(1_000):
+        data += part
+    return data
+
+
+def test_all_connections_are_closed_in_order_on_close(
+    blocking: tuple[gateway.Listener, _BlockingHandler],
+) -> None:
+    """Guards against resets at the exit of the process.
+
+    Requests that were read while the last steps of a stop ran were left
+    without a response when the process ended.
+    """
+    listener, _ = blocking
+    idle = _connect(listener, b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert idle.recv(1_000) == _ANSWER
+    partial = _connect(
+        listener,
+        b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc",
+    )
+    unread = [_connect(listener) for _ in range(8)]
+    assert listener.close(2.0)
+    assert listener.open_connections == 0
+    assert idle.recv(1_000) == b""
+    # The handler of this test gives every invalid request the same answer.
+    assert _receive_all(partial).startswith(b"HTTP/1.1 400")
+    for caller in unread:
+        assert caller.recv(1_000) == _ANSWER
+    for caller in (idle, partial, *unread):
+        caller.close()
+
+
+def test_a_running_request_is_answered_on_close(
+    blocking: tuple[gateway.Listener, _BlockingHandler],
+) -> None:
+    """Guards against a close that looks as if the caller had disconnected.
+
+    The forwarder cancels a run whose caller stops sending.
+    """
+    listener, handler = blocking
+    caller = _connect(
+        listener, b"GET /slow HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    )
+    assert handler.running.wait(2.0)
+    assert listener.busy == 1
+    assert not listener.close(0.05)
+    handler.may_answer.set()
+    assert caller.recv(1_000) == _ANSWER
+    caller.close()
+    assert listener.close(2.0)
+
+
 def test_thread_start_failure_does_not_end_the_listener(
     listener: gateway.Listener, monkeypatch: pytest.MonkeyPatch
 ) -> None:
