Stop an instance that does not serve yet without serving first

An operator who stopped an instance during its start waited for the entry lists to expire, and callers could be accepted by an instance that was stopping.

Cause: the stop did not end the task that waits for the routing. If the routing became known during the stop, the task opened the entry; after the entry's socket was closed it failed with "Bad file descriptor". The stop always waited for three entry lists, though the instance had never been in one.

The stop ends the task first, and waits for the lists only if the instance has served.

--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -238,6 +238,9 @@
             known = not isinstance(self.components.routing.table, core.Missing)
             if known or self._clock.now() > until_s:
                 break
+        else:
+            # The instance stops; callers find another one at once.
+            return
         self._entry.start()
         self._serving.set()
         self._publish_entry()
@@ -265,10 +268,13 @@
         self._log.note("stopping", keep=True, busy=self._entry.busy)
         self._drain.begin()
         self._entry.draining.set()
+        self._tasks.stop()
         self._publish_entry()
-        grace_s = self._settings.bounds.grace_s
-        listed_s = began_s + min(3 * self.entry_list_s, grace_s * _ACCEPT_SHARE)
-        self._wait_until(listed_s)
+        if self._serving.is_set():
+            grace_s = self._settings.bounds.grace_s
+            self._wait_until(
+                began_s + min(3 * self.entry_list_s, grace_s * _ACCEPT_SHARE)
+            )
         self._entry.stop_accepting()
         self._wait_until_idle()
         # Requests still arrive on open connections. A request accepted just
