Chat entry: refuse requests once the drain has ended

A chat that arrived while an entry was stopping was passed on to an engine and then cut: its caller got 499 although it had waited.

Cause: after the drain the server still answers what arrives, so that nothing is reset, but it waits only 5 s for what runs and then ends the input of the connections. The handlers take that for a caller that has left.

The drain ends with EntryApp.refuse_requests: chats and calls get 503 (entry_leaving, not_run) from then on. A request that was accepted just before is awaited. Entry lists and announcements are still answered.

--- a/libs/daemon/mulberry_daemon/_drain.py
+++ b/libs/daemon/mulberry_daemon/_drain.py
@@ -37,4 +37,9 @@
     idle_s = 0.0
     while idle_s < _IDLE_S and not forced.wait(_POLL_S):
         idle_s = 0.0 if app.active_requests else idle_s + _POLL_S
+    # A request that arrives from now on would be cut when the server stops.
+    # One that was accepted just before this call is still awaited.
+    app.refuse_requests()
+    while app.active_requests and not forced.wait(_POLL_S):
+        continue
     logging.info("drained: %d requests are still running", app.active_requests)
--- a/libs/entry/mulberry_entry/_app.py
+++ b/libs/entry/mulberry_entry/_app.py
@@ -52,6 +52,7 @@
         self._chat = _chat.ChatHandler(components, self._dispatcher)
         self._calls = _calls.CallHandler(components, self._dispatcher)
         self._keep_alive_disabled = threading.Event()
+        self._refuses_requests = threading.Event()
         self._lock = threading.Lock()
         self._active_requests = 0
         self._handlers_by_endpoint: Mapping[str, _Handler] = {
@@ -90,6 +91,14 @@
         """Makes every further response close its connection."""
         self._keep_alive_disabled.set()
 
+    def refuse_requests(self) -> None:
+        """Refuses further chats and calls, while running ones continue.
+
+        The server answers what arrives until it has stopped, but ends what
+        still runs a few seconds later.
+        """
+        self._refuses_requests.set()
+
     def _request_finished(self) -> None:
         with self._lock:
             self._active_requests -= 1
@@ -218,6 +227,12 @@
         self, http: werkzeug.Request, request_id: str
     ) -> tuple[_requests.CallerRequest, rules.Rules] | core.Refusal:
         """Reads and authenticates a request if the rules lease is valid."""
+        if self._refuses_requests.is_set():
+            return core.Refusal(
+                core.ErrorKind.ENTRY_LEAVING,
+                core.RunState.NOT_RUN,
+                "this entry has served its last request",
+            )
         client = self._components.state
         view = client.view()
         if isinstance(view.rules, core.Missing):
