Chat entry: bound the time until a stopping entry is idle

A stop of an entry did not end while one caller kept sending to its address.

Cause: the drain waits until no request has run for a second. New connections are accepted meanwhile, so a caller that ignores the entry list and nearly always has a request running keeps it from ending.

Once the entry lists have expired, the drain waits 10 s at most until the entry is idle. It then refuses new requests and awaits the running ones as before.

Evidence: test_callers_with_old_addresses_do_not_prevent_the_stop was still waiting after 8 s before.

--- a/libs/daemon/mulberry_daemon/_drain.py
+++ b/libs/daemon/mulberry_daemon/_drain.py
@@ -14,6 +14,10 @@
 #: connection may send another request while its entry list expires.
 _IDLE_S = 1.0
 
+#: Longest wait until the entry is idle, seconds. A caller that keeps an address
+#: for longer than allowed would otherwise prevent the stop.
+_MAX_IDLE_WAIT_S = 10.0
+
 _POLL_S = 0.1
 
 
@@ -34,9 +38,12 @@
     logging.info("draining: waiting for cached entry lists to expire")
     forced.wait(entries_keep_s + _PROPAGATION_S)
     app.disable_keep_alive()
-    idle_s = 0.0
-    while idle_s < _IDLE_S and not forced.wait(_POLL_S):
+    idle_s = waited_s = 0.0
+    while idle_s < _IDLE_S and waited_s < _MAX_IDLE_WAIT_S:
+        if forced.wait(_POLL_S):
+            break
         idle_s = 0.0 if app.active_requests else idle_s + _POLL_S
+        waited_s += _POLL_S
     # A request that arrives from now on would be cut when the server stops.
     # One that was accepted just before this call is still awaited.
     app.refuse_requests()
--- a/libs/daemon/mulberry_daemon/tests/test_drain.py
+++ b/libs/daemon/mulberry_daemon/tests/test_drain.py
@@ -59,3 +59,33 @@
     assert entry.app.active_requests == 0
     chat.join()
     assert answers == [200]
+
+
+def test_callers_with_old_addresses_do_not_prevent_the_stop(
+    entry: harness.Harness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a stop that never ends.
+
+    The drain waited for a second without requests. A caller that ignores the
+    entry list and nearly always has a request running kept it from ending.
+    """
+    monkeypatch.setattr(_drain, "_MAX_IDLE_WAIT_S", 2.0)
+    entry.set_faults("engine-1", token_s=0.1)
+    drained = threading.Event()
+    statuses: set[int] = set()
+
+    def send() -> None:
+        while not drained.wait(0.2):
+            statuses.add(entry.chat()[0])
+
+    caller = threading.Thread(target=send)
+    caller.start()
+    forced = threading.Event()
+    force = threading.Timer(8.0, forced.set)
+    force.start()
+    _drain.drain(entry.app, _NO_WAIT_S, forced)
+    force.cancel()
+    drained.set()
+    caller.join()
+    assert not forced.is_set()
+    assert statuses <= {200, 503}
