--- a/libs/gateway/mulberry_gateway/tests/test_listener.py
+++ b/libs/gateway/mulberry_gateway/tests/test_listener.py
@@ -11,6 +11,7 @@
 
 import mulberry_core as core
 import mulberry_gateway as gateway
+from mulberry_gateway import _listener as gateway_listener
 
 _REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
 _ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -171,6 +172,29 @@
     assert listener.close(2.0)
 
 
+def test_a_connection_that_waits_for_a_thread_is_answered_on_close(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against resets of connections that no thread has served yet.
+
+    An idle connection keeps the only thread until the listener closes.
+    """
+    monkeypatch.setattr(gateway_listener, "_MAX_CONNECTIONS", 1)
+    listener = gateway.Listener(
+        "test", "127.0.0.1:0", _BlockingHandler(), core.SystemClock()
+    )
+    listener.start()
+    idle = _connect(listener, b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert idle.recv(1_000) == _ANSWER
+    waiting = _connect(listener)
+    while listener.open_connections < 2:
+        time.sleep(0.01)
+    assert listener.close(2.0)
+    assert waiting.recv(1_000) == _ANSWER
+    idle.close()
+    waiting.close()
+
+
 def test_thread_start_failure_does_not_end_the_listener(
     listener: gateway.Listener, monkeypatch: pytest.MonkeyPatch
 ) -> None:
