--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -114,6 +114,9 @@
     from mulberry_decisions._proven_steps import (
         ProvenSteps,
     )
+    from mulberry_decisions._recent_durations import (
+        RecentDurations,
+    )
     from mulberry_decisions._registry import (
         ADMISSIONS,
         CRASH_GUARDS,
@@ -234,6 +237,7 @@
                 "CrashReport",
                 "NoCrashGuard",
             ),
+            "_recent_durations": ("RecentDurations",),
             "_response_delays": ("ResponseDelayMonitor",),
             "_drain": ("Drain",),
             "_error_threshold": ("ErrorThreshold",),
@@ -455,6 +459,7 @@
     "RatingCounts",
     "RatingExport",
     "RatingKey",
+    "RecentDurations",
     "RejectionLimiter",
     "RelativeLoad",
     "ResponseDelayMonitor",
--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -20,6 +20,7 @@
     _retry_policy,
     _running_requests,
     _stall_detector,
+    _stop_check,
     _stream_relay,
     _upstream_call,
     _upstream_opener,
@@ -312,6 +313,11 @@
         if isinstance(model, core.Missing) or attempt.trials:
             # A trial must show whether the upstream outlives the answer.
             return False
+        if not _stop_check.may_accept(
+            self._components, exchange.route, exchange.deadline_s
+        ):
+            # The larger model's answer must not be cut off by a stop.
+            return False
         # The larger model may run on the same upstream, without this run.
         load = self._components.upstream_selector.load
         attempt.outcome = _exchange.UNSURE
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -52,9 +52,6 @@
 _MAX_SNAPSHOT_AGE_S = 1.0
 #: Threads for gossip exchanges, in addition to those of a voter.
 _PEER_THREADS = 24
-#: Share of the grace period after which running requests are no longer
-#: awaited. The rest is for the last shutdown steps before SIGKILL.
-_STOP_SHARE = 0.94
 #: Upper bound on the lifetime of an entry list as a share of the grace period.
 #: Some callers use a list for three times its lifetime, and a stream that they
 #: start then must still finish.
@@ -62,6 +59,8 @@
 #: Share of the grace period after which no new connection is accepted. Callers
 #: use an entry list for up to three times its lifetime.
 _ACCEPT_SHARE = 0.8
+#: Longest wait for open connections to close at the end of a stop, seconds.
+_CLOSE_TIMEOUT_S = 0.2
 #: A view counts as current up to this share of the time within which a change
 #: must be applied.
 _CURRENT_VIEW_SHARE = 0.8
@@ -266,6 +265,9 @@
             known = not isinstance(self.components.routing.table, core.Missing)
             if known or self._clock.now() > until_s:
                 break
+        else:
+            # The instance stops; callers find another one at once.
+            return
         self._entry.start()
         self._serving.set()
         self._publish_entry()
@@ -289,22 +291,33 @@
         self._entry.draining.set()
         if not isinstance(self._relay, core.Missing):
             self._relay.leave()
+        self._tasks.stop()
         self._publish_entry()
-        grace_s = self._settings.bounds.grace_s
-        listed_s = began_s + min(3 * self.entry_list_s, grace_s * _ACCEPT_SHARE)
-        last_s = began_s + grace_s * _STOP_SHARE
-        self._wait_until(listed_s)
+        if self._serving.is_set():
+            grace_s = self._settings.bounds.grace_s
+            self._wait_until(
+                began_s + min(3 * self.entry_list_s, grace_s * _ACCEPT_SHARE)
+            )
         self._entry.stop_accepting()
-        self._wait_until_idle(last_s)
+        self._wait_until_idle()
         # Requests still arrive on open connections. A request accepted just
         # before this call counts as running.
         self._drain.end()
-        self._wait_until_idle(last_s)
+        self._wait_until_idle()
+        busy = self._entry.busy
+        if busy:
+            # Their callers would wait for the end of the process and then
+            # get no response.
+            self.components.quarantine.withdraw_all()
+        # The last steps may take longer than the rest of the grace period.
+        # No request may be read and left without a response meanwhile.
+        closed = self._entry.close(_CLOSE_TIMEOUT_S)
         self._log.note(
             "stopped",
             keep=True,
-            busy=self._entry.busy,
+            busy=busy,
             relayed=self._relayed,
+            closed=closed,
             took_s=round(self._clock.now() - began_s, 2),
         )
         self._log.stop()
@@ -327,9 +340,9 @@
             return 0
         return self._relay.open_connections
 
-    def _wait_until_idle(self, until_s: float) -> None:
+    def _wait_until_idle(self) -> None:
         while self._entry.busy or self._relayed:
-            if self._clock.now() >= until_s:
+            if self._drain.remaining_s() <= 0.0:
                 return
             time.sleep(0.02)
 
--- a/libs/gateway/mulberry_gateway/_upstream_opener.py
+++ b/libs/gateway/mulberry_gateway/_upstream_opener.py
@@ -11,6 +11,7 @@
     _exchange,
     _faults,
     _retry_policy,
+    _stop_check,
     _upstream_call,
 )
 
@@ -43,6 +44,8 @@
                 core.ErrorKind.RULES_LEASE_EXPIRED,
                 "the rules lease expired before the request was sent",
             )
+        if not _stop_check.may_send(self._components, exchange):
+            return _stop_check.leaving_refusal()
         return core.Missing.UNSET
 
     def open(
