--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -24,6 +24,7 @@
     _stream_relay,
     _upstream_call,
     _upstream_opener,
+    _upstream_signals,
 )
 
 
@@ -41,6 +42,9 @@
         self._opener = _upstream_opener.UpstreamOpener(
             components, self._retries
         )
+        self._signals = _upstream_signals.UpstreamSignals(
+            components.upstream_selector, components.log
+        )
 
     def request_started(self, exchange: _exchange.Exchange) -> None:
         """Counts a request towards the retry budget."""
@@ -217,8 +221,7 @@
             components.upstream_selector.load.reported(
                 attempt.upstream, metadata.load
             )
-        self._apply_upstream_signals(upstream, metadata)
-        self._apply_rejection_limit(exchange.service, upstream.name, metadata)
+        self._signals.apply(exchange.service, upstream, metadata)
         if metadata.not_run or metadata.is_other_upstream:
             return self._handle_not_run(attempt, metadata)
         if not metadata.is_genuine:
@@ -242,45 +245,6 @@
             exchange, attempt, call, head, stall_detector
         )
 
-    def _apply_upstream_signals(
-        self, upstream: membership.Upstream, metadata: _dialect.ResponseMetadata
-    ) -> None:
-        """Applies the shutdown and retry-after signals of an answer."""
-        health = self._components.upstream_selector.health
-        if metadata.is_leaving:
-            health.shutdown_announced(upstream.name, upstream.incarnation)
-        if metadata.retry_after_s:
-            health.retry_after_received(upstream.name, metadata.retry_after_s)
-        if metadata.is_leaving or metadata.retry_after_s:
-            self._components.log.note(
-                "upstream",
-                name=upstream.name,
-                said="leaving" if metadata.is_leaving else "full",
-                wait_s=metadata.retry_after_s,
-            )
-
-    def _apply_rejection_limit(
-        self, service: str, upstream: str, metadata: _dialect.ResponseMetadata
-    ) -> None:
-        """Applies what an answer to this request says of rejections."""
-        from_upstream = metadata.is_genuine or metadata.not_run
-        if metadata.is_other_upstream or not from_upstream:
-            return
-        limiter = self._components.upstream_selector.rejection_limiter
-        limit = metadata.rejection_limit
-        if limiter.answered(service, upstream, limit):
-            is_unset = isinstance(limit, core.Missing)
-            self._components.log.note(
-                "upstream",
-                keep=True,
-                name=upstream,
-                service=service,
-                said="no_rejection_limit" if is_unset else "rejection_limit",
-                limit=-1 if is_unset else limit,
-            )
-        if metadata.not_run:
-            limiter.rejected(service, upstream)
-
     def _silence_policy(
         self, exchange: _exchange.Exchange, expected_s: float
     ) -> decisions.InactivityPolicy | core.Missing:
--- /dev/null
+++ b/libs/gateway/mulberry_gateway/_upstream_signals.py
@@ -0,0 +1,63 @@
+"""Applies what upstreams say of themselves in their answers."""
+
+import mulberry_core as core
+import mulberry_membership as membership
+from mulberry_gateway import _dialect, _upstream_selection
+
+
+class UpstreamSignals:
+    """Passes shutdowns, retry delays and rejection limits to the selection."""
+
+    def __init__(
+        self,
+        selector: _upstream_selection.UpstreamSelector,
+        log: core.DecisionLog,
+    ) -> None:
+        self._selector = selector
+        self._log = log
+
+    def apply(
+        self,
+        service: str,
+        upstream: membership.Upstream,
+        metadata: _dialect.ResponseMetadata,
+    ) -> None:
+        """Applies the signals in the head of an answer."""
+        self._apply_availability(upstream, metadata)
+        from_upstream = metadata.is_genuine or metadata.not_run
+        if from_upstream and not metadata.is_other_upstream:
+            self._apply_rejection_limit(service, upstream.name, metadata)
+
+    def _apply_availability(
+        self, upstream: membership.Upstream, metadata: _dialect.ResponseMetadata
+    ) -> None:
+        health = self._selector.health
+        if metadata.is_leaving:
+            health.shutdown_announced(upstream.name, upstream.incarnation)
+        if metadata.retry_after_s:
+            health.retry_after_received(upstream.name, metadata.retry_after_s)
+        if metadata.is_leaving or metadata.retry_after_s:
+            self._log.note(
+                "upstream",
+                name=upstream.name,
+                said="leaving" if metadata.is_leaving else "full",
+                wait_s=metadata.retry_after_s,
+            )
+
+    def _apply_rejection_limit(
+        self, service: str, upstream: str, metadata: _dialect.ResponseMetadata
+    ) -> None:
+        limiter = self._selector.rejection_limiter
+        limit = metadata.rejection_limit
+        if limiter.answered(service, upstream, limit):
+            is_unset = isinstance(limit, core.Missing)
+            self._log.note(
+                "upstream",
+                keep=True,
+                name=upstream,
+                service=service,
+                said="no_rejection_limit" if is_unset else "rejection_limit",
+                limit=-1 if is_unset else limit,
+            )
+        if metadata.not_run:
+            limiter.rejected(service, upstream)
