--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -4,7 +4,7 @@
 
 import threading
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from concurrent import futures
 
 import grpc
@@ -61,6 +61,9 @@
 _ACCEPT_SHARE = 0.8
 #: Longest wait for open connections to close at the end of a stop, seconds.
 _CLOSE_TIMEOUT_S = 0.2
+#: Longest wait for the announcement of the stop after the node has stopped,
+#: seconds. Each peer that does not respond takes 0.5 s.
+_LEAVE_TIMEOUT_S = 1.0
 #: A view counts as current up to this share of the time within which a change
 #: must be applied.
 _CURRENT_VIEW_SHARE = 0.8
@@ -323,9 +326,7 @@
         self._log.stop()
         if not isinstance(self._relay, core.Missing):
             self._relay.stop()
-        self.membership.leave()
-        if not isinstance(self._node, core.Missing):
-            self._node.stop(transfer_timeout_s=0.5)
+        leave_beside(self.membership.leave, self._stop_node)
 
     @property
     def entry_list_s(self) -> float:
@@ -340,6 +341,10 @@
             return 0
         return self._relay.open_connections
 
+    def _stop_node(self) -> None:
+        if not isinstance(self._node, core.Missing):
+            self._node.stop(transfer_timeout_s=0.5)
+
     def _wait_until_idle(self) -> None:
         while self._entry.busy or self._relayed:
             if self._drain.remaining_s() <= 0.0:
@@ -416,3 +421,17 @@
             return core.Missing.UNSET
         node.add_to(self._grpc)
         return node
+
+
+def leave_beside(
+    leave: Callable[[], None], stop_node: Callable[[], None]
+) -> None:
+    """Announces the stop to the other instances while the node stops.
+
+    The exchange with a peer that does not respond may use up the rest of the
+    grace period, and SIGKILL would end a leader that has not handed over.
+    """
+    leaving = threading.Thread(target=leave, name="leave", daemon=True)
+    leaving.start()
+    stop_node()
+    leaving.join(_LEAVE_TIMEOUT_S)
