Look at pending paths before another one starts

A process that stood still for 0.1 s while it connected asked a relay, although the direct connection had opened meanwhile. Where processor time is scarce, that adds load to other instances just when they are late as well.

The connector's tests lengthen its timeouts, which the default of `timeout_s` had taken at import; it has none of its own now.

test_a_process_that_stood_still_asks_no_relay failed before and passes now.

--- a/libs/gateway/mulberry_gateway/_path_race.py
+++ b/libs/gateway/mulberry_gateway/_path_race.py
@@ -102,16 +102,22 @@
     ) -> _upstream_paths.UpstreamConnection | _connection.ConnectionFailure:
         has_more = True
         while (now_s := time.monotonic()) < self._until_s:
-            if has_more and self._may_start(now_s):
-                has_more = self._start(next(paths, None))
-                continue
-            if not self._path_by_fd:
-                return self._failure
+            # A path may have opened while this process stood still, so the
+            # pending ones are looked at before another one starts.
             wake_s = self._next_start_s if has_more else self._until_s
-            for path in self._wait(min(wake_s, self._until_s) - now_s):
+            if has_more and self._may_start(now_s):
+                wake_s = now_s
+            ready = self._wait(min(wake_s, self._until_s) - now_s)
+            for path in ready:
                 ended = self._proceed(path)
                 if not isinstance(ended, core.Missing):
                     return ended
+            if ready:
+                continue
+            if has_more and self._may_start(now_s):
+                has_more = self._start(next(paths, None))
+            elif not self._path_by_fd:
+                return self._failure
         self._note_slow_paths()
         return _connection.ConnectionFailure.TIMEOUT
 
--- a/libs/gateway/mulberry_gateway/_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/_upstream_call.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+import math
 import time
 
 import httptools
@@ -98,9 +99,7 @@
         #: `time.monotonic` when the last bytes arrived, seconds.
         self.last_received_s = 0.0
 
-    def connect(
-        self, timeout_s: float = _upstream_connector.CONNECT_TIMEOUT_S
-    ) -> Fault | core.Missing:
+    def connect(self, timeout_s: float = math.inf) -> Fault | core.Missing:
         """Opens the connection; nothing is sent before that."""
         connection = self._connector.connect(self._upstream, timeout_s)
         if connection is _connection.ConnectionFailure.TIMEOUT:
--- a/libs/gateway/mulberry_gateway/_upstream_connector.py
+++ b/libs/gateway/mulberry_gateway/_upstream_connector.py
@@ -1,5 +1,6 @@
 """Opens connections to upstreams over the best path."""
 
+import math
 from collections.abc import Iterator, Sequence
 
 import mulberry_core as core
@@ -48,7 +49,7 @@
     def connect(
         self,
         upstream: membership.Upstream,
-        timeout_s: float = CONNECT_TIMEOUT_S,
+        timeout_s: float = math.inf,
     ) -> _upstream_paths.UpstreamConnection | _connection.ConnectionFailure:
         """Opens a connection to an upstream over any path.
 
--- a/libs/gateway/mulberry_gateway/tests/test_upstream_connector.py
+++ b/libs/gateway/mulberry_gateway/tests/test_upstream_connector.py
@@ -5,6 +5,7 @@
 import pathlib
 import socket
 import threading
+import time
 from collections.abc import Sequence
 
 import pytest
@@ -13,7 +14,11 @@
 import mulberry_decisions as decisions
 import mulberry_gateway as gateway
 import mulberry_membership as membership
-from mulberry_gateway import _path_race, _upstream_connector
+from mulberry_gateway import (
+    _path_race,
+    _upstream_connector,
+    _upstream_paths,
+)
 from mulberry_gateway.tests import relay_harness
 
 Resources = relay_harness.Resources
@@ -193,6 +198,31 @@
     assert sender.recorder.health.is_cut_off()
 
 
+def test_a_process_that_stood_still_asks_no_relay(
+    resources: Resources, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against relays that add load where processor time is scarce.
+
+    The connection has opened long before the process looks at it.
+    """
+    sender = _Sender(resources)
+    start = _path_race.PathRace._start
+
+    def start_and_stand_still(
+        race: _path_race.PathRace,
+        path: _upstream_paths.Path | core.Missing | None,
+    ) -> bool:
+        has_more = start(race, path)
+        time.sleep(2 * _path_race.STAGGER_S)
+        return has_more
+
+    monkeypatch.setattr(_path_race.PathRace, "_start", start_and_stand_still)
+    assert sender.connect() == "direct"
+    served = [r.counters.count("gateway.relay.served") for r in sender.relays]
+    assert served == [0, 0]
+    assert not sender.recorder.health.is_cut_off()
+
+
 @pytest.mark.parametrize("cut", [Cut.HANG, Cut.REFUSE])
 @pytest.mark.parametrize(
     "how", ["leaving", "unknown", "cut off", "cut off, slow", "ended"]
