Report a lack of free files as a failed connection

A process with too many open files raised an error where it connected to an upstream, and the caller got 500. It is a failed connection like any other now: `not_run`, and tried again.

test_a_process_without_free_files_cannot_connect failed before with OSError 24 and passes now.

--- a/libs/gateway/mulberry_gateway/_connection.py
+++ b/libs/gateway/mulberry_gateway/_connection.py
@@ -76,7 +76,11 @@
         `finish_connecting` then tells which.
         """
         host, _, port = address.rpartition(":")
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError:
+            # The process has too many open files.
+            return ConnectionFailure.RESET
         try:
             connection = cls(sock)
             code = sock.connect_ex((host, int(port)))
