Give the sound entries of the tests lists of rejection limits

The tests give a list, as they do for `wanted`, and three odd values of the field are new cases. No code of the daemon changes.

--- a/libs/membership/mulberry_membership/tests/test_entry_list.py
+++ b/libs/membership/mulberry_membership/tests/test_entry_list.py
@@ -10,7 +10,12 @@
 
 ENTRY = membership.RecordKind.ENTRY
 SOUND = membership.EntryState(
-    "10.0.0.1:80", "gent", leaving=False, load=0.5, wanted=[("m", "v", 3)]
+    "10.0.0.1:80",
+    "gent",
+    leaving=False,
+    load=0.5,
+    wanted=[("m", "v", 3)],
+    rejection_limits=[],
 )
 FIELDS: dict[str, Any] = json.loads(SOUND.encode())
 
@@ -46,6 +51,9 @@
             ("relay_address", "10.0.0.1:0"),
             ("relay_address", 7),
             ("cut_off", "no"),
+            ("rejection_limits", [["s"]]),
+            ("rejection_limits", [["s", -1]]),
+            ("rejection_limits", [["s", 10**30]]),
             ("running", 10**30),
             ("running", -1),
             ("running", 0.5),
--- a/libs/membership/mulberry_membership/tests/test_preferred_entries.py
+++ b/libs/membership/mulberry_membership/tests/test_preferred_entries.py
@@ -16,6 +16,7 @@
         leaving=state == "leaving",
         load=0.0,
         wanted=[],
+        rejection_limits=[],
         cut_off=state == "cut off",
     )
 
