Shut down sides of a connection in one place

The change had added two methods that repeat the shutdown of a socket with its error handling; with `interrupt` and `close_gracefully` it stood there four times. They share `_shut_down` now. Two names of RetryPolicy's module that nothing else uses are private.

Behaviour is the same. Formatter, linter and type checker are clean; tests of the gateway and of the platform without its soak pass.

--- a/libs/gateway/mulberry_gateway/_connection.py
+++ b/libs/gateway/mulberry_gateway/_connection.py
@@ -187,30 +187,18 @@
 
     def finish_sending(self) -> None:
         """Ends the sending side in order; the peer may still send."""
-        try:
-            self._sock.shutdown(socket.SHUT_WR)
-        except OSError:
-            # It has ended already.
-            return
+        self._shut_down(socket.SHUT_WR)
 
     def stop_reading(self) -> None:
         """Ends waits for input, from any thread.
 
         Bytes that have arrived can still be read, and answers be sent.
         """
-        try:
-            self._sock.shutdown(socket.SHUT_RD)
-        except OSError:
-            # It has ended already.
-            return
+        self._shut_down(socket.SHUT_RD)
 
     def interrupt(self) -> None:
         """Ends the connection and every wait for it, from any thread."""
-        try:
-            self._sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            # It has ended already.
-            return
+        self._shut_down(socket.SHUT_RDWR)
 
     def close(self) -> None:
         """Closes the connection; unread bytes cause a reset."""
@@ -226,9 +214,7 @@
         Closing with unread bytes would reset the connection, and the peer
         could lose the last answer.
         """
-        try:
-            self._sock.shutdown(socket.SHUT_WR)
-        except OSError:
+        if not self._shut_down(socket.SHUT_WR):
             self.close()
             return
         until_s = time.monotonic() + _LINGER_S
@@ -237,6 +223,15 @@
                 break
         self.close()
 
+    def _shut_down(self, how: int) -> bool:
+        """Ends one or both sides; returns whether they were still open."""
+        try:
+            self._sock.shutdown(how)
+        except OSError:
+            # It has ended already.
+            return False
+        return True
+
     def _end(self) -> ConnectionFailure:
         """Returns how the connection ended after its last byte."""
         return (
--- a/libs/gateway/mulberry_gateway/_retry_policy.py
+++ b/libs/gateway/mulberry_gateway/_retry_policy.py
@@ -11,7 +11,7 @@
 #: third of the upstreams lost, one request in 27 finds three of them in a row.
 _MAX_FAILED_CONNECTIONS = 3
 #: Minimum time before the deadline to start an attempt, seconds.
-MIN_ATTEMPT_S = 0.03
+_MIN_ATTEMPT_S = 0.03
 
 
 class RetryDenial(enum.Enum):
@@ -38,7 +38,7 @@
 
     def request_started(self, exchange: _exchange.Exchange) -> None:
         """Counts a request towards the retry budget."""
-        self._budget.request_started(decision_inputs(exchange))
+        self._budget.request_started(_decision_inputs(exchange))
 
     def remaining_s(self, exchange: _exchange.Exchange) -> float:
         """Returns the time until the deadline, seconds."""
@@ -46,7 +46,7 @@
 
     def is_too_late(self, exchange: _exchange.Exchange) -> bool:
         """Whether too little time is left for an attempt."""
-        return self.remaining_s(exchange) < MIN_ATTEMPT_S
+        return self.remaining_s(exchange) < _MIN_ATTEMPT_S
 
     def may_connect_again(
         self, exchange: _exchange.Exchange, failed: int
@@ -78,17 +78,17 @@
             # No upstream can have received the request, so the next attempt
             # does not count against the retry budget.
             return core.Missing.UNSET
-        if self._budget.try_retry(decision_inputs(exchange), exchange.run):
+        if self._budget.try_retry(_decision_inputs(exchange), exchange.run):
             return core.Missing.UNSET
         return RetryDenial.BUDGET
 
     def return_retry(self, exchange: _exchange.Exchange) -> None:
         """Returns an attempt that was taken and not sent."""
         if exchange.sent_attempts:
-            self._budget.return_retry(decision_inputs(exchange))
+            self._budget.return_retry(_decision_inputs(exchange))
 
 
-def decision_inputs(exchange: _exchange.Exchange) -> decisions.Work:
+def _decision_inputs(exchange: _exchange.Exchange) -> decisions.Work:
     """Returns the attributes of a request that decisions use."""
     return decisions.Work(
         team=exchange.team,
