--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -235,7 +235,9 @@
 def is_ready(daemon: Daemon) -> bool:
     """Whether the machine answers its readiness check with 200."""
     try:
-        return call(daemon.address(READY), "GET", "/readyz", None, 1.0)[0] == 200
+        return (
+            call(daemon.address(READY), "GET", "/readyz", None, 1.0)[0] == 200
+        )
     except (OSError, http.client.HTTPException):
         return False
 
@@ -284,9 +286,7 @@
         until_s = time.monotonic() + timeout_s
         pause_s = 0.1
         while time.monotonic() < until_s:
-            address = random.choice(
-                [a for a in self._control if a not in skip]
-            )
+            address = random.choice([a for a in self._control if a not in skip])
             try:
                 status, _ = call(address, "POST", path, body, 1.0)
             except (OSError, http.client.HTTPException):
