--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -17,6 +17,7 @@
 import tempfile
 import threading
 import time
+import traceback
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
@@ -52,6 +53,22 @@
 }
 
 
+def run_case(main: "Callable[[], int]") -> None:
+    """Runs a case and ends this process with its exit status.
+
+    The status is 2 after an error, or if the case is stopped from outside; the
+    case then still ends the processes that it started.
+    """
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
+    try:
+        status = main()
+    except BaseException:
+        traceback.print_exc()
+        status = 2
+    # Threads of clients and workers may still wait.
+    os._exit(status)
+
+
 class Record:
     """Writes what happened to `record.txt`, with seconds since the start."""
 
