Count the silence of a voter from the start of the leader's term

Cause: a voter that had never answered the current leader had a silence of -1 s, which is below every limit. A leader that goes for good never answers its successor, so it stayed a voter: its replacement joined as the fourth of four voters with three alive, and the next loss left no quorum. The status reported such a voter as unreachable, but the reconciler never removed it.

`RaftState.silent_s` counts from the election for a voter that has not answered since.

--- a/libs/state/mulberry_state/_node.py
+++ b/libs/state/mulberry_state/_node.py
@@ -287,26 +287,25 @@
 
     def _voter_statuses(self) -> tuple[_reports.VoterStatus, ...]:
         raft = self.replica.raft
-        is_leader = raft.role is _raft.Role.LEADER
-        now_s = raft.clock.now()
         rows = []
-        for voter in raft.voters.message.voters:
-            match_index, silent_s = 0, -1.0
-            progress = raft.progress_by_identity.get(voter.identity)
-            if is_leader and voter.identity == raft.identity:
-                match_index, silent_s = raft.log.durable_index, 0.0
-            elif progress and progress.last_acked_send_s > 0:
-                match_index = progress.match_index
-                silent_s = now_s - progress.last_acked_send_s
-            rows.append(
-                _reports.VoterStatus(
-                    name=voter.name,
-                    address=voter.address,
-                    identity=voter.identity,
-                    match_index=match_index,
-                    silent_s=silent_s,
+        with raft.lock:
+            is_leader = raft.role is _raft.Role.LEADER
+            for voter in raft.voters.message.voters:
+                match_index, silent_s = 0, raft.silent_s(voter.identity)
+                progress = raft.progress_by_identity.get(voter.identity)
+                if is_leader and voter.identity == raft.identity:
+                    match_index, silent_s = raft.log.durable_index, 0.0
+                elif progress:
+                    match_index = progress.match_index
+                rows.append(
+                    _reports.VoterStatus(
+                        name=voter.name,
+                        address=voter.address,
+                        identity=voter.identity,
+                        match_index=match_index,
+                        silent_s=silent_s,
+                    )
                 )
-            )
         return tuple(rows)
 
     def _run_in_effect(self, stop: threading.Event) -> None:
--- a/libs/state/mulberry_state/_raft.py
+++ b/libs/state/mulberry_state/_raft.py
@@ -306,6 +306,20 @@
         )
         return times[self.quorum - 1]
 
+    def silent_s(self, identity: str) -> float:
+        """Returns for how long another voter has not answered this leader.
+
+        Counted from the election for a voter that has not answered since.
+
+        Returns:
+            Seconds, or -1 if this voter does not lead.
+        """
+        with self.lock:
+            if self.role is not Role.LEADER:
+                return -1.0
+            heard_s = max(self._last_acked_send_s(identity), self.elected_s)
+            return self.clock.now() - heard_s
+
     def _match_index_of(self, voter: log_pb2.LogVoter) -> int:
         if voter.identity == self.identity:
             return self.log.durable_index
--- a/libs/state/mulberry_state/_reports.py
+++ b/libs/state/mulberry_state/_reports.py
@@ -31,7 +31,8 @@
     identity: str
     #: Newest record known to be synced there; 0 unless the leader reports.
     match_index: int
-    #: Seconds since its last reply to the leader, -1 if never or not known.
+    #: Seconds since its last reply to the leader, or since the election if it
+    #: has not replied since; -1 unless the leader reports.
     silent_s: float
 
 
--- a/libs/state/mulberry_state/tests/test_node.py
+++ b/libs/state/mulberry_state/tests/test_node.py
@@ -64,6 +64,15 @@
         self.server_by_name.pop(name).stop(0)
         self.node_by_name.pop(name).stop(transfer_timeout_s)
 
+    def add_machine(self, name: str) -> state.StateNode:
+        """Starts a node at a new address, with an empty folder."""
+        server = self._server()
+        port = server.add_insecure_port("127.0.0.1:0")
+        self.server_by_name[name] = server
+        self.address_by_name[name] = f"127.0.0.1:{port}"
+        self._start(name)
+        return self.node_by_name[name]
+
     def restart_voter(self, name: str) -> None:
         server = self._server()
         server.add_insecure_port(self.address_by_name[name])
@@ -266,3 +275,26 @@
     follower = next(n for n in "abc" if n != status.name)
     sentence = reader.change_voters("", "", follower, "marta", 10)
     assert sentence == f"removed voter {follower}"
+
+
+def test_replaced_leader_leaves_the_group(deployment: _Deployment) -> None:
+    """Guards against a voter that stays although its machine is gone for good.
+
+    The next leader has never heard from the leader before it, and the group
+    needs three of four voters as long as that one counts.
+    """
+    candidates = {}
+    for node in deployment.node_by_name.values():
+        candidates[node.candidate.name] = node.candidate
+        node.reconcile_voters(lambda: dict(candidates), 3)
+    replaced = deployment.leader().candidate.name
+    candidates.pop(replaced)
+    deployment.stop_voter(replaced, transfer_timeout_s=0.0)
+    candidates["d"] = deployment.add_machine("d").candidate
+    expected = {*"abcd"} - {replaced}
+    _wait_for(
+        lambda: (
+            {v.name for v in deployment.leader().status().voters} == expected
+        ),
+        "the new group",
+    )
