Open the data folder of a voter anew after its disk has failed

Cause: the first error of a write made a voter leave consensus for good, and nothing opened the folder again or replaced the voter: its folder had the same identity, and no other machine had a disk. Two such voters of three leave no quorum.

A task of `StateNode` now replaces a replica whose folder has failed by one that recovers from the folder, as at a start of the process, until the disk accepts data. It doesn't retry the failed write: after a failed sync the kernel may have dropped the pages, and what reads back may not be on the disk. Formats and messages are unchanged. A replica that fails for another reason (an invariant, a record that it cannot apply) still stays out.

Ruled out: ending the process, which would cut off the requests of callers that need no disk.

--- a/libs/state/mulberry_state/_grpc_peers.py
+++ b/libs/state/mulberry_state/_grpc_peers.py
@@ -1,5 +1,6 @@
 """Calls between voters over gRPC."""
 
+from collections.abc import Callable
 from typing import Any, TypeVar
 
 import grpc
@@ -33,10 +34,10 @@
 
 
 class LogPeerServicer(log_pb2_grpc.LogPeerServicer):
-    """Forwards the calls of other voters to the replica."""
+    """Forwards the calls of other voters to the current replica."""
 
-    def __init__(self, handler: _peers.PeerHandler) -> None:
-        self._handler = handler
+    def __init__(self, get_handler: Callable[[], _peers.PeerHandler]) -> None:
+        self._get_handler = get_handler
 
     def Vote(  # noqa: N802 (name of the gRPC method)
         self, request: log_pb2.VoteRequest, context: grpc.ServicerContext
@@ -75,7 +76,7 @@
         context: grpc.ServicerContext,
     ) -> _R:
         try:
-            reply: _R = self._handler.handle(method.name, request)
+            reply: _R = self._get_handler().handle(method.name, request)
             return reply
         except _disk.StorageError as error:
             context.abort(grpc.StatusCode.UNAVAILABLE, str(error))
--- a/libs/state/mulberry_state/_log.py
+++ b/libs/state/mulberry_state/_log.py
@@ -195,6 +195,19 @@
         self._files.start_segment(self._first_index, self._prev_term)
         self._files.drop_segments(snapshot.index)
 
+    def rewrite(self) -> None:
+        """Makes all content durable that was read when the log was opened.
+
+        Only for a log that was opened after the folder had become unusable in
+        this process.
+
+        Raises:
+            StorageError: The data folder is still unusable.
+        """
+        vote = log_pb2.LogVote(term=self.term, voted_for=self.voted_for)
+        batch = _log_files.Batch(tuple(self._records), self._prev_term)
+        self._files.rewrite(vote, self.snapshot, batch)
+
     def close(self) -> None:
         """Closes the files."""
         self._files.close()
--- a/libs/state/mulberry_state/_log_files.py
+++ b/libs/state/mulberry_state/_log_files.py
@@ -5,6 +5,7 @@
 import uuid
 from collections.abc import Iterable
 
+from absl import logging
 from google.protobuf import message
 
 from mulberry_state import _disk, _frames
@@ -47,7 +48,8 @@
     """Reads and writes the files; no operation is allowed after a failure.
 
     After a failed sync the kernel may have dropped the dirty pages and report
-    success for the next sync, so a retry would acknowledge lost data.
+    success for the next sync, so a retry would acknowledge lost data. The
+    folder can be opened anew; `rewrite` then makes its content durable.
     """
 
     def __init__(self, disk: _disk.Disk, name: str) -> None:
@@ -126,8 +128,7 @@
         self._require_usable()
         if self._file is None or self._file_size > SEGMENT_BYTES:
             self.start_segment(batch.records[0].index, batch.prev_term)
-        payload = log_pb2.LogBatch(records=batch.records).SerializeToString()
-        data = _frames.encode_frame(payload, self._checksum_seed)
+        data = _frames.encode_frame(_encode_batch(batch), self._checksum_seed)
         assert self._file is not None
         try:
             self._file.write(data)
@@ -143,12 +144,7 @@
         self._close_segment()
         self._sequence += 1
         name = f"{_SEGMENT_PREFIX}{self._sequence:012d}"
-        header = log_pb2.LogHeader(
-            format=LOG_FORMAT,
-            identity=self.identity,
-            first_index=first_index,
-            prev_term=prev_term,
-        )
+        header = self._header(first_index, prev_term)
         data = _frames.encode_frame(header.SerializeToString())
         try:
             self._file = self._disk.append(name)
@@ -161,6 +157,42 @@
         self._file_size = len(data)
         self._first_index_by_segment[name] = first_index
 
+    def rewrite(
+        self,
+        vote: log_pb2.LogVote,
+        snapshot: log_pb2.LogSnapshot,
+        batch: Batch,
+    ) -> None:
+        """Moves all content to new files and syncs them.
+
+        Needed after a failed sync: what reads back from the old files may be
+        missing from the disk. A crash at any step leaves the folder readable.
+
+        Args:
+            vote: The saved term and vote.
+            snapshot: The newest snapshot, or an empty one at index 0.
+            batch: All records after the newest snapshot.
+        """
+        self.save_vote(vote.term, vote.voted_for)
+        if self._names_with_prefix(_SNAPSHOT_PREFIX):
+            self.save_snapshot(snapshot)
+        self._close_segment()
+        old = self._names_with_prefix(_SEGMENT_PREFIX)
+        self._sequence += 1
+        name = f"{_SEGMENT_PREFIX}{self._sequence:012d}"
+        header = self._header(snapshot.index + 1, batch.prev_term)
+        data = _frames.encode_frame(header.SerializeToString())
+        if batch.records:
+            seed = _frames.checksum_seed(self.identity, name)
+            data += _frames.encode_frame(_encode_batch(batch), seed)
+        try:
+            self._disk.replace(name, data)
+        except OSError as error:
+            raise self._fail("rewrite the log", error) from error
+        # Oldest first, so that a crash leaves no gap between the segments.
+        self._remove(old)
+        self._first_index_by_segment = {name: header.first_index}
+
     def drop_segments(self, index: int) -> None:
         """Removes segments without any record after `index`."""
         names = sorted(self._first_index_by_segment)
@@ -176,7 +208,11 @@
 
     def close(self) -> None:
         """Closes the files and unlocks the folder."""
-        self._close_segment()
+        try:
+            self._close_segment()
+        except OSError as error:
+            # A faulty disk can report its error here; the descriptor is freed.
+            logging.warning("closing a log segment failed: %s", error)
         self._disk.close()
 
     def _open_identity(self, name: str) -> str:
@@ -305,10 +341,18 @@
         except OSError as error:
             raise self._fail("remove old files", error) from error
 
+    def _header(self, first_index: int, prev_term: int) -> log_pb2.LogHeader:
+        return log_pb2.LogHeader(
+            format=LOG_FORMAT,
+            identity=self.identity,
+            first_index=first_index,
+            prev_term=prev_term,
+        )
+
     def _close_segment(self) -> None:
-        if self._file is not None:
-            self._file.close()
-            self._file = None
+        file, self._file = self._file, None
+        if file is not None:
+            file.close()
 
     def _require_usable(self) -> None:
         if self.failure:
@@ -318,3 +362,7 @@
         failure = _disk.storage_error(action, error)
         self.failure = str(failure)
         return failure
+
+
+def _encode_batch(batch: Batch) -> bytes:
+    return log_pb2.LogBatch(records=batch.records).SerializeToString()
--- a/libs/state/mulberry_state/_memory_disk.py
+++ b/libs/state/mulberry_state/_memory_disk.py
@@ -17,6 +17,9 @@
         self._lock = threading.RLock()
         self._data_by_name: dict[str, bytearray] = {}
         self._synced_by_id: dict[int, bytes] = {}
+        #: Files for which a sync has failed. Their pages may be marked as
+        #: clean, so that later syncs write nothing and succeed.
+        self._dropped_ids: set[int] = set()
         self._durable_names: dict[str, bytearray] = {}
         #: Number of steps so far.
         self.steps = 0
@@ -45,6 +48,7 @@
                 content = bytearray()
                 self._data_by_name[name] = content
                 self._synced_by_id[id(content)] = b""
+                self._dropped_ids.discard(id(content))
             return _MemoryFile(self, name, self._data_by_name[name])
 
     def rename(self, old: str, new: str) -> None:
@@ -85,8 +89,13 @@
     def sync(self, content: bytearray, name: str) -> None:
         """Makes the content of a file survive a crash."""
         with self._lock:
-            self.step(f"sync {name}")
-            self._synced_by_id[id(content)] = bytes(content)
+            try:
+                self.step(f"sync {name}")
+            except OSError:
+                self._dropped_ids.add(id(content))
+                raise
+            if id(content) not in self._dropped_ids:
+                self._synced_by_id[id(content)] = bytes(content)
 
     def truncate(self, content: bytearray, size: int, name: str) -> None:
         """Truncates a file."""
--- a/libs/state/mulberry_state/_node.py
+++ b/libs/state/mulberry_state/_node.py
@@ -1,5 +1,7 @@
 """A voter as a daemon runs it: the replica and its gRPC services."""
 
+import dataclasses
+import functools
 import pathlib
 import threading
 from collections.abc import Callable, Mapping
@@ -35,13 +37,26 @@
 _PENDING_PERIOD_S = 0.5
 _IDLE_PERIOD_S = 5.0
 _IN_EFFECT_TIMEOUT_S = 2.0
-#: One task marks changes as in effect, the other reconciles the voters.
+#: Interval between attempts to open a data folder that failed, seconds.
+_REOPEN_PERIOD_S = 0.5
+#: One task marks changes as in effect, the other reopens the data folder.
 _MAX_TASKS = 2
 
 
+@dataclasses.dataclass(frozen=True)
+class _Reconciliation:
+    """What `StateNode.reconcile_voters` was asked for."""
+
+    get_candidates: Callable[[], Mapping[str, _voter_reconciler.VoterCandidate]]
+    min_voters: int
+
+
 class StateNode:
     """Log, consensus and state machine of one voter.
 
+    A replica whose data folder fails takes part no longer. The folder is then
+    opened anew, as at a start of the process, until its disk accepts data.
+
     The gRPC server that it is added to needs at least `SERVER_THREADS`
     threads: proposals and renewals block threads while they wait for a quorum,
     and requests of other voters must not queue behind them.
@@ -76,18 +91,22 @@
             StorageError: The data folder cannot be used.
         """
         timing = timing or rules.Timing()
+        self._name = name
+        self._address = address
+        self._initial_voters = initial_voters
+        self._folder = folder
         self._clock = clock
+        self._timing = timing
+        self._parser = parser or _parser.FileRulesParser()
+        self._disk = disk
         self._channels = _channels.Channels(open_channel)
-        self.replica = _replica.Replica(
-            name,
-            address,
-            initial_voters,
-            disk or _disk.OsDisk(folder),
-            _grpc_peers.GrpcPeerTransport(self._channels),
-            _machine.StateMachine(parser or _parser.FileRulesParser()),
-            clock,
-            timing,
+        #: Guards the replacement of `replica` and `_reconciliation`.
+        self._replica_lock = threading.Lock()
+        self._reconciliation: _Reconciliation | core.Missing = (
+            core.Missing.UNSET
         )
+        #: The current replica; another one after the data folder has failed.
+        self.replica = self._open_replica()
         self.rules_leases = _rules_leases.RulesLeaseTable(
             clock, timing.lease_term_s
         )
@@ -103,16 +122,18 @@
             _service.StateServicer(self, self._channels, self._clock), server
         )
         log_pb2_grpc.add_LogPeerServicer_to_server(  # type: ignore[no-untyped-call]
-            _grpc_peers.LogPeerServicer(self.replica), server
+            _grpc_peers.LogPeerServicer(lambda: self.replica), server
         )
 
     def start(self) -> None:
         """Joins consensus; the server should already be started."""
         self.replica.start()
         self._pool.spawn("in effect", self._run_in_effect)
+        self._pool.spawn("reopen", self._run_reopening)
 
     def bootstrap_with(self, initial_voters: Mapping[str, str]) -> None:
         """Sets the initial voters if they were not known at the start."""
+        self._initial_voters = initial_voters
         self.replica.group.bootstrap_with(initial_voters)
 
     def reconcile_voters(
@@ -128,14 +149,9 @@
             get_candidates: Returns the live instances with a data folder.
             min_voters: See `next_change`.
         """
-        reconciler = _voter_reconciler.VoterReconciler(
-            self.replica.raft,
-            self.replica.group,
-            self._voter_statuses,
-            get_candidates,
-            min_voters,
-        )
-        self._pool.spawn("voters", reconciler.run)
+        with self._replica_lock:
+            self._reconciliation = _Reconciliation(get_candidates, min_voters)
+            self._start_reconciliation()
 
     @property
     def candidate(self) -> _voter_reconciler.VoterCandidate:
@@ -165,10 +181,74 @@
         self._channels.close()
         self.replica.stop()
 
+    def _open_replica(self, rewrite: bool = False) -> _replica.Replica:
+        """Opens the data folder; see `Replica`.
+
+        Raises:
+            StorageError: The data folder cannot be used.
+        """
+        disk = self._disk or _disk.OsDisk(self._folder)
+        try:
+            return _replica.Replica(
+                self._name,
+                self._address,
+                self._initial_voters,
+                disk,
+                _grpc_peers.GrpcPeerTransport(self._channels),
+                _machine.StateMachine(self._parser),
+                self._clock,
+                self._timing,
+                rewrite=rewrite,
+            )
+        except Exception:
+            disk.close()
+            raise
+
+    def _start_reconciliation(self) -> None:
+        """Starts the reconciler of the current replica, if it was asked for."""
+        if isinstance(self._reconciliation, core.Missing):
+            return
+        reconciler = _voter_reconciler.VoterReconciler(
+            self.replica.raft,
+            self.replica.group,
+            functools.partial(_voter_statuses, self.replica.raft),
+            self._reconciliation.get_candidates,
+            self._reconciliation.min_voters,
+        )
+        self.replica.spawn("voters", reconciler.run)
+
+    def _run_reopening(self, stop: threading.Event) -> None:
+        """Task: replaces the replica after its data folder has failed."""
+        last_reason = ""
+        while not stop.wait(_REOPEN_PERIOD_S):
+            if not self.replica.raft.log.failure:
+                continue
+            self.replica.stop()
+            try:
+                replica = self._open_replica(rewrite=True)
+            except _disk.StorageError as error:
+                if str(error) != last_reason:
+                    logging.warning(
+                        "%s cannot reopen its data folder: %s",
+                        self._name,
+                        error,
+                    )
+                last_reason = str(error)
+                continue
+            last_reason = ""
+            logging.warning(
+                "%s has reopened its data folder and votes again", self._name
+            )
+            with self._replica_lock:
+                self.replica = replica
+                replica.start()
+                self._start_reconciliation()
+
     def ledger(self) -> _reports.LedgerReport:
         """Returns the sums of the bills, verified against all records."""
-        with self.replica.raft.machine_lock:
-            machine = self.replica.applier.machine
+        replica = self.replica
+        with replica.raft.machine_lock:
+            machine = replica.applier.machine
             return _reports.LedgerReport(
                 index=machine.index,
                 sums=machine.ledger.sums(),
@@ -184,8 +264,9 @@
             before_index: Only records below this log index; 0 for all.
             max_records: Maximum number of records; 0 for all.
         """
-        with self.replica.raft.machine_lock:
-            records = self.replica.applier.machine.audit.records()
+        replica = self.replica
+        with replica.raft.machine_lock:
+            records = replica.applier.machine.audit.records()
         newest = [
             record
             for record in reversed(records)
@@ -195,14 +276,16 @@
 
     def history(self) -> tuple[_rulebook.RulesText, ...]:
         """Returns the accepted rule files that are kept, newest first."""
-        with self.replica.raft.machine_lock:
-            texts = self.replica.applier.machine.rulebook.texts()
+        replica = self.replica
+        with replica.raft.machine_lock:
+            texts = replica.applier.machine.rulebook.texts()
         return texts[::-1]
 
     def status(self) -> _reports.NodeStatus:
         """Returns the status of this voter."""
-        with self.replica.raft.machine_lock:
-            machine = self.replica.applier.machine
+        replica = self.replica
+        with replica.raft.machine_lock:
+            machine = replica.applier.machine
             view = machine.view
             in_effect = machine.in_effect
             texts = machine.rulebook.texts()
@@ -211,7 +294,7 @@
                 if texts
                 else 0.0
             )
-        raft = self.replica.raft
+        raft = replica.raft
         with raft.lock:
             return _reports.NodeStatus(
                 name=raft.name,
@@ -224,7 +307,7 @@
                 commit_index=raft.commit_index,
                 applied_index=raft.applied_index,
                 snapshot_index=raft.log.snapshot.index,
-                voters=self._voter_statuses(),
+                voters=_voter_statuses(raft),
                 in_effect_revision=in_effect[0],
                 in_effect_s=in_effect[1],
                 rules_in_effect_s=rules_in_effect_s,
@@ -239,10 +322,11 @@
         True once each instance has renewed its lease with that or a later
         revision, or its lease has expired.
         """
-        machine = self.replica.applier.machine
+        replica = self.replica
+        machine = replica.applier.machine
         if machine.in_effect[0] >= revision:
             return True
-        raft = self.replica.raft
+        raft = replica.raft
         with raft.lock:
             elected_s = raft.elected_s
             is_leader = raft.role is _raft.Role.LEADER
@@ -254,8 +338,9 @@
 
     def in_effect_since(self, revision: int) -> float | core.Missing:
         """Returns the Unix time at which a revision came into effect."""
-        with self.replica.raft.machine_lock:
-            machine = self.replica.applier.machine
+        replica = self.replica
+        with replica.raft.machine_lock:
+            machine = replica.applier.machine
             since_s = machine.audit.in_effect_since(revision)
         return since_s or core.Missing.UNSET
 
@@ -285,43 +370,21 @@
         except _raft.LeadershipLost as error:
             raise _group.ChangeRefused("this voter does not lead") from error
 
-    def _voter_statuses(self) -> tuple[_reports.VoterStatus, ...]:
-        raft = self.replica.raft
-        rows = []
-        with raft.lock:
-            is_leader = raft.role is _raft.Role.LEADER
-            for voter in raft.voters.message.voters:
-                match_index, silent_s = 0, raft.silent_s(voter.identity)
-                progress = raft.progress_by_identity.get(voter.identity)
-                if is_leader and voter.identity == raft.identity:
-                    match_index, silent_s = raft.log.durable_index, 0.0
-                elif progress:
-                    match_index = progress.match_index
-                rows.append(
-                    _reports.VoterStatus(
-                        name=voter.name,
-                        address=voter.address,
-                        identity=voter.identity,
-                        match_index=match_index,
-                        silent_s=silent_s,
-                    )
-                )
-        return tuple(rows)
-
     def _run_in_effect(self, stop: threading.Event) -> None:
         """Task: records in the log when changes come into effect.
 
         The record makes the time available to the audit trail and to later
         leaders.
         """
-        machine = self.replica.applier.machine
         while not stop.is_set():
+            machine = self.replica.applier.machine
             last_revision = machine.audit.last_revision
             pending = machine.in_effect[0] < last_revision
             self.lease_renewed_event.wait(
                 _PENDING_PERIOD_S if pending else _IDLE_PERIOD_S
             )
             self.lease_renewed_event.clear()
+            machine = self.replica.applier.machine
             last_revision = machine.audit.last_revision
             if machine.in_effect[
                 0
@@ -330,3 +393,29 @@
                 if not self.in_effect_everywhere(revision):
                     revision = last_revision
                 self.replica.mark_in_effect(revision, _IN_EFFECT_TIMEOUT_S)
+
+
+def _voter_statuses(
+    raft: _raft.RaftState,
+) -> tuple[_reports.VoterStatus, ...]:
+    """Returns the voters as `raft` sees them."""
+    rows = []
+    with raft.lock:
+        is_leader = raft.role is _raft.Role.LEADER
+        for voter in raft.voters.message.voters:
+            match_index, silent_s = 0, raft.silent_s(voter.identity)
+            progress = raft.progress_by_identity.get(voter.identity)
+            if is_leader and voter.identity == raft.identity:
+                match_index, silent_s = raft.log.durable_index, 0.0
+            elif progress:
+                match_index = progress.match_index
+            rows.append(
+                _reports.VoterStatus(
+                    name=voter.name,
+                    address=voter.address,
+                    identity=voter.identity,
+                    match_index=match_index,
+                    silent_s=silent_s,
+                )
+            )
+    return tuple(rows)
--- a/libs/state/mulberry_state/_raft.py
+++ b/libs/state/mulberry_state/_raft.py
@@ -257,7 +257,7 @@
         return int(record.index)
 
     def fail(self, reason: str) -> None:
-        """Leaves consensus permanently; the process must be restarted."""
+        """Leaves consensus; only a replica opened anew can join again."""
         with self.lock:
             if self.role is not Role.FAILED:
                 logging.error("%s stops voting: %s", self.name, reason)
--- a/libs/state/mulberry_state/_replica.py
+++ b/libs/state/mulberry_state/_replica.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import threading
 from collections.abc import Callable, Mapping
 from concurrent import futures
 from typing import Any
@@ -56,13 +57,29 @@
         clock: core.Clock,
         timing: rules.Timing,
         rng: random.Random | None = None,
+        rewrite: bool = False,
     ) -> None:
         """Opens the log.
 
+        Args:
+            name: Name of the instance.
+            address: Address at which other voters reach it.
+            initial_voters: Address by name; used until the bootstrap.
+            disk: The data folder.
+            transport: Calls other voters.
+            machine: Receives the committed commands.
+            clock: For timeouts and timestamps.
+            timing: Heartbeat and election durations.
+            rng: Chooses the election timeouts.
+            rewrite: Whether an operation on the folder has failed before in
+                this process; its files are then written anew.
+
         Raises:
             StorageError: The data folder cannot be used.
         """
         log = _log.Log(disk, name)
+        if rewrite:
+            log.rewrite()
         self.raft = _raft.RaftState(
             name,
             address,
@@ -94,11 +111,18 @@
         self._pool.spawn("peers", self._replication.run_peer_starter)
         self._pool.spawn("apply", self.applier.run)
 
+    def spawn(self, name: str, task: Callable[[threading.Event], None]) -> None:
+        """Runs a task until the replica stops."""
+        self._pool.spawn(name, task)
+
     def stop(self) -> None:
-        """Stops all tasks and closes the log."""
+        """Stops all tasks and closes the log; later calls do nothing."""
+        if self._pool.stopping.is_set():
+            return
         self._pool.stopping.set()
         with self.raft.lock:
-            self.raft.deactivate("stopped")
+            if self.raft.role is not _raft.Role.FAILED:
+                self.raft.deactivate("stopped")
         self._pool.stop()
         self.raft.log.close()
 
--- a/libs/state/mulberry_state/_service.py
+++ b/libs/state/mulberry_state/_service.py
@@ -46,7 +46,6 @@
         clock: core.Clock,
     ) -> None:
         self._node = node
-        self._replica = node.replica
         self._channels = channels
         self._clock = clock
         self._quorum_call_slots = threading.BoundedSemaphore(MAX_WAITING_CALLS)
@@ -110,7 +109,7 @@
     ) -> state_pb2.ProposeReply:
         command = _codec.decode_command(request.command.SerializeToString())
         timeout_s = min(request.timeout_s, _MAX_PROPOSE_TIMEOUT_S)
-        outcome = self._replica.propose(command, timeout_s)
+        outcome = self._node.replica.propose(command, timeout_s)
         leader = self._leader_address()
         if isinstance(outcome, _replica.NotLeader):
             reply = self._forward("Propose", request, context)
@@ -137,7 +136,7 @@
         received_s = self._clock.now()
         remaining_s = context.time_remaining()
         timeout_s = min(_CONFIRM_TIMEOUT_S, remaining_s or _CONFIRM_TIMEOUT_S)
-        if not self._replica.confirm_leadership(timeout_s):
+        if not self._node.replica.confirm_leadership(timeout_s):
             reply = self._forward("Renew", request, context)
             if reply is not None:
                 return reply  # type: ignore[no-any-return]
@@ -158,7 +157,7 @@
             request.instance, request.process, request.report
         )
         self._node.lease_renewed_event.set()
-        view = self._replica.view()
+        view = self._node.replica.view()
         reply = state_pb2.RenewReply(
             granted=True, leader_address=self._leader_address()
         )
@@ -174,7 +173,7 @@
         request: state_pb2.ChangeVotersRequest,
         context: grpc.ServicerContext,
     ) -> state_pb2.ChangeVotersReply:
-        if self._leader_address() != self._replica.raft.address:
+        if self._leader_address() != self._node.replica.raft.address:
             reply = self._forward("ChangeVoters", request, context)
             if reply is not None:
                 return reply  # type: ignore[no-any-return]
@@ -203,7 +202,7 @@
             unknown or this voter, or the leader cannot be reached.
         """
         leader = self._leader_address()
-        if request.forwarded or leader in ("", self._replica.raft.address):
+        if request.forwarded or leader in ("", self._node.replica.raft.address):
             return None
         copy = type(request)()
         copy.CopyFrom(request)
@@ -220,7 +219,7 @@
         return None if isinstance(reply, _peers.Unreachable) else reply
 
     def _leader_address(self) -> str:
-        return self._replica.raft.leader_address
+        return self._node.replica.raft.leader_address
 
     def _run_in_slot(
         self, context: grpc.ServicerContext, call: Callable[[], _R]
--- a/libs/state/mulberry_state/tests/test_log.py
+++ b/libs/state/mulberry_state/tests/test_log.py
@@ -139,6 +139,51 @@
     assert _content(again) == expected
 
 
+@hypothesis.given(
+    ops=_OPS,
+    fail_at=st.integers(0, 40),
+    rewrite_fails_at=st.integers(0, 30),
+    seed=st.integers(0, 1 << 16),
+)
+@hypothesis.settings(max_examples=400, deadline=None)
+def test_log_that_is_opened_after_a_failure_is_durable(
+    ops: list[_Op], fail_at: int, rewrite_fails_at: int, seed: int
+) -> None:
+    """Guards against records that read back, but were never written.
+
+    After a failed sync, the next one may succeed without writing anything.
+    """
+    rng = random.Random(seed)
+    disk = _memory_disk.MemoryDisk()
+    model = _Model(_log.Log(disk, "a"))
+    disk.fail_at = disk.steps + fail_at
+    try:
+        for op in ops:
+            model.run(op)
+    except _disk.StorageError:
+        assert model.log.failure
+    disk.fail_at = -1
+    opened = _log.Log(disk, "a")
+    model.check_recovered(opened)
+    expected = (_content(opened), opened.term, opened.voted_for)
+    disk.fail_at = disk.steps + rewrite_fails_at
+    try:
+        opened.rewrite()
+    except _disk.StorageError:
+        model.check_recovered(_log.Log(disk.after_crash(rng), "a"))
+        return
+    disk.fail_at = -1
+    recovered = _log.Log(disk.after_crash(rng), "a")
+    assert expected == (
+        _content(recovered),
+        recovered.term,
+        recovered.voted_for,
+    )
+    _append(opened, opened.last.index + 1, 2, opened.term + 1)
+    again = _log.Log(disk.after_crash(rng), "a")
+    assert _content(again) == _content(opened)
+
+
 @pytest.mark.parametrize("errno", [28, 30, 5])
 def test_log_is_unusable_after_a_failed_sync(errno: int) -> None:
     """Guards against a retried sync that reports success for lost pages."""
--- a/libs/state/mulberry_state/tests/test_node.py
+++ b/libs/state/mulberry_state/tests/test_node.py
@@ -1,11 +1,12 @@
 """Voters and clients over gRPC on loopback."""
 
+import os
 import pathlib
 import threading
 import time
 from collections.abc import Callable, Iterator
 from concurrent import futures
-from typing import Any
+from typing import Any, NoReturn
 
 import grpc
 import pytest
@@ -298,3 +299,40 @@
         ),
         "the new group",
     )
+
+
+@pytest.mark.parametrize("errno", [5, 28])
+def test_voters_return_once_their_disks_take_data_again(
+    deployment: _Deployment, monkeypatch: pytest.MonkeyPatch, errno: int
+) -> None:
+    """Guards against voters that leave for good after one failed write."""
+    client = deployment.clients[0]
+    assert not isinstance(client.propose(_bill(1), 20.0), core.Refusal)
+
+    def fail(descriptor: int) -> NoReturn:
+        raise OSError(errno, "injected fault")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "fdatasync", fail)
+        refusal = client.propose(_bill(2), 1.0)
+        assert isinstance(refusal, core.Refusal)
+        _wait_for(
+            lambda: any(
+                node.status().role == "failed"
+                for node in deployment.node_by_name.values()
+            ),
+            "a voter whose disk failed",
+        )
+    for number in range(3, 6):
+        outcome = client.propose(_bill(number), 20.0)
+        assert not isinstance(outcome, core.Refusal)
+    _wait_for(
+        lambda: all(
+            not node.status().failure
+            for node in deployment.node_by_name.values()
+        ),
+        "all voters",
+    )
+    report = deployment.leader().ledger()
+    assert not report.differences
+    assert sum(row.bills for row in report.sums) in (4, 5)
