--- a/libs/entry/mulberry_entry/_app.py
+++ b/libs/entry/mulberry_entry/_app.py
@@ -229,6 +229,8 @@
                 "this entry has served its last request",
             )
         client = self._components.state
+        # Read before the view, for which it vouches.
+        lease_s = client.lease_remaining_s()
         view = client.view()
         if isinstance(view.rules, core.Missing):
             return core.Refusal(
@@ -236,7 +238,7 @@
                 core.RunState.NOT_RUN,
                 "no rules have been accepted",
             )
-        if client.lease_remaining_s() <= 0:
+        if lease_s <= 0:
             return core.Refusal(
                 core.ErrorKind.RULES_LEASE_EXPIRED,
                 core.RunState.NOT_RUN,
--- a/libs/entry/mulberry_entry/_dispatch.py
+++ b/libs/entry/mulberry_entry/_dispatch.py
@@ -260,7 +260,9 @@
             else chosen.service,
         )
         client = self._components.state
-        view, lease_s = client.view(), client.lease_remaining_s()
+        # The lease vouches for a view that is read after it.
+        lease_s = client.lease_remaining_s()
+        view = client.view()
         if destination.version:
             return self._components.gate.check(
                 view,
--- a/libs/entry/mulberry_entry/tests/test_entry.py
+++ b/libs/entry/mulberry_entry/tests/test_entry.py
@@ -455,3 +455,29 @@
         reply = entry.send("POST", "/v1/announcements", body)
         assert reply[0] == 400, body[:20]
     assert set(entry.directory.upstreams()) == before
+
+
+@pytest.mark.parametrize("call", [1, 2])
+def test_a_renewal_does_not_vouch_for_the_view_that_it_replaces(
+    entry: harness.Harness, call: int
+) -> None:
+    """Guards against work on a version that was withdrawn during a freeze.
+
+    A renewal brings the withdrawal and extends the lease just before the
+    request looks at the lease for the first or second time.
+    """
+    lease_s = entry.state.lease_remaining_s()
+    calls = 0
+
+    def renew() -> float:
+        nonlocal calls
+        calls += 1
+        if calls == call:
+            _withdraw(entry)
+        return lease_s
+
+    entry.state.lease_remaining_s = renew  # type: ignore[method-assign]
+    _, _, body = entry.send(*_CHAT)
+    assert calls >= call
+    assert json.loads(body)["kind"] == "version_withdrawn"
+    assert entry.runs() == []
--- a/libs/gateway/mulberry_gateway/_forwarder.py
+++ b/libs/gateway/mulberry_gateway/_forwarder.py
@@ -25,6 +25,16 @@
 ANSWER_MARGIN_S = 0.02
 
 
+@dataclasses.dataclass(frozen=True)
+class _Validity:
+    """How far the routing table may be trusted that is read after this."""
+
+    #: Remaining time of the rules lease, seconds.
+    lease_s: float
+    #: Maximum age of the table, seconds.
+    age_s: float
+
+
 class Forwarder(_listener.Handler):
     """Forwards requests; each one runs on the task of its connection."""
 
@@ -80,6 +90,12 @@
         keep_alive: bool,
     ) -> _exchange.Exchange | core.Refusal:
         """Matches the route and authenticates the caller."""
+        # Read before the table, for which it vouches. In the opposite order, a
+        # renewal in between would vouch for a table that it has replaced.
+        validity = _Validity(
+            self._components.state.lease_remaining_s(),
+            self._components.state.view_age_s(),
+        )
         table = self._components.routing.table
         if isinstance(table, core.Missing):
             return _faults.not_run(
@@ -90,12 +106,13 @@
             return self._refuse_unless_outdated(
                 core.ErrorKind.NOT_FOUND,
                 f"routing {table.version} has no route for this host and path",
+                validity,
             )
         answer_timeout_s = min(metadata.caller_timeout_s, route.timeout_s)
         deadline_s = request.received_s + answer_timeout_s - ANSWER_MARGIN_S
         if not _stop_check.may_accept(self._components, route, deadline_s):
             return _stop_check.leaving_refusal()
-        team = self._authenticate(table, route, metadata)
+        team = self._authenticate(table, route, metadata, validity)
         if isinstance(team, core.Refusal):
             return team
         team_name, priority = "", route.priority
@@ -121,10 +138,11 @@
         table: routing.RoutingTable,
         route: routing.Route,
         metadata: _dialect.RequestMetadata,
+        validity: "_Validity",
     ) -> routing.Team | core.Missing | core.Refusal:
         if route.is_public or not table.teams_by_name:
             return core.Missing.UNSET
-        if self._components.state.lease_remaining_s() <= 0.0:
+        if validity.lease_s <= 0.0:
             return _faults.not_run(
                 core.ErrorKind.RULES_LEASE_EXPIRED,
                 "this instance has not renewed its rules lease within its term",
@@ -134,11 +152,12 @@
             return self._refuse_unless_outdated(
                 core.ErrorKind.UNAUTHENTICATED,
                 f"routing {table.version} has no team with this key",
+                validity,
             )
         return team
 
     def _refuse_unless_outdated(
-        self, kind: core.ErrorKind, reason: str
+        self, kind: core.ErrorKind, reason: str, validity: "_Validity"
     ) -> core.Refusal:
         """Returns a final refusal only if the routing is known to be current.
 
@@ -146,12 +165,11 @@
         key that this instance does not know yet, and the caller should ask
         another instance.
         """
-        age_s = self._components.state.view_age_s()
-        if age_s <= self._components.max_view_age_s:
+        if validity.age_s <= self._components.max_view_age_s:
             return _faults.not_run(kind, reason)
         return _faults.not_run(
             core.ErrorKind.RULES_LEASE_EXPIRED,
-            f"{reason}, and has not been confirmed for {age_s:.1f} s",
+            f"{reason}, and has not been confirmed for {validity.age_s:.1f} s",
         )
 
     def _run(self, exchange: _exchange.Exchange) -> bool:
--- a/libs/state/mulberry_state/_client.py
+++ b/libs/state/mulberry_state/_client.py
@@ -33,7 +33,9 @@
     def lease_remaining_s(self) -> float:
         """Returns the remaining time of the rules lease, 0 if it has expired.
 
-        The instance may act on its view until then.
+        The instance may act until then on the view, and on what callbacks have
+        derived from it, if it reads them after this: a renewal installs a new
+        view before it extends the lease.
         """
 
     @abc.abstractmethod
@@ -62,4 +64,8 @@
 
     @abc.abstractmethod
     def subscribe(self, callback: Callable[[_view.View], None]) -> None:
-        """Registers a callback for new views, run on a thread of the client."""
+        """Registers a callback for new views, run on a thread of the client.
+
+        The lease is extended only after all callbacks have returned, so they
+        must neither block for long nor call the client.
+        """
--- a/libs/state/mulberry_state/_remote.py
+++ b/libs/state/mulberry_state/_remote.py
@@ -64,6 +64,9 @@
             addresses, self._channels, clock
         )
         self._lock = threading.Lock()
+        #: Held while the callbacks install a new view. No renewal is sent and
+        #: no lease extended meanwhile: both vouch for the view.
+        self._install_lock = threading.Lock()
         self._view = _view.EMPTY_VIEW
         self._lease_ends_s = float("-inf")
         #: `Clock.now` when the last granted renewal was sent.
@@ -152,7 +155,8 @@
         """Renews the lease; returns whether it was granted."""
         deadline_s = self._clock.now() + timeout_s
         for address, attempt_s in self.voter_client.attempts(deadline_s):
-            view = self._view
+            with self._install_lock:
+                view = self._view
             sent_s = self._clock.now()
             reply = self.voter_client.call(
                 address,
@@ -214,7 +218,9 @@
     ) -> bool:
         """Applies a granted renewal: updates the view and extends the lease.
 
-        A view older than the current one is rejected.
+        A view older than the current one is rejected. The lease is extended
+        only after the callbacks have installed the view: until then parts of
+        this instance still act on the one before.
         """
         new = previous
         if reply.HasField("view"):
@@ -240,18 +246,19 @@
                 self._undecodable_revision = reply.view.revision
                 return False
         term_s = self._timing.lease_term_s * (1 - _rules_leases.MAX_CLOCK_DRIFT)
-        with self._lock:
-            if new.revision < self._view.revision:
-                # A renewal on another thread has fetched a later view.
-                new = previous = self._view
-            # The view is set first, because the lease applies to it.
-            self._view = new
-            self._lease_ends_s = max(self._lease_ends_s, sent_s + term_s)
-            self._last_renewal_s = max(self._last_renewal_s, sent_s)
-            callbacks = tuple(self._callbacks)
-        if new is not previous:
-            self.voter_client.set_voters(new.voters_by_name)
-            _view.notify(callbacks, new)
+        with self._install_lock:
+            with self._lock:
+                if new.revision < self._view.revision:
+                    # A renewal on another thread has fetched a later view.
+                    new = previous = self._view
+                self._view = new
+                callbacks = tuple(self._callbacks)
+            if new is not previous:
+                self.voter_client.set_voters(new.voters_by_name)
+                _view.notify(callbacks, new)
+            with self._lock:
+                self._lease_ends_s = max(self._lease_ends_s, sent_s + term_s)
+                self._last_renewal_s = max(self._last_renewal_s, sent_s)
         return True
 
 
