End the wait for bytes that arrive without a pause

A caller could likewise keep a connection and its thread busy with chunk extensions without end.

Cause: the timeout of a read bounds the wait for a byte. While there is always a byte to read there is no wait, and nobody looked at the clock.

`ReadDeadline` ends a wait by the clock, for answers of upstreams and for requests of callers. The framing of a request's body is bounded as that of an answer is.

Related paths: a whole body is given up by its size first; closing a connection counts its time already; an upstream that reads a long body slowly is given up by the wait for its answer.

--- a/libs/gateway/mulberry_gateway/_request_reader.py
+++ b/libs/gateway/mulberry_gateway/_request_reader.py
@@ -7,7 +7,12 @@
 
 import mulberry_core as core
 import mulberry_routing as routing
-from mulberry_gateway import _body_limits, _connection, _messages
+from mulberry_gateway import (
+    _body_limits,
+    _connection,
+    _messages,
+    _read_deadline,
+)
 
 #: Timeout for a complete body, seconds. 4 MiB take 7 s on a 5 Mbit/s link.
 _BODY_TIMEOUT_S = 15.0
@@ -67,6 +72,8 @@
         self._fault: InvalidRequest | None = None
         #: Bytes of the head that is being parsed.
         self._head_bytes = 0
+        #: Bytes received since the last part of the body, or since the head.
+        self._framing_bytes = 0
         self._ready: collections.deque[_messages.Request] = collections.deque()
 
     @property
@@ -87,11 +94,12 @@
         self,
     ) -> _messages.Request | InvalidRequest | _connection.ConnectionFailure:
         """Returns the next request, or why there is none."""
-        wait_s = self._limits.idle_timeout_s
-        deadline_s = self._clock.now() + wait_s
+        deadline = _read_deadline.ReadDeadline(self._clock.now)
+        deadline.start(self._limits.idle_timeout_s)
         while not self._ready:
-            left_s = deadline_s - self._clock.now()
-            data = self._connection.receive(left_s)
+            data = self._connection.receive(deadline.remaining_s)
+            if deadline.is_over():
+                data = _connection.ConnectionFailure.TIMEOUT
             if isinstance(data, _connection.ConnectionFailure):
                 return self._on_receive_failure(data)
             was_started, was_in_body = self._started, self._in_body
@@ -99,9 +107,9 @@
             if self._fault:
                 return self._fault
             if self._started and not was_started:
-                deadline_s = self._clock.now() + self._limits.header_timeout_s
+                deadline.start(self._limits.header_timeout_s)
             if self._in_body and not was_in_body:
-                deadline_s = self._clock.now() + _BODY_TIMEOUT_S
+                deadline.start(_BODY_TIMEOUT_S)
         self.release_answered()
         self._returned_grant = self._grants.popleft()
         return self._ready.popleft()
@@ -120,6 +128,7 @@
         self._partial.granted = 0
 
     def _feed(self, data: bytes) -> None:
+        self._framing_bytes += len(data)
         if not self._in_body:
             self._head_bytes += len(data)
         try:
@@ -136,6 +145,9 @@
             # The parser buffers a header until it is complete. The bytes of
             # this read may include the end of the previous request.
             self._check_head_size(self._head_bytes - len(data))
+        if self._started and self._in_body:
+            # The parser passes no callback anything of a chunk extension.
+            self._check_head_size(self._framing_bytes - len(data))
 
     def _on_receive_failure(
         self, ended: _connection.ConnectionFailure
@@ -173,6 +185,7 @@
         partial = self._partial
         partial.received_s = self._clock.now()
         self._in_body = True
+        self._framing_bytes = 0
         self._check_head(partial)
         if (
             not self._fault
@@ -184,6 +197,7 @@
     def on_body(self, body: bytes) -> None:
         """Appends a part of the body within the limits."""
         partial = self._partial
+        self._framing_bytes = 0
         partial.body += body
         size = len(partial.body)
         if size > self._limits.max_body_bytes:
--- a/libs/gateway/mulberry_gateway/_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/_upstream_call.py
@@ -18,6 +18,7 @@
     _body_limits,
     _connection,
     _messages,
+    _read_deadline,
     _upstream_connector,
     _upstream_paths,
 )
@@ -40,7 +41,7 @@
     GARBLED = "garbled"
     #: The answer exceeds the size limits.
     EXCESSIVE = "excessive"
-    #: Nothing arrived before the timeout.
+    #: What was waited for did not arrive before the timeout.
     SILENT = "silent"
     #: The upstream was given up while it had the request.
     LOST = "lost"
@@ -101,6 +102,7 @@
         self._ends_with_connection = False
         #: `time.monotonic` when the last bytes arrived, seconds.
         self.last_received_s = 0.0
+        self._deadline = _read_deadline.ReadDeadline(time.monotonic)
 
     def connect(self, timeout_s: float = math.inf) -> Fault | core.Missing:
         """Opens the connection; nothing is sent before that."""
@@ -135,29 +137,29 @@
 
     def read_head(self, timeout_s: float) -> _messages.ResponseHead | Fault:
         """Reads the status and headers of the response."""
-        until_s = time.monotonic() + timeout_s
+        self._deadline.start(timeout_s)
         while self._head is None:
-            fault = self._read(until_s)
+            fault = self._read()
             if isinstance(fault, Fault):
                 return fault
         return self._head
 
     def read_some(self, timeout_s: float) -> bytes | Fault:
         """Returns the next part of the body, empty at its end."""
-        until_s = time.monotonic() + timeout_s
+        self._deadline.start(timeout_s)
         while not self._body:
             if self._is_complete:
                 return b""
-            fault = self._read(until_s)
+            fault = self._read()
             if isinstance(fault, Fault):
                 return fault
         return self._take_body()
 
     def read_body(self, timeout_s: float) -> bytes | Fault:
         """Returns the complete body."""
-        until_s = time.monotonic() + timeout_s
+        self._deadline.start(timeout_s)
         while not self._is_complete:
-            fault = self._read(until_s)
+            fault = self._read()
             if isinstance(fault, Fault):
                 return fault
             # Framing counts as well, so that a body in small chunks takes
@@ -200,24 +202,26 @@
         self._body.clear()
         return data
 
-    def _read(self, until_s: float) -> Fault | core.Missing:
+    def _read(self) -> Fault | core.Missing:
         connection = self._connection
         if connection is None:
             return Fault.REFUSED
         if self._is_withdrawn:
             return Fault.WITHDRAWN
+        if self._deadline.is_over():
+            return Fault.SILENT
         if self._unsent:
-            fault = self._send_rest(connection, until_s)
+            fault = self._send_rest(connection)
             if isinstance(fault, Fault):
                 return fault
-        data = connection.receive(until_s - time.monotonic(), self._caller)
+        data = connection.receive(self._deadline.remaining_s, self._caller)
         if not isinstance(data, bytes):
             return self._on_receive_failure(data)
         self.last_received_s = time.monotonic()
         return self._feed(data)
 
     def _send_rest(
-        self, connection: _upstream_paths.UpstreamConnection, until_s: float
+        self, connection: _upstream_paths.UpstreamConnection
     ) -> Fault | core.Missing:
         """Sends the rest of the request unless a response begins early."""
         while self._unsent:
@@ -231,7 +235,7 @@
                 continue
             early = connection.receive(0.0, self._caller)
             if early is _connection.ConnectionFailure.TIMEOUT:
-                if time.monotonic() >= until_s:
+                if self._deadline.remaining_s <= 0.0:
                     return Fault.SILENT
                 connection.wait_writable(0.02)
                 continue
--- a/libs/gateway/mulberry_gateway/tests/test_endless_answers.py
+++ b/libs/gateway/mulberry_gateway/tests/test_endless_answers.py
@@ -129,6 +129,51 @@
     assert limits.held_bytes == 0
 
 
+@pytest.mark.parametrize(
+    ("part", "kind"),
+    [
+        (_FILL, core.ErrorKind.HEADERS_TOO_LARGE),
+        (
+            b"x\r\na\r\n1;a=" + _FILL[:4_000],
+            core.ErrorKind.REQUEST_TIMEOUT,
+        ),
+    ],
+    ids=["one extension", "extension of each chunk"],
+)
+def test_endless_chunk_extension_of_a_request_is_rejected(
+    monkeypatch: pytest.MonkeyPatch, part: bytes, kind: core.ErrorKind
+) -> None:
+    """Guards against callers that keep a connection and its thread busy."""
+    monkeypatch.setattr(_request_reader, "_BODY_TIMEOUT_S", 0.3)
+    host = socket.create_server(("127.0.0.1", 0))
+    remote = socket.create_connection(host.getsockname())
+    accepted, _ = host.accept()
+    host.close()
+    reader = _request_reader.RequestReader(
+        gateway.Connection(accepted), routing.Limits(), core.SystemClock()
+    )
+
+    def send() -> None:
+        try:
+            remote.sendall(
+                b"POST / HTTP/1.1\r\nHost: h\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n1;a="
+            )
+            for _ in range(_ENDLESS_BYTES // len(part)):
+                remote.sendall(part * 16)
+        except OSError:
+            return
+
+    thread = threading.Thread(target=send, daemon=True)
+    thread.start()
+    fault = reader.read()
+    accepted.close()
+    remote.close()
+    thread.join()
+    assert isinstance(fault, gateway.InvalidRequest)
+    assert fault.kind is kind
+
+
 @pytest.mark.parametrize(
     "parts",
     [
--- a/libs/gateway/mulberry_gateway/tests/test_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/tests/test_upstream_call.py
@@ -187,3 +187,25 @@
     partner_gone = gateway.ConnectionFailure.PARTNER_GONE
     assert upstream.receive(1.0, caller) is partner_gone
     assert upstream.receive(0.0, caller) is partner_gone
+
+
+def test_an_answer_that_has_arrived_is_read_after_the_timeout() -> None:
+    """Guards against a 504 for an answer that arrived during a freeze."""
+    sent = threading.Event()
+    body = b"x" * 50_000
+
+    def respond(connection: socket.socket) -> None:
+        connection.sendall(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 50000\r\n\r\n" + body
+        )
+        sent.set()
+
+    caller, remote = _caller()
+    call = relay_harness.call(_serve(respond), caller)
+    assert call.send(_REQUEST, head_only=False) is core.Missing.UNSET
+    assert sent.wait(5.0)
+    assert isinstance(call.read_head(-1.0), gateway.ResponseHead)
+    assert call.read_body(-1.0) == body
+    call.close()
+    caller.close()
+    remote.close()
