Remove no voter while a quorum has not confirmed the leader

With more voters than `min_voters` it would take a live one out of the group, or replace it by another candidate, before the first answers arrive.

The reconciler now makes no change until a quorum has confirmed the leader within `LOST_AFTER_S`.

test_leader_that_was_suspended_removes_no_voter failed before.

--- a/libs/state/mulberry_state/_raft.py
+++ b/libs/state/mulberry_state/_raft.py
@@ -320,6 +320,11 @@
             heard_s = max(self._last_acked_send_s(identity), self.elected_s)
             return self.clock.now() - heard_s
 
+    def unconfirmed_s(self) -> float:
+        """Returns for how long no quorum has confirmed this leader, seconds."""
+        with self.lock:
+            return self.clock.now() - self.quorum_confirmed_s()
+
     def _match_index_of(self, voter: log_pb2.LogVoter) -> int:
         if voter.identity == self.identity:
             return self.log.durable_index
--- a/libs/state/mulberry_state/_voter_reconciler.py
+++ b/libs/state/mulberry_state/_voter_reconciler.py
@@ -150,6 +150,9 @@
         )
 
     def _make_next_change(self) -> None:
+        if self._raft.unconfirmed_s() > LOST_AFTER_S:
+            # After a pause of this process every voter seems to be silent.
+            return
         change = self._choose_change()
         if isinstance(change, core.Missing):
             return
--- a/libs/state/mulberry_state/tests/test_voter_reconciler.py
+++ b/libs/state/mulberry_state/tests/test_voter_reconciler.py
@@ -125,8 +125,14 @@
     voters: list[_reports.VoterStatus],
     get_candidates: Any,
     clock: core.Clock,
+    unconfirmed_s: float = 0.0,
 ) -> _voter_reconciler.VoterReconciler:
-    raft = types.SimpleNamespace(role=_raft.Role.LEADER, name="a", clock=clock)
+    raft = types.SimpleNamespace(
+        role=_raft.Role.LEADER,
+        name="a",
+        clock=clock,
+        unconfirmed_s=lambda: unconfirmed_s,
+    )
     return _voter_reconciler.VoterReconciler(
         cast(_raft.RaftState, raft),
         cast(_group.Group, group),
@@ -189,3 +195,23 @@
     finally:
         stop.set()
         thread.join()
+
+
+@pytest.mark.parametrize(
+    ("unconfirmed_s", "changes"), [(0.0, True), (_LOST_S, False)]
+)
+def test_leader_that_was_suspended_removes_no_voter(
+    unconfirmed_s: float, changes: bool
+) -> None:
+    """Guards against live voters that are taken for lost after a freeze."""
+    group = _Group()
+    silent = [_voter(name, _LOST_S) for name in "bcd"]
+    reconciler = _reconciler(
+        group,
+        [_voter("a"), *silent],
+        lambda: _candidates("a", "b", "c", "d"),
+        core.ManualClock(),
+        unconfirmed_s,
+    )
+    reconciler._make_next_change()
+    assert bool(group.tried) is changes
