Try the newest addresses of voters, however many machines were replaced

Once 16 machines had been known, `add_addresses` left each further one out until the next view. An instance that gets no view, since all voters that it knows have been replaced, then never finds the group again.

The addresses of the voters in the view and the other possible ones are now kept apart. Of the others the 16 newest are kept, an address that is named again counts as new, and the newest is tried first.

test_new_addresses_are_tried_after_many_replacements failed before; test_an_address_that_is_named_again_is_kept guards the bound.

--- a/libs/state/mulberry_state/_voter_client.py
+++ b/libs/state/mulberry_state/_voter_client.py
@@ -11,8 +11,9 @@
 #: Timeout of one attempt, after which the next voter is tried. The leader
 #: answers in milliseconds, or within a heartbeat after a fault.
 ATTEMPT_TIMEOUT_S = 1.0
-#: Bounds the address list, so that addresses of removed machines drop out.
-_MAX_ADDRESSES = 16
+#: Bounds the addresses beside those of the voters in the view, so that those
+#: of removed machines drop out.
+_MAX_SEED_ADDRESSES = 16
 
 
 class VoterClient:
@@ -27,8 +28,10 @@
         self._channels = channels
         self._clock = clock
         self._lock = threading.Lock()
+        #: Addresses of the voters in the newest view.
+        self._voter_addresses: tuple[str, ...] = ()
+        #: Other possible addresses of voters, oldest first.
         self._seed_addresses = tuple(dict.fromkeys(addresses))
-        self._addresses = self._seed_addresses
         self._leader = ""
         #: `Clock.now` of the last failed call, for addresses that fail.
         self._failed_at_by_address: dict[str, float] = {}
@@ -36,23 +39,22 @@
     def set_voters(self, voters_by_name: Mapping[str, str]) -> None:
         """Replaces the addresses by those of the voters in a new view.
 
-        The seed addresses stay at the end of the list, in case all voters of
-        the view have moved.
+        The seed addresses are tried as well, in case all voters of the view
+        have moved.
         """
         with self._lock:
-            self._addresses = tuple(
-                dict.fromkeys((*voters_by_name.values(), *self._seed_addresses))
-            )
+            self._voter_addresses = tuple(voters_by_name.values())
 
     def add_addresses(self, addresses: Iterable[str]) -> None:
-        """Adds possible addresses of voters to the seed addresses."""
+        """Adds possible addresses of voters to the seed addresses.
+
+        The newest are kept: of machines that were replaced, they are the ones
+        that answer.
+        """
         with self._lock:
-            self._seed_addresses = tuple(
-                dict.fromkeys((*self._seed_addresses, *addresses))
-            )[-_MAX_ADDRESSES:]
-            self._addresses = tuple(
-                dict.fromkeys((*self._addresses, *self._seed_addresses))
-            )[:_MAX_ADDRESSES]
+            newest = tuple(dict.fromkeys(addresses))
+            older = [a for a in self._seed_addresses if a not in newest]
+            self._seed_addresses = (*older, *newest)[-_MAX_SEED_ADDRESSES:]
 
     def set_leader(self, address: str) -> None:
         """Sets the voter to try first; empty if the leader is unknown."""
@@ -103,7 +105,12 @@
         with self._lock:
             if self._leader and self._leader not in tried:
                 return self._leader
-            untried = [a for a in self._addresses if a not in tried]
+            # The newest seed address first.
+            addresses = (
+                *self._voter_addresses,
+                *reversed(self._seed_addresses),
+            )
+            untried = [a for a in addresses if a not in tried]
             # Prefer the voter whose last failure is oldest: an unresponsive
             # voter may use up all the time until the deadline.
             return min(
--- a/libs/state/mulberry_state/tests/test_voter_client.py
+++ b/libs/state/mulberry_state/tests/test_voter_client.py
@@ -68,3 +68,31 @@
         voter_client.set_leader("")
         renewals.append(_renew(voter_client, clock))
     assert any(renewals), channels.called
+
+
+def test_new_addresses_are_tried_after_many_replacements() -> None:
+    """Guards against an instance that only knows machines that are gone.
+
+    The list was full, and each new address was left out.
+    """
+    clock = core.ManualClock()
+    gone = {f"gone-{number}:1" for number in range(40)}
+    channels = _SilentChannels(clock, set(gone))
+    voter_client = _voter_client.VoterClient(["a:1"], channels, clock)
+    channels.silent.add("a:1")
+    for address in sorted(gone):
+        voter_client.add_addresses([address])
+    voter_client.add_addresses(["new:1"])
+    assert any(_renew(voter_client, clock) for _ in range(3)), channels.called
+
+
+def test_an_address_that_is_named_again_is_kept() -> None:
+    """Guards against dropping a live machine that was known before others."""
+    clock = core.ManualClock()
+    gone = [f"gone-{number}:1" for number in range(40)]
+    channels = _SilentChannels(clock, set(gone))
+    voter_client = _voter_client.VoterClient([], channels, clock)
+    for address in gone:
+        voter_client.add_addresses([address, "live:1"])
+    tried = range(len(gone))
+    assert any(_renew(voter_client, clock) for _ in tried), channels.called
