--- a/libs/state/mulberry_state/tests/test_node.py
+++ b/libs/state/mulberry_state/tests/test_node.py
@@ -336,3 +336,38 @@
     report = deployment.leader().ledger()
     assert not report.differences
     assert sum(row.bills for row in report.sums) in (4, 5)
+
+
+def test_group_outlives_leaders_that_are_replaced_one_after_the_other(
+    deployment: _Deployment,
+) -> None:
+    """Guards against changes that are no longer confirmed, and expired leases.
+
+    A group that kept each replaced leader as a voter had no quorum after the
+    second of three voters, or the fifth of six.
+    """
+    candidates = {}
+    for node in deployment.node_by_name.values():
+        candidates[node.candidate.name] = node.candidate
+        node.reconcile_voters(lambda: dict(candidates), 3)
+    client = deployment.client("i9")
+    for number, added in enumerate("def"):
+        replaced = deployment.leader().candidate.name
+        candidates.pop(replaced)
+        deployment.stop_voter(replaced, transfer_timeout_s=0.0)
+        node = deployment.add_machine(added)
+        candidates[added] = node.candidate
+        node.reconcile_voters(lambda: dict(candidates), 3)
+        _wait_for(
+            lambda: (
+                {v.name for v in deployment.leader().status().voters}
+                == set(candidates)
+            ),
+            f"the group without {replaced}",
+        )
+        client.voter_client.add_addresses(
+            candidate.address for candidate in candidates.values()
+        )
+        assert not isinstance(client.propose(_bill(number), 20.0), core.Refusal)
+    assert client.lease_remaining_s() > 0.0
+    client.stop()
