Probe a faulty disk before its folder is read again

A small file is written before that.

test_probe_of_a_faulty_disk is new; the behaviour at the interface is that of test_voters_return_once_their_disks_take_data_again, unchanged.

--- a/libs/state/mulberry_state/_disk.py
+++ b/libs/state/mulberry_state/_disk.py
@@ -8,6 +8,9 @@
 
 _TEMPORARY_SUFFIX = ".new"
 _LOCK_FILE = "lock"
+#: Removed when the folder is opened, should a crash leave it behind.
+_PROBE_FILE = "probe" + _TEMPORARY_SUFFIX
+_PROBE_BYTES = 4_096
 
 #: Messages for errors that an operator can act on.
 _MESSAGE_BY_ERRNO = {
@@ -31,6 +34,24 @@
     return StorageError(f"cannot {action}: {reason} (errno {code})")
 
 
+def require_writable(disk: "Disk") -> None:
+    """Writes, syncs and removes a small file.
+
+    Raises:
+        StorageError: The disk accepts no data.
+    """
+    try:
+        file = disk.append(_PROBE_FILE)
+        try:
+            file.write(bytes(_PROBE_BYTES))
+            file.sync()
+        finally:
+            file.close()
+        disk.remove(_PROBE_FILE)
+    except OSError as error:
+        raise storage_error("write to the data folder", error) from error
+
+
 class AppendFile(abc.ABC):
     """An append-only file; a crash may lose data that was not synced."""
 
--- a/libs/state/mulberry_state/_node.py
+++ b/libs/state/mulberry_state/_node.py
@@ -189,6 +189,10 @@
         """
         disk = self._disk or _disk.OsDisk(self._folder)
         try:
+            if rewrite:
+                # Reading the whole folder at each attempt would keep a core
+                # busy for as long as the disk is faulty.
+                _disk.require_writable(disk)
             return _replica.Replica(
                 self._name,
                 self._address,
--- a/libs/state/mulberry_state/tests/test_log.py
+++ b/libs/state/mulberry_state/tests/test_log.py
@@ -184,6 +184,25 @@
     assert _content(again) == _content(opened)
 
 
+@pytest.mark.parametrize("failing_step", range(4))
+def test_probe_of_a_faulty_disk(failing_step: int) -> None:
+    """Guards against reading the whole folder while its disk is faulty.
+
+    A probe that fails halfway leaves a file that is removed at the next start.
+    """
+    disk = _memory_disk.MemoryDisk()
+    _append(_log.Log(disk, "a"), 1, 1, 1)
+    names = disk.names()
+    disk.fail_at = disk.steps + failing_step
+    with pytest.raises(_disk.StorageError, match="write to the data folder"):
+        _disk.require_writable(disk)
+    disk.fail_at = -1
+    _log.Log(disk, "a")
+    assert disk.names() == names
+    _disk.require_writable(disk)
+    assert disk.names() == names
+
+
 @pytest.mark.parametrize("errno", [28, 30, 5])
 def test_log_is_unusable_after_a_failed_sync(errno: int) -> None:
     """Guards against a retried sync that reports success for lost pages."""
