Go on reopening a data folder after an unexpected error

Read in the diff of the change that opens failed folders anew: an error other than `StorageError` would have ended the task that does so, and with it the voter, until the next start of the process.

test_voters_return_once_their_disks_take_data_again now lets attempts fail with such an error; it failed before (no quorum for 20 s).

--- a/libs/state/mulberry_state/_node.py
+++ b/libs/state/mulberry_state/_node.py
@@ -105,6 +105,8 @@
         self._reconciliation: _Reconciliation | core.Missing = (
             core.Missing.UNSET
         )
+        #: Why the data folder could not be reopened the last time.
+        self._reopen_failure = ""
         #: The current replica; another one after the data folder has failed.
         self.replica = self._open_replica()
         self.rules_leases = _rules_leases.RulesLeaseTable(
@@ -223,30 +225,33 @@
 
     def _run_reopening(self, stop: threading.Event) -> None:
         """Task: replaces the replica after its data folder has failed."""
-        last_reason = ""
+        is_sound = True
         while not stop.wait(_REOPEN_PERIOD_S):
-            if not self.replica.raft.log.failure:
-                continue
-            self.replica.stop()
-            try:
-                replica = self._open_replica(rewrite=True)
-            except _disk.StorageError as error:
-                if str(error) != last_reason:
-                    logging.warning(
-                        "%s cannot reopen its data folder: %s",
-                        self._name,
-                        error,
-                    )
-                last_reason = str(error)
-                continue
-            last_reason = ""
-            logging.warning(
-                "%s has reopened its data folder and votes again", self._name
-            )
-            with self._replica_lock:
-                self.replica = replica
-                replica.start()
-                self._start_reconciliation()
+            if self.replica.raft.log.failure:
+                is_sound = core.run_step(
+                    "reopening the data folder", self._reopen, is_sound
+                )
+
+    def _reopen(self) -> None:
+        self.replica.stop()
+        try:
+            replica = self._open_replica(rewrite=True)
+        except _disk.StorageError as error:
+            reason = str(error)
+            if reason != self._reopen_failure:
+                logging.warning(
+                    "%s cannot reopen its data folder: %s", self._name, reason
+                )
+            self._reopen_failure = reason
+            return
+        self._reopen_failure = ""
+        logging.warning(
+            "%s has reopened its data folder and votes again", self._name
+        )
+        with self._replica_lock:
+            self.replica = replica
+            replica.start()
+            self._start_reconciliation()
 
     def ledger(self) -> _reports.LedgerReport:
         """Returns the sums of the bills, verified against all records."""
--- a/libs/state/mulberry_state/tests/test_node.py
+++ b/libs/state/mulberry_state/tests/test_node.py
@@ -14,6 +14,7 @@
 import mulberry_core as core
 import mulberry_rules as rules
 import mulberry_state as state
+from mulberry_state import _log
 
 _TIMING = rules.Timing(
     lease_renew_period_s=0.1,
@@ -312,6 +313,9 @@
     def fail(descriptor: int) -> NoReturn:
         raise OSError(errno, "injected fault")
 
+    def fail_unexpectedly(log: _log.Log) -> NoReturn:
+        raise RuntimeError("unexpected")
+
     with monkeypatch.context() as patch:
         patch.setattr(os, "fdatasync", fail)
         refusal = client.propose(_bill(2), 1.0)
@@ -323,6 +327,11 @@
             ),
             "a voter whose disk failed",
         )
+        # No error may end the attempts.
+        with monkeypatch.context() as other_patch:
+            other_patch.setattr(_log.Log, "rewrite", fail_unexpectedly)
+            patch.undo()
+            time.sleep(1.2)
     for number in range(3, 6):
         outcome = client.propose(_bill(number), 20.0)
         assert not isinstance(outcome, core.Refusal)
