Rewrite a failed log in the place of its last segment

A torn tail is only allowed in the last segment, so the folder was refused as damaged and the voter lost.

The rewritten segment now takes the name of the last one, whose syncs are the only ones that can have failed: a crash leaves either of the two as the last. The earlier segments, which were synced whole, are removed afterwards.

--- a/libs/state/mulberry_state/_log_files.py
+++ b/libs/state/mulberry_state/_log_files.py
@@ -142,8 +142,7 @@
         """Starts a new segment for the records that follow."""
         self._require_usable()
         self._close_segment()
-        self._sequence += 1
-        name = f"{_SEGMENT_PREFIX}{self._sequence:012d}"
+        name = self._next_segment_name()
         header = self._header(first_index, prev_term)
         data = _frames.encode_frame(header.SerializeToString())
         try:
@@ -177,9 +176,11 @@
         if self._names_with_prefix(_SNAPSHOT_PREFIX):
             self.save_snapshot(snapshot)
         self._close_segment()
-        old = self._names_with_prefix(_SEGMENT_PREFIX)
-        self._sequence += 1
-        name = f"{_SEGMENT_PREFIX}{self._sequence:012d}"
+        # Replaces the last segment: only its syncs can have failed, and a torn
+        # tail is only allowed in the last one.
+        *older, name = self._names_with_prefix(_SEGMENT_PREFIX) or [
+            self._next_segment_name()
+        ]
         header = self._header(snapshot.index + 1, batch.prev_term)
         data = _frames.encode_frame(header.SerializeToString())
         if batch.records:
@@ -190,7 +191,7 @@
         except OSError as error:
             raise self._fail("rewrite the log", error) from error
         # Oldest first, so that a crash leaves no gap between the segments.
-        self._remove(old)
+        self._remove(older)
         self._first_index_by_segment = {name: header.first_index}
 
     def drop_segments(self, index: int) -> None:
@@ -341,6 +342,10 @@
         except OSError as error:
             raise self._fail("remove old files", error) from error
 
+    def _next_segment_name(self) -> str:
+        self._sequence += 1
+        return f"{_SEGMENT_PREFIX}{self._sequence:012d}"
+
     def _header(self, first_index: int, prev_term: int) -> log_pb2.LogHeader:
         return log_pb2.LogHeader(
             format=LOG_FORMAT,
--- a/libs/state/mulberry_state/tests/test_log.py
+++ b/libs/state/mulberry_state/tests/test_log.py
@@ -145,6 +145,10 @@
     rewrite_fails_at=st.integers(0, 30),
     seed=st.integers(0, 1 << 16),
 )
+# The power fails after the rewritten segment was renamed, and before or while
+# the old ones are removed.
+@hypothesis.example([("append", 1)], 10, 10, 0)
+@hypothesis.example([("append", 1)], 10, 9, 1)
 @hypothesis.settings(max_examples=400, deadline=None)
 def test_log_that_is_opened_after_a_failure_is_durable(
     ops: list[_Op], fail_at: int, rewrite_fails_at: int, seed: int
