Log departures of upstreams on arrival, and upstreams retained unlisted

- `departure`: the record that says it arrived, with the home's name.
- `upstream` with state `retained`: kept by the catalog though not listed, with what the stored record says and how stale its home is.
- the last column of `tries`: when the first byte was sent.

The lines are of the same kind as before and are read by nothing but people and `mulberrystage trace`, which uses the first column of a row only.

--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -195,6 +195,7 @@
             headers,
             request.body if request.has_body else None,
         )
+        attempt.sent_s = components.clock.now()
         fault = call.send(data, request.method == "HEAD")
         if isinstance(fault, _upstream_call.Fault):
             return self._handle_fault(exchange, attempt, fault)
--- a/libs/gateway/mulberry_gateway/_catalog.py
+++ b/libs/gateway/mulberry_gateway/_catalog.py
@@ -11,6 +11,8 @@
 #: record was lost, seconds. The upstream announces itself to another instance
 #: within two announcement periods.
 RETAIN_S = 8.0
+#: Upper bound of times in the log, which has no infinite numbers, seconds.
+_MAX_S = 999.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -18,6 +20,8 @@
     upstream: membership.Upstream
     #: `Clock.now` when it was last listed, seconds.
     listed_s: float
+    #: Whether it is in use although it is no longer listed.
+    is_retained: bool = False
 
 
 class UpstreamCatalog:
@@ -43,6 +47,7 @@
         self._directory_snapshot: Mapping[str, membership.Upstream] = {}
         self._entry_by_name: dict[str, _CatalogEntry] = {}
         self._by_service: dict[str, tuple[membership.Upstream, ...]] = {}
+        soft_state.subscribe(membership.RecordKind.UPSTREAM, self._on_record)
 
     def for_service(self, service: str) -> Sequence[membership.Upstream]:
         """Returns the upstreams of a service, including leaving ones."""
@@ -62,6 +67,24 @@
         with self._lock:
             return frozenset(self._entry_by_name)
 
+    def _on_record(self, changed: membership.Record) -> None:
+        """Logs an upstream's departure when its record arrives.
+
+        The change also tells that a record is no longer listed, so what it
+        says is read from the stored one.
+        """
+        record = self._soft_state.latest(changed.kind, changed.id)
+        if isinstance(record, core.Missing):
+            return
+        if membership.says_departed(record):
+            self._log.note(
+                "departure",
+                name=record.id,
+                incarnation=record.incarnation,
+                home=record.owner,
+                state="left" if record.removed else "leaving",
+            )
+
     def _refresh(self) -> None:
         snapshot = self._directory.upstreams()
         if snapshot is not self._directory_snapshot:
@@ -110,6 +133,32 @@
                 state="removed" if removed else "lost",
                 listed_age_s=round(now_s - entry.listed_s, 2),
             )
+        elif not entry.is_retained:
+            self._entry_by_name[name] = dataclasses.replace(
+                entry, is_retained=True
+            )
+            self._log_retained(entry.upstream, record)
+
+    def _log_retained(
+        self,
+        upstream: membership.Upstream,
+        record: membership.Record | core.Missing,
+    ) -> None:
+        """Logs that an upstream stays in use, and what its home is now."""
+        home = upstream.home
+        departed: bool | core.Missing = core.Missing.UNSET
+        if not isinstance(record, core.Missing):
+            home, departed = record.owner, membership.says_departed(record)
+        self._log.note(
+            "upstream",
+            name=upstream.name,
+            service=_service_name(upstream),
+            state="retained",
+            incarnation=upstream.incarnation,
+            home=home,
+            departed=departed if isinstance(departed, bool) else None,
+            stale_s=round(min(self._soft_state.staleness_s(home), _MAX_S), 2),
+        )
 
 
 def _service_name(upstream: membership.Upstream) -> str:
--- a/libs/gateway/mulberry_gateway/_exchange.py
+++ b/libs/gateway/mulberry_gateway/_exchange.py
@@ -43,6 +43,9 @@
     pressure: float = 0.0
     #: The model's confidence in its answer, 0 to 1; -1 if it gave none.
     confidence: float = -1.0
+    #: `Clock.now` before the first byte of the request was sent, seconds; 0 if
+    #: none was.
+    sent_s: float = 0.0
     #: `Clock.now` when the head of the answer arrived, seconds; 0 before that.
     head_s: float = 0.0
     #: `Clock.now` when the first event with content arrived, seconds; 0 before
@@ -193,6 +196,9 @@
                     attempt.confidence,
                     round(attempt.load_share, 2),
                     round(attempt.pressure, 2),
+                    round((attempt.sent_s - self.request.received_s) * 1000)
+                    if attempt.sent_s
+                    else -1,
                 ]
                 for attempt in self.attempts
             ],
--- a/libs/membership/mulberry_membership/__init__.py
+++ b/libs/membership/mulberry_membership/__init__.py
@@ -77,6 +77,7 @@
         Upstream,
         check_size,
         is_upstream_name,
+        says_departed,
     )
 else:
     __getattr__ = core.import_on_demand(
@@ -144,6 +145,7 @@
                 "Upstream",
                 "check_size",
                 "is_upstream_name",
+                "says_departed",
             ),
         },
     )
@@ -186,4 +188,5 @@
     "preferred_entries",
     "read_entries",
     "read_records",
+    "says_departed",
 ]
--- a/libs/membership/mulberry_membership/_upstreams.py
+++ b/libs/membership/mulberry_membership/_upstreams.py
@@ -112,6 +112,21 @@
     )
 
 
+def says_departed(record: _records.Record) -> bool:
+    """Whether a record says that its upstream leaves or has left.
+
+    False if its payload is malformed.
+    """
+    if record.removed:
+        return True
+    payload = peer_pb2.UpstreamPayload()
+    try:
+        payload.ParseFromString(record.payload)
+    except message.DecodeError:
+        return False
+    return bool(payload.leaving)
+
+
 def decode_upstream(
     record: _records.Record, load_age_s: float
 ) -> Upstream | core.Missing:
