Retain no upstream of which a record says that it leaves

Cause: UpstreamCatalog keeps an upstream for 8 s in the state in which it was last listed. A record is stored but not listed while its home is suspected for more than a second, counts as dead, is unknown, or has restarted more than 3 s ago. If such a record says that the upstream leaves, the catalog went on with `ready`: only a removal ended the retention. MAX_STALENESS_S of the directory, which is there to keep requests from upstreams that may be leaving, had the same end.

Now the retained state follows the newest stored record, listed or not. What an upstream said of leaving is also kept beside the record, which is purged when its home has restarted; a later announcement of the upstream overrules it.

Evidence: test_upstream_that_leaves_is_not_retained_as_ready, ten cases, all of which failed before.

--- a/libs/gateway/mulberry_gateway/_catalog.py
+++ b/libs/gateway/mulberry_gateway/_catalog.py
@@ -14,6 +14,11 @@
 #: Upper bound of times in the log, which has no infinite numbers, seconds.
 _MAX_S = 999.0
 
+#: Incarnation and sequence of a record.
+_Order = tuple[int, int]
+#: Less than the order of every record.
+_NEVER: _Order = (-1, -1)
+
 
 @dataclasses.dataclass(frozen=True)
 class _CatalogEntry:
@@ -29,7 +34,8 @@
 
     The records that an instance published disappear with it. Without the
     retention, the loss of many instances would leave the others without
-    upstreams although all upstreams run.
+    upstreams although all upstreams run. What an upstream said of leaving
+    holds whatever became of the instance that published it.
     """
 
     def __init__(
@@ -46,7 +52,16 @@
         self._lock = threading.Lock()
         self._directory_snapshot: Mapping[str, membership.Upstream] = {}
         self._entry_by_name: dict[str, _CatalogEntry] = {}
+        self._retained_names: frozenset[str] = frozenset()
         self._by_service: dict[str, tuple[membership.Upstream, ...]] = {}
+        #: Guards the departures. Separate from `_lock`, which is held while the
+        #: directory is asked: the directory publishes, and so calls
+        #: `_on_record`, with a lock held that it needs to answer.
+        self._departure_lock = threading.Lock()
+        #: Order of the newest record with which an upstream said that it
+        #: leaves. Kept here because a record is purged after its home has
+        #: restarted.
+        self._departure_by_name: dict[str, _Order] = {}
         soft_state.subscribe(membership.RecordKind.UPSTREAM, self._on_record)
 
     def for_service(self, service: str) -> Sequence[membership.Upstream]:
@@ -67,8 +82,38 @@
         with self._lock:
             return frozenset(self._entry_by_name)
 
+    def has_departed(self, upstream: membership.Upstream) -> bool:
+        """Whether an upstream of this list leaves or has left by now.
+
+        Unlike the list, also uses records that are not listed because of the
+        state of their home.
+        """
+        order = (upstream.incarnation, upstream.sequence)
+        with self._departure_lock:
+            departure = self._departure_by_name.get(upstream.name, _NEVER)
+        if departure >= order:
+            return True
+        record = self._soft_state.latest(
+            membership.RecordKind.UPSTREAM, upstream.name
+        )
+        return (
+            not isinstance(record, core.Missing)
+            and (record.incarnation, record.sequence) >= order
+            and membership.says_departed(record)
+        )
+
+    def prune_departures(self) -> None:
+        """Drops the departures of upstreams that are not in use."""
+        names = self.names()
+        with self._departure_lock:
+            self._departure_by_name = {
+                name: order
+                for name, order in self._departure_by_name.items()
+                if name in names
+            }
+
     def _on_record(self, changed: membership.Record) -> None:
-        """Logs an upstream's departure when its record arrives.
+        """Notes and logs an upstream's departure when its record arrives.
 
         The change also tells that a record is no longer listed, so what it
         says is read from the stored one.
@@ -76,6 +121,12 @@
         record = self._soft_state.latest(changed.kind, changed.id)
         if isinstance(record, core.Missing):
             return
+        if membership.says_leaving(record):
+            order = (record.incarnation, record.sequence)
+            with self._departure_lock:
+                self._departure_by_name[record.id] = max(
+                    order, self._departure_by_name.get(record.id, _NEVER)
+                )
         if membership.says_departed(record):
             self._log.note(
                 "departure",
@@ -87,13 +138,21 @@
 
     def _refresh(self) -> None:
         snapshot = self._directory.upstreams()
-        if snapshot is not self._directory_snapshot:
+        if snapshot is not self._directory_snapshot or any(
+            self.has_departed(self._entry_by_name[name].upstream)
+            for name in self._retained_names
+        ):
             self._rebuild(snapshot)
 
     def _rebuild(self, snapshot: Mapping[str, membership.Upstream]) -> None:
         now_s = self._clock.now()
         self._directory_snapshot = snapshot
-        for name, upstream in snapshot.items():
+        for name, listed in snapshot.items():
+            upstream = listed
+            if self.has_departed(listed):
+                upstream = dataclasses.replace(
+                    listed, state=membership.UpstreamState.LEAVING
+                )
             old = self._entry_by_name.get(name)
             if old is None or old.upstream.state is not upstream.state:
                 self._log.note(
@@ -109,6 +168,7 @@
             self._entry_by_name[name] = _CatalogEntry(upstream, now_s)
         for name in [n for n in self._entry_by_name if n not in snapshot]:
             self._drop_if_expired(name, now_s)
+        self._retained_names = frozenset(self._entry_by_name) - set(snapshot)
         by_service: dict[str, list[membership.Upstream]] = {}
         for entry in self._entry_by_name.values():
             by_service.setdefault(_service_name(entry.upstream), []).append(
@@ -123,14 +183,17 @@
         entry = self._entry_by_name[name]
         record = self._soft_state.latest(membership.RecordKind.UPSTREAM, name)
         removed = not isinstance(record, core.Missing) and record.removed
-        leaving = entry.upstream.state is membership.UpstreamState.LEAVING
+        leaving = (
+            entry.upstream.state is membership.UpstreamState.LEAVING
+            or self.has_departed(entry.upstream)
+        )
         if removed or leaving or now_s - entry.listed_s > RETAIN_S:
             del self._entry_by_name[name]
             self._log.note(
                 "upstream",
                 name=name,
                 service=_service_name(entry.upstream),
-                state="removed" if removed else "lost",
+                state="removed" if removed else "left" if leaving else "lost",
                 listed_age_s=round(now_s - entry.listed_s, 2),
             )
         elif not entry.is_retained:
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -391,6 +391,7 @@
     def _prune_removed(self) -> None:
         self.components.upstream_selector.prune_removed()
         self._links.health.keep_only(self._catalog.names())
+        self._catalog.prune_departures()
 
     def _open_relay(self) -> _relay_server.RelayServer | core.Missing:
         if not self._settings.relay_address:
--- a/libs/gateway/mulberry_gateway/tests/test_catalog.py
+++ b/libs/gateway/mulberry_gateway/tests/test_catalog.py
@@ -1,8 +1,11 @@
 """Tests of the list of usable upstreams."""
 
 import dataclasses
+from collections.abc import Callable
 from typing import Any
 
+import pytest
+
 import mulberry_core as core
 import mulberry_gateway as gateway
 import mulberry_membership as membership
@@ -121,3 +124,117 @@
     assert lines[0]["home"] == "i0"
     assert lines[0]["departed"] is False
     assert lines[0]["stale_s"] > 2.0
+
+
+def _wire(
+    deployment: Deployment, kind: membership.RecordKind, id: str, **changes: Any
+) -> peer_pb2.WireRecord:
+    """Returns the record that `i1` has, with changes, as on the wire."""
+    record = deployment.own.latest(kind, id)
+    assert isinstance(record, membership.Record)
+    fields = {
+        "kind": f"WIRE_RECORD_KIND_{kind.name}",
+        "id": record.id,
+        "owner": record.owner,
+        "epoch": record.epoch,
+        "incarnation": record.incarnation,
+        "sequence": record.sequence,
+        "payload": record.payload,
+        **changes,
+    }
+    return peer_pb2.WireRecord(**fields)
+
+
+def _leaving(deployment: Deployment, **changes: Any) -> peer_pb2.WireRecord:
+    record = deployment.own.latest(membership.RecordKind.UPSTREAM, "pool-1")
+    assert isinstance(record, membership.Record)
+    payload = peer_pb2.UpstreamPayload.FromString(record.payload)
+    payload.leaving = True
+    return _wire(
+        deployment,
+        membership.RecordKind.UPSTREAM,
+        "pool-1",
+        sequence=2,
+        payload=payload.SerializeToString(),
+        **changes,
+    )
+
+
+def _suspect_home(deployment: Deployment) -> None:
+    home = _wire(deployment, membership.RecordKind.MEMBER, "i0")
+    deployment.receive(
+        peer_pb2.WireRecord(
+            kind=peer_pb2.WIRE_RECORD_KIND_SUSPICION,
+            id="i0",
+            owner="i2",
+            epoch=1,
+            incarnation=home.incarnation,
+            sequence=1,
+            payload=peer_pb2.SuspicionPayload(accuser="i2").SerializeToString(),
+        )
+    )
+
+
+def _wait(deployment: Deployment, seconds: float) -> None:
+    deployment.simulation.clock.advance(seconds)
+    deployment.own.tick()
+
+
+def _leaves_while_home_is_suspected(deployment: Deployment) -> None:
+    _suspect_home(deployment)
+    _wait(deployment, 1.5)
+    deployment.receive(_leaving(deployment))
+
+
+def _leaves_while_home_counts_as_dead(deployment: Deployment) -> None:
+    _suspect_home(deployment)
+    _wait(deployment, 3.5)
+    deployment.receive(_leaving(deployment))
+
+
+def _leaves_before_home_leaves(deployment: Deployment) -> None:
+    home = _wire(deployment, membership.RecordKind.MEMBER, "i0", removed=True)
+    deployment.receive(_leaving(deployment), home)
+
+
+def _leaves_at_an_unknown_home(deployment: Deployment) -> None:
+    home = _wire(deployment, membership.RecordKind.MEMBER, "i0", removed=True)
+    deployment.receive(home)
+    deployment.receive(_leaving(deployment, owner="i9"))
+
+
+def _leaves_before_home_restarts(deployment: Deployment) -> None:
+    home = _wire(deployment, membership.RecordKind.MEMBER, "i0")
+    leaving = _leaving(deployment)
+    home.epoch += 1
+    home.incarnation += 1
+    deployment.receive(home)
+    _wait(deployment, 2.0)
+    deployment.receive(leaving)
+    _wait(deployment, 2.0)
+
+
+@pytest.mark.parametrize(
+    "leave",
+    [
+        _leaves_while_home_is_suspected,
+        _leaves_while_home_counts_as_dead,
+        _leaves_before_home_leaves,
+        _leaves_at_an_unknown_home,
+        _leaves_before_home_restarts,
+    ],
+)
+@pytest.mark.parametrize("is_listed_between", [False, True])
+def test_upstream_that_leaves_is_not_retained_as_ready(
+    leave: Callable[[Deployment], None], is_listed_between: bool
+) -> None:
+    """Guards against requests to a leaving upstream whose home is unsound."""
+    deployment = Deployment()
+    deployment.announce("i0", UPSTREAM)
+    assert deployment.usable() == {"pool-1"}
+    if is_listed_between:
+        _suspect_home(deployment)
+        _wait(deployment, 1.5)
+        assert deployment.usable() == {"pool-1"}
+    leave(deployment)
+    assert deployment.usable() == set()
--- a/libs/membership/mulberry_membership/__init__.py
+++ b/libs/membership/mulberry_membership/__init__.py
@@ -78,6 +78,7 @@
         check_size,
         is_upstream_name,
         says_departed,
+        says_leaving,
     )
 else:
     __getattr__ = core.import_on_demand(
@@ -146,6 +147,7 @@
                 "check_size",
                 "is_upstream_name",
                 "says_departed",
+                "says_leaving",
             ),
         },
     )
@@ -189,4 +191,5 @@
     "read_entries",
     "read_records",
     "says_departed",
+    "says_leaving",
 ]
--- a/libs/membership/mulberry_membership/_upstreams.py
+++ b/libs/membership/mulberry_membership/_upstreams.py
@@ -113,11 +113,17 @@
 
 
 def says_departed(record: _records.Record) -> bool:
-    """Whether a record says that its upstream leaves or has left.
+    """Whether a record says that its upstream leaves or is gone."""
+    return record.removed or says_leaving(record)
 
-    False if its payload is malformed.
+
+def says_leaving(record: _records.Record) -> bool:
+    """Whether the upstream itself has said that it leaves or has left.
+
+    False if the payload is malformed, and if its home removed the record since
+    the upstream had fallen silent.
     """
-    if record.removed:
+    if record.sequence == _records.LEFT_SEQUENCE:
         return True
     payload = peer_pb2.UpstreamPayload()
     try:
