Look at an upstream once more between connecting and the first byte

A request is sent to an upstream that left while the connection opened (up to 0.6 s), or while a connection to a replacement waited for its use.

Cause: UpstreamOpener chooses, then connects; only the request was checked again after that, not the upstream.

The look uses what the list is made of and all later witnesses: announcements that are listed or not, and what the upstream said in answers to other requests (Server-Leaving, Retry-After). The attempt counts as not sent, so it costs neither a retry nor an attempt of the route. Another upstream is chosen.

--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -69,14 +69,15 @@
     ) -> _attempt_failure.ConnectedUpstream | _attempt_failure.AttemptFailure:
         """Returns the upstream of the next attempt, or the final failure."""
         if not isinstance(failed.replacement, core.Missing):
-            return failed.replacement
-        if not failed.may_retry:
+            opened = self._opener.confirm(exchange, failed.replacement)
+        elif not failed.may_retry:
             return failed
-        denial = self._retries.take_retry(exchange)
-        if not isinstance(denial, core.Missing):
-            exchange.retry_denial = denial.value
-            return failed
-        opened = self._opener.open(exchange)
+        else:
+            denial = self._retries.take_retry(exchange)
+            if not isinstance(denial, core.Missing):
+                exchange.retry_denial = denial.value
+                return failed
+            opened = self._opener.open(exchange)
         if isinstance(opened, _attempt_failure.AttemptFailure):
             self._retries.return_retry(exchange)
             exchange.retry_denial = _retry_policy.RetryDenial.CONNECTION.value
--- a/libs/gateway/mulberry_gateway/_upstream_opener.py
+++ b/libs/gateway/mulberry_gateway/_upstream_opener.py
@@ -13,6 +13,7 @@
     _retry_policy,
     _stop_check,
     _upstream_call,
+    _upstream_selection,
 )
 
 #: Interval between selections while no upstream is free, seconds.
@@ -97,27 +98,74 @@
             fault = call.connect(self._retries.remaining_s(exchange))
         finally:
             load.ended(upstream.name)
-        if not isinstance(fault, _upstream_call.Fault):
-            return _attempt_failure.ConnectedUpstream(selection, call, began_s)
+        if isinstance(fault, _upstream_call.Fault):
+            components.upstream_selector.health.unreachable(upstream.name)
+            return self._unsent(
+                exchange,
+                selection,
+                began_s,
+                fault.value,
+                _faults.KIND_BY_FAULT[fault],
+            )
+        connected = _attempt_failure.ConnectedUpstream(selection, call, began_s)
+        return self._check_connected(exchange, connected)
+
+    def confirm(
+        self,
+        exchange: _exchange.Exchange,
+        connected: _attempt_failure.ConnectedUpstream,
+    ) -> _attempt_failure.ConnectedUpstream | _attempt_failure.AttemptFailure:
+        """Returns a connection that was opened some time ago.
+
+        If its upstream must get no request by now, opens another one.
+        """
+        checked = self._check_connected(exchange, connected)
+        if isinstance(checked, _attempt_failure.ConnectedUpstream):
+            return checked
+        return self.open(exchange)
+
+    def _check_connected(
+        self,
+        exchange: _exchange.Exchange,
+        connected: _attempt_failure.ConnectedUpstream,
+    ) -> _attempt_failure.ConnectedUpstream | _attempt_failure.AttemptFailure:
+        """Closes the connection if its upstream must get no request by now."""
+        selection = connected.selection
+        if self._components.upstream_selector.may_send(selection.upstream):
+            return connected
+        connected.call.close()
+        return self._unsent(
+            exchange,
+            selection,
+            connected.began_s,
+            _exchange.DEPARTED,
+            core.ErrorKind.UPSTREAM_REFUSED,
+        )
+
+    def _unsent(
+        self,
+        exchange: _exchange.Exchange,
+        selection: _upstream_selection.Selection,
+        began_s: float,
+        outcome: str,
+        kind: core.ErrorKind,
+    ) -> _attempt_failure.AttemptFailure:
+        """Notes an attempt that ended before the first byte was sent."""
+        upstream = selection.upstream
         exchange.attempts.append(
             _exchange.Attempt(
                 upstream.name,
                 began_s,
                 release=upstream.release,
                 model=exchange.model,
-                outcome=fault.value,
+                outcome=outcome,
                 may_have_arrived=False,
                 load=selection.load,
                 candidates=selection.candidates,
                 load_share=selection.load_share,
             )
         )
-        components.upstream_selector.health.unreachable(upstream.name)
         return _attempt_failure.AttemptFailure(
-            core.Refusal(
-                _faults.KIND_BY_FAULT[fault],
-                exchange.run,
-                f"{upstream.name}: {fault.value}",
-            ),
+            core.Refusal(kind, exchange.run, f"{upstream.name}: {outcome}"),
             may_retry=True,
         )
--- a/libs/gateway/mulberry_gateway/_upstream_selection.py
+++ b/libs/gateway/mulberry_gateway/_upstream_selection.py
@@ -158,6 +158,16 @@
             self.health.unavailable_s(upstream.name, upstream.incarnation) > 0.0
         )
 
+    def may_send(self, upstream: membership.Upstream) -> bool:
+        """Whether an upstream that was chosen may still get the request.
+
+        False if it has said since then that it leaves, in an announcement or
+        an answer, or that it wants no requests for a time.
+        """
+        return not (
+            self._catalog.has_departed(upstream) or self._is_refusing(upstream)
+        )
+
     def prune_removed(self) -> None:
         """Drops load and health of upstreams that no longer exist."""
         names = self._catalog.names()
