Log how exchanges with a peer begin to fail and succeed again

The line has the size of the request, whether it asked for all records, and the reason; the line of the next success has the size of the response.

--- a/libs/membership/mulberry_membership/_peers.py
+++ b/libs/membership/mulberry_membership/_peers.py
@@ -5,6 +5,8 @@
 import threading
 from collections.abc import Callable, Mapping
 
+from absl import logging
+
 import mulberry_core as core
 from mulberry_membership import (
     _link,
@@ -213,12 +215,30 @@
         if isinstance(response, core.Refusal):
             self._counters.increment("membership.exchange_failures")
             if link.record_failure(sent):
+                logging.info(
+                    "exchanges with %s fail since one that sent %d records in "
+                    "%d bytes%s: %s",
+                    link.name or link.address,
+                    len(sent.request.records),
+                    sent.request.ByteSize(),
+                    " and asked for all" if sent.request.full else "",
+                    response.reason,
+                )
                 # Finds out immediately whether all peers are unreachable.
                 self.request_exchange(except_name=link.name)
             self._suspect_if_due(link)
             return False
         self._counters.increment("membership.bytes_in", response.ByteSize())
         self.record_contact()
+        if link.failing:
+            logging.info(
+                "exchanges with %s succeed again: received %d records in %d "
+                "bytes%s",
+                link.name or link.address,
+                len(response.records),
+                response.ByteSize(),
+                ", more follow" if response.more else "",
+            )
         self._on_records(
             _link.decode_records(response, self._counters), link.name
         )
