Adapt the size of exchanges to what a link transfers in time

What callers may see: an instance that has restarted hears of changes only from those instances that exchange with it, late or not at all, and what is announced to it spreads as slowly, while it counts as ready.

Cause: an instance that starts asks each of its peers for all records; the response may have 1,000 of them. A response that does not arrive in time is lost as a whole and the next exchange asks for all of it again, 0.25 s later: nothing gets on, and the link stays full. The class: a transfer bounded in time but not in size, repeated from the start.

Requests and responses of a link begin with 32 KB, double with each exchange that leaves records over and succeeds, and are halved with each that fails. The request tells its limit in a new field. The build before ignores the field and answers as it did; its requests have none and get what they got.

--- a/libs/membership/mulberry_membership/_fake_network.py
+++ b/libs/membership/mulberry_membership/_fake_network.py
@@ -1,6 +1,7 @@
 """In-process network with fault injection, for tests and experiments."""
 
 import dataclasses
+import math
 import random
 
 import mulberry_core as core
@@ -18,6 +19,9 @@
     delayed: float = 0.0
     #: The request is delivered a second time, later.
     duplicate: float = 0.0
+    #: Bytes that a link transfers within the timeout of an exchange. A larger
+    #: message is lost.
+    max_bytes: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True)
@@ -89,6 +93,8 @@
         handler = self._handlers_by_address.get(receiver)
         if handler is None or self._is_lost(sender, receiver):
             return _refusal(receiver)
+        if len(data) > self.faults.max_bytes:
+            return _refusal(receiver)
         if self._random.random() < self.faults.delayed:
             self._schedule_delivery(sender, receiver, data)
             return _refusal(receiver)
@@ -97,9 +103,12 @@
         response = handler.handle_exchange(
             peer_pb2.ExchangeRequest.FromString(data)
         )
-        if self._is_lost(receiver, sender):
+        answer = bytes(response.SerializeToString())
+        if self._is_lost(receiver, sender) or (
+            len(answer) > self.faults.max_bytes
+        ):
             return _refusal(receiver)
-        return bytes(response.SerializeToString())
+        return answer
 
     def _is_lost(self, sender: str, receiver: str) -> bool:
         if (sender, receiver) in self._blocked:
--- a/libs/membership/mulberry_membership/_link.py
+++ b/libs/membership/mulberry_membership/_link.py
@@ -11,6 +11,11 @@
 #: Maximum number of records in one message. With records of about 150 bytes
 #: this is 150 KB, well under gRPC's limit of 4 MB for a message.
 MAX_RECORDS_PER_MESSAGE = 1_000
+#: Sizes of a message on a link, bytes: at first, and at least. The links of an
+#: instance that has just started transfer the state of all others at once, and
+#: with 5 Mbit/s four messages of 80 KB each do not arrive within the timeout.
+INITIAL_MESSAGE_BYTES = 32 << 10
+MIN_MESSAGE_BYTES = 4 << 10
 #: Tolerance for rounding errors when periods are added up, seconds.
 _ROUNDING_S = 1e-6
 #: Maximum factor by which repeated suspicions of one peer are delayed. A peer
@@ -102,6 +107,10 @@
         #: both directions doubled the bytes when all instances start at once.
         self._is_introducing = True
         self._requests_all = True
+        #: Maximum size of requests and responses. It adapts to what the link
+        #: transfers within the timeout, so that a transfer of many records gets
+        #: on however slow the link is.
+        self._max_bytes = INITIAL_MESSAGE_BYTES
         #: Buckets that differed in the last comparison of digests; unset once
         #: the peer has acknowledged the records that it lacked.
         self._differing: _store.StoreDifference | core.Missing = (
@@ -203,12 +212,14 @@
                 MAX_RECORDS_PER_MESSAGE,
                 owner=sender if self._is_introducing else "",
                 differing=self._differing,
+                max_bytes=self._max_bytes,
             )
             request = peer_pb2.ExchangeRequest(
                 sender=sender,
                 receiver_session=self._session,
                 have_stamp=self._have_stamp,
                 full=self._requests_all,
+                max_bytes=self._max_bytes,
             )
             digests_stamp = 0
             if self._requests_all or self._is_introducing:
@@ -245,6 +256,10 @@
                 )
                 if not self._differing.buckets:
                     self._acknowledged_stamp = sent.digests_stamp
+            if response.more or sent.more:
+                self._max_bytes = min(
+                    2 * self._max_bytes, _store.MAX_MESSAGE_BYTES
+                )
             self._is_introducing = peer_lost_state
             self._session = response.session
             self._have_stamp = response.stamp
@@ -269,6 +284,7 @@
         """
         with self._lock:
             is_first = math.isinf(self._failing_since_s)
+            self._max_bytes = max(self._max_bytes // 2, MIN_MESSAGE_BYTES)
             self._failing_since_s = min(self._failing_since_s, sent.started_s)
             self._suspect_from_s = min(self._suspect_from_s, sent.started_s)
             return is_first
--- a/libs/membership/mulberry_membership/_membership.py
+++ b/libs/membership/mulberry_membership/_membership.py
@@ -275,6 +275,10 @@
             request.sender if is_current_session and not request.full else "",
             _link.MAX_RECORDS_PER_MESSAGE,
             differing=differing,
+            max_bytes=min(
+                request.max_bytes or _store.MAX_MESSAGE_BYTES,
+                _store.MAX_MESSAGE_BYTES,
+            ),
         )
         response = peer_pb2.ExchangeResponse(
             session=self._session,
--- a/libs/membership/mulberry_membership/_store.py
+++ b/libs/membership/mulberry_membership/_store.py
@@ -16,7 +16,8 @@
 #: Maximum number of records; limits the memory that a faulty or malicious peer
 #: can consume.
 MAX_RECORDS = 50_000
-#: Bytes of records in one message; gRPC refuses messages of more than 4 MiB.
+#: Maximum bytes of records in one message; gRPC refuses messages of more than
+#: 4 MiB.
 MAX_MESSAGE_BYTES = 2 << 20
 #: Bytes of a record in a message besides its payload, id and owner, at most.
 _RECORD_OVERHEAD_BYTES = 64
@@ -180,6 +181,7 @@
         limit: int,
         owner: str = "",
         differing: StoreDifference | core.Missing = core.Missing.UNSET,
+        max_bytes: int = MAX_MESSAGE_BYTES,
     ) -> Changes:
         """Returns the changes after `stamp`, oldest first, for one message.
 
@@ -191,6 +193,8 @@
             owner: Returns only records of this owner; empty for all owners.
             differing: Leaves out records that it does not cover; unset if the
                 stores were not compared.
+            max_bytes: Maximum size of the returned records, unless a single one
+                exceeds it.
         """
         with self._lock:
             newer = []
@@ -208,7 +212,7 @@
                     newer.append(stored)
             newest_stamp = self._stamp
         newer.reverse()
-        limit = min(limit, _fitting_count(newer))
+        limit = min(limit, _fitting_count(newer, max_bytes))
         if len(newer) <= limit:
             return Changes(tuple(newer), newest_stamp, False)
         return Changes(tuple(newer[:limit]), newer[limit - 1].stamp, True)
@@ -362,7 +366,9 @@
                     self._counters.increment("membership.callbacks_failed")
 
 
-def _fitting_count(stored_records: list[_record_index.StoredRecord]) -> int:
+def _fitting_count(
+    stored_records: list[_record_index.StoredRecord], max_bytes: int
+) -> int:
     """Returns how many of the first records fit into a message; at least 1."""
     size = 0
     for count, stored in enumerate(stored_records):
@@ -373,7 +379,7 @@
             + len(record.owner.encode())
             + _RECORD_OVERHEAD_BYTES
         )
-        if count and size > MAX_MESSAGE_BYTES:
+        if count and size > max_bytes:
             return count
     return max(1, len(stored_records))
 
