Return no state to a peer that knows an earlier process of this instance

A link to an instance that has restarted asks with the session of the process before, and has no digests in its request.

Now such a request is answered with the new session alone.

Evidence: test_restarted_instance_returns_no_records_that_a_peer_has failed before (1,000 records in the first response).

--- a/libs/membership/mulberry_membership/_membership.py
+++ b/libs/membership/mulberry_membership/_membership.py
@@ -266,20 +266,10 @@
         self._merge_received(
             _link.decode_records(request, self._counters), request.sender
         )
-        is_current_session = request.receiver_session == self._session
         differing: _store.StoreDifference | core.Missing = core.Missing.UNSET
         if request.digests:
             differing = self._store.compare(request.digests)
-        changes = self._store.changes_since(
-            request.have_stamp if is_current_session else 0,
-            request.sender if is_current_session and not request.full else "",
-            _link.MAX_RECORDS_PER_MESSAGE,
-            differing=differing,
-            max_bytes=min(
-                request.max_bytes or _store.MAX_MESSAGE_BYTES,
-                _store.MAX_MESSAGE_BYTES,
-            ),
-        )
+        changes = self._changes_for(request, differing)
         response = peer_pb2.ExchangeResponse(
             session=self._session,
             stamp=changes.stamp,
@@ -297,6 +287,31 @@
         )
         return response
 
+    def _changes_for(
+        self,
+        request: peer_pb2.ExchangeRequest,
+        differing: _store.StoreDifference | core.Missing,
+    ) -> _store.Changes:
+        """Returns the changes that the sender of a request lacks."""
+        is_current_session = request.receiver_session == self._session
+        knows_earlier_process = (
+            request.receiver_session and not is_current_session
+        )
+        if knows_earlier_process and isinstance(differing, core.Missing):
+            # The sender has most of the records, and sends digests as soon as
+            # it knows of this process.
+            return _store.Changes((), 0, False)
+        return self._store.changes_since(
+            request.have_stamp if is_current_session else 0,
+            request.sender if is_current_session and not request.full else "",
+            _link.MAX_RECORDS_PER_MESSAGE,
+            differing=differing,
+            max_bytes=min(
+                request.max_bytes or _store.MAX_MESSAGE_BYTES,
+                _store.MAX_MESSAGE_BYTES,
+            ),
+        )
+
     def run_once(self) -> None:
         """Runs the exchanges that are due and one probe, then calls `tick`."""
         self._peers.run_once()
--- a/libs/membership/mulberry_membership/tests/test_slow_links.py
+++ b/libs/membership/mulberry_membership/tests/test_slow_links.py
@@ -3,6 +3,7 @@
 import pytest
 
 import mulberry_membership as membership
+from mulberry_wire import peer_pb2
 
 KIND = membership.RecordKind.UPSTREAM
 
@@ -53,3 +54,27 @@
     stored = simulation.instances_by_name["i3"].latest(KIND, "pool-0")
     assert isinstance(stored, membership.Record)
     assert stored.sequence == 2
+
+
+def test_restarted_instance_returns_no_records_that_a_peer_has() -> None:
+    """Guards against a link that is full of records which the peer has.
+
+    Each peer with a link to an instance that had restarted got all of its
+    records back.
+    """
+    simulation = _restart_with_slow_links(6, 1_000, 400_000)
+    simulation.seconds(20.0)
+    restarted = simulation.instances_by_name["i3"]
+    peer = simulation.instances_by_name["i0"]
+    request = peer_pb2.ExchangeRequest(
+        sender="i0", receiver_session=12_345, have_stamp=900
+    )
+    first = restarted.handle_exchange(request)
+    assert (len(first.records), first.stamp) == (0, 0)
+    # The peer sends these since it was told of another session.
+    request.receiver_session = first.session
+    request.have_stamp = first.stamp
+    request.digests.extend(peer._store.digests().by_bucket)
+    second = restarted.handle_exchange(request)
+    assert second.compared
+    assert not [r for r in second.records if r.id.startswith("pool-")]
