Replace the connection to a peer after two timeouts in a row

What callers saw: after a partition has healed, instances go on with what they knew before it for as long again as it lasted, though they count as in touch after ContactMs.

Cause: TCP retransmits on an open connection with a growing interval, and the exchanges over it time out until then, while a new connection works at once. The channels of the voters are replaced after two timeouts for that reason; those of the gossip exchanges were not. The same holds for a peer that lost power, until its kernel answers a retransmission with a reset.

Evidence: test_stalled_connection_is_replaced failed before: no exchange in 8 attempts.

--- a/libs/membership/mulberry_membership/_grpc_transport.py
+++ b/libs/membership/mulberry_membership/_grpc_transport.py
@@ -29,6 +29,10 @@
     # connection.
     ("grpc.use_local_subchannel_pool", 1),
 )
+#: Consecutive timeouts after which a channel is replaced. A connection that
+#: was open during a partition stalls for as long again as the partition lasted,
+#: until TCP retransmits.
+_MAX_TIMEOUTS_IN_A_ROW = 2
 
 
 class GrpcTransport(_transport.PeerTransport):
@@ -48,6 +52,7 @@
         self._lock = threading.Lock()
         self._channels_by_address: dict[str, grpc.Channel] = {}
         self._stubs_by_address: dict[str, peer_pb2_grpc.PeersStub] = {}
+        self._timeouts_by_address: dict[str, int] = {}
 
     def exchange(
         self,
@@ -68,12 +73,31 @@
             )
         except (grpc.RpcError, ValueError) as error:
             # gRPC raises ValueError if another thread has closed the channel.
+            self._count_timeout(address, error)
             return _failure(address, _reason(error))
+        with self._lock:
+            self._timeouts_by_address.pop(address, None)
         return response
 
+    def _count_timeout(
+        self, address: str, error: grpc.RpcError | ValueError
+    ) -> None:
+        """Counts a timeout and closes a channel after too many."""
+        if (
+            not isinstance(error, grpc.Call)
+            or error.code() is not grpc.StatusCode.DEADLINE_EXCEEDED
+        ):
+            return
+        with self._lock:
+            timeouts = self._timeouts_by_address.get(address, 0) + 1
+            self._timeouts_by_address[address] = timeouts
+        if timeouts >= _MAX_TIMEOUTS_IN_A_ROW:
+            self.disconnect(address)
+
     def disconnect(self, address: str) -> None:
         """Closes the channel to the address."""
         with self._lock:
+            self._timeouts_by_address.pop(address, None)
             channel = self._channels_by_address.pop(address, None)
             self._stubs_by_address.pop(address, None)
         if channel is not None:
--- a/libs/membership/mulberry_membership/tests/test_slow_connections.py
+++ b/libs/membership/mulberry_membership/tests/test_slow_connections.py
@@ -121,3 +121,20 @@
     resources.callback(transport.close)
     assert _exchange_until_successful(transport, link.address, 8) < 8
     assert link.accepted == 1
+
+
+def test_stalled_connection_is_replaced(
+    peer_address: str, resources: contextlib.ExitStack
+) -> None:
+    """Guards against exchanges that fail for long after a partition.
+
+    TCP sends the bytes of an open connection again only after as long again as
+    the partition lasted. New connections work at once.
+    """
+    link = _Link(peer_address)
+    resources.callback(link.close)
+    transport = membership.GrpcTransport()
+    resources.callback(transport.close)
+    assert _exchange_until_successful(transport, link.address, 8) < 8
+    link.stall()
+    assert _exchange_until_successful(transport, link.address, 8) <= 2
