Keep the list of upstreams that was read last

What callers saw: a leaving upstream can be listed as ready for up to a second after the instance has its record.

Cause: several threads ask the directory. One that was delayed between reading the records and storing the list replaced the list of a thread that had read them later, and the note that something had changed was gone. Readings are numbered now, and the highest number stays.

Evidence: test_list_read_before_a_change_does_not_replace_a_newer_one failed before.

--- a/libs/membership/mulberry_membership/_directory.py
+++ b/libs/membership/mulberry_membership/_directory.py
@@ -78,6 +78,8 @@
     upstreams_by_name: Mapping[str, _upstreams.Upstream]
     #: Local time until which the snapshot is used, seconds.
     valid_until_s: float
+    #: Increases with each reading of the records that was begun.
+    number: int
 
 
 class UpstreamDirectory:
@@ -110,7 +112,8 @@
         self._lock = threading.Lock()
         self._local_by_name: dict[str, _LocalUpstream] = {}
         self._snapshot_lock = threading.Lock()
-        self._snapshot = _Snapshot({}, -math.inf)
+        self._snapshot = _Snapshot({}, -math.inf, 0)
+        self._snapshots_begun = 0
         self._changed = threading.Event()
         soft_state.subscribe(_KIND, lambda record: self._changed.set())
 
@@ -152,14 +155,19 @@
             if snapshot.valid_until_s > now_s and not self._changed.is_set():
                 return snapshot.upstreams_by_name
             self._changed.clear()
+            self._snapshots_begun += 1
+            number = self._snapshots_begun
         found = {
             name: upstream
             for name, record in self._soft_state.records(_KIND).items()
             if not isinstance(upstream := self._read(record), core.Missing)
         }
+        read = _Snapshot(found, now_s + self._snapshot_max_age_s, number)
         with self._snapshot_lock:
-            self._snapshot = _Snapshot(found, now_s + self._snapshot_max_age_s)
-        return found
+            # Another thread may have read newer records meanwhile.
+            if number > self._snapshot.number:
+                self._snapshot = read
+            return self._snapshot.upstreams_by_name
 
     def find(self, name: str) -> _upstreams.Upstream | core.Missing:
         """Returns the current state of one upstream; unset if unknown."""
--- a/libs/membership/mulberry_membership/tests/test_directory.py
+++ b/libs/membership/mulberry_membership/tests/test_directory.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import pytest
@@ -293,3 +294,46 @@
     )
     assert outcome is membership.AnnounceOutcome.ACCEPTED
     assert fixture.directory.upstreams()["pool-1"].address == "127.0.0.1:81"
+
+
+class _SlowReader(membership.LocalSoftState):
+    """Lets another thread go on after a reader has read the records."""
+
+    def __init__(self, owner: str, clock: core.Clock) -> None:
+        super().__init__(owner, clock)
+        self.after_next_read: Callable[[], None] = lambda: None
+
+    def records(
+        self, kind: membership.RecordKind
+    ) -> Mapping[str, membership.Record]:
+        found = super().records(kind)
+        callback, self.after_next_read = self.after_next_read, lambda: None
+        callback()
+        return found
+
+
+def test_list_read_before_a_change_does_not_replace_a_newer_one() -> None:
+    """Guards against a leaving upstream that is listed as ready again.
+
+    A thread that was delayed while it read the records replaced the list of
+    one that had read them later.
+    """
+    clock = core.ManualClock(100.0)
+    soft_state = _SlowReader("home", clock)
+    directory = membership.UpstreamDirectory(
+        soft_state, clock, core.MemoryCounters(), snapshot_max_age_s=60.0
+    )
+    directory.announce(_announcement())
+
+    def leave() -> None:
+        directory.announce(
+            _announcement(sequence=2, state=membership.UpstreamState.LEAVING)
+        )
+        assert _state() is membership.UpstreamState.LEAVING
+
+    def _state() -> membership.UpstreamState:
+        return directory.upstreams()["pool-1"].state
+
+    soft_state.after_next_read = leave
+    directory.upstreams()
+    assert _state() is membership.UpstreamState.LEAVING
