Confirm a departure once another instance has it

What callers saw: a departure can be confirmed by an instance from which it does not reach the others in time: one whose exchanges fail, that is at its limit of upstreams, that is stopping, or that ends right after.

Cause: the home confirmed as soon as its own directory had the record. The bound of 2.5 s begins there, and all of it was left to the exchanges of that one instance.

An instance that knows no other live one confirms at once.

--- a/libs/gateway/mulberry_gateway/_control.py
+++ b/libs/gateway/mulberry_gateway/_control.py
@@ -12,6 +12,11 @@
 #: Timeout for a quorum to confirm the newest state, seconds.
 _READ_TIMEOUT_S = 0.9
 
+#: Longest wait until another instance has the departure of an upstream,
+#: seconds. The upstream waits about a second for the confirmation before it
+#: tells another instance.
+_SHARE_TIMEOUT_S = 0.5
+
 _R = TypeVar("_R", state.RoutingReplaced, state.ServiceRolloutBegun)
 
 
@@ -117,6 +122,23 @@
             )
         return outcome
 
+    def wait_until_shared(self, name: str) -> bool:
+        """Waits until another instance knows what an upstream has announced.
+
+        A confirmed departure must reach all instances in time, so it must not
+        depend on this one.
+
+        Returns:
+            Whether another instance knows it; if not, the upstream should tell
+            one that can pass it on.
+        """
+        is_shared = self._soft_state.wait_until_shared(
+            membership.RecordKind.UPSTREAM, name, _SHARE_TIMEOUT_S
+        )
+        if not is_shared:
+            self._log.note("announcement", name=name, state="not_shared")
+        return is_shared
+
     def deregister_upstream(self, name: str, incarnation: int) -> None:
         """Removes an upstream that leaves; earlier announcements are outdated.
 
--- a/libs/membership/mulberry_membership/_local.py
+++ b/libs/membership/mulberry_membership/_local.py
@@ -117,6 +117,12 @@
         """Returns zero, because there are no other instances."""
         return 0.0
 
+    def wait_until_shared(
+        self, kind: _records.RecordKind, id: str, timeout_s: float
+    ) -> bool:
+        """Returns true, because there are no other instances."""
+        return True
+
     def subscribe(
         self, kind: _records.RecordKind, callback: _soft_state.RecordCallback
     ) -> None:
--- a/libs/membership/mulberry_membership/_membership.py
+++ b/libs/membership/mulberry_membership/_membership.py
@@ -2,6 +2,7 @@
 
 import secrets
 import threading
+import time
 from collections.abc import Callable, Mapping
 
 from absl import logging
@@ -84,6 +85,8 @@
         self._unreadable = _unreadable.UnreadableRecords(counters)
         self._member_callbacks: list[Callable[[_members.Member], None]] = []
         self._leaving = False
+        #: Notified after each successful exchange.
+        self._exchanged = threading.Condition()
         #: Stamp of the newest change when the links were last woken.
         self._pushed_stamp = 0
         self._purged_s = clock.now()
@@ -111,6 +114,7 @@
             timing,
             self._merge_received,
             self._suspect,
+            self._on_exchanged,
         )
         self._publish_self()
 
@@ -248,6 +252,19 @@
         """Returns how long all exchanges of this instance have failed."""
         return self._peers.isolated_s()
 
+    def wait_until_shared(
+        self, kind: _records.RecordKind, id: str, timeout_s: float
+    ) -> bool:
+        """Waits until another instance has the newest record of an id."""
+        until_s = time.monotonic() + timeout_s
+        with self._exchanged:
+            while not self._is_shared((kind, id)):
+                left_s = until_s - time.monotonic()
+                if left_s <= 0.0:
+                    return False
+                self._exchanged.wait(left_s)
+        return True
+
     def subscribe(
         self, kind: _records.RecordKind, callback: _soft_state.RecordCallback
     ) -> None:
@@ -342,6 +359,17 @@
             self._peers.update_links(self._table.members)
         self._purge_ownerless()
 
+    def _is_shared(self, key: tuple[_records.RecordKind, str]) -> bool:
+        return self._store.is_known_elsewhere(key) or not any(
+            member.state is not _members.MemberState.DEAD
+            for name, member in self._table.members().items()
+            if name != self._name
+        )
+
+    def _on_exchanged(self) -> None:
+        with self._exchanged:
+            self._exchanged.notify_all()
+
     def _push_changes(self) -> None:
         """Wakes the links if the store has changed since the last call."""
         stamp = self._store.stamp
--- a/libs/membership/mulberry_membership/_peers.py
+++ b/libs/membership/mulberry_membership/_peers.py
@@ -81,6 +81,7 @@
         timing: Timing,
         on_records: RecordsCallback,
         on_suspect: Callable[[str], None],
+        on_exchanged: Callable[[], None],
     ) -> None:
         """Creates an instance's peers, initially without links.
 
@@ -95,6 +96,7 @@
             timing: Periods and timeouts.
             on_records: Called with the records that a peer has sent.
             on_suspect: Called with the name of a peer to suspect.
+            on_exchanged: Called after each successful exchange.
         """
         self._name = name
         self._address = address
@@ -106,6 +108,7 @@
         self._timing = timing
         self._on_records = on_records
         self._on_suspect = on_suspect
+        self._on_exchanged = on_exchanged
         self._lock = threading.Lock()
         self._min_interval_s = MIN_EXCHANGE_INTERVAL_S
         self._links_by_name: dict[str, _link.PeerLink] = {}
@@ -243,6 +246,7 @@
             _link.decode_records(response, self._counters), link.name
         )
         link.record_success(response, sent)
+        self._on_exchanged()
         return True
 
     def probe(self) -> bool:
--- a/libs/membership/mulberry_membership/_soft_state.py
+++ b/libs/membership/mulberry_membership/_soft_state.py
@@ -108,6 +108,23 @@
         Zero while any of them succeeds.
         """
 
+    @abc.abstractmethod
+    def wait_until_shared(
+        self, kind: _records.RecordKind, id: str, timeout_s: float
+    ) -> bool:
+        """Waits until another instance has the newest record of an id.
+
+        Until then, the record is lost with this instance.
+
+        Args:
+            kind: Kind of the record.
+            id: Id of the record.
+            timeout_s: Longest wait, seconds.
+
+        Returns:
+            Whether another instance has it, or there is no other.
+        """
+
     @abc.abstractmethod
     def subscribe(
         self, kind: _records.RecordKind, callback: RecordCallback
--- a/libs/membership/mulberry_membership/_store.py
+++ b/libs/membership/mulberry_membership/_store.py
@@ -146,6 +146,15 @@
             stored = self._index.get(key)
             return self._clock.now() - stored.arrived_s if stored else math.inf
 
+    def is_known_elsewhere(self, key: _record_index.Key) -> bool:
+        """Whether a peer has sent or acknowledged the newest record of a key.
+
+        Also true if there is no record.
+        """
+        with self._lock:
+            stored = self._index.get(key)
+            return stored is None or bool(stored.known_by)
+
     def digests(self) -> Digests:
         """Returns the digests of the current content."""
         with self._lock:
