--- a/libs/membership/mulberry_membership/tests/test_slow_connections.py
+++ b/libs/membership/mulberry_membership/tests/test_slow_connections.py
@@ -112,8 +112,8 @@
 ) -> None:
     """Guards against attempts that end while the link is only full.
 
-    Packets then wait for some 0.1 s. The attempts to reach a restarted
-    instance were ended after that time, those of 40 instances in 0.1 s.
+    Packets then wait for some 0.1 s, after which each attempt to reach a
+    restarted instance was ended.
     """
     link = _Link(peer_address, delay_s=0.2)
     resources.callback(link.close)
