--- a/libs/gateway/mulberry_gateway/_catalog.py
+++ b/libs/gateway/mulberry_gateway/_catalog.py
@@ -12,7 +12,7 @@
 #: within two announcement periods.
 RETAIN_S = 8.0
 #: Upper bound of times in the log, which has no infinite numbers, seconds.
-_MAX_S = 999.0
+_MAX_LOGGED_S = 999.0
 
 #: Incarnation and sequence of a record.
 _Order = tuple[int, int]
@@ -208,8 +208,7 @@
         record: membership.Record | core.Missing,
     ) -> None:
         """Logs that an upstream stays in use, and what its home is now."""
-        home = upstream.home
-        departed: bool | core.Missing = core.Missing.UNSET
+        home, departed = upstream.home, False
         if not isinstance(record, core.Missing):
             home, departed = record.owner, membership.says_departed(record)
         self._log.note(
@@ -219,8 +218,10 @@
             state="retained",
             incarnation=upstream.incarnation,
             home=home,
-            departed=departed if isinstance(departed, bool) else None,
-            stale_s=round(min(self._soft_state.staleness_s(home), _MAX_S), 2),
+            departed=departed,
+            stale_s=round(
+                min(self._soft_state.staleness_s(home), _MAX_LOGGED_S), 2
+            ),
         )
 
 
