--- a/libs/gateway/mulberry_gateway/_catalog.py
+++ b/libs/gateway/mulberry_gateway/_catalog.py
@@ -25,8 +25,6 @@
     upstream: membership.Upstream
     #: `Clock.now` when it was last listed, seconds.
     listed_s: float
-    #: Whether it is in use although it is no longer listed.
-    is_retained: bool = False
 
 
 class UpstreamCatalog:
@@ -52,6 +50,7 @@
         self._lock = threading.Lock()
         self._directory_snapshot: Mapping[str, membership.Upstream] = {}
         self._entry_by_name: dict[str, _CatalogEntry] = {}
+        #: Upstreams that were in use although not listed at the last rebuild.
         self._retained_names: frozenset[str] = frozenset()
         self._by_service: dict[str, tuple[membership.Upstream, ...]] = {}
         #: Guards the departures. Separate from `_lock`, which is held while the
@@ -196,10 +195,7 @@
                 state="removed" if removed else "left" if leaving else "lost",
                 listed_age_s=round(now_s - entry.listed_s, 2),
             )
-        elif not entry.is_retained:
-            self._entry_by_name[name] = dataclasses.replace(
-                entry, is_retained=True
-            )
+        elif name not in self._retained_names:
             self._log_retained(entry.upstream, record)
 
     def _log_retained(
