Log the voters, and why a group has no leader; gauges of its tolerance

Each voter now logs a change of the voters, a leader its voters, and a voter without a leader for four election timeouts what each other one answered, at growing intervals. Gauges state.voters, state.voters_answering, state.tolerated_losses, state.leaderless_s. An expired lease names the last refusal.

No decision changes.

--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -36,6 +36,7 @@
     _settings,
     _upstream_connector,
     _upstream_selection,
+    _voter_gauges,
 )
 
 #: Longest wait for a routing table before callers are accepted, seconds.
@@ -47,6 +48,8 @@
 #: Interval between checks for upstreams that ended after an incomplete run,
 #: seconds; shorter than the interval between announcements of an upstream.
 _STRIKE_CHECK_PERIOD_S = 0.5
+#: Interval between updates of the voters' gauges, seconds.
+_VOTER_GAUGES_PERIOD_S = 1.0
 #: Maximum age of the upstream list while no upstream record changes, seconds.
 #: The gateway does not use the ages of announced loads.
 _MAX_SNAPSHOT_AGE_S = 1.0
@@ -228,6 +231,8 @@
         self._grpc.start()
         if not isinstance(self._node, core.Missing):
             self._node.start()
+            gauges = _voter_gauges.VoterGauges(self._node, self.counters)
+            self.timers.every(_VOTER_GAUGES_PERIOD_S, gauges.record, "voters")
         self.client.start()
         self.membership.start(self.timers)
         self._bootstrap.start(self.timers)
--- a/libs/state/mulberry_state/__init__.py
+++ b/libs/state/mulberry_state/__init__.py
@@ -113,6 +113,7 @@
         new_command_id,
     )
     from mulberry_state._reports import (
+        GroupStatus,
         LedgerReport,
         NodeStatus,
         VoterStatus,
@@ -229,6 +230,7 @@
                 "new_command_id",
             ),
             "_reports": (
+                "GroupStatus",
                 "LedgerReport",
                 "NodeStatus",
                 "VoterStatus",
@@ -277,6 +279,7 @@
     "CrashRecorded",
     "Disk",
     "FileRulesParser",
+    "GroupStatus",
     "InvariantError",
     "LeaseGranted",
     "LeaseHeld",
--- a/libs/state/mulberry_state/_elections.py
+++ b/libs/state/mulberry_state/_elections.py
@@ -5,7 +5,7 @@
 
 from absl import logging
 
-from mulberry_state import _disk, _peers, _raft
+from mulberry_state import _disk, _leaderless, _peers, _raft
 from mulberry_wire import log_pb2
 
 #: A leader that has not reached a quorum for this many election timeouts steps
@@ -23,6 +23,7 @@
     def __init__(self, raft: _raft.RaftState) -> None:
         self._raft = raft
         self._vote_pool = futures.ThreadPoolExecutor(8, "vote-requests")
+        self._leaderless = _leaderless.LeaderlessLog(raft)
 
     def run(self, stop: threading.Event) -> None:
         """Task: starts elections; as the leader, checks for a quorum."""
@@ -38,6 +39,7 @@
                     self._campaign(transfer)
                 except _disk.StorageError as error:
                     raft.fail(str(error))
+            self._leaderless.check()
         self._vote_pool.shutdown(wait=True, cancel_futures=True)
 
     def handle_vote(self, request: log_pb2.VoteRequest) -> log_pb2.VoteReply:
@@ -190,16 +192,19 @@
         granted = 1
         if granted >= quorum:
             return True
+        self._leaderless.begin_round(voter.name for voter in others)
         timeout_s = raft.timing.election_timeout_s
-        calls = [
+        name_by_call = {
             self._vote_pool.submit(
                 self._send_vote_request, voter, request, timeout_s
-            )
+            ): voter.name
             for voter in others
-        ]
+        }
         try:
-            for call in futures.as_completed(calls, timeout_s):
-                granted += self._count_vote(call.result(), request)
+            for call in futures.as_completed(name_by_call, timeout_s):
+                reply = call.result()
+                self._leaderless.note_answer(name_by_call[call], reply)
+                granted += self._count_vote(reply)
                 if granted >= quorum:
                     return True
         except TimeoutError:
@@ -218,11 +223,7 @@
         transport = self._raft.transport
         return transport.call(voter.address, _peers.VOTE, request, timeout_s)
 
-    def _count_vote(
-        self,
-        reply: log_pb2.VoteReply | _peers.Unreachable,
-        request: log_pb2.VoteRequest,
-    ) -> int:
+    def _count_vote(self, reply: log_pb2.VoteReply | _peers.Unreachable) -> int:
         if isinstance(reply, _peers.Unreachable):
             return 0
         if not reply.granted and reply.term > self._raft.log.term:
--- a/libs/state/mulberry_state/_node.py
+++ b/libs/state/mulberry_state/_node.py
@@ -325,6 +325,24 @@
                 failure=raft.failure,
             )
 
+    def group_status(self) -> _reports.GroupStatus:
+        """Returns the fault tolerance of the group."""
+        raft = self.replica.raft
+        with raft.lock:
+            answering: int | core.Missing = core.Missing.UNSET
+            tolerated_losses: int | core.Missing = core.Missing.UNSET
+            if raft.role is _raft.Role.LEADER:
+                answering = raft.answering_voters(
+                    _voter_reconciler.LOST_AFTER_S
+                )
+                tolerated_losses = answering - raft.quorum
+            return _reports.GroupStatus(
+                voters=len(raft.voters.message.voters),
+                leaderless_s=raft.leaderless_s(),
+                answering=answering,
+                tolerated_losses=tolerated_losses,
+            )
+
     def in_effect_everywhere(self, revision: int) -> bool:
         """Whether every instance with a lease has a revision of the view.
 
--- a/libs/state/mulberry_state/_raft.py
+++ b/libs/state/mulberry_state/_raft.py
@@ -108,6 +108,7 @@
         self.applied_index: int = log.snapshot.index
         #: `Clock.now()` of the last message from the leader.
         self.last_leader_contact_s = float("-inf")
+        self._started_s = clock.now()
         #: `Clock.now()` at which to campaign.
         self.election_due_s = 0.0
         #: Set when the leader has transferred leadership to this voter.
@@ -186,9 +187,18 @@
             return
         first = records[0].index
         self.log.stage(records)
+        before = self.voters
         while len(self._voters) > 1 and self._voters[-1].index >= first:
             self._voters.pop()
         self._add_voters(records)
+        if self.voters is not before:
+            logging.info(
+                "%s: voters %s as of record %d, before %s",
+                self.name,
+                _names(self.voters),
+                self.voters.index,
+                _names(before),
+            )
 
     def reload_voters(self) -> None:
         """Reloads the voters after a snapshot was installed."""
@@ -225,7 +235,12 @@
 
     def become_leader(self) -> None:
         """Becomes the leader of the current term."""
-        logging.info("%s leads in term %d", self.name, self.log.term)
+        logging.info(
+            "%s leads in term %d, voters %s",
+            self.name,
+            self.log.term,
+            _names(self.voters),
+        )
         self.role = Role.LEADER
         self.leader_name = self.name
         self.leader_address = self.address
@@ -320,11 +335,38 @@
             heard_s = max(self._last_acked_send_s(identity), self.elected_s)
             return self.clock.now() - heard_s
 
+    def answering_voters(self, max_silence_s: float) -> int:
+        """Returns how many voters have answered this leader recently.
+
+        Unlike with `silent_s`, a voter that has not answered since the election
+        does not count. This voter itself does.
+        """
+        with self.lock:
+            oldest_s = self.clock.now() - max_silence_s
+            return sum(
+                voter.identity == self.identity
+                or self._last_acked_send_s(voter.identity) >= oldest_s
+                for voter in self.voters.message.voters
+            )
+
     def unconfirmed_s(self) -> float:
         """Returns for how long no quorum has confirmed this leader, seconds."""
         with self.lock:
             return self.clock.now() - self.quorum_confirmed_s()
 
+    def leaderless_s(self) -> float:
+        """Returns for how long this voter has known no confirmed leader.
+
+        Returns:
+            Seconds; less than an election timeout while there is a leader.
+        """
+        with self.lock:
+            if self.role is Role.LEADER:
+                heard_s = max(self.quorum_confirmed_s(), self.elected_s)
+            else:
+                heard_s = max(self.last_leader_contact_s, self._started_s)
+            return self.clock.now() - heard_s
+
     def _match_index_of(self, voter: log_pb2.LogVoter) -> int:
         if voter.identity == self.identity:
             return self.log.durable_index
@@ -358,3 +400,8 @@
             if record.kind == log_pb2.LogRecord.VOTERS:
                 voters = log_pb2.LogVoters.FromString(record.data)
                 self._voters.append(Voters(record.index, voters))
+
+
+def _names(voters: Voters) -> list[str]:
+    """Returns the names of the voters, for the log."""
+    return [voter.name for voter in voters.message.voters]
--- a/libs/state/mulberry_state/_remote.py
+++ b/libs/state/mulberry_state/_remote.py
@@ -74,6 +74,8 @@
         self._callbacks: list[Callable[[_view.View], None]] = []
         #: Revision of the last view that could not be decoded, 0 for none.
         self._undecodable_revision = 0
+        #: Why the last attempt to renew the lease failed.
+        self._renewal_failure = ""
         self._process_id = uuid.uuid4().hex[:8]
         self._report_source: Callable[[], bytes] = bytes
         self._pool = core.TaskPool(f"state-client-{instance}", 1)
@@ -171,7 +173,11 @@
                 ),
                 attempt_s,
             )
-            if not isinstance(reply, _peers.Unreachable) and reply.granted:
+            if isinstance(reply, _peers.Unreachable):
+                self._renewal_failure = f"{address}: {reply.reason}"
+            elif not reply.granted:
+                self._renewal_failure = f"{address}: {reply.refusal.reason}"
+            else:
                 self._counters.increment("state.renewed")
                 return self._accept_reply(reply, view, sent_s)
         self._counters.increment("state.renew_failed")
@@ -192,7 +198,9 @@
                 logging.info(
                     "rules lease of %s %s",
                     self._instance,
-                    "is held" if is_held else "has expired",
+                    "is held"
+                    if is_held
+                    else f"has expired: {self._renewal_failure}",
                 )
             period_s = self._timing.lease_renew_period_s
             took_s = self._clock.now() - started_s
--- a/libs/state/mulberry_state/_reports.py
+++ b/libs/state/mulberry_state/_reports.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from typing import Any, TypeVar
 
+import mulberry_core as core
 from mulberry_state import _audit, _codec, _ledger, _rulebook
 from mulberry_wire import state_pb2
 
@@ -66,6 +67,22 @@
     failure: str
 
 
+@dataclasses.dataclass(frozen=True)
+class GroupStatus:
+    """The fault tolerance of the group, as one voter sees it."""
+
+    #: Number of voters in the newest set.
+    voters: int
+    #: Seconds without a confirmed leader.
+    leaderless_s: float
+    #: Voters that have answered the leader recently, with the leader itself;
+    #: unset unless the leader reports.
+    answering: int | core.Missing
+    #: Further voters that the group can lose; below 0 if it has no quorum.
+    #: Unset unless the leader reports.
+    tolerated_losses: int | core.Missing
+
+
 def encode_ledger(report: LedgerReport) -> state_pb2.LedgerReply:
     """Converts a ledger report to its message."""
     reply = state_pb2.LedgerReply(
