--- a/libs/gateway/mulberry_gateway/tests/test_rollout_filter.py
+++ b/libs/gateway/mulberry_gateway/tests/test_rollout_filter.py
@@ -145,7 +145,9 @@
     def __init__(self) -> None:
         self.clock = core.ManualClock(100.0)
         self.soft_state = _RecordingSoftState(self.clock)
-        client = state.LocalStateClient(state.FileRulesParser(), self.clock)
+        self.client = client = state.LocalStateClient(
+            state.FileRulesParser(), self.clock
+        )
         rollout_controller = _rollout_controller.RolloutController(
             client,
             core.Missing.UNSET,
@@ -258,3 +260,19 @@
     assert (pin_id == f"s/1/{session}") == (len(session) == 508)
     assert instance.version_of(session + "b") == "v1"
     assert len(set(instance.soft_state.published)) == 2
+
+
+def test_target_gets_no_requests_while_nobody_can_roll_it_back() -> None:
+    """Guards against a bad version that goes on while the voters stand still.
+
+    Only a record of the voters rolls a version back.
+    """
+    instance = _Instance()
+    instance.clock.advance(_IDLE_S + 0.1)
+    assert instance.version_of("new") == "v2"
+    instance.client.stop_renewing()
+    instance.clock.advance(4.0)
+    assert instance.version_of("new") == "v1"
+    assert instance.version_of("other") == "v1"
+    instance.client.resume_renewing()
+    assert instance.version_of("new") == "v2"
--- a/libs/state/mulberry_state/tests/test_node.py
+++ b/libs/state/mulberry_state/tests/test_node.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import shutil
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -302,6 +303,32 @@
     )
 
 
+def test_group_survives_a_lost_disk_after_a_replaced_leader(
+    deployment: _Deployment,
+) -> None:
+    """Guards against a replaced leader that still counts at the next loss."""
+    candidates = {}
+    for node in deployment.node_by_name.values():
+        candidates[node.candidate.name] = node.candidate
+        node.reconcile_voters(lambda: dict(candidates), 3)
+    replaced = deployment.leader().candidate.name
+    candidates.pop(replaced)
+    deployment.stop_voter(replaced, transfer_timeout_s=0.0)
+    added = deployment.add_machine("d")
+    candidates["d"] = added.candidate
+    added.reconcile_voters(lambda: dict(candidates), 3)
+    _wait_for(
+        lambda: deployment.leader().group_status().tolerated_losses == 1,
+        "the full tolerance",
+    )
+    lost = deployment.leader().candidate.name
+    deployment.stop_voter(lost, transfer_timeout_s=0.0)
+    shutil.rmtree(deployment.folder / lost)
+    assert not isinstance(
+        deployment.clients[0].propose(_bill(1), 20.0), core.Refusal
+    )
+
+
 @pytest.mark.parametrize("errno", [5, 28])
 def test_voters_return_once_their_disks_take_data_again(
     deployment: _Deployment, monkeypatch: pytest.MonkeyPatch, errno: int
