Import no voter's modules for the gauges on other instances

An annotation of _voter_gauges.py was evaluated at import and loaded the node on every instance; test_startup_imports_no_unused_module found it on.

--- a/libs/gateway/mulberry_gateway/_voter_gauges.py
+++ b/libs/gateway/mulberry_gateway/_voter_gauges.py
@@ -1,5 +1,7 @@
 """Exports the fault tolerance of the group of voters."""
 
+from __future__ import annotations
+
 import math
 
 import mulberry_core as core
