--- a/libs/gateway/mulberry_gateway/_forwarder.py
+++ b/libs/gateway/mulberry_gateway/_forwarder.py
@@ -101,6 +101,11 @@
             return _faults.not_run(
                 core.ErrorKind.NO_RULES, "no routing is known yet"
             )
+        if validity.lease_s <= 0.0:
+            return _faults.not_run(
+                core.ErrorKind.RULES_LEASE_EXPIRED,
+                "this instance has not renewed its rules lease within its term",
+            )
         route = table.match(request.header("host"), request.path)
         if isinstance(route, core.Missing):
             return self._refuse_unless_outdated(
@@ -142,11 +147,6 @@
     ) -> routing.Team | core.Missing | core.Refusal:
         if route.is_public or not table.teams_by_name:
             return core.Missing.UNSET
-        if validity.lease_s <= 0.0:
-            return _faults.not_run(
-                core.ErrorKind.RULES_LEASE_EXPIRED,
-                "this instance has not renewed its rules lease within its term",
-            )
         team = table.team_of(metadata.key)
         if isinstance(team, core.Missing):
             return self._refuse_unless_outdated(
--- a/libs/gateway/mulberry_gateway/_upstream_opener.py
+++ b/libs/gateway/mulberry_gateway/_upstream_opener.py
@@ -40,7 +40,7 @@
         block = self._components.quarantine.find_block(exchange)
         if isinstance(block, _blocks.Block):
             return _attempt_failure.quarantine_refusal(exchange, block)
-        if exchange.team and self._components.state.lease_remaining_s() <= 0.0:
+        if self._components.state.lease_remaining_s() <= 0.0:
             return _faults.not_run(
                 core.ErrorKind.RULES_LEASE_EXPIRED,
                 "the rules lease expired before the request was sent",
