Send nothing to a rollout's target while nobody can roll it back

An instance whose view is older than 0.6 of RollbackMs (3 s) now sends all sessions to the other versions, and the target gets requests again with the next renewal. A pinned session changes its version with it, in an outage only.

--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -148,6 +148,7 @@
             self._watch,
             self.membership,
             settings.bounds.session_s,
+            settings.bounds.rollout_view_age_s,
             clock,
         )
         upstream_selector = _upstream_selection.UpstreamSelector(
--- a/libs/gateway/mulberry_gateway/_rollout_filter.py
+++ b/libs/gateway/mulberry_gateway/_rollout_filter.py
@@ -32,6 +32,9 @@
     In the first half of a rollout only idle sessions move to the target
     version. Sessions within the target's share that were not idle are pinned
     to the other versions; instances publish these pins as short-lived records.
+
+    Only the replicated state can roll a version back, so an instance whose view
+    is too old sends all sessions to the other versions.
     """
 
     def __init__(
@@ -40,12 +43,26 @@
         rollout_controller: _rollout_controller.RolloutController,
         soft_state: membership.SoftState,
         session_s: float,
+        max_view_age_s: float,
         clock: core.Clock,
     ) -> None:
+        """Creates a filter.
+
+        Args:
+            client: Knows the rollouts.
+            rollout_controller: Knows for how long a rollout has been running.
+            soft_state: Shares the pins with the other instances.
+            session_s: Time after which a session without requests is idle,
+                seconds.
+            max_view_age_s: Age of the view up to which the target of a running
+                rollout gets requests, seconds.
+            clock: Source of time.
+        """
         self._client = client
         self._watch = rollout_controller
         self._soft_state = soft_state
         self._session_s = session_s
+        self._max_view_age_s = max_view_age_s
         self._clock = clock
         self._lock = threading.Lock()
         #: `Clock.now` when each version was first seen, by service.
@@ -108,6 +125,8 @@
         target = versions & {rollout.target}
         if not others or not target:
             return versions
+        if self._client.view_age_s() > self._max_view_age_s:
+            return others
         salt = f"{service}/{rollout.target}/{rollout.number}"
         point = core.bucket(session, salt, _BUCKETS) / _BUCKETS
         if point >= rollout.share:
--- a/libs/gateway/mulberry_gateway/_settings.py
+++ b/libs/gateway/mulberry_gateway/_settings.py
@@ -16,6 +16,10 @@
 #: nothing new, seconds. At 0.5 s, instances of a fleet of 69 spent a third of
 #: their idle processor time on these exchanges.
 _IDLE_EXCHANGE_S = 1.0
+#: Age of the view up to which the target of a rollout gets requests, as a share
+#: of the bound on rolling back. The rest covers the time from the first bad
+#: answers to the leader's decision, and the way of a request to the upstream.
+_ROLLOUT_VIEW_AGE_SHARE = 0.6
 #: Lease term as a share of the bound on revoking a key. The rest covers the
 #: time from checking the lease to sending the request, and clock drift.
 _LEASE_SHARE = 0.9
@@ -61,6 +65,11 @@
             lease_term_s=self.revoke_s * _LEASE_SHARE,
         )
 
+    @property
+    def rollout_view_age_s(self) -> float:
+        """Age of the view up to which a rollout's target is used, seconds."""
+        return self.rollback_s * _ROLLOUT_VIEW_AGE_SHARE
+
 
 @dataclasses.dataclass(frozen=True)
 class GatewaySettings:
--- a/libs/gateway/mulberry_gateway/tests/test_rollout_filter.py
+++ b/libs/gateway/mulberry_gateway/tests/test_rollout_filter.py
@@ -16,6 +16,7 @@
     _rollout_controller,
     _rollout_filter,
     _rollout_reports,
+    _settings,
 )
 
 _SESSION_S = 5.0
@@ -173,7 +174,12 @@
             1.0,
         )
         self.rollout_filter = _rollout_filter.RolloutFilter(
-            client, rollout_controller, self.soft_state, _SESSION_S, self.clock
+            client,
+            rollout_controller,
+            self.soft_state,
+            _SESSION_S,
+            _settings.GatewayBounds().rollout_view_age_s,
+            self.clock,
         )
 
     def version_of(self, session: str) -> str:
