Keep the sum of all instances within the rate that an upstream names

Upstreams in need name in their answers how many requests a second they take from all instances together.

The home of an upstream now owns its rate and grants a permit for each request (RateAllocator, Permits.Reserve over gRPC). Permits are taken where the connection of an attempt is opened, so repeats, larger models and resumed streams need one as well. Without a permit another upstream of the service is tried, up to four, then the caller is refused at once with the time until the next permit. The end of a rate is passed on to its owner. An owner that cannot be asked is not replaced, as two would grant twice the rate; one of an older build is, by the same instance everywhere.

--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -95,6 +95,7 @@
         RatingKey,
         TryModel,
     )
+    from mulberry_decisions._named_rates import NamedRates, RateReport
     from mulberry_decisions._part_blocks import (
         PartReach,
         part_block_duration_s,
@@ -114,6 +115,7 @@
     from mulberry_decisions._proven_steps import (
         ProvenSteps,
     )
+    from mulberry_decisions._rate_allocator import PermitReply, RateAllocator
     from mulberry_decisions._recent_durations import (
         RecentDurations,
     )
@@ -296,6 +298,7 @@
                 "duration_bucket",
             ),
             "_adaptive_hedging": ("AdaptiveHedging",),
+            "_named_rates": ("NamedRates", "RateReport"),
             "_part_blocks": (
                 "PartReach",
                 "part_block_duration_s",
@@ -308,6 +311,7 @@
             ),
             "_priority_admission": ("PriorityAdmission",),
             "_proven_steps": ("ProvenSteps",),
+            "_rate_allocator": ("PermitReply", "RateAllocator"),
             "_rejection_limiter": ("RejectionLimiter",),
             "_retries": (
                 "NoRetries",
@@ -441,6 +445,7 @@
     "LoadReport",
     "ModelChooser",
     "ModelOption",
+    "NamedRates",
     "NoCrashGuard",
     "NoHedging",
     "NoJudge",
@@ -450,12 +455,15 @@
     "PartCrashes",
     "PartReach",
     "PathOrder",
+    "PermitReply",
     "Placement",
     "PowerOfTwoChoices",
     "PriorityAdmission",
     "ProportionalLimiter",
     "Proposal",
     "ProvenSteps",
+    "RateAllocator",
+    "RateReport",
     "RatingCounts",
     "RatingExport",
     "RatingKey",
--- a/libs/gateway/mulberry_gateway/__init__.py
+++ b/libs/gateway/mulberry_gateway/__init__.py
@@ -30,7 +30,14 @@
 )
 from mulberry_gateway._metrics import MetricsEndpoint
 from mulberry_gateway._model_selection import ModelSelector
+from mulberry_gateway._permit_exchange import (
+    PermitsServicer,
+    SharedPermitOwner,
+    add_permits_service,
+)
+from mulberry_gateway._permit_owner import LocalPermitOwner, PermitOwner
 from mulberry_gateway._quarantine import RequestQuarantine
+from mulberry_gateway._rate_gate import RateGate
 from mulberry_gateway._relay_server import RelayServer
 from mulberry_gateway._relayed_connection import RelayedConnection
 from mulberry_gateway._relays import PublishedRelays, Relay, RelaySource
@@ -63,10 +70,14 @@
     "InvalidRequest",
     "LinkRecorder",
     "Listener",
+    "LocalPermitOwner",
     "MetricsEndpoint",
     "ModelSelector",
+    "PermitOwner",
+    "PermitsServicer",
     "PromptPart",
     "PublishedRelays",
+    "RateGate",
     "Relay",
     "RelayServer",
     "RelaySource",
@@ -81,10 +92,12 @@
     "RolloutController",
     "RolloutFilter",
     "RoutingTableStore",
+    "SharedPermitOwner",
     "UpstreamCatalog",
     "UpstreamConnection",
     "UpstreamConnector",
     "UpstreamSelector",
+    "add_permits_service",
     "end_to_end",
     "find_header",
 ]
--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -43,7 +43,9 @@
             components, self._retries
         )
         self._signals = _upstream_signals.UpstreamSignals(
-            components.upstream_selector, components.log
+            components.upstream_selector,
+            components.rate_gate,
+            components.log,
         )
 
     def request_started(self, exchange: _exchange.Exchange) -> None:
--- a/libs/gateway/mulberry_gateway/_components.py
+++ b/libs/gateway/mulberry_gateway/_components.py
@@ -10,6 +10,7 @@
     _dialect,
     _model_selection,
     _quarantine,
+    _rate_gate,
     _rollout_controller,
     _rollout_filter,
     _routing_table_store,
@@ -40,6 +41,7 @@
     rollout_filter: _rollout_filter.RolloutFilter
     quarantine: _quarantine.RequestQuarantine
     connector: _upstream_connector.UpstreamConnector
+    rate_gate: _rate_gate.RateGate
     #: Durations of complete requests by route.
     durations: decisions.RecentDurations = dataclasses.field(
         default_factory=decisions.RecentDurations
--- a/libs/gateway/mulberry_gateway/_dialect.py
+++ b/libs/gateway/mulberry_gateway/_dialect.py
@@ -88,6 +88,9 @@
     #: Number of requests that the upstream can reject in a second for lack of
     #: free slots without failing; unset for no limit.
     rejection_limit: int | core.Missing = core.Missing.UNSET
+    #: Requests a second that the upstream takes from all instances together;
+    #: unlimited if it names no rate, unset if the rate cannot be read.
+    rate_per_s: float | core.Missing = core.Missing.UNLIMITED
 
 
 class Dialect(abc.ABC):
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -27,7 +27,9 @@
     _link_recorder,
     _listener,
     _model_selection,
+    _permit_exchange,
     _quarantine,
+    _rate_gate,
     _relay_server,
     _relays,
     _rollout_controller,
@@ -151,6 +153,8 @@
             settings.bounds.rollout_view_age_s,
             clock,
         )
+        self._allocator = decisions.RateAllocator(clock)
+        self._permit_channels = state.Channels(state.open_insecure)
         upstream_selector = _upstream_selection.UpstreamSelector(
             settings.zone,
             catalog,
@@ -199,6 +203,22 @@
                 _relays.PublishedRelays(self.membership, settings.zone),
                 self._links,
             ),
+            rate_gate=_rate_gate.RateGate(
+                upstream_selector.named_rates,
+                _permit_exchange.SharedPermitOwner(
+                    settings.name,
+                    self.membership.members,
+                    self._allocator,
+                    self._permit_channels,
+                    clock,
+                ),
+                self.counters,
+                log,
+            ),
+        )
+        _permit_exchange.add_permits_service(
+            self._grpc,
+            _permit_exchange.PermitsServicer(self._allocator, catalog.find),
         )
         self._relay = self._open_relay()
         self._publishing = threading.Lock()
@@ -330,6 +350,7 @@
             took_s=round(self._clock.now() - began_s, 2),
         )
         self._log.stop()
+        self._permit_channels.close()
         if not isinstance(self._relay, core.Missing):
             self._relay.stop()
         leave_beside(self.membership.leave, self._stop_node)
@@ -396,6 +417,7 @@
 
     def _prune_removed(self) -> None:
         self.components.upstream_selector.prune_removed()
+        self._allocator.keep_only(self._catalog.names())
         self._links.health.keep_only(self._catalog.names())
         self._catalog.prune_departures()
 
--- /dev/null
+++ b/libs/gateway/mulberry_gateway/_permit_exchange.py
@@ -0,0 +1,175 @@
+"""Permits over gRPC: the home of an upstream owns its rate."""
+
+import math
+from collections.abc import Callable, Mapping, Sequence
+
+import grpc
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+import mulberry_membership as membership
+import mulberry_state as state
+from mulberry_gateway import _permit_owner
+from mulberry_wire import limits_pb2, limits_pb2_grpc
+
+#: Time for which an instance of a build without permits is not asked again,
+#: seconds.
+_UNSUPPORTED_S = 10.0
+#: Wait for the permit of an upstream that the owner does not know, seconds.
+_UNKNOWN_WAIT_S = 0.5
+
+
+class SharedPermitOwner(_permit_owner.PermitOwner):
+    """Asks the home of the upstream.
+
+    Where the home runs a build without permits, all instances ask the same
+    other one. A home that cannot be reached is not replaced: two owners would
+    grant twice the rate. Another instance becomes the home once the upstream
+    announces itself there.
+    """
+
+    def __init__(
+        self,
+        own_name: str,
+        members: Callable[[], Mapping[str, membership.Member]],
+        allocator: decisions.RateAllocator,
+        channels: state.Channels,
+        clock: core.Clock,
+    ) -> None:
+        self._own_name = own_name
+        self._members = members
+        self._allocator = allocator
+        self._channels = channels
+        self._clock = clock
+        #: `Clock.now` until which each instance is not asked, seconds.
+        self._unsupported_until_s: dict[str, float] = {}
+
+    def reserve(
+        self,
+        upstream: membership.Upstream,
+        report: decisions.RateReport,
+        wants_permit: bool,
+        timeout_s: float,
+    ) -> decisions.PermitReply | core.Refusal:
+        """Asks the owner; this instance itself without a call."""
+        members = self._members()
+        for name in self._owners(upstream, members):
+            if name == self._own_name:
+                return self._allocator.reserve(
+                    upstream.name, upstream.incarnation, report, wants_permit
+                )
+            member = members.get(name)
+            if member is None:
+                return _refusal(f"{name} is no member")
+            reply = self._channels.call(
+                member.address,
+                limits_pb2_grpc.PermitsStub,
+                "Reserve",
+                limits_pb2.ReserveRequest(
+                    upstream=upstream.name,
+                    incarnation=upstream.incarnation,
+                    report=_encode_report(report),
+                    wants_permit=wants_permit,
+                ),
+                timeout_s,
+            )
+            if not isinstance(reply, state.Unreachable):
+                return decisions.PermitReply(
+                    reply.wait_ms / 1000, _decode_report(reply.report)
+                )
+            if not reply.is_unimplemented:
+                return _refusal(f"{name}: {reply.reason}")
+            self._unsupported_until_s[name] = self._clock.now() + _UNSUPPORTED_S
+        return _refusal("no instance grants permits")
+
+    def _owners(
+        self,
+        upstream: membership.Upstream,
+        members: Mapping[str, membership.Member],
+    ) -> Sequence[str]:
+        """Returns the instances to ask, in the same order on all of them."""
+        others = sorted(
+            (
+                name
+                for name, member in members.items()
+                if member.state is not membership.MemberState.DEAD
+                and name != upstream.home
+            ),
+            key=lambda name: core.digest128(f"{upstream.name}/{name}".encode()),
+        )
+        now_s = self._clock.now()
+        return [
+            name
+            for name in (upstream.home, *others)
+            if self._unsupported_until_s.get(name, now_s) <= now_s
+        ]
+
+
+class PermitsServicer(limits_pb2_grpc.PermitsServicer):
+    """Grants permits to other instances."""
+
+    def __init__(
+        self,
+        allocator: decisions.RateAllocator,
+        find_upstream: Callable[[str], membership.Upstream | core.Missing],
+    ) -> None:
+        self._allocator = allocator
+        self._find_upstream = find_upstream
+
+    def Reserve(  # noqa: N802 (name of the gRPC method)
+        self, request: limits_pb2.ReserveRequest, context: grpc.ServicerContext
+    ) -> limits_pb2.ReserveReply:
+        """Takes a permit for one request of another instance."""
+        del context
+        if isinstance(self._find_upstream(request.upstream), core.Missing):
+            return limits_pb2.ReserveReply(
+                wait_ms=_milliseconds(_UNKNOWN_WAIT_S), report=request.report
+            )
+        reply = self._allocator.reserve(
+            request.upstream,
+            request.incarnation,
+            _decode_report(request.report),
+            request.wants_permit,
+        )
+        return limits_pb2.ReserveReply(
+            wait_ms=_milliseconds(reply.wait_s),
+            report=_encode_report(reply.report),
+        )
+
+
+def add_permits_service(server: grpc.Server, servicer: PermitsServicer) -> None:
+    """Registers the service on a server that is not yet started."""
+    limits_pb2_grpc.add_PermitsServicer_to_server(servicer, server)  # type: ignore[no-untyped-call]
+
+
+def _encode_report(
+    report: decisions.RateReport,
+) -> limits_pb2.RateReportMessage:
+    age_ms = min(int(report.age_s * 1000), (1 << 32) - 1)
+    if isinstance(report.rate_per_s, core.Missing):
+        return limits_pb2.RateReportMessage(unlimited=True, age_ms=age_ms)
+    return limits_pb2.RateReportMessage(
+        rate_per_s=report.rate_per_s, age_ms=age_ms
+    )
+
+
+def _decode_report(
+    message: limits_pb2.RateReportMessage,
+) -> decisions.RateReport:
+    """Decodes a report; a rate that is no number counts as 0."""
+    rate_per_s: float | core.Missing = core.Missing.UNLIMITED
+    if not message.unlimited:
+        is_number = 0.0 <= message.rate_per_s < float("inf")
+        rate_per_s = message.rate_per_s if is_number else 0.0
+    return decisions.RateReport(rate_per_s, message.age_ms / 1000)
+
+
+def _milliseconds(seconds: float) -> int:
+    """Rounds up, as 0 stands for a permit."""
+    return math.ceil(seconds * 1000)
+
+
+def _refusal(reason: str) -> core.Refusal:
+    return core.Refusal(
+        core.ErrorKind.NO_UPSTREAM, core.RunState.NOT_RUN, reason
+    )
--- /dev/null
+++ b/libs/gateway/mulberry_gateway/_permit_owner.py
@@ -0,0 +1,51 @@
+"""Who grants the permits for an upstream that names a rate."""
+
+import abc
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+import mulberry_membership as membership
+
+
+class PermitOwner(abc.ABC):
+    """Grants permits; implementations are thread-safe."""
+
+    @abc.abstractmethod
+    def reserve(
+        self,
+        upstream: membership.Upstream,
+        report: decisions.RateReport,
+        wants_permit: bool,
+        timeout_s: float,
+    ) -> decisions.PermitReply | core.Refusal:
+        """Takes a permit for one request.
+
+        Args:
+            upstream: The upstream that names a rate.
+            report: Newest report of this instance.
+            wants_permit: False only to pass on the report.
+            timeout_s: Time limit, seconds.
+
+        Returns:
+            The reply, or a refusal if the owner cannot be asked.
+        """
+
+
+class LocalPermitOwner(PermitOwner):
+    """Owns all rates; for an instance without others."""
+
+    def __init__(self, allocator: decisions.RateAllocator) -> None:
+        self._allocator = allocator
+
+    def reserve(
+        self,
+        upstream: membership.Upstream,
+        report: decisions.RateReport,
+        wants_permit: bool,
+        timeout_s: float,
+    ) -> decisions.PermitReply | core.Refusal:
+        """Takes a permit from the allocator of this instance."""
+        del timeout_s
+        return self._allocator.reserve(
+            upstream.name, upstream.incarnation, report, wants_permit
+        )
--- /dev/null
+++ b/libs/gateway/mulberry_gateway/_rate_gate.py
@@ -0,0 +1,116 @@
+"""Keeps requests within the rates that upstreams name."""
+
+from concurrent import futures
+
+from absl import logging
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+import mulberry_membership as membership
+from mulberry_gateway import _permit_owner
+
+#: Time limit for asking the owner of a rate, seconds. It answers without
+#: waiting for anything.
+_RESERVE_TIMEOUT_S = 0.25
+#: Pause in requests to an upstream whose owner cannot be asked, seconds.
+_FAILURE_WAIT_S = 0.5
+
+
+class RateGate:
+    """Takes a permit before each request to an upstream that names a rate."""
+
+    def __init__(
+        self,
+        rates: decisions.NamedRates,
+        owner: _permit_owner.PermitOwner,
+        counters: core.Counters,
+        log: core.DecisionLog,
+    ) -> None:
+        self._rates = rates
+        self._owner = owner
+        self._counters = counters
+        self._log = log
+        self._notices = futures.ThreadPoolExecutor(1, "rate-notices")
+
+    def admit(self, upstream: membership.Upstream, timeout_s: float) -> bool:
+        """Whether a request may be sent now; takes a permit if one is needed.
+
+        Otherwise the upstream counts as blocked until a permit may be
+        available.
+        """
+        name, incarnation = upstream.name, upstream.incarnation
+        report = self._rates.report(name, incarnation)
+        if isinstance(report, core.Missing) or not self._rates.is_limited(
+            name, incarnation
+        ):
+            return True
+        reply = self._owner.reserve(
+            upstream, report, True, min(timeout_s, _RESERVE_TIMEOUT_S)
+        )
+        if isinstance(reply, core.Refusal):
+            self._counters.increment("gateway.permits.failed")
+            self._log.note("permit", keep=True, name=name, failed=reply.reason)
+            self._rates.block(name, incarnation, _FAILURE_WAIT_S)
+            return False
+        self._learn(upstream, reply.report)
+        if reply.is_granted:
+            self._counters.increment("gateway.permits.granted")
+            return True
+        self._counters.increment("gateway.permits.denied")
+        self._rates.block(name, incarnation, reply.wait_s)
+        return False
+
+    def answered(
+        self, upstream: membership.Upstream, rate_per_s: float | core.Missing
+    ) -> None:
+        """Records the rate in an answer.
+
+        Args:
+            upstream: The upstream that answered.
+            rate_per_s: Requests a second; unlimited if the answer names no
+                rate, unset if it cannot be read.
+        """
+        if rate_per_s is core.Missing.UNSET:
+            return
+        report = decisions.RateReport(rate_per_s, 0.0)
+        if (
+            self._learn(upstream, report)
+            and rate_per_s is core.Missing.UNLIMITED
+        ):
+            # Others would learn of the end only from answers of their own, for
+            # which they need permits.
+            self._notices.submit(self._pass_on, upstream, report)
+
+    def _learn(
+        self, upstream: membership.Upstream, report: decisions.RateReport
+    ) -> bool:
+        """Records a report; returns whether the rate has changed."""
+        has_changed = self._rates.learn(
+            upstream.name, upstream.incarnation, report
+        )
+        if has_changed:
+            is_unlimited = isinstance(report.rate_per_s, core.Missing)
+            self._log.note(
+                "upstream",
+                keep=True,
+                name=upstream.name,
+                said="no_rate" if is_unlimited else "rate",
+                rate_per_s=-1 if is_unlimited else report.rate_per_s,
+                age_s=round(report.age_s, 3),
+            )
+        return has_changed
+
+    def _pass_on(
+        self, upstream: membership.Upstream, report: decisions.RateReport
+    ) -> None:
+        try:
+            reply = self._owner.reserve(
+                upstream, report, False, _RESERVE_TIMEOUT_S
+            )
+        except Exception:
+            logging.exception("passing on the rate of %s failed", upstream.name)
+            return
+        if isinstance(reply, core.Refusal):
+            logging.info(
+                "rate of %s not passed on: %s", upstream.name, reply.reason
+            )
--- a/libs/gateway/mulberry_gateway/_upstream_opener.py
+++ b/libs/gateway/mulberry_gateway/_upstream_opener.py
@@ -16,6 +16,9 @@
     _upstream_selection,
 )
 
+#: Permits that are asked for before a request counts as refused by the rates
+#: that upstreams name.
+_MAX_PERMIT_REQUESTS = 4
 #: Interval between selections while no upstream is free, seconds.
 _SELECTION_PERIOD_S = 0.1
 
@@ -81,7 +84,7 @@
         if isinstance(refusal, core.Refusal):
             return _attempt_failure.AttemptFailure(refusal, may_retry=False)
         components = self._components
-        selection = components.upstream_selector.choose(exchange)
+        selection = self._select(exchange)
         if isinstance(selection, core.Refusal):
             return _attempt_failure.AttemptFailure(selection, may_retry=False)
         began_s = components.clock.now()
@@ -110,6 +113,26 @@
         connected = _attempt_failure.ConnectedUpstream(selection, call, began_s)
         return self._check_connected(exchange, connected)
 
+    def _select(
+        self, exchange: _exchange.Exchange
+    ) -> _upstream_selection.Selection | core.Refusal:
+        """Selects an upstream and takes a permit if it names a rate."""
+        components = self._components
+        for _ in range(_MAX_PERMIT_REQUESTS):
+            selection = components.upstream_selector.choose(exchange)
+            if isinstance(selection, core.Refusal):
+                return selection
+            if components.rate_gate.admit(
+                selection.upstream, self._retries.remaining_s(exchange)
+            ):
+                return selection
+        return core.Refusal(
+            core.ErrorKind.NO_UPSTREAM,
+            exchange.run,
+            f"{_MAX_PERMIT_REQUESTS} upstreams of {exchange.service} gave no "
+            "permit",
+        )
+
     def confirm(
         self,
         exchange: _exchange.Exchange,
--- a/libs/gateway/mulberry_gateway/_upstream_selection.py
+++ b/libs/gateway/mulberry_gateway/_upstream_selection.py
@@ -48,14 +48,26 @@
         self.load = decisions.LoadEstimator(clock)
         self.health = decisions.UpstreamHealth(clock)
         self.rejection_limiter = decisions.RejectionLimiter(clock)
+        self.named_rates = decisions.NamedRates(clock)
         self._least_load = decisions.PowerOfTwoChoices(zone)
         self._affinity = decisions.SessionAffinity(zone, self._least_load)
 
     def choose(self, exchange: _exchange.Exchange) -> Selection | core.Refusal:
         """Returns the upstream of the next attempt, or why there is none."""
+        usable = self._usable(exchange)
         usable_by_name = {
-            upstream.name: upstream for upstream in self._usable(exchange)
+            upstream.name: upstream
+            for upstream in usable
+            if not self._blocked_s(upstream)
         }
+        if usable and not usable_by_name:
+            return core.Refusal(
+                core.ErrorKind.NO_UPSTREAM,
+                exchange.run,
+                f"the upstreams of {exchange.service} take no more requests "
+                "at present",
+                retry_after_s=min(map(self._blocked_s, usable)),
+            )
         loads = self.load.estimates(list(usable_by_name))
         candidates = [
             decisions.UpstreamCandidate(
@@ -152,6 +164,10 @@
         soonest_s = min(waits_s, default=math.inf)
         return soonest_s if 0.0 < soonest_s < math.inf else core.Missing.UNSET
 
+    def _blocked_s(self, upstream: membership.Upstream) -> float:
+        """Returns for how long a rate that was named allows no request."""
+        return self.named_rates.blocked_s(upstream.name, upstream.incarnation)
+
     def _is_refusing(self, upstream: membership.Upstream) -> bool:
         """Whether the upstream asked for no requests at present."""
         return (
@@ -174,6 +190,7 @@
         self.load.keep_only(names)
         self.health.keep_only(names)
         self.rejection_limiter.keep_only(names)
+        self.named_rates.keep_only(names)
 
     def _usable(
         self, exchange: _exchange.Exchange
--- a/libs/gateway/mulberry_gateway/_upstream_signals.py
+++ b/libs/gateway/mulberry_gateway/_upstream_signals.py
@@ -2,18 +2,20 @@
 
 import mulberry_core as core
 import mulberry_membership as membership
-from mulberry_gateway import _dialect, _upstream_selection
+from mulberry_gateway import _dialect, _rate_gate, _upstream_selection
 
 
 class UpstreamSignals:
-    """Passes shutdowns, retry delays and rejection limits to the selection."""
+    """Passes shutdowns, retry delays and limits to those that obey them."""
 
     def __init__(
         self,
         selector: _upstream_selection.UpstreamSelector,
+        rate_gate: _rate_gate.RateGate,
         log: core.DecisionLog,
     ) -> None:
         self._selector = selector
+        self._rate_gate = rate_gate
         self._log = log
 
     def apply(
@@ -27,6 +29,7 @@
         from_upstream = metadata.is_genuine or metadata.not_run
         if from_upstream and not metadata.is_other_upstream:
             self._apply_rejection_limit(service, upstream.name, metadata)
+            self._rate_gate.answered(upstream, metadata.rate_per_s)
 
     def _apply_availability(
         self, upstream: membership.Upstream, metadata: _dialect.ResponseMetadata
--- /dev/null
+++ b/libs/gateway/mulberry_gateway/tests/test_permit_exchange.py
@@ -0,0 +1,169 @@
+"""Tests of permits between instances, over gRPC on loopback."""
+
+from collections.abc import Callable, Iterator
+from concurrent import futures
+
+import grpc
+import pytest
+
+import mulberry_core as core
+import mulberry_decisions as decisions
+import mulberry_gateway as gateway
+import mulberry_membership as membership
+import mulberry_state as state
+
+_UNLIMITED = core.Missing.UNLIMITED
+_TIMEOUT_S = 5.0
+_RATE_PER_S = 2.0
+#: Whole permits in the 3.99 s between the first and the last of 400 requests.
+_PERMITS = 7
+
+
+class _Instance:
+    """An instance that owns rates, or runs a build without permits."""
+
+    def __init__(
+        self,
+        name: str,
+        members: dict[str, membership.Member],
+        clock: core.Clock,
+        has_permits: bool = True,
+    ) -> None:
+        self.name = name
+        self.server = grpc.server(futures.ThreadPoolExecutor(4))
+        port = self.server.add_insecure_port("127.0.0.1:0")
+        allocator = decisions.RateAllocator(clock)
+        if has_permits:
+            gateway.add_permits_service(
+                self.server,
+                gateway.PermitsServicer(allocator, lambda name: _upstream("a")),
+            )
+        self.server.start()
+        members[name] = membership.Member(
+            name,
+            f"127.0.0.1:{port}",
+            "gent",
+            "be",
+            1,
+            1,
+            membership.MemberState.ALIVE,
+        )
+        self.channels = state.Channels(state.open_insecure)
+        self.owner = gateway.SharedPermitOwner(
+            name, lambda: members, allocator, self.channels, clock
+        )
+
+    def stop(self) -> None:
+        self.channels.close()
+        self.server.stop(0)
+
+
+def _upstream(home: str) -> membership.Upstream:
+    return membership.Upstream(
+        name="w",
+        address="127.0.0.1:1",
+        incarnation=1,
+        sequence=1,
+        state=membership.UpstreamState.READY,
+        zone="gent",
+        versions=(),
+        service="s",
+        capacity=4,
+        running=0,
+        queued=0,
+        checks_fencing=False,
+        home=home,
+        load_age_s=0.0,
+    )
+
+
+MakeInstances = Callable[..., list[_Instance]]
+
+
+@pytest.fixture
+def clock() -> core.ManualClock:
+    return core.ManualClock(100.0)
+
+
+@pytest.fixture
+def make_instances(clock: core.ManualClock) -> Iterator[MakeInstances]:
+    made: list[_Instance] = []
+
+    def make(names: str, old: str = "") -> list[_Instance]:
+        members: dict[str, membership.Member] = {}
+        made.extend(
+            _Instance(name, members, clock, has_permits=name not in old)
+            for name in names
+        )
+        return made
+
+    yield make
+    for instance in made:
+        instance.stop()
+
+
+def _granted(instance: _Instance, rate: float, home: str) -> bool:
+    reply = instance.owner.reserve(
+        _upstream(home), decisions.RateReport(rate, 0.0), True, _TIMEOUT_S
+    )
+    assert isinstance(reply, decisions.PermitReply)
+    return reply.is_granted
+
+
+def test_instances_share_the_permits_of_the_home(
+    make_instances: MakeInstances, clock: core.ManualClock
+) -> None:
+    """Guards against a rate that each instance uses for itself."""
+    instances = make_instances("abc")
+    granted = 0
+    for step in range(400):
+        clock.advance(0.01)
+        granted += _granted(instances[step % 3], _RATE_PER_S, "a")
+    assert granted == _PERMITS
+
+
+def test_home_of_an_older_build_is_replaced_by_the_same_instance(
+    make_instances: MakeInstances, clock: core.ManualClock
+) -> None:
+    """Guards against several owners, or none, while builds are mixed."""
+    instances = make_instances("abcd", old="a")
+    granted = 0
+    for step in range(400):
+        clock.advance(0.01)
+        granted += _granted(instances[1 + step % 3], _RATE_PER_S, "a")
+    assert granted == _PERMITS
+
+
+def test_home_that_cannot_be_reached_is_not_replaced(
+    make_instances: MakeInstances,
+) -> None:
+    """Guards against two owners beside each other on a cut link."""
+    instances = make_instances("abc")
+    instances[0].server.stop(0).wait()
+    report = decisions.RateReport(2.0, 0.0)
+    for instance in instances[1:]:
+        reply = instance.owner.reserve(_upstream("a"), report, True, 0.5)
+        assert isinstance(reply, core.Refusal)
+    reply = instances[1].owner.reserve(_upstream("x"), report, True, 0.5)
+    assert isinstance(reply, core.Refusal)
+
+
+def test_end_of_a_rate_reaches_the_other_instances(
+    make_instances: MakeInstances, clock: core.ManualClock
+) -> None:
+    """Guards against instances that keep to a rate that has ended."""
+    instances = make_instances("abc")
+    assert not _granted(instances[1], 2.0, "a")
+    clock.advance(1.0)
+    instances[1].owner.reserve(
+        _upstream("a"),
+        decisions.RateReport(_UNLIMITED, 0.0),
+        False,
+        _TIMEOUT_S,
+    )
+    reply = instances[2].owner.reserve(
+        _upstream("a"), decisions.RateReport(2.0, 0.9), True, _TIMEOUT_S
+    )
+    assert isinstance(reply, decisions.PermitReply)
+    assert reply.is_granted
+    assert reply.report.rate_per_s is _UNLIMITED
--- a/libs/state/mulberry_state/__init__.py
+++ b/libs/state/mulberry_state/__init__.py
@@ -10,6 +10,7 @@
     )
     from mulberry_state._channels import (
         CHANNEL_OPTIONS,
+        Channels,
         OpenChannel,
         open_insecure,
     )
@@ -102,6 +103,7 @@
         FileRulesParser,
         RulesParser,
     )
+    from mulberry_state._peers import Unreachable
     from mulberry_state._proposal_queue import (
         ProposalQueue,
     )
@@ -145,6 +147,7 @@
             "_voter_client": ("VoterClient",),
             "_channels": (
                 "CHANNEL_OPTIONS",
+                "Channels",
                 "OpenChannel",
                 "open_insecure",
             ),
@@ -223,6 +226,7 @@
                 "FileRulesParser",
                 "RulesParser",
             ),
+            "_peers": ("Unreachable",),
             "_proposal_queue": ("ProposalQueue",),
             "_reader": ("StateReader",),
             "_remote": (
@@ -265,6 +269,7 @@
     "BillMismatch",
     "BillRecorded",
     "ChangeRefused",
+    "Channels",
     "Claim",
     "ClaimCall",
     "ClaimGranted",
@@ -327,6 +332,7 @@
     "StorageError",
     "StrikesCleared",
     "SubmitRules",
+    "Unreachable",
     "Verdict",
     "VerdictRecorded",
     "VerdictStale",
--- a/libs/state/mulberry_state/_channels.py
+++ b/libs/state/mulberry_state/_channels.py
@@ -84,7 +84,10 @@
             reply = getattr(stub, method)(request, timeout=timeout_s)
         except grpc.RpcError as error:
             self._count_timeout(address, error)
-            return _peers.Unreachable(_reason(error))
+            return _peers.Unreachable(
+                _reason(error),
+                is_unimplemented=_code(error) is grpc.StatusCode.UNIMPLEMENTED,
+            )
         except ValueError as error:
             # The channels are closed because this instance is stopping.
             return _peers.Unreachable(str(error))
@@ -97,8 +100,7 @@
 
         Running calls keep the dropped channel alive until they end.
         """
-        code = getattr(error, "code", None)
-        if code is None or code() is not grpc.StatusCode.DEADLINE_EXCEEDED:
+        if _code(error) is not grpc.StatusCode.DEADLINE_EXCEEDED:
             return
         with self._lock:
             timeouts = self._timeouts_by_address.get(address, 0) + 1
@@ -119,8 +121,13 @@
                 channel.close()
 
 
-def _reason(error: Any) -> str:
+def _code(error: Any) -> grpc.StatusCode | None:
     # Errors of unary calls are also `grpc.Call` objects, which the types do
     # not declare.
     code = getattr(error, "code", None)
-    return f"{code().name}: {error.details()}" if code else str(error)
+    return code() if code else None
+
+
+def _reason(error: Any) -> str:
+    code = _code(error)
+    return f"{code.name}: {error.details()}" if code else str(error)
--- a/libs/state/mulberry_state/_peers.py
+++ b/libs/state/mulberry_state/_peers.py
@@ -33,6 +33,9 @@
     """No reply arrived; the request may have been handled."""
 
     reason: str
+    #: Whether the other instance does not know the method: it runs a build
+    #: without it, and has done nothing.
+    is_unimplemented: bool = False
 
 
 class PeerTransport(abc.ABC):
