--- a/libs/decisions/mulberry_decisions/_named_rates.py
+++ b/libs/decisions/mulberry_decisions/_named_rates.py
@@ -101,6 +101,9 @@
 
     def blocked_s(self, upstream: str, incarnation: int) -> float:
         """Returns for how long no request may be sent, seconds; 0 if it may."""
+        if not self._rate_by_upstream:
+            # Called for each candidate of each request.
+            return 0.0
         with self._lock:
             known = self._find(upstream, incarnation)
             if known is None:
