Let entries that cannot be reached use up no attempts of the caller library

A caller whose first four listed entries were down got connection_failed within milliseconds, though entries of another zone served. Only the first attempt at each unreachable entry is free, so the list bounds them.

--- a/libs/caller/mulberry_caller/_caller.py
+++ b/libs/caller/mulberry_caller/_caller.py
@@ -23,7 +23,8 @@
     #: Seconds until an answer must be complete. The time left is sent with
     #: every attempt.
     deadline_s: float = 60.0
-    #: Maximum attempts for one request, including the first.
+    #: Maximum attempts for one request, including the first. The first one at
+    #: each entry that cannot be reached does not count.
     max_attempts: int = 4
     #: Minimum delay in seconds before retrying a request that may have run;
     #: doubles with each attempt.
@@ -170,6 +171,7 @@
         key = key or uuid.uuid4().hex
         give_up_at_s = time.monotonic() + options.deadline_s
         attempts = 0
+        unreachable: set[str] = set()
         while True:
             attempts += 1
             entry = self._entries.ordered_entries()[0]
@@ -184,10 +186,12 @@
                 return outcome
             if outcome.status == _replies.NO_RESPONSE or outcome.status >= 500:
                 self._entries.demote(entry)
+            if _is_unreachable(outcome):
+                unreachable.add(entry)
             wait_s = _retry_delay_s(outcome, options)
             if (
                 wait_s is None
-                or attempts >= options.max_attempts
+                or attempts - len(unreachable) >= options.max_attempts
                 or time.monotonic() + wait_s >= give_up_at_s
             ):
                 return outcome
@@ -213,12 +217,17 @@
         return dataclasses.replace(request, header_by_name=headers)
 
 
+def _is_unreachable(failure: _replies.Failure) -> bool:
+    """Whether no connection to the entry was opened."""
+    return failure.status == _replies.NO_RESPONSE and failure.run == "not_run"
+
+
 def _retry_delay_s(failure: _replies.Failure, options: Options) -> float | None:
     """Returns the delay before a retry, `None` if it must not be retried."""
     if failure.retry_after_s < 0:
         return None
-    if failure.status == _replies.NO_RESPONSE and failure.run == "not_run":
-        # The entry is unreachable; the next one can be tried at once.
+    if _is_unreachable(failure):
+        # The next entry can be tried at once.
         return 0.0
     backoff_s = options.backoff_s * 2.0 ** (failure.attempts - 1)
     # Jitter keeps callers that failed at the same time from retrying at the
