--- a/libs/gateway/mulberry_gateway/_voter_gauges.py
+++ b/libs/gateway/mulberry_gateway/_voter_gauges.py
@@ -18,14 +18,14 @@
     def record(self) -> None:
         """Sets the gauges; those that only the leader knows are NaN elsewhere."""
         status = self._node.group_status()
-        values = {
-            "state.voters": status.voters,
-            "state.leaderless_s": status.leaderless_s,
-            "state.voters_answering": status.answering,
-            "state.tolerated_losses": status.tolerated_losses,
-        }
-        for name, value in values.items():
-            self._counters.gauge(
-                name,
-                math.nan if isinstance(value, core.Missing) else float(value),
-            )
+        counters = self._counters
+        counters.gauge("state.voters", status.voters)
+        counters.gauge("state.leaderless_s", status.leaderless_s)
+        counters.gauge("state.voters_answering", _or_nan(status.answering))
+        counters.gauge(
+            "state.tolerated_losses", _or_nan(status.tolerated_losses)
+        )
+
+
+def _or_nan(value: int | core.Missing) -> float:
+    return math.nan if isinstance(value, core.Missing) else float(value)
