Sort the other instances only if a home grants no permits

Each permit hashed and sorted the names of all members, though the home alone is asked unless it runs an older build. The order and who is left out are as before: test_permit_exchange.py, with the case of an older home, passes.

Run: tests of permits, starts and the soak of rates, formatter, linter, type checker.

--- a/libs/gateway/mulberry_gateway/_permit_exchange.py
+++ b/libs/gateway/mulberry_gateway/_permit_exchange.py
@@ -1,7 +1,7 @@
 """Permits over gRPC: the home of an upstream owns its rate."""
 
 import math
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping
 
 import grpc
 
@@ -86,23 +86,28 @@
         self,
         upstream: membership.Upstream,
         members: Mapping[str, membership.Member],
-    ) -> Sequence[str]:
-        """Returns the instances to ask, in the same order on all of them."""
-        others = sorted(
+    ) -> Iterator[str]:
+        """Yields the instances to ask, in the same order on all of them.
+
+        The others are sorted only if the home does not support permits.
+        """
+        if self._is_supported(upstream.home):
+            yield upstream.home
+        yield from sorted(
             (
                 name
                 for name, member in members.items()
                 if member.state is not membership.MemberState.DEAD
                 and name != upstream.home
+                and self._is_supported(name)
             ),
             key=lambda name: core.digest128(f"{upstream.name}/{name}".encode()),
         )
+
+    def _is_supported(self, name: str) -> bool:
+        """Whether the instance is not known to run a build without permits."""
         now_s = self._clock.now()
-        return [
-            name
-            for name in (upstream.home, *others)
-            if self._unsupported_until_s.get(name, now_s) <= now_s
-        ]
+        return self._unsupported_until_s.get(name, now_s) <= now_s
 
 
 class PermitsServicer(limits_pb2_grpc.PermitsServicer):
