Look up the report of an upstream's rate once for each permit

The report says by itself whether a rate is named; a second look-up asked for the same.

Run: test_named_rates.py, test_path.py, test_soak_rates.py (49 tests), formatter, linter, type checker.

--- a/libs/gateway/mulberry_gateway/_rate_gate.py
+++ b/libs/gateway/mulberry_gateway/_rate_gate.py
@@ -40,8 +40,8 @@
         """
         name, incarnation = upstream.name, upstream.incarnation
         report = self._rates.report(name, incarnation)
-        if isinstance(report, core.Missing) or not self._rates.is_limited(
-            name, incarnation
+        if isinstance(report, core.Missing) or isinstance(
+            report.rate_per_s, core.Missing
         ):
             return True
         reply = self._owner.reserve(
