Place requests on engines by the work that each one has to do

Cause: each of 65 instances sees 3 requests a second and placed by its own counts; reports with a fourth figure were dropped whole; affinity sent a session to one engine whatever its speed (6 in 100 prompt tokens were found kept).

Now one instance of each zone, the same for all, keeps a ledger of the work at the zone's engines in time: tokens to read, learned by model, times the pace that the engine reports. It chooses the engine whose answer begins first; soft state only, and without it placement is as before.

Ruled out, by a small calculation with 45 engines of three speeds: weights by speed (half as many late), subsets of engines for each instance (a third), two choices by reports that are seconds old (no gain). Knowing the work exactly: a tenth.

--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -66,6 +66,7 @@
         Proposal,
         VersionJudge,
     )
+    from mulberry_decisions._kept_prompts import KeptPrompts, PromptSize
     from mulberry_decisions._learned_models import (
         LearnedCascade,
     )
@@ -116,6 +117,7 @@
         ProvenSteps,
     )
     from mulberry_decisions._rate_allocator import PermitReply, RateAllocator
+    from mulberry_decisions._reading_rates import ReadingRates
     from mulberry_decisions._recent_durations import (
         RecentDurations,
     )
@@ -187,6 +189,7 @@
     from mulberry_decisions._upstream_health import (
         UpstreamHealth,
     )
+    from mulberry_decisions._upstream_pace import UpstreamPace
     from mulberry_decisions._upstreams import (
         CacheEvent,
         LeastReportedLoad,
@@ -213,6 +216,12 @@
         Outcome,
         Work,
     )
+    from mulberry_decisions._work_ledger import (
+        EngineCandidate,
+        EnginePlacement,
+        PromptWork,
+        WorkLedger,
+    )
 else:
     __getattr__ = core.import_on_demand(
         __name__,
@@ -298,7 +307,16 @@
                 "duration_bucket",
             ),
             "_adaptive_hedging": ("AdaptiveHedging",),
+            "_kept_prompts": ("KeptPrompts", "PromptSize"),
             "_named_rates": ("NamedRates", "RateReport"),
+            "_reading_rates": ("ReadingRates",),
+            "_upstream_pace": ("UpstreamPace",),
+            "_work_ledger": (
+                "EngineCandidate",
+                "EnginePlacement",
+                "PromptWork",
+                "WorkLedger",
+            ),
             "_part_blocks": (
                 "PartReach",
                 "part_block_duration_s",
@@ -424,6 +442,8 @@
     "Demand",
     "Drain",
     "DurationHistogram",
+    "EngineCandidate",
+    "EnginePlacement",
     "EqualShareLimiter",
     "ErrorThreshold",
     "Evidence",
@@ -438,6 +458,7 @@
     "InactivityAction",
     "InactivityPolicy",
     "InstanceRank",
+    "KeptPrompts",
     "LearnedCascade",
     "LeastReportedLoad",
     "LinkHealth",
@@ -459,6 +480,8 @@
     "Placement",
     "PowerOfTwoChoices",
     "PriorityAdmission",
+    "PromptSize",
+    "PromptWork",
     "ProportionalLimiter",
     "Proposal",
     "ProvenSteps",
@@ -467,6 +490,7 @@
     "RatingCounts",
     "RatingExport",
     "RatingKey",
+    "ReadingRates",
     "RecentDurations",
     "RejectionLimiter",
     "RelativeLoad",
@@ -502,6 +526,7 @@
     "UpstreamCandidate",
     "UpstreamChooser",
     "UpstreamHealth",
+    "UpstreamPace",
     "UpstreamState",
     "VersionChooser",
     "VersionHealth",
@@ -510,6 +535,7 @@
     "WindowRetryBudget",
     "WithdrawResult",
     "Work",
+    "WorkLedger",
     "block_duration_s",
     "crash_causes",
     "duration_bucket",
--- a/libs/decisions/mulberry_decisions/_load_estimator.py
+++ b/libs/decisions/mulberry_decisions/_load_estimator.py
@@ -21,6 +21,9 @@
     running: int
     waiting: int
     slots: int
+    #: How long work takes there at present, 1 as usual; unset if the upstream
+    #: does not say.
+    pace: float | core.Missing = core.Missing.UNSET
 
 
 @dataclasses.dataclass
--- a/libs/gateway/mulberry_gateway/__init__.py
+++ b/libs/gateway/mulberry_gateway/__init__.py
@@ -16,6 +16,7 @@
     ResponseMetadata,
 )
 from mulberry_gateway._endpoints import JSON, Endpoint, EndpointHandler
+from mulberry_gateway._engine_scheduling import EngineScheduling
 from mulberry_gateway._forwarder import Forwarder
 from mulberry_gateway._instance import GatewayInstance
 from mulberry_gateway._link_recorder import LinkRecorder
@@ -36,6 +37,13 @@
     add_permits_service,
 )
 from mulberry_gateway._permit_owner import LocalPermitOwner, PermitOwner
+from mulberry_gateway._placement_exchange import (
+    PlacementClient,
+    PlacementsServicer,
+    PlacementTicket,
+    WorkLedgers,
+    add_placements_service,
+)
 from mulberry_gateway._quarantine import RequestQuarantine
 from mulberry_gateway._rate_gate import RateGate
 from mulberry_gateway._relay_server import RelayServer
@@ -59,6 +67,7 @@
     "Dialect",
     "Endpoint",
     "EndpointHandler",
+    "EngineScheduling",
     "Forwarder",
     "ForwardingMetadata",
     "GatewayBounds",
@@ -75,6 +84,9 @@
     "ModelSelector",
     "PermitOwner",
     "PermitsServicer",
+    "PlacementClient",
+    "PlacementTicket",
+    "PlacementsServicer",
     "PromptPart",
     "PublishedRelays",
     "RateGate",
@@ -97,7 +109,9 @@
     "UpstreamConnection",
     "UpstreamConnector",
     "UpstreamSelector",
+    "WorkLedgers",
     "add_permits_service",
+    "add_placements_service",
     "end_to_end",
     "find_header",
 ]
--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -4,7 +4,6 @@
 
 import mulberry_core as core
 import mulberry_decisions as decisions
-import mulberry_membership as membership
 import mulberry_routing as routing
 from mulberry_gateway import (
     _attempt_failure,
@@ -113,6 +112,7 @@
         refusal = self._opener.refusal(exchange)
         if isinstance(refusal, core.Refusal):
             call.close()
+            components.upstream_selector.released(selection)
             self._retries.return_retry(exchange)
             return _attempt_failure.AttemptFailure(refusal, may_retry=False)
         exchange.model = model = components.model_selector.choose(exchange)
@@ -131,6 +131,7 @@
         )
         if isinstance(block, _blocks.Block):
             call.close()
+            components.upstream_selector.released(selection)
             self._retries.return_retry(exchange)
             return _attempt_failure.AttemptFailure(
                 _attempt_failure.quarantine_refusal(exchange, block),
@@ -140,10 +141,13 @@
         components.upstream_selector.load.started(upstream.name)
         components.model_selector.sent(exchange)
         replacement = _replacement.Replacement(
-            exchange, self._opener, self._retries
+            exchange,
+            self._opener,
+            self._retries,
+            components.upstream_selector,
         )
         try:
-            result = self._call(exchange, attempt, call, upstream, replacement)
+            result = self._call(exchange, attempt, connected, replacement)
             is_lost = (
                 attempt.outcome in _quarantine.PROBED_OUTCOMES
                 # A cut of this instance's links is no crash.
@@ -167,17 +171,18 @@
             components.quarantine.run_left(attempt)
             call.close()
             components.upstream_selector.load.ended(upstream.name)
+            components.upstream_selector.released(selection)
             components.model_selector.ended(exchange)
 
     def _call(
         self,
         exchange: _exchange.Exchange,
         attempt: _exchange.Attempt,
-        call: _upstream_call.UpstreamCall,
-        upstream: membership.Upstream,
+        connected: _attempt_failure.ConnectedUpstream,
         replacement: _replacement.Replacement,
     ) -> _stream_relay.Relayed | _attempt_failure.AttemptFailure:
         components = self._components
+        call, selection = connected.call, connected.selection
         request = exchange.request
         headers = components.dialect.upstream_request_headers(
             request,
@@ -221,11 +226,10 @@
         metadata = components.dialect.parse_response(
             head, exchange.metadata.request_id
         )
-        if not isinstance(metadata.load, core.Missing):
-            components.upstream_selector.load.reported(
-                attempt.upstream, metadata.load
-            )
-        self._signals.apply(exchange.service, upstream, metadata)
+        components.upstream_selector.answered(
+            selection, exchange.service, metadata.load
+        )
+        self._signals.apply(exchange.service, selection.upstream, metadata)
         if metadata.not_run or metadata.is_other_upstream:
             return self._handle_not_run(attempt, metadata)
         if not metadata.is_genuine:
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -21,6 +21,7 @@
     _components,
     _control,
     _dialect,
+    _engine_scheduling,
     _forwarder,
     _instance_rank,
     _limit_exchange,
@@ -28,6 +29,7 @@
     _listener,
     _model_selection,
     _permit_exchange,
+    _placement_exchange,
     _quarantine,
     _rate_gate,
     _relay_server,
@@ -50,6 +52,8 @@
 #: Interval between checks for upstreams that ended after an incomplete run,
 #: seconds; shorter than the interval between announcements of an upstream.
 _STRIKE_CHECK_PERIOD_S = 0.5
+#: Interval between checks for progress that schedulers wait for, seconds.
+_PROGRESS_PERIOD_S = 0.25
 #: Interval between updates of the voters' gauges, seconds.
 _VOTER_GAUGES_PERIOD_S = 1.0
 #: Maximum age of the upstream list while no upstream record changes, seconds.
@@ -155,6 +159,15 @@
         )
         self._allocator = decisions.RateAllocator(clock)
         self._permit_channels = state.Channels(state.open_insecure)
+        self._ledgers = _placement_exchange.WorkLedgers(clock)
+        self._placements = _placement_exchange.PlacementClient(
+            settings.name,
+            self.membership.members,
+            self._ledgers,
+            self._permit_channels,
+            clock,
+            self.counters,
+        )
         upstream_selector = _upstream_selection.UpstreamSelector(
             settings.zone,
             catalog,
@@ -163,6 +176,12 @@
             lambda: _instance_rank.instance_rank(
                 self.membership.members(), settings.zone, settings.name
             ),
+            _engine_scheduling.EngineScheduling(
+                settings.zone,
+                self._placements,
+                self._ledgers,
+                settings.schedules_engines,
+            ),
         )
         self.components = _components.GatewayComponents(
             clock=clock,
@@ -220,6 +239,9 @@
             self._grpc,
             _permit_exchange.PermitsServicer(self._allocator, catalog.find),
         )
+        _placement_exchange.add_placements_service(
+            self._grpc, _placement_exchange.PlacementsServicer(self._ledgers)
+        )
         self._relay = self._open_relay()
         self._publishing = threading.Lock()
         self._limit_exchange = _limit_exchange.LimitExchange(
@@ -268,6 +290,9 @@
             self.components.quarantine.check_incomplete_runs,
             "suspects",
         )
+        self.timers.every(
+            _PROGRESS_PERIOD_S, self._placements.flush, "placements"
+        )
         self.timers.every(
             _PRUNE_PERIOD_S,
             self._prune_removed,
--- a/libs/gateway/mulberry_gateway/_replacement.py
+++ b/libs/gateway/mulberry_gateway/_replacement.py
@@ -6,6 +6,7 @@
     _exchange,
     _retry_policy,
     _upstream_opener,
+    _upstream_selection,
 )
 
 
@@ -22,8 +23,10 @@
         exchange: _exchange.Exchange,
         opener: _upstream_opener.UpstreamOpener,
         retries: _retry_policy.RetryPolicy,
+        selector: _upstream_selection.UpstreamSelector,
     ) -> None:
         self._exchange = exchange
+        self._selector = selector
         self._opener = opener
         self._retries = retries
         self._connected: _attempt_failure.ConnectedUpstream | core.Missing = (
@@ -54,4 +57,5 @@
         connected = self.take()
         if not isinstance(connected, core.Missing):
             connected.call.close()
+            self._selector.released(connected.selection)
             self._retries.return_retry(self._exchange)
--- a/libs/gateway/mulberry_gateway/_settings.py
+++ b/libs/gateway/mulberry_gateway/_settings.py
@@ -94,6 +94,9 @@
     #: Address at which this instance relays connections to upstreams for other
     #: instances; empty if it does not.
     relay_address: str = ""
+    #: Whether all services with engines are scheduled; otherwise only those
+    #: whose upstreams report how long work takes.
+    schedules_engines: bool = False
 
     @property
     def timing(self) -> rules.Timing:
--- a/libs/gateway/mulberry_gateway/_upstream_opener.py
+++ b/libs/gateway/mulberry_gateway/_upstream_opener.py
@@ -119,13 +119,16 @@
         """Selects an upstream and takes a permit if it names a rate."""
         components = self._components
         for _ in range(_MAX_PERMIT_REQUESTS):
-            selection = components.upstream_selector.choose(exchange)
+            selection = components.upstream_selector.choose(
+                exchange, components.model_selector.choose(exchange)
+            )
             if isinstance(selection, core.Refusal):
                 return selection
             if components.rate_gate.admit(
                 selection.upstream, self._retries.remaining_s(exchange)
             ):
                 return selection
+            components.upstream_selector.released(selection)
         return core.Refusal(
             core.ErrorKind.NO_UPSTREAM,
             exchange.run,
@@ -175,6 +178,7 @@
     ) -> _attempt_failure.AttemptFailure:
         """Notes an attempt that ended before the first byte was sent."""
         upstream = selection.upstream
+        self._components.upstream_selector.released(selection)
         exchange.attempts.append(
             _exchange.Attempt(
                 upstream.name,
--- a/libs/gateway/mulberry_gateway/_upstream_selection.py
+++ b/libs/gateway/mulberry_gateway/_upstream_selection.py
@@ -7,7 +7,13 @@
 import mulberry_core as core
 import mulberry_decisions as decisions
 import mulberry_membership as membership
-from mulberry_gateway import _catalog, _exchange, _rollout_filter
+from mulberry_gateway import (
+    _catalog,
+    _engine_scheduling,
+    _exchange,
+    _placement_exchange,
+    _rollout_filter,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -19,6 +25,10 @@
     candidates: int
     #: Share of the slots of all candidates that is in use.
     load_share: float
+    #: Set if a scheduler has chosen the upstream.
+    ticket: _placement_exchange.PlacementTicket | core.Missing = (
+        core.Missing.UNSET
+    )
 
 
 class UpstreamSelector:
@@ -31,6 +41,7 @@
         rollout_filter: _rollout_filter.RolloutFilter,
         clock: core.Clock,
         rank: Callable[[], decisions.InstanceRank],
+        scheduling: _engine_scheduling.EngineScheduling,
     ) -> None:
         """Creates a selector without knowledge of any upstream.
 
@@ -41,7 +52,9 @@
             clock: Source of time.
             rank: Returns the position of this instance among all that share
                 the upstreams.
+            scheduling: Chooses engines together with the other instances.
         """
+        self._scheduling = scheduling
         self._catalog = catalog
         self._rank = rank
         self._rollout_filter = rollout_filter
@@ -52,8 +65,17 @@
         self._least_load = decisions.PowerOfTwoChoices(zone)
         self._affinity = decisions.SessionAffinity(zone, self._least_load)
 
-    def choose(self, exchange: _exchange.Exchange) -> Selection | core.Refusal:
-        """Returns the upstream of the next attempt, or why there is none."""
+    def choose(
+        self, exchange: _exchange.Exchange, model: str = ""
+    ) -> Selection | core.Refusal:
+        """Returns the upstream of the next attempt, or why there is none.
+
+        A selection that is not used must be given back with `released`.
+
+        Args:
+            exchange: The request.
+            model: Model that the attempt will use; empty for the caller's.
+        """
         usable = self._usable(exchange)
         usable_by_name = {
             upstream.name: upstream
@@ -96,7 +118,18 @@
                 "share of this instance is in use",
                 retry_after_s=admitted,
             )
-        chosen = placement.choose(admitted, exchange.metadata.session)
+        ticket = (
+            core.Missing.UNSET
+            if is_limited
+            else self._scheduling.place(
+                exchange, model, candidates, usable_by_name
+            )
+        )
+        chosen = (
+            placement.choose(admitted, exchange.metadata.session)
+            if isinstance(ticket, core.Missing)
+            else next(c for c in candidates if c.name == ticket.upstream)
+        )
         if isinstance(chosen, core.Missing):
             return core.Refusal(
                 core.ErrorKind.NO_UPSTREAM,
@@ -112,8 +145,27 @@
             len(candidates),
             sum(candidate.load for candidate in candidates)
             / sum(candidate.slots for candidate in candidates),
+            ticket,
         )
 
+    def answered(
+        self,
+        selection: Selection,
+        service: str,
+        report: decisions.LoadReport | core.Missing,
+    ) -> None:
+        """Records that the answer of a selected upstream has begun."""
+        if not isinstance(report, core.Missing):
+            self.load.reported(selection.upstream.name, report)
+        self._scheduling.answered(service, selection.ticket, report)
+
+    def released(self, selection: Selection) -> None:
+        """Records that an attempt at a selected upstream ended or was not made.
+
+        May be called more than once.
+        """
+        self._scheduling.released(selection.ticket)
+
     def _admit(
         self, service: str, candidates: Sequence[decisions.UpstreamCandidate]
     ) -> Sequence[decisions.UpstreamCandidate] | float:
@@ -191,6 +243,7 @@
         self.health.keep_only(names)
         self.rejection_limiter.keep_only(names)
         self.named_rates.keep_only(names)
+        self._scheduling.keep_only(names)
 
     def _usable(
         self, exchange: _exchange.Exchange
