Keep most exchanges of large fleets within their zone

Cause: the ring mixes zones, so two thirds of the peers of each instance are in other zones, and each peer gets a copy of nearly each change.

Ruled out: delaying messages to other zones, as a sender does not know what the receiver has heard elsewhere; fewer strikes, which decide about blocks of crashing requests.

--- a/libs/membership/mulberry_membership/_membership.py
+++ b/libs/membership/mulberry_membership/_membership.py
@@ -106,6 +106,7 @@
         self._peers = _peers.Peers(
             name,
             address,
+            zone,
             seeds,
             self._store,
             transport,
--- a/libs/membership/mulberry_membership/_peers.py
+++ b/libs/membership/mulberry_membership/_peers.py
@@ -73,6 +73,7 @@
         self,
         name: str,
         address: str,
+        zone: str,
         seeds: tuple[str, ...],
         store: _store.RecordStore,
         transport: _transport.PeerTransport,
@@ -88,6 +89,7 @@
         Args:
             name: Name of this instance.
             address: gRPC address of this instance.
+            zone: Availability zone of this instance.
             seeds: Addresses of instances through which to join.
             store: Records of this instance.
             transport: Sends the exchanges.
@@ -100,6 +102,7 @@
         """
         self._name = name
         self._address = address
+        self._zone = zone
         self._seeds = tuple(seed for seed in seeds if seed != address)
         self._store = store
         self._transport = transport
@@ -153,9 +156,14 @@
                 for name, member in members.items()
                 if member.state is not _members.MemberState.DEAD
             }
+            zone_by_name = {
+                name: member.zone for name, member in live_members.items()
+            }
+            # This instance may be missing while it leaves.
+            zone_by_name.setdefault(self._name, self._zone)
             wanted = {
                 name: live_members[name].address
-                for name in _ring.ring_peers(self._name, live_members)
+                for name in _ring.ring_peers(self._name, zone_by_name)
             }
             self._min_interval_s = max(
                 MIN_EXCHANGE_INTERVAL_S,
--- a/libs/membership/mulberry_membership/tests/test_joining.py
+++ b/libs/membership/mulberry_membership/tests/test_joining.py
@@ -58,7 +58,7 @@
     """Guards against a cost per change that grows with the instances."""
     names = [f"i{index}" for index in range(count)]
     for name in names[:50]:
-        peers = _ring.ring_peers(name, names)
+        peers = _ring.ring_peers(name, dict.fromkeys(names, "gent"))
         assert 1 <= len(peers) <= _ring.MAX_PEERS
         assert name not in peers
 
