Evacuations of zones in the replicated state

What callers saw: POST /Evacuation.Start/ZONE got no 2xx, and there was no state in which the order could be kept.

The command names the change count that it is based on (after_number) and has no effect on another count. Without it, an order that was given up after its timeout and arrives once a connection works again would undo an order that was acknowledged since. An order that is already in force is confirmed whatever its count. Ruled out: a time limit of the command; the log has no time of the proposer.

Results of the command are kept for an hour only: a copy that is applied later is based on an outdated count.

--- a/libs/state/mulberry_state/_commands.py
+++ b/libs/state/mulberry_state/_commands.py
@@ -240,6 +240,21 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True)
+class ChangeEvacuation:
+    """Starts or ends the evacuation of a zone."""
+
+    command_id: str
+    zone: str
+    #: Whether the zone is to be evacuated; false ends the evacuation.
+    is_evacuated: bool
+    operator: str
+    #: Change count of the zone that the command is based on, 0 for a zone that
+    #: was never evacuated. With another count the command has no effect, so
+    #: that a late copy cannot undo an order that was acknowledged since.
+    after_number: int
+
+
 Command = (
     SubmitRules
     | ClaimCall
@@ -256,6 +271,7 @@
     | ReplaceRouting
     | BeginServiceRollout
     | MoveServiceRollout
+    | ChangeEvacuation
 )
 
 
@@ -435,6 +451,18 @@
     changed: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class EvacuationChanged:
+    """State of the zone after the command."""
+
+    #: Whether this command changed it.
+    changed: bool
+    #: Change count of the zone.
+    number: int
+    #: Differs from the command if that was based on another change count.
+    is_evacuated: bool
+
+
 Result = (
     RulesAccepted
     | RulesConflict
@@ -462,6 +490,7 @@
     | RoutingReplaced
     | ServiceRolloutBegun
     | ServiceRolloutMoved
+    | EvacuationChanged
 )
 
 #: Value of `AdvanceRollout.step` for a rollout that has not begun or that
--- a/libs/state/mulberry_state/_dedup.py
+++ b/libs/state/mulberry_state/_dedup.py
@@ -6,6 +6,33 @@
 from mulberry_state import _codec, _commands
 from mulberry_wire import state_pb2
 
+#: Retention of results whose command may safely be applied again, such as
+#: lease renewals and refused claims. Clients retry a command for seconds, so
+#: an hour covers every copy that may still be in flight. Seconds.
+SHORT_RETENTION_S = 3600.0
+
+SHORT_RETENTION_RESULTS = (
+    _commands.LeaseGranted,
+    _commands.LeaseHeld,
+    _commands.LeaseLost,
+    _commands.OrderRecorded,
+    _commands.ClaimOpen,
+    _commands.ClaimMismatch,
+    _commands.ClaimLost,
+    # A copy applied later is based on an outdated change count.
+    _commands.EvacuationChanged,
+)
+
+#: Results that are not stored: a repeated command is recognized by the claim,
+#: bill or pin that the first one created.
+DEDUPLICATED_BY_KEY = (
+    _commands.ClaimGranted,
+    _commands.ClaimRecorded,
+    _commands.ClaimSettled,
+    _commands.BillRecorded,
+    _commands.SessionPinned,
+)
+
 
 class ResultTable:
     """Results by command id, with a fixed retention."""
--- a/libs/state/mulberry_state/_machine.py
+++ b/libs/state/mulberry_state/_machine.py
@@ -17,6 +17,7 @@
     _claims,
     _commands,
     _dedup,
+    _evacuations,
     _invariants,
     _leases,
     _ledger,
@@ -32,34 +33,9 @@
 #: Version of the snapshot format.
 SNAPSHOT_FORMAT = 1
 
-#: Retention of results whose command may safely be applied again, such as
-#: lease renewals and refused claims. Clients retry a command for seconds, so
-#: an hour covers every copy that may still be in flight. Seconds.
-SHORT_RETENTION_S = 3600.0
-
 #: Minimum time between two expiry passes, seconds.
 _EXPIRY_PERIOD_S = 60.0
 
-_SHORT_RETENTION_RESULTS = (
-    _commands.LeaseGranted,
-    _commands.LeaseHeld,
-    _commands.LeaseLost,
-    _commands.OrderRecorded,
-    _commands.ClaimOpen,
-    _commands.ClaimMismatch,
-    _commands.ClaimLost,
-)
-
-#: Results that are not stored: a repeated command is recognized by the claim,
-#: bill or pin that the first one created.
-_DEDUPLICATED_BY_KEY = (
-    _commands.ClaimGranted,
-    _commands.ClaimRecorded,
-    _commands.ClaimSettled,
-    _commands.BillRecorded,
-    _commands.SessionPinned,
-)
-
 
 @dataclasses.dataclass(frozen=True)
 class Stamp:
@@ -98,9 +74,10 @@
         self.pins = _pins.Pins()
         self.leases = _leases.Leases()
         self.routing = _routing.RoutingState()
+        self.evacuations = _evacuations.EvacuationState()
         self.audit = _audit.AuditTrail()
         self._results = _dedup.ResultTable(_claims.CLAIM_RETENTION_S)
-        self._short_results = _dedup.ResultTable(SHORT_RETENTION_S)
+        self._short_results = _dedup.ResultTable(_dedup.SHORT_RETENTION_S)
         self._view = _view.EMPTY_VIEW
         self._handlers: Mapping[type, Callable[[Any], _commands.Result]] = {
             _commands.SubmitRules: self._submit_rules,
@@ -118,6 +95,7 @@
             _commands.ReplaceRouting: self._change_routing,
             _commands.BeginServiceRollout: self._change_routing,
             _commands.MoveServiceRollout: self._change_routing,
+            _commands.ChangeEvacuation: self._change_evacuation,
         }
 
     @property
@@ -157,9 +135,9 @@
             if found is not None:
                 return found
         result = self._handlers[type(command)](command)
-        if isinstance(result, _SHORT_RETENTION_RESULTS):
+        if isinstance(result, _dedup.SHORT_RETENTION_RESULTS):
             self._short_results.store(command.command_id, result, self._wall_s)
-        elif not isinstance(result, _DEDUPLICATED_BY_KEY):
+        elif not isinstance(result, _dedup.DEDUPLICATED_BY_KEY):
             self._results.store(command.command_id, result, self._wall_s)
         return result
 
@@ -206,6 +184,7 @@
         self.pins.write(out)
         self.leases.write(out)
         self.routing.write(out)
+        self.evacuations.write(out)
         self.audit.write(out)
         self._results.write(out.results)
         self._short_results.write(out.short_results)
@@ -242,6 +221,7 @@
         self.pins.restore(source.pins)
         self.leases.restore(source)
         self.routing.restore(source)
+        self.evacuations.restore(source)
         self.audit.restore(source.audit)
         self._results.restore(source.results)
         self._short_results.restore(source.short_results)
@@ -303,6 +283,7 @@
                 digest: strikes.crash_wall_s
                 for digest, strikes in versions.strikes_by_digest.items()
             },
+            evacuations_by_zone=dict(self.evacuations.by_zone),
         )
 
     def _add_audit_record(
@@ -498,7 +479,18 @@
     def _change_routing(
         self, command: _routing.RoutingCommand
     ) -> _commands.Result:
-        change = self.routing.apply(command)
+        return self._record_change(self.routing.apply(command))
+
+    def _change_evacuation(
+        self, command: _commands.ChangeEvacuation
+    ) -> _commands.Result:
+        return self._record_change(
+            self.evacuations.apply(command, self._wall_s)
+        )
+
+    def _record_change(
+        self, change: _routing.RoutingChange
+    ) -> _commands.Result:
         if change.what:
             self._update_view()
             self._add_audit_record(change.who, change.what, in_view=True)
--- a/libs/state/mulberry_state/_view.py
+++ b/libs/state/mulberry_state/_view.py
@@ -56,6 +56,17 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Evacuation:
+    """Whether a zone is evacuated; kept after the end of an evacuation."""
+
+    #: Counts the changes of the zone, from 1; never decreases.
+    number: int
+    is_evacuated: bool
+    #: Unix time of the last change from the leader's clock, seconds.
+    since_wall_s: float
+
+
 NO_ROUTING = RoutingDocument(0, b"")
 
 
@@ -89,6 +100,9 @@
     crash_wall_s_by_digest: Mapping[str, tuple[float, ...]] = dataclasses.field(
         default_factory=dict
     )
+    evacuations_by_zone: Mapping[str, Evacuation] = dataclasses.field(
+        default_factory=dict
+    )
 
     def crash_times_by_digest(self) -> Mapping[str, Mapping[str, float]]:
         """Returns the Unix time of each crash by its id, seconds."""
--- a/libs/state/mulberry_state/_view_codec.py
+++ b/libs/state/mulberry_state/_view_codec.py
@@ -2,7 +2,13 @@
 
 import mulberry_core as core
 import mulberry_rules as rules
-from mulberry_state import _parser, _routing, _versions, _view
+from mulberry_state import (
+    _evacuations,
+    _parser,
+    _routing,
+    _versions,
+    _view,
+)
 from mulberry_wire import state_pb2
 
 
@@ -30,6 +36,9 @@
         dict(view.service_rollouts_by_service),
         message.service_rollouts_by_service,
     )
+    _evacuations.fill_evacuations(
+        view.evacuations_by_zone, message.evacuations_by_zone
+    )
     for digest, crashes in view.crashes_by_digest.items():
         message.strikes.add(
             digest=digest,
@@ -83,4 +92,7 @@
         crash_wall_s_by_digest={
             item.digest: _versions.crash_times(item) for item in message.strikes
         },
+        evacuations_by_zone=_evacuations.read_evacuations(
+            message.evacuations_by_zone
+        ),
     )
--- a/libs/state/mulberry_state/tests/test_machine_random.py
+++ b/libs/state/mulberry_state/tests/test_machine_random.py
@@ -14,6 +14,7 @@
 _KEYS = st.sampled_from(["k1", "k2", "k3"])
 _REQUESTS = st.sampled_from(["r1", "r2", "r3", "r4"])
 _BODIES = st.sampled_from(["d1", "d2"])
+_ZONES = st.sampled_from(["z1", "z2"])
 _ANSWER = state.Answer(200, "text/plain", b"ok", True)
 
 
@@ -22,7 +23,7 @@
 
 
 class MachineTest(stateful.RuleBasedStateMachine):
-    """Compares claims and bills with a simple model of the state machine."""
+    """Compares with a simple model of the claims, bills and evacuations."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -36,6 +37,8 @@
         self.billed_by_key: dict[str, str] = {}
         self.revision = 0
         self.fencing_number_by_holder: dict[str, int] = {}
+        #: Change count of each zone, and whether it is evacuated.
+        self.evacuation_by_zone: dict[str, tuple[int, bool]] = {}
 
     def _send(self, command: state.Command) -> object:
         result = self.client.propose(command, 1.0)
@@ -105,6 +108,23 @@
             assert result.number == number + 1 == after + 1
         self._send(state.RecordCrash(self._id(), "u", after, (digest,)))
 
+    @stateful.rule(
+        zone=_ZONES, is_evacuated=st.booleans(), lag=st.integers(0, 2)
+    )
+    def evacuate(self, zone: str, is_evacuated: bool, lag: int) -> None:
+        number, before = self.evacuation_by_zone.get(zone, (0, False))
+        result = self._send(
+            state.ChangeEvacuation(
+                self._id(), zone, is_evacuated, "o", max(0, number - lag)
+            )
+        )
+        is_current = not lag or not number
+        changed = is_current and is_evacuated is not before
+        if changed:
+            self.evacuation_by_zone[zone] = (number + 1, is_evacuated)
+            number, before = self.evacuation_by_zone[zone]
+        assert result == state.EvacuationChanged(changed, number, before)
+
     @stateful.precondition(lambda self: self.sent)
     @stateful.rule(data=st.data())
     def send_again(self, data: st.DataObject) -> None:
@@ -130,6 +150,14 @@
         assert rows == self.billed_by_key
         assert not ledger.check()
 
+    @stateful.invariant()
+    def evacuations_are_those_of_the_model(self) -> None:
+        evacuations = self.client.machine.view.evacuations_by_zone
+        assert {
+            zone: (evacuation.number, evacuation.is_evacuated)
+            for zone, evacuation in evacuations.items()
+        } == self.evacuation_by_zone
+
     @stateful.invariant()
     def view_does_not_go_back(self) -> None:
         assert self.client.view().revision >= self.revision
