--- a/libs/gateway/mulberry_gateway/__init__.py
+++ b/libs/gateway/mulberry_gateway/__init__.py
@@ -16,6 +16,7 @@
     ResponseMetadata,
 )
 from mulberry_gateway._endpoints import JSON, Endpoint, EndpointHandler
+from mulberry_gateway._evacuations import Evacuations
 from mulberry_gateway._forwarder import Forwarder
 from mulberry_gateway._instance import GatewayInstance
 from mulberry_gateway._link_recorder import LinkRecorder
@@ -59,6 +60,7 @@
     "Dialect",
     "Endpoint",
     "EndpointHandler",
+    "Evacuations",
     "Forwarder",
     "ForwardingMetadata",
     "GatewayBounds",
--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -115,6 +115,11 @@
             call.close()
             self._retries.return_retry(exchange)
             return _attempt_failure.AttemptFailure(refusal, may_retry=False)
+        # After the lease, which vouches only for a view that is read later.
+        checked = self._opener.check_connected(exchange, connected)
+        if isinstance(checked, _attempt_failure.AttemptFailure):
+            self._retries.return_retry(exchange)
+            return checked
         exchange.model = model = components.model_selector.choose(exchange)
         attempt = _exchange.Attempt(
             upstream.name,
--- a/libs/gateway/mulberry_gateway/_catalog.py
+++ b/libs/gateway/mulberry_gateway/_catalog.py
@@ -69,6 +69,12 @@
             self._refresh()
             return self._by_service.get(service, ())
 
+    def by_service(self) -> Mapping[str, Sequence[membership.Upstream]]:
+        """Returns the upstreams of all services, including leaving ones."""
+        with self._lock:
+            self._refresh()
+            return self._by_service
+
     def find(self, name: str) -> membership.Upstream | core.Missing:
         """Returns the upstream with this name; unset if there is none."""
         with self._lock:
--- a/libs/gateway/mulberry_gateway/_control.py
+++ b/libs/gateway/mulberry_gateway/_control.py
@@ -1,5 +1,7 @@
 """Operations for operators and upstreams."""
 
+import time
+from collections.abc import Mapping
 from typing import TypeVar
 
 import mulberry_core as core
@@ -17,7 +19,16 @@
 #: tells another instance.
 _SHARE_TIMEOUT_S = 0.5
 
-_R = TypeVar("_R", state.RoutingReplaced, state.ServiceRolloutBegun)
+#: Proposals of one evacuation order. A further one is needed if the zone has
+#: changed since the view of this instance, or meanwhile by another order.
+_MAX_EVACUATION_PROPOSALS = 3
+
+_R = TypeVar(
+    "_R",
+    state.RoutingReplaced,
+    state.ServiceRolloutBegun,
+    state.EvacuationChanged,
+)
 
 
 class Control:
@@ -103,6 +114,63 @@
         rollouts = self._client.view().service_rollouts_by_service
         return rollouts.get(service, core.Missing.UNSET)
 
+    def change_evacuation(
+        self, zone: str, is_evacuated: bool, operator: str
+    ) -> state.EvacuationChanged | core.Refusal:
+        """Starts or ends the evacuation of a zone.
+
+        An order that has been carried out is confirmed again.
+
+        Args:
+            zone: Availability zone, which need not have upstreams.
+            is_evacuated: False to end the evacuation.
+            operator: Who gave the order, for the audit trail.
+        """
+        known = self._client.view().evacuations_by_zone.get(zone)
+        after_number = known.number if known else 0
+        until_s = time.monotonic() + _PROPOSE_TIMEOUT_S
+        for _ in range(_MAX_EVACUATION_PROPOSALS):
+            result = self._propose(
+                state.ChangeEvacuation(
+                    state.new_command_id(),
+                    zone,
+                    is_evacuated,
+                    operator,
+                    after_number,
+                ),
+                state.EvacuationChanged,
+                "evacuation_not_changed",
+                timeout_s=max(0.0, until_s - time.monotonic()),
+                zone=zone,
+                evacuated=is_evacuated,
+            )
+            if isinstance(result, core.Refusal):
+                return result
+            if result.is_evacuated is is_evacuated:
+                self._log.note(
+                    "evacuation_changed",
+                    keep=True,
+                    zone=zone,
+                    evacuated=is_evacuated,
+                    number=result.number,
+                    changed=result.changed,
+                )
+                return result
+            after_number = result.number
+        return core.Refusal(
+            core.ErrorKind.QUORUM_UNAVAILABLE,
+            core.RunState.NOT_RUN,
+            f"contrary orders for zone {zone} were carried out meanwhile",
+        )
+
+    def evacuations(
+        self,
+    ) -> Mapping[str, state.Evacuation] | core.Refusal:
+        """Returns the newest evacuations by zone, confirmed by a quorum."""
+        if not self._client.refresh(_READ_TIMEOUT_S):
+            return _quorum_refusal()
+        return self._client.view().evacuations_by_zone
+
     def announce(
         self, announcement: membership.Announcement
     ) -> membership.AnnounceOutcome:
@@ -170,10 +238,11 @@
         command: state.Command,
         expected: type[_R],
         failed_event: str,
+        timeout_s: float = _PROPOSE_TIMEOUT_S,
         **fields: object,
     ) -> _R | core.Refusal:
         """Proposes a command; logs and returns a refusal if it fails."""
-        result = self._client.propose(command, _PROPOSE_TIMEOUT_S)
+        result = self._client.propose(command, timeout_s)
         if isinstance(result, expected):
             return result
         if not isinstance(result, core.Refusal):
--- a/libs/gateway/mulberry_gateway/_exchange.py
+++ b/libs/gateway/mulberry_gateway/_exchange.py
@@ -20,8 +20,8 @@
 #: Outcomes of attempts that the upstream states it has not run.
 TURNED_AWAY = "turned_away"
 OTHER_UPSTREAM = "other_upstream"
-#: Outcome of attempts whose upstream left, or refused all requests for a time,
-#: between the choice and the first byte.
+#: Outcome of attempts whose upstream left, refused all requests for a time, or
+#: had its zone evacuated between the choice and the first byte.
 DEPARTED = "departed"
 
 
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -21,6 +21,7 @@
     _components,
     _control,
     _dialect,
+    _evacuations,
     _forwarder,
     _instance_rank,
     _limit_exchange,
@@ -163,6 +164,9 @@
             lambda: _instance_rank.instance_rank(
                 self.membership.members(), settings.zone, settings.name
             ),
+            _evacuations.Evacuations(
+                self.client, clock, self.counters, log, catalog.by_service
+            ),
         )
         self.components = _components.GatewayComponents(
             clock=clock,
--- a/libs/gateway/mulberry_gateway/_upstream_opener.py
+++ b/libs/gateway/mulberry_gateway/_upstream_opener.py
@@ -111,7 +111,7 @@
                 _faults.KIND_BY_FAULT[fault],
             )
         connected = _attempt_failure.ConnectedUpstream(selection, call, began_s)
-        return self._check_connected(exchange, connected)
+        return self.check_connected(exchange, connected)
 
     def _select(
         self, exchange: _exchange.Exchange
@@ -142,12 +142,12 @@
 
         If its upstream must get no request by now, opens another one.
         """
-        checked = self._check_connected(exchange, connected)
+        checked = self.check_connected(exchange, connected)
         if isinstance(checked, _attempt_failure.ConnectedUpstream):
             return checked
         return self.open(exchange)
 
-    def _check_connected(
+    def check_connected(
         self,
         exchange: _exchange.Exchange,
         connected: _attempt_failure.ConnectedUpstream,
--- a/libs/gateway/mulberry_gateway/_upstream_selection.py
+++ b/libs/gateway/mulberry_gateway/_upstream_selection.py
@@ -7,7 +7,12 @@
 import mulberry_core as core
 import mulberry_decisions as decisions
 import mulberry_membership as membership
-from mulberry_gateway import _catalog, _exchange, _rollout_filter
+from mulberry_gateway import (
+    _catalog,
+    _evacuations,
+    _exchange,
+    _rollout_filter,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,6 +36,7 @@
         rollout_filter: _rollout_filter.RolloutFilter,
         clock: core.Clock,
         rank: Callable[[], decisions.InstanceRank],
+        evacuations: _evacuations.Evacuations,
     ) -> None:
         """Creates a selector without knowledge of any upstream.
 
@@ -41,10 +47,12 @@
             clock: Source of time.
             rank: Returns the position of this instance among all that share
                 the upstreams.
+            evacuations: Knows the zones that get no requests.
         """
         self._catalog = catalog
         self._rank = rank
         self._rollout_filter = rollout_filter
+        self._evacuations = evacuations
         self.load = decisions.LoadEstimator(clock)
         self.health = decisions.UpstreamHealth(clock)
         self.rejection_limiter = decisions.RejectionLimiter(clock)
@@ -101,7 +109,7 @@
             return core.Refusal(
                 core.ErrorKind.NO_UPSTREAM,
                 exchange.run,
-                f"service {exchange.service} has no upstream for this request",
+                self._no_upstream_reason(exchange),
                 retry_after_s=self._next_available_in_s(exchange),
             )
         if is_limited:
@@ -127,6 +135,7 @@
             upstream
             for upstream in self._catalog.for_service(service)
             if upstream.state is membership.UpstreamState.READY
+            and not self._evacuations.is_evacuated(upstream.zone)
         ]
         shares = decisions.slot_shares(
             [
@@ -164,6 +173,18 @@
         soonest_s = min(waits_s, default=math.inf)
         return soonest_s if 0.0 < soonest_s < math.inf else core.Missing.UNSET
 
+    def _no_upstream_reason(self, exchange: _exchange.Exchange) -> str:
+        """Explains that no upstream remains, naming evacuated zones."""
+        reason = f"service {exchange.service} has no upstream for this request"
+        evacuated = {
+            upstream.zone
+            for upstream in self._catalog.for_service(exchange.service)
+            if self._evacuations.is_evacuated(upstream.zone)
+        }
+        if evacuated:
+            reason += f"; evacuated zones: {', '.join(sorted(evacuated))}"
+        return reason
+
     def _blocked_s(self, upstream: membership.Upstream) -> float:
         """Returns for how long a rate that was named allows no request."""
         return self.named_rates.blocked_s(upstream.name, upstream.incarnation)
@@ -178,10 +199,13 @@
         """Whether an upstream that was chosen may still get the request.
 
         False if it has said since then that it leaves, in an announcement or
-        an answer, or that it wants no requests for a time.
+        an answer, or that it wants no requests for a time, or if its zone has
+        been evacuated.
         """
         return not (
-            self._catalog.has_departed(upstream) or self._is_refusing(upstream)
+            self._catalog.has_departed(upstream)
+            or self._is_refusing(upstream)
+            or self._evacuations.is_evacuated(upstream.zone)
         )
 
     def prune_removed(self) -> None:
@@ -206,6 +230,7 @@
             if upstream.state is membership.UpstreamState.READY
             and upstream.name not in failed_upstreams
             and not self._is_refusing(upstream)
+            and not self._evacuations.is_evacuated(upstream.zone)
         ]
         allowed = self._rollout_filter.filter(
             exchange.service,
