--- a/libs/gateway/mulberry_gateway/__init__.py
+++ b/libs/gateway/mulberry_gateway/__init__.py
@@ -17,6 +17,7 @@
 )
 from mulberry_gateway._endpoints import JSON, Endpoint, EndpointHandler
 from mulberry_gateway._engine_scheduling import EngineScheduling
+from mulberry_gateway._evacuations import Evacuations
 from mulberry_gateway._forwarder import Forwarder
 from mulberry_gateway._instance import GatewayInstance
 from mulberry_gateway._link_recorder import LinkRecorder
@@ -68,6 +69,7 @@
     "Endpoint",
     "EndpointHandler",
     "EngineScheduling",
+    "Evacuations",
     "Forwarder",
     "ForwardingMetadata",
     "GatewayBounds",
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -22,6 +22,7 @@
     _control,
     _dialect,
     _engine_scheduling,
+    _evacuations,
     _forwarder,
     _instance_rank,
     _limit_exchange,
@@ -182,6 +183,9 @@
                 self._ledgers,
                 settings.schedules_engines,
             ),
+            _evacuations.Evacuations(
+                self.client, clock, self.counters, log, catalog.by_service
+            ),
         )
         self.components = _components.GatewayComponents(
             clock=clock,
