Limit the permits of cold upstreams in the allocator

Callers saw no difference yet: nothing passes a cold limit so far.

Cause: permits exist only for rates that upstreams name in answers, with half a second's worth at once and no room for requests that are on their way.

`cold_limit` derives rate and burst from ColdPerS, ColdOverage and ColdSlack, so that the permits of 1.6 s stay within the bound of 1 s. For 11, 1.5 and 5 that is 11 a second and 3.9 at once. The allocator applies the lower of this and the named rate. It begins without permits when an upstream becomes cold again, and grants none for the first 0.5 s after a change of the owner, in which late instances still ask the earlier one. Blocks of upstreams no longer need a named rate. `ColdMarks` keeps what an instance itself saw: answers that say cold, and connections that broke.

Ruled out: the cold rate as a named rate. Answers without Server-Limit would end it, and it would outlast the cold time at instances that heard of it.

Tests: simulated fleets with late instances and changing owners, and hypothesis on bursts, ways and owners. They fail without the pause at a change of the owner (3 cases) and without the reset after a warm time (1 case each way). libs/decisions passes.

--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -15,6 +15,11 @@
         Ticket,
         WithdrawResult,
     )
+    from mulberry_decisions._cold_limits import (
+        ColdLimit,
+        ColdMarks,
+        cold_limit,
+    )
     from mulberry_decisions._confidence_cascade import (
         CONFIDENCE_THRESHOLD,
         CascadeAttempt,
@@ -95,7 +100,11 @@
         RatingKey,
         TryModel,
     )
-    from mulberry_decisions._named_rates import NamedRates, RateReport
+    from mulberry_decisions._named_rates import (
+        NO_REPORT,
+        NamedRates,
+        RateReport,
+    )
     from mulberry_decisions._part_blocks import (
         PartReach,
         part_block_duration_s,
@@ -298,7 +307,8 @@
                 "duration_bucket",
             ),
             "_adaptive_hedging": ("AdaptiveHedging",),
-            "_named_rates": ("NamedRates", "RateReport"),
+            "_named_rates": ("NO_REPORT", "NamedRates", "RateReport"),
+            "_cold_limits": ("ColdLimit", "ColdMarks", "cold_limit"),
             "_part_blocks": (
                 "PartReach",
                 "part_block_duration_s",
@@ -401,6 +411,7 @@
     "LEAST_URGENT",
     "MAX_STRIKES",
     "MODEL_CHOOSERS",
+    "NO_REPORT",
     "NO_STEP",
     "RETRY_BUDGETS",
     "ROLLOUT_ADVANCERS",
@@ -414,6 +425,8 @@
     "Attempt",
     "CacheEvent",
     "CascadeAttempt",
+    "ColdLimit",
+    "ColdMarks",
     "ConfidenceCascade",
     "ContentCrashes",
     "CrashGuard",
@@ -511,6 +524,7 @@
     "WithdrawResult",
     "Work",
     "block_duration_s",
+    "cold_limit",
     "crash_causes",
     "duration_bucket",
     "find_regression",
--- a/libs/decisions/mulberry_decisions/_named_rates.py
+++ b/libs/decisions/mulberry_decisions/_named_rates.py
@@ -1,7 +1,6 @@
 """What an instance knows of the rates of requests that upstreams name."""
 
 import dataclasses
-import math
 import threading
 from collections.abc import Container
 
@@ -24,8 +23,18 @@
     incarnation: int
     rate_per_s: float | core.Missing
     answered_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class _Block:
+    incarnation: int
     #: `Clock.now` until which no request is allowed, seconds.
-    blocked_until_s: float = -math.inf
+    until_s: float
+
+
+#: Report of an upstream that has named no rate. Each other one is newer, and its
+#: age fits the messages between instances.
+NO_REPORT = RateReport(core.Missing.UNLIMITED, 4e6)
 
 
 class NamedRates:
@@ -39,6 +48,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._rate_by_upstream: dict[str, _NamedRate] = {}
+        self._block_by_upstream: dict[str, _Block] = {}
 
     def learn(
         self, upstream: str, incarnation: int, report: RateReport
@@ -67,8 +77,8 @@
             known.answered_s = answered_s
             has_changed = known.rate_per_s != report.rate_per_s
             known.rate_per_s = report.rate_per_s
-            if report.rate_per_s is core.Missing.UNLIMITED:
-                known.blocked_until_s = -math.inf
+            if has_changed and report.rate_per_s is core.Missing.UNLIMITED:
+                self._block_by_upstream.pop(upstream, None)
             return has_changed
 
     def report(
@@ -95,24 +105,27 @@
     def block(self, upstream: str, incarnation: int, wait_s: float) -> None:
         """Records that no request may be sent for a time."""
         with self._lock:
-            known = self._find(upstream, incarnation)
-            if known is not None:
-                known.blocked_until_s = self._clock.now() + wait_s
+            self._block_by_upstream[upstream] = _Block(
+                incarnation, self._clock.now() + wait_s
+            )
 
     def blocked_s(self, upstream: str, incarnation: int) -> float:
         """Returns for how long no request may be sent, seconds; 0 if it may."""
-        if not self._rate_by_upstream:
-            # Called for each candidate of each request.
+        # Called for each candidate of each request.
+        block = self._block_by_upstream.get(upstream)
+        if block is None or block.incarnation != incarnation:
             return 0.0
-        with self._lock:
-            known = self._find(upstream, incarnation)
-            if known is None:
-                return 0.0
-            return max(0.0, known.blocked_until_s - self._clock.now())
+        return max(0.0, block.until_s - self._clock.now())
 
     def keep_only(self, names: Container[str]) -> None:
-        """Removes the reports of all other upstreams."""
+        """Removes the state of all other upstreams, and outdated blocks."""
+        now_s = self._clock.now()
         with self._lock:
+            self._block_by_upstream = {
+                name: block
+                for name, block in self._block_by_upstream.items()
+                if name in names and block.until_s > now_s
+            }
             self._rate_by_upstream = {
                 name: known
                 for name, known in self._rate_by_upstream.items()
--- a/libs/decisions/mulberry_decisions/_rate_allocator.py
+++ b/libs/decisions/mulberry_decisions/_rate_allocator.py
@@ -1,21 +1,23 @@
 """Divides the rates that upstreams name among the instances, by permits."""
 
 import dataclasses
+import functools
 import math
 import threading
 from collections.abc import Container
 
 import mulberry_core as core
-from mulberry_decisions import _named_rates
-
-#: Requests that may follow each other at once, as the time in which the rate
-#: allows them, seconds; at least one request.
-_BURST_S = 0.5
-#: Lowest rate at which permits are granted. Only the answer to a request shows
-#: that a rate of 0 has ended.
-_MIN_RATE_PER_S = 0.25
+from mulberry_decisions import _cold_limits, _named_rates
+
 #: Wait for the permit of an upstream that has been replaced, seconds.
 _REPLACED_WAIT_S = 1.0
+#: Time after a change of the owner in which the new one grants no permits for a
+#: cold upstream, seconds. Instances that have not learned of it still ask the
+#: earlier owner.
+OWNER_CHANGE_S = 0.5
+#: A cold upstream for which no permit was asked for so long begins without any,
+#: seconds. It may have been warm, and got requests without permits.
+_COLD_GAP_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,6 +42,8 @@
     answered_s: float
     refilled_s: float
     permits: float = 0.0
+    #: `Clock.now` when a permit was last asked for while it was cold, seconds.
+    cold_s: float = -math.inf
 
 
 class RateAllocator:
@@ -65,14 +69,21 @@
         incarnation: int,
         report: _named_rates.RateReport,
         wants_permit: bool = True,
+        cold: _cold_limits.ColdLimit | core.Missing = core.Missing.UNLIMITED,
+        owned_since_s: float = -math.inf,
     ) -> PermitReply:
         """Takes one permit, if there is one.
 
+        The lower of the named rate and that of a cold upstream applies.
+
         Args:
             upstream: Name of the upstream.
             incarnation: Start of the upstream that the report is from.
             report: Newest report that the asking instance knows.
             wants_permit: False only to pass on the report.
+            cold: Limit of a cold upstream, unlimited if it is warm.
+            owned_since_s: `Clock.now` since when this instance is the owner in
+                place of another one, seconds; -inf if there was none.
         """
         with self._lock:
             now_s = self._clock.now()
@@ -88,8 +99,10 @@
             if answered_s > bucket.answered_s:
                 bucket.answered_s = answered_s
                 bucket.rate_per_s = report.rate_per_s
+            if isinstance(cold, _cold_limits.ColdLimit):
+                _begin_cold(bucket, now_s, owned_since_s + OWNER_CHANGE_S)
             return PermitReply(
-                _take(bucket, now_s, wants_permit),
+                _take(bucket, now_s, wants_permit, cold),
                 _named_rates.RateReport(
                     bucket.rate_per_s, now_s - bucket.answered_s
                 ),
@@ -105,21 +118,50 @@
             }
 
 
-def _take(bucket: _Bucket, now_s: float, wants_permit: bool) -> float:
+def _begin_cold(bucket: _Bucket, now_s: float, begins_s: float) -> None:
+    """Removes the permits from before the cold time or the ownership.
+
+    Args:
+        bucket: Bucket of a cold upstream.
+        now_s: `Clock.now`, seconds.
+        begins_s: From when on permits may be granted, seconds.
+    """
+    if now_s - bucket.cold_s > _COLD_GAP_S:
+        begins_s = max(begins_s, now_s)
+    if bucket.refilled_s < begins_s:
+        bucket.permits, bucket.refilled_s = 0.0, begins_s
+    bucket.cold_s = now_s
+
+
+def _take(
+    bucket: _Bucket,
+    now_s: float,
+    wants_permit: bool,
+    cold: _cold_limits.ColdLimit | core.Missing,
+) -> float:
     """Takes a permit if there is one; returns the wait, seconds."""
-    if isinstance(bucket.rate_per_s, core.Missing):
+    limits = []
+    if not isinstance(bucket.rate_per_s, core.Missing):
+        rate_per_s = max(bucket.rate_per_s, _cold_limits.MIN_RATE_PER_S)
+        burst = max(1.0, rate_per_s * _cold_limits.BURST_S)
+        limits.append(_cold_limits.ColdLimit(rate_per_s, burst))
+    if not isinstance(cold, core.Missing):
+        limits.append(cold)
+    if not limits:
         bucket.permits, bucket.refilled_s = 0.0, now_s
         return 0.0
-    rate_per_s = max(bucket.rate_per_s, _MIN_RATE_PER_S)
+    limit = functools.reduce(_cold_limits.ColdLimit.lower, limits)
+    elapsed_s = max(0.0, now_s - bucket.refilled_s)
     bucket.permits = min(
-        max(1.0, rate_per_s * _BURST_S),
-        bucket.permits + rate_per_s * (now_s - bucket.refilled_s),
+        limit.burst, bucket.permits + limit.rate_per_s * elapsed_s
     )
-    bucket.refilled_s = now_s
+    # In the future while a new owner grants none.
+    bucket.refilled_s = max(bucket.refilled_s, now_s)
     # A sum of refills may fall short of 1 by a rounding error.
     missing = 1.0 - bucket.permits
     if missing > 1e-9:
-        return math.nextafter(missing / rate_per_s, math.inf)
+        wait_s = bucket.refilled_s - now_s + missing / limit.rate_per_s
+        return math.nextafter(wait_s, math.inf)
     if wants_permit:
         bucket.permits -= 1.0
     return 0.0
