Read and publish what workers say of being cold

Cause: ColdRemainingMs, X-Cold-Ms, ColdStartS, ColdPerS, ColdOverage and ColdSlack were ignored.

The record of an upstream carries the time that is left (`cold_ms`, a new field, absent for warm upstreams); receivers count from its arrival. Its home publishes it as urgent when the upstream becomes cold or is cold for longer than published, and once more, not urgent, when it is warm again: an instance that starts later would count anew.

Ruled out: a record for each announcement of a cold upstream (three urgent ones in each start for the same end), and refusing heartbeats with an odd cold time, which would take the worker out of use.

Tests: libs/membership, libs/routing and the messages of platform pass.

--- a/libs/gateway/mulberry_gateway/_dialect.py
+++ b/libs/gateway/mulberry_gateway/_dialect.py
@@ -91,6 +91,8 @@
     #: Requests a second that the upstream takes from all instances together;
     #: unlimited if it names no rate, unset if the rate cannot be read.
     rate_per_s: float | core.Missing = core.Missing.UNLIMITED
+    #: Seconds for which the upstream is still cold; 0 if it does not say so.
+    cold_s: float = 0.0
 
 
 class Dialect(abc.ABC):
--- a/libs/gateway/mulberry_gateway/_settings.py
+++ b/libs/gateway/mulberry_gateway/_settings.py
@@ -55,6 +55,11 @@
     rollback_s: float = 5.0
     #: A session is idle after this time without a request, seconds.
     session_s: float = 5.0
+    #: Requests that may arrive at a cold upstream in any second, from all
+    #: instances together: this factor of the rate that it tolerates,
+    cold_overage: float = 1.5
+    #: and this number beyond it.
+    cold_slack: float = 5.0
 
     @property
     def timing(self) -> rules.Timing:
--- a/libs/membership/mulberry_membership/_announcements.py
+++ b/libs/membership/mulberry_membership/_announcements.py
@@ -52,6 +52,8 @@
     valid_s: float
     #: Version of the software that the upstream runs; empty if not announced.
     release: str = ""
+    #: Seconds for which the upstream is still cold; 0 if it is warm.
+    cold_s: float = 0.0
 
     @property
     def order(self) -> tuple[int, int]:
--- a/libs/membership/mulberry_membership/_directory.py
+++ b/libs/membership/mulberry_membership/_directory.py
@@ -40,6 +40,10 @@
 #: each request took 5 ms; loads are published at most once a second.
 SNAPSHOT_MAX_AGE_S = 0.1
 
+#: The end of a cold time is published again if it has moved back by more than
+#: this, seconds. Announcements arrive with different delays.
+COLD_TOLERANCE_S = 0.1
+
 _KIND = _records.RecordKind.UPSTREAM
 
 
@@ -70,6 +74,12 @@
     #: `ORDER_RETENTION_S` to reject old announcements.
     live: bool
 
+    @property
+    def cold_until_s(self) -> float:
+        """Local time until which the upstream is cold; -inf if it is warm."""
+        cold_s = self.newest.cold_s
+        return self.arrived_s + cold_s if cold_s else -math.inf
+
 
 @dataclasses.dataclass(frozen=True)
 class _Snapshot:
@@ -169,6 +179,17 @@
                 self._snapshot = read
             return self._snapshot.upstreams_by_name
 
+    def announced_age_s(self, name: str) -> float:
+        """Returns the seconds since an upstream announced itself here.
+
+        Infinite if it has not, or its newest announcement has expired.
+        """
+        with self._lock:
+            local = self._local_by_name.get(name)
+        if not local or not local.live:
+            return math.inf
+        return self._clock.now() - local.arrived_s
+
     def find(self, name: str) -> _upstreams.Upstream | core.Missing:
         """Returns the current state of one upstream; unset if unknown."""
         record = self._soft_state.latest(_KIND, name)
@@ -182,7 +203,9 @@
         if self._soft_state.staleness_s(record.owner) > MAX_STALENESS_S:
             return core.Missing.UNSET
         upstream = _upstreams.decode_upstream(
-            record, self._soft_state.age_s(_KIND, record.id)
+            record,
+            self._soft_state.age_s(_KIND, record.id),
+            self._clock.now(),
         )
         if isinstance(upstream, core.Missing):
             self._soft_state.report_unreadable(record)
@@ -226,11 +249,15 @@
             isinstance(published, core.Missing)
             or not self._is_listed_as_local(local)
             or not _differs_only_in_load(published, local.newest)
+            or _is_cold_for_longer(local, published, now_s)
         ):
             self._publish(local, now_s, urgent=True)
             return
         interval_passed = now_s - local.published_s >= MIN_LOAD_INTERVAL_S
-        if interval_passed and _load_changed(published, local.newest):
+        if interval_passed and (
+            _load_changed(published, local.newest)
+            or _has_warmed_up(local, published, now_s)
+        ):
             self._publish(local, now_s, urgent=False)
 
     def _is_listed_as_local(self, local: _LocalUpstream) -> bool:
@@ -246,6 +273,11 @@
         self, local: _LocalUpstream, now_s: float, urgent: bool
     ) -> None:
         newest = local.newest
+        if newest.cold_s:
+            # The announcement may have arrived some time ago.
+            newest = dataclasses.replace(
+                newest, cold_s=max(0.0, local.cold_until_s - now_s)
+            )
         self._soft_state.put(
             _KIND,
             newest.name,
@@ -291,6 +323,7 @@
             running=newest.running,
             queued=newest.queued,
             load_age_s=self._clock.now() - local.arrived_s,
+            cold_until_s=local.cold_until_s,
         )
 
 
@@ -298,15 +331,41 @@
     published: _announcements.Announcement,
     newest: _announcements.Announcement,
 ) -> bool:
-    """Whether at most the load and the sequence differ."""
+    """Whether at most the load, the sequence and the cold time differ."""
     return published == dataclasses.replace(
         newest,
         sequence=published.sequence,
         running=published.running,
         queued=published.queued,
+        cold_s=published.cold_s,
     )
 
 
+def _is_cold_for_longer(
+    local: _LocalUpstream,
+    published: _announcements.Announcement,
+    now_s: float,
+) -> bool:
+    """Whether the upstream is cold for longer than published."""
+    published_until_s = (
+        local.published_s + published.cold_s if published.cold_s else -math.inf
+    )
+    known_until_s = max(published_until_s, now_s)
+    return local.cold_until_s > known_until_s + COLD_TOLERANCE_S
+
+
+def _has_warmed_up(
+    local: _LocalUpstream,
+    published: _announcements.Announcement,
+    now_s: float,
+) -> bool:
+    """Whether the upstream is warm, and published as cold.
+
+    An instance that starts later would count from the arrival of the record.
+    """
+    return published.cold_s > 0.0 and local.cold_until_s <= now_s
+
+
 def _load_changed(
     published: _announcements.Announcement,
     newest: _announcements.Announcement,
--- a/libs/membership/mulberry_membership/_upstreams.py
+++ b/libs/membership/mulberry_membership/_upstreams.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import math
 import re
 
 from google.protobuf import message
@@ -22,6 +23,8 @@
 _MAX_CAPACITY = 1_000_000
 #: Longest address with a scheme.
 _MAX_ADDRESS_LENGTH = 128
+#: Longest time for which an upstream may say that it is cold, milliseconds.
+_MAX_COLD_MS = 2**32 - 1
 #: Number of cached checks. All upstreams are listed several times a second, and
 #: checking those of the design scale anew each time took 3 of 19 ms.
 _CACHED_CHECKS = 2_048
@@ -61,6 +64,9 @@
     load_age_s: float
     #: Version of the software that it runs; empty if not announced.
     release: str = ""
+    #: `Clock.now` until which it has said that it is cold, seconds; -inf if it
+    #: is warm.
+    cold_until_s: float = -math.inf
 
     def serves(self, model: str, version: str) -> bool:
         """Whether the upstream has this version loaded."""
@@ -91,6 +97,7 @@
         queued=announcement.queued,
         checks_fencing=announcement.checks_fencing,
         release=announcement.release,
+        cold_ms=min(math.ceil(announcement.cold_s * 1000), _MAX_COLD_MS),
     )
     for served in announcement.versions:
         payload.versions.add(model=served.model, version=served.version)
@@ -134,13 +141,19 @@
 
 
 def decode_upstream(
-    record: _records.Record, load_age_s: float
+    record: _records.Record, load_age_s: float, now_s: float = 0.0
 ) -> Upstream | core.Missing:
     """Decodes an upstream record.
 
-    Unset if its payload is malformed, or names an upstream to which nothing can
-    be sent. An instance of an earlier version may have accepted and published
-    such an announcement.
+    Args:
+        record: The record.
+        load_age_s: Time since it arrived at this instance, seconds.
+        now_s: `Clock.now`, seconds.
+
+    Returns:
+        The upstream. Unset if the payload is malformed, or names an upstream to
+        which nothing can be sent: an instance of an earlier version may have
+        accepted and published such an announcement.
     """
     payload = peer_pb2.UpstreamPayload()
     try:
@@ -173,4 +186,7 @@
         home=record.owner,
         load_age_s=load_age_s,
         release=payload.release,
+        cold_until_s=now_s - load_age_s + payload.cold_ms / 1000
+        if payload.cold_ms
+        else -math.inf,
     )
--- a/libs/routing/mulberry_routing/_services.py
+++ b/libs/routing/mulberry_routing/_services.py
@@ -36,3 +36,8 @@
     health_path: str = "/"
     #: Unset for a service that runs no model.
     engine: Engine | core.Missing = core.Missing.UNSET
+    #: For how long an upstream is cold after its start, seconds.
+    cold_s: float = 0.0
+    #: Requests a second that a cold upstream tolerates from all instances
+    #: together.
+    cold_rate_per_s: float | core.Missing = core.Missing.UNLIMITED
