Take a permit for each request to a cold upstream

Cause: an instance sent to a cold upstream what it sends to a warm one.

`ColdUpstreams` decides whether an upstream counts as cold: it said so in its announcement or an answer; a connection to it did not open or broke and it has not announced itself since; it is retained; or the evacuation of its zone has ended (a callable, not wired yet). `RateGate` then takes a permit, and another one before the first byte if the permit is older than 0.3 s, as with a replacement that was connected in advance. `PermitGranter` applies the home's own view, so that an instance with an older report cannot raise the rate, and refuses unless the upstream announced itself here within 1.4 periods: a home that is cut off stops before the next one begins. A dead home is not called.

Without a service with ColdPerS there is no call, no mark and no byte: the cold time is left out of the records. The check of each candidate is one dictionary look-up, as before; the cold check runs for the chosen one.

Ruled out: a second owner where the home cannot be reached, and asking the home whether an upstream has announced itself since: one that is still listed after five periods has.

The constructors of `PermitsServicer` and `SharedPermitOwner` take a granter now, so test_permit_exchange.py builds one; its checks are unchanged.

--- a/libs/gateway/mulberry_gateway/__init__.py
+++ b/libs/gateway/mulberry_gateway/__init__.py
@@ -1,6 +1,12 @@
 """Forwards requests for any host and path to upstreams, bytes unchanged."""
 
 from mulberry_gateway._catalog import UpstreamCatalog
+from mulberry_gateway._cold_reports import ColdReports
+from mulberry_gateway._cold_upstreams import (
+    ColdReason,
+    ColdRules,
+    ColdUpstreams,
+)
 from mulberry_gateway._components import GatewayComponents
 from mulberry_gateway._connection import (
     Connection,
@@ -35,9 +41,10 @@
     SharedPermitOwner,
     add_permits_service,
 )
+from mulberry_gateway._permit_granter import PermitGranter
 from mulberry_gateway._permit_owner import LocalPermitOwner, PermitOwner
 from mulberry_gateway._quarantine import RequestQuarantine
-from mulberry_gateway._rate_gate import RateGate
+from mulberry_gateway._rate_gate import Admission, RateGate
 from mulberry_gateway._relay_server import RelayServer
 from mulberry_gateway._relayed_connection import RelayedConnection
 from mulberry_gateway._relays import PublishedRelays, Relay, RelaySource
@@ -52,6 +59,11 @@
 
 __all__ = [
     "JSON",
+    "Admission",
+    "ColdReason",
+    "ColdReports",
+    "ColdRules",
+    "ColdUpstreams",
     "Connection",
     "ConnectionFailure",
     "ConnectionStarter",
@@ -73,6 +85,7 @@
     "LocalPermitOwner",
     "MetricsEndpoint",
     "ModelSelector",
+    "PermitGranter",
     "PermitOwner",
     "PermitsServicer",
     "PromptPart",
--- a/libs/gateway/mulberry_gateway/_attempt_failure.py
+++ b/libs/gateway/mulberry_gateway/_attempt_failure.py
@@ -1,6 +1,7 @@
 """Failed attempts, and the refusals that they end with."""
 
 import dataclasses
+import math
 
 import mulberry_core as core
 from mulberry_gateway import (
@@ -20,6 +21,8 @@
     call: _upstream_call.UpstreamCall
     #: `Clock.now` when the connection was begun, seconds.
     began_s: float
+    #: `Clock.now` when a permit was asked for, seconds; -inf if none was needed.
+    permit_s: float = -math.inf
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -227,7 +227,7 @@
             )
         self._signals.apply(exchange.service, upstream, metadata)
         if metadata.not_run or metadata.is_other_upstream:
-            return self._handle_not_run(attempt, metadata)
+            return self._handle_not_run(exchange, attempt, metadata)
         if not metadata.is_genuine:
             return self._handle_fault(
                 exchange, attempt, _upstream_call.Fault.GARBLED
@@ -429,6 +429,10 @@
         _faults.HEALTH_REPORT_BY_FAULT[fault](
             components.upstream_selector.health, attempt.upstream
         )
+        if fault in _faults.BROKEN_CONNECTIONS:
+            components.rate_gate.connection_broke(
+                exchange.service, attempt.upstream
+            )
         if fault not in _faults.FAULTS_UNRELATED_TO_VERSION:
             components.rollout_controller.observe(
                 exchange,
@@ -450,7 +454,10 @@
         )
 
     def _handle_not_run(
-        self, attempt: _exchange.Attempt, metadata: _dialect.ResponseMetadata
+        self,
+        exchange: _exchange.Exchange,
+        attempt: _exchange.Attempt,
+        metadata: _dialect.ResponseMetadata,
     ) -> _attempt_failure.AttemptFailure:
         """Handles an answer that states that the request was not run."""
         if metadata.is_other_upstream:
@@ -458,6 +465,9 @@
             self._components.upstream_selector.health.unreachable(
                 attempt.upstream
             )
+            self._components.rate_gate.connection_broke(
+                exchange.service, attempt.upstream
+            )
         else:
             attempt.outcome = _exchange.TURNED_AWAY
         return _attempt_failure.AttemptFailure(
--- a/libs/gateway/mulberry_gateway/_catalog.py
+++ b/libs/gateway/mulberry_gateway/_catalog.py
@@ -1,6 +1,7 @@
 """Lists the usable upstreams of each service."""
 
 import dataclasses
+import math
 import threading
 from collections.abc import Mapping, Sequence
 
@@ -25,6 +26,9 @@
     upstream: membership.Upstream
     #: `Clock.now` when it was last listed, seconds.
     listed_s: float
+    #: `Clock.now` since when its home is another one than before, seconds; -inf
+    #: if this instance knows no earlier home.
+    home_since_s: float = -math.inf
 
 
 class UpstreamCatalog:
@@ -76,6 +80,19 @@
             entry = self._entry_by_name.get(name)
         return core.Missing.UNSET if entry is None else entry.upstream
 
+    def is_retained(self, name: str) -> bool:
+        """Whether an upstream is in use although it is no longer listed."""
+        return name in self._retained_names
+
+    def home_since_s(self, name: str) -> float:
+        """Returns `Clock.now` since when an upstream has its home, seconds.
+
+        It is -inf if this instance knows no earlier home.
+        """
+        with self._lock:
+            entry = self._entry_by_name.get(name)
+        return -math.inf if entry is None else entry.home_since_s
+
     def names(self) -> frozenset[str]:
         """Returns the names of all upstreams in use."""
         with self._lock:
@@ -164,7 +181,12 @@
                     incarnation=upstream.incarnation,
                     home=upstream.home,
                 )
-            self._entry_by_name[name] = _CatalogEntry(upstream, now_s)
+            home_since_s = -math.inf if old is None else old.home_since_s
+            if old is not None and old.upstream.home != upstream.home:
+                home_since_s = now_s
+            self._entry_by_name[name] = _CatalogEntry(
+                upstream, now_s, home_since_s
+            )
         for name in [n for n in self._entry_by_name if n not in snapshot]:
             self._drop_if_expired(name, now_s)
         self._retained_names = frozenset(self._entry_by_name) - set(snapshot)
--- a/libs/gateway/mulberry_gateway/_control.py
+++ b/libs/gateway/mulberry_gateway/_control.py
@@ -1,5 +1,7 @@
 """Operations for operators and upstreams."""
 
+import dataclasses
+from collections.abc import Callable
 from typing import TypeVar
 
 import mulberry_core as core
@@ -20,6 +22,11 @@
 _R = TypeVar("_R", state.RoutingReplaced, state.ServiceRolloutBegun)
 
 
+def _always(service: str | core.Missing) -> bool:
+    del service
+    return True
+
+
 class Control:
     """Changes and reads the replicated state; accepts announcements."""
 
@@ -29,7 +36,19 @@
         directory: membership.UpstreamDirectory,
         soft_state: membership.SoftState,
         log: core.DecisionLog,
+        counts_cold: Callable[[str | core.Missing], bool] = _always,
     ) -> None:
+        """Creates the operations.
+
+        Args:
+            client: The replicated state.
+            directory: Takes the announcements.
+            soft_state: Records of all instances.
+            log: Log of decisions.
+            counts_cold: Whether it matters that an upstream of a service is
+                cold; otherwise its records do not say so.
+        """
+        self._counts_cold = counts_cold
         self._client = client
         self._directory = directory
         self._soft_state = soft_state
@@ -107,6 +126,8 @@
         self, announcement: membership.Announcement
     ) -> membership.AnnounceOutcome:
         """Accepts the announcement of an upstream."""
+        if announcement.cold_s and not self._counts_cold(announcement.service):
+            announcement = dataclasses.replace(announcement, cold_s=0.0)
         outcome = self._directory.announce(announcement)
         if (
             announcement.state is membership.UpstreamState.LEAVING
--- a/libs/gateway/mulberry_gateway/_faults.py
+++ b/libs/gateway/mulberry_gateway/_faults.py
@@ -15,6 +15,13 @@
     _upstream_call.Fault.WITHDRAWN,
 }
 
+#: Faults after which the upstream may have restarted.
+BROKEN_CONNECTIONS = _upstream_call.NOT_SENT | {
+    _upstream_call.Fault.NO_ANSWER,
+    _upstream_call.Fault.TRUNCATED,
+    _upstream_call.Fault.LOST,
+}
+
 KIND_BY_FAULT = {
     _upstream_call.Fault.REFUSED: core.ErrorKind.UPSTREAM_REFUSED,
     _upstream_call.Fault.UNREACHABLE: core.ErrorKind.UPSTREAM_REFUSED,
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -18,6 +18,7 @@
 from mulberry_gateway import (
     _bootstrap,
     _catalog,
+    _cold_upstreams,
     _components,
     _control,
     _dialect,
@@ -27,9 +28,8 @@
     _link_recorder,
     _listener,
     _model_selection,
-    _permit_exchange,
+    _permits,
     _quarantine,
-    _rate_gate,
     _relay_server,
     _relays,
     _rollout_controller,
@@ -128,8 +128,18 @@
         self._bootstrap = _bootstrap.ClusterBootstrap(
             settings, self.membership, self._node, self.client, clock
         )
+        self._routing = _routing_table_store.RoutingTableStore(
+            self.client, parser, log
+        )
+        rules = _cold_upstreams.ColdRules(
+            lambda: self._routing.table, settings.bounds
+        )
         self.control = _control.Control(
-            self.client, self.directory, self.membership, log
+            self.client,
+            self.directory,
+            self.membership,
+            log,
+            rules.may_apply,
         )
         self._catalog = catalog = _catalog.UpstreamCatalog(
             self.directory, self.membership, clock, log
@@ -153,8 +163,6 @@
             settings.bounds.rollout_view_age_s,
             clock,
         )
-        self._allocator = decisions.RateAllocator(clock)
-        self._permit_channels = state.Channels(state.open_insecure)
         upstream_selector = _upstream_selection.UpstreamSelector(
             settings.zone,
             catalog,
@@ -164,14 +172,24 @@
                 self.membership.members(), settings.zone, settings.name
             ),
         )
+        self._permits = _permits.Permits(
+            settings,
+            rules,
+            catalog,
+            self.directory,
+            self.membership.members,
+            upstream_selector.named_rates,
+            clock,
+            self.counters,
+            log,
+        )
+        self._permits.add_to(self._grpc)
         self.components = _components.GatewayComponents(
             clock=clock,
             counters=self.counters,
             log=log,
             state=self.client,
-            routing=_routing_table_store.RoutingTableStore(
-                self.client, parser, log
-            ),
+            routing=self._routing,
             upstream_selector=upstream_selector,
             model_selector=_model_selection.ModelSelector(
                 decisions.ConfidenceCascade(),
@@ -203,22 +221,7 @@
                 _relays.PublishedRelays(self.membership, settings.zone),
                 self._links,
             ),
-            rate_gate=_rate_gate.RateGate(
-                upstream_selector.named_rates,
-                _permit_exchange.SharedPermitOwner(
-                    settings.name,
-                    self.membership.members,
-                    self._allocator,
-                    self._permit_channels,
-                    clock,
-                ),
-                self.counters,
-                log,
-            ),
-        )
-        _permit_exchange.add_permits_service(
-            self._grpc,
-            _permit_exchange.PermitsServicer(self._allocator, catalog.find),
+            rate_gate=self._permits.rate_gate,
         )
         self._relay = self._open_relay()
         self._publishing = threading.Lock()
@@ -263,6 +266,7 @@
         if not isinstance(self._relay, core.Missing):
             self._relay.start()
         self.timers.every(1.0, self._refresh_entry, "entry")
+        self._permits.start(self.timers)
         self.timers.every(
             _STRIKE_CHECK_PERIOD_S,
             self.components.quarantine.check_incomplete_runs,
@@ -350,7 +354,7 @@
             took_s=round(self._clock.now() - began_s, 2),
         )
         self._log.stop()
-        self._permit_channels.close()
+        self._permits.close()
         if not isinstance(self._relay, core.Missing):
             self._relay.stop()
         leave_beside(self.membership.leave, self._stop_node)
@@ -417,7 +421,7 @@
 
     def _prune_removed(self) -> None:
         self.components.upstream_selector.prune_removed()
-        self._allocator.keep_only(self._catalog.names())
+        self._permits.prune()
         self._links.health.keep_only(self._catalog.names())
         self._catalog.prune_departures()
 
--- a/libs/gateway/mulberry_gateway/_permit_exchange.py
+++ b/libs/gateway/mulberry_gateway/_permit_exchange.py
@@ -9,14 +9,12 @@
 import mulberry_decisions as decisions
 import mulberry_membership as membership
 import mulberry_state as state
-from mulberry_gateway import _permit_owner
+from mulberry_gateway import _permit_granter, _permit_owner
 from mulberry_wire import limits_pb2, limits_pb2_grpc
 
 #: Time for which an instance of a build without permits is not asked again,
 #: seconds.
 _UNSUPPORTED_S = 10.0
-#: Wait for the permit of an upstream that the owner does not know, seconds.
-_UNKNOWN_WAIT_S = 0.5
 
 
 class SharedPermitOwner(_permit_owner.PermitOwner):
@@ -32,13 +30,13 @@
         self,
         own_name: str,
         members: Callable[[], Mapping[str, membership.Member]],
-        allocator: decisions.RateAllocator,
+        granter: _permit_granter.PermitGranter,
         channels: state.Channels,
         clock: core.Clock,
     ) -> None:
         self._own_name = own_name
         self._members = members
-        self._allocator = allocator
+        self._granter = granter
         self._channels = channels
         self._clock = clock
         #: `Clock.now` until which each instance is not asked, seconds.
@@ -50,17 +48,27 @@
         report: decisions.RateReport,
         wants_permit: bool,
         timeout_s: float,
+        cold: decisions.ColdLimit | core.Missing = core.Missing.UNLIMITED,
     ) -> decisions.PermitReply | core.Refusal:
         """Asks the owner; this instance itself without a call."""
+        cold_per_s = 0.0 if isinstance(cold, core.Missing) else cold.rate_per_s
         members = self._members()
         for name in self._owners(upstream, members):
             if name == self._own_name:
-                return self._allocator.reserve(
-                    upstream.name, upstream.incarnation, report, wants_permit
+                return self._granter.reserve(
+                    upstream.name,
+                    upstream.incarnation,
+                    report,
+                    wants_permit,
+                    cold_per_s,
                 )
             member = members.get(name)
             if member is None:
                 return _refusal(f"{name} is no member")
+            if cold_per_s and member.state is membership.MemberState.DEAD:
+                # Each of its upstreams counts as cold, and waiting for the end
+                # of each call would delay requests that others could run.
+                return _refusal(f"{name} is dead")
             reply = self._channels.call(
                 member.address,
                 limits_pb2_grpc.PermitsStub,
@@ -70,6 +78,7 @@
                     incarnation=upstream.incarnation,
                     report=_encode_report(report),
                     wants_permit=wants_permit,
+                    cold_rate_per_s=cold_per_s,
                 ),
                 timeout_s,
             )
@@ -113,28 +122,20 @@
 class PermitsServicer(limits_pb2_grpc.PermitsServicer):
     """Grants permits to other instances."""
 
-    def __init__(
-        self,
-        allocator: decisions.RateAllocator,
-        find_upstream: Callable[[str], membership.Upstream | core.Missing],
-    ) -> None:
-        self._allocator = allocator
-        self._find_upstream = find_upstream
+    def __init__(self, granter: _permit_granter.PermitGranter) -> None:
+        self._granter = granter
 
     def Reserve(  # noqa: N802 (name of the gRPC method)
         self, request: limits_pb2.ReserveRequest, context: grpc.ServicerContext
     ) -> limits_pb2.ReserveReply:
         """Takes a permit for one request of another instance."""
         del context
-        if isinstance(self._find_upstream(request.upstream), core.Missing):
-            return limits_pb2.ReserveReply(
-                wait_ms=_milliseconds(_UNKNOWN_WAIT_S), report=request.report
-            )
-        reply = self._allocator.reserve(
+        reply = self._granter.reserve(
             request.upstream,
             request.incarnation,
             _decode_report(request.report),
             request.wants_permit,
+            request.cold_rate_per_s,
         )
         return limits_pb2.ReserveReply(
             wait_ms=_milliseconds(reply.wait_s),
--- a/libs/gateway/mulberry_gateway/_permit_owner.py
+++ b/libs/gateway/mulberry_gateway/_permit_owner.py
@@ -1,4 +1,4 @@
-"""Who grants the permits for an upstream that names a rate."""
+"""Who grants the permits for an upstream that names a rate or is cold."""
 
 import abc
 
@@ -17,14 +17,16 @@
         report: decisions.RateReport,
         wants_permit: bool,
         timeout_s: float,
+        cold: decisions.ColdLimit | core.Missing = core.Missing.UNLIMITED,
     ) -> decisions.PermitReply | core.Refusal:
         """Takes a permit for one request.
 
         Args:
-            upstream: The upstream that names a rate.
+            upstream: The upstream that names a rate or is cold.
             report: Newest report of this instance.
             wants_permit: False only to pass on the report.
             timeout_s: Time limit, seconds.
+            cold: Limit of a cold upstream, unlimited if it is warm.
 
         Returns:
             The reply, or a refusal if the owner cannot be asked.
@@ -43,9 +45,10 @@
         report: decisions.RateReport,
         wants_permit: bool,
         timeout_s: float,
+        cold: decisions.ColdLimit | core.Missing = core.Missing.UNLIMITED,
     ) -> decisions.PermitReply | core.Refusal:
         """Takes a permit from the allocator of this instance."""
         del timeout_s
         return self._allocator.reserve(
-            upstream.name, upstream.incarnation, report, wants_permit
+            upstream.name, upstream.incarnation, report, wants_permit, cold
         )
--- a/libs/gateway/mulberry_gateway/_rate_gate.py
+++ b/libs/gateway/mulberry_gateway/_rate_gate.py
@@ -1,5 +1,6 @@
-"""Keeps requests within the rates that upstreams name."""
+"""Keeps requests within the rates that upstreams name, or tolerate cold."""
 
+import enum
 from concurrent import futures
 
 from absl import logging
@@ -7,69 +8,123 @@
 import mulberry_core as core
 import mulberry_decisions as decisions
 import mulberry_membership as membership
-from mulberry_gateway import _permit_owner
+from mulberry_gateway import _cold_upstreams, _permit_owner
 
 #: Time limit for asking the owner of a rate, seconds. It answers without
 #: waiting for anything.
 _RESERVE_TIMEOUT_S = 0.25
 #: Pause in requests to an upstream whose owner cannot be asked, seconds.
 _FAILURE_WAIT_S = 0.5
+#: Age up to which the permit of a cold upstream is used, seconds. It covers the
+#: call and a connection over the direct path. The limit leaves room for twice
+#: as much (`IN_FLIGHT_S`).
+_PERMIT_VALID_S = 0.3
+
+
+class Admission(enum.Enum):
+    """Whether a request may be sent."""
+
+    #: The upstream takes requests without permits.
+    FREE = "free"
+    PERMIT = "permit"
+    DENIED = "denied"
 
 
 class RateGate:
-    """Takes a permit before each request to an upstream that names a rate."""
+    """Takes a permit before each request to an upstream that needs one.
+
+    These are upstreams that name a rate, and cold ones.
+    """
 
     def __init__(
         self,
         rates: decisions.NamedRates,
         owner: _permit_owner.PermitOwner,
+        cold: _cold_upstreams.ColdUpstreams,
+        clock: core.Clock,
         counters: core.Counters,
         log: core.DecisionLog,
     ) -> None:
         self._rates = rates
         self._owner = owner
+        self._cold = cold
+        self._clock = clock
         self._counters = counters
         self._log = log
         self._notices = futures.ThreadPoolExecutor(1, "rate-notices")
 
-    def admit(self, upstream: membership.Upstream, timeout_s: float) -> bool:
+    def admit(
+        self, upstream: membership.Upstream, timeout_s: float
+    ) -> Admission:
         """Whether a request may be sent now; takes a permit if one is needed.
 
         Otherwise the upstream counts as blocked until a permit may be
         available.
         """
         name, incarnation = upstream.name, upstream.incarnation
+        cold = self._cold.limit(upstream)
         report = self._rates.report(name, incarnation)
-        if isinstance(report, core.Missing) or isinstance(
+        if isinstance(report, core.Missing):
+            report = decisions.NO_REPORT
+        if isinstance(cold, core.Missing) and isinstance(
             report.rate_per_s, core.Missing
         ):
-            return True
+            return Admission.FREE
         reply = self._owner.reserve(
-            upstream, report, True, min(timeout_s, _RESERVE_TIMEOUT_S)
+            upstream, report, True, min(timeout_s, _RESERVE_TIMEOUT_S), cold
         )
         if isinstance(reply, core.Refusal):
             self._counters.increment("gateway.permits.failed")
             self._log.note("permit", keep=True, name=name, failed=reply.reason)
             self._rates.block(name, incarnation, _FAILURE_WAIT_S)
-            return False
+            return Admission.DENIED
         self._learn(upstream, reply.report)
         if reply.is_granted:
             self._counters.increment("gateway.permits.granted")
-            return True
+            return Admission.PERMIT
         self._counters.increment("gateway.permits.denied")
         self._rates.block(name, incarnation, reply.wait_s)
-        return False
+        return Admission.DENIED
+
+    def may_still_send(
+        self,
+        upstream: membership.Upstream,
+        permit_s: float,
+        timeout_s: float,
+    ) -> bool:
+        """Whether a request that was admitted some time ago may be sent now.
+
+        Args:
+            upstream: The upstream, possibly cold since then.
+            permit_s: `Clock.now` when its permit was asked for, seconds; -inf
+                if it needed none.
+            timeout_s: Time limit for another permit, seconds.
+        """
+        return (
+            isinstance(self._cold.limit(upstream), core.Missing)
+            or self._clock.now() - permit_s <= _PERMIT_VALID_S
+            or self.admit(upstream, timeout_s) is not Admission.DENIED
+        )
+
+    def connection_broke(self, service: str, name: str) -> None:
+        """Records a connection to an upstream that did not open or broke."""
+        self._cold.connection_broke(service, name)
 
     def answered(
-        self, upstream: membership.Upstream, rate_per_s: float | core.Missing
+        self,
+        upstream: membership.Upstream,
+        rate_per_s: float | core.Missing,
+        cold_s: float,
     ) -> None:
-        """Records the rate in an answer.
+        """Records what an answer says of rates.
 
         Args:
             upstream: The upstream that answered.
             rate_per_s: Requests a second; unlimited if the answer names no
                 rate, unset if it cannot be read.
+            cold_s: For how long the upstream is still cold, seconds.
         """
+        self._cold.answered(upstream, cold_s)
         if rate_per_s is core.Missing.UNSET:
             return
         report = decisions.RateReport(rate_per_s, 0.0)
--- a/libs/gateway/mulberry_gateway/_upstream_opener.py
+++ b/libs/gateway/mulberry_gateway/_upstream_opener.py
@@ -1,6 +1,7 @@
 """Selects the upstream of an attempt and opens the connection to it."""
 
 import dataclasses
+import math
 import time
 
 import mulberry_core as core
@@ -10,6 +11,7 @@
     _components,
     _exchange,
     _faults,
+    _rate_gate,
     _retry_policy,
     _stop_check,
     _upstream_call,
@@ -84,9 +86,10 @@
         if isinstance(refusal, core.Refusal):
             return _attempt_failure.AttemptFailure(refusal, may_retry=False)
         components = self._components
-        selection = self._select(exchange)
-        if isinstance(selection, core.Refusal):
-            return _attempt_failure.AttemptFailure(selection, may_retry=False)
+        selected = self._select(exchange)
+        if isinstance(selected, core.Refusal):
+            return _attempt_failure.AttemptFailure(selected, may_retry=False)
+        selection, permit_s = selected
         began_s = components.clock.now()
         upstream = selection.upstream
         call = _upstream_call.UpstreamCall(
@@ -103,6 +106,9 @@
             load.ended(upstream.name)
         if isinstance(fault, _upstream_call.Fault):
             components.upstream_selector.health.unreachable(upstream.name)
+            components.rate_gate.connection_broke(
+                exchange.service, upstream.name
+            )
             return self._unsent(
                 exchange,
                 selection,
@@ -110,22 +116,33 @@
                 fault.value,
                 _faults.KIND_BY_FAULT[fault],
             )
-        connected = _attempt_failure.ConnectedUpstream(selection, call, began_s)
+        connected = _attempt_failure.ConnectedUpstream(
+            selection, call, began_s, permit_s
+        )
         return self._check_connected(exchange, connected)
 
     def _select(
         self, exchange: _exchange.Exchange
-    ) -> _upstream_selection.Selection | core.Refusal:
-        """Selects an upstream and takes a permit if it names a rate."""
+    ) -> tuple[_upstream_selection.Selection, float] | core.Refusal:
+        """Selects an upstream and takes a permit if it needs one.
+
+        Returns:
+            The selection, and `Clock.now` when the permit was asked for,
+            seconds; -inf if it needs none.
+        """
         components = self._components
         for _ in range(_MAX_PERMIT_REQUESTS):
             selection = components.upstream_selector.choose(exchange)
             if isinstance(selection, core.Refusal):
                 return selection
-            if components.rate_gate.admit(
+            asked_s = components.clock.now()
+            admission = components.rate_gate.admit(
                 selection.upstream, self._retries.remaining_s(exchange)
-            ):
-                return selection
+            )
+            if admission is _rate_gate.Admission.FREE:
+                return selection, -math.inf
+            if admission is _rate_gate.Admission.PERMIT:
+                return selection, asked_s
         return core.Refusal(
             core.ErrorKind.NO_UPSTREAM,
             exchange.run,
@@ -154,7 +171,14 @@
     ) -> _attempt_failure.ConnectedUpstream | _attempt_failure.AttemptFailure:
         """Closes the connection if its upstream must get no request by now."""
         selection = connected.selection
-        if self._components.upstream_selector.may_send(selection.upstream):
+        components = self._components
+        if components.upstream_selector.may_send(
+            selection.upstream
+        ) and components.rate_gate.may_still_send(
+            selection.upstream,
+            connected.permit_s,
+            self._retries.remaining_s(exchange),
+        ):
             return connected
         connected.call.close()
         return self._unsent(
--- a/libs/gateway/mulberry_gateway/_upstream_signals.py
+++ b/libs/gateway/mulberry_gateway/_upstream_signals.py
@@ -29,7 +29,9 @@
         from_upstream = metadata.is_genuine or metadata.not_run
         if from_upstream and not metadata.is_other_upstream:
             self._apply_rejection_limit(service, upstream.name, metadata)
-            self._rate_gate.answered(upstream, metadata.rate_per_s)
+            self._rate_gate.answered(
+                upstream, metadata.rate_per_s, metadata.cold_s
+            )
 
     def _apply_availability(
         self, upstream: membership.Upstream, metadata: _dialect.ResponseMetadata
--- a/libs/gateway/mulberry_gateway/tests/test_permit_exchange.py
+++ b/libs/gateway/mulberry_gateway/tests/test_permit_exchange.py
@@ -32,11 +32,10 @@
         self.name = name
         self.server = grpc.server(futures.ThreadPoolExecutor(4))
         port = self.server.add_insecure_port("127.0.0.1:0")
-        allocator = decisions.RateAllocator(clock)
+        granter = _granter(name, clock)
         if has_permits:
             gateway.add_permits_service(
-                self.server,
-                gateway.PermitsServicer(allocator, lambda name: _upstream("a")),
+                self.server, gateway.PermitsServicer(granter)
             )
         self.server.start()
         members[name] = membership.Member(
@@ -50,7 +49,7 @@
         )
         self.channels = state.Channels(state.open_insecure)
         self.owner = gateway.SharedPermitOwner(
-            name, lambda: members, allocator, self.channels, clock
+            name, lambda: members, granter, self.channels, clock
         )
 
     def stop(self) -> None:
@@ -58,6 +57,28 @@
         self.server.stop(0)
 
 
+def _granter(name: str, clock: core.Clock) -> gateway.PermitGranter:
+    """Returns the granter of an instance without rules for cold upstreams."""
+    soft_state = membership.LocalSoftState(name, clock)
+    directory = membership.UpstreamDirectory(
+        soft_state, clock, core.MemoryCounters()
+    )
+    catalog = gateway.UpstreamCatalog(
+        directory, soft_state, clock, core.DecisionLog(clock)
+    )
+    rules = gateway.ColdRules(
+        lambda: core.Missing.UNSET, gateway.GatewayBounds()
+    )
+    return gateway.PermitGranter(
+        name,
+        decisions.RateAllocator(clock),
+        lambda _: _upstream("a"),
+        catalog.home_since_s,
+        directory.announced_age_s,
+        gateway.ColdUpstreams(rules, catalog, clock, 1.2),
+    )
+
+
 def _upstream(home: str) -> membership.Upstream:
     return membership.Upstream(
         name="w",
