--- a/libs/decisions/mulberry_decisions/__init__.py
+++ b/libs/decisions/mulberry_decisions/__init__.py
@@ -15,6 +15,11 @@
         Ticket,
         WithdrawResult,
     )
+    from mulberry_decisions._cold_limits import (
+        ColdLimit,
+        ColdMarks,
+        cold_limit,
+    )
     from mulberry_decisions._confidence_cascade import (
         CONFIDENCE_THRESHOLD,
         CascadeAttempt,
@@ -96,7 +101,11 @@
         RatingKey,
         TryModel,
     )
-    from mulberry_decisions._named_rates import NamedRates, RateReport
+    from mulberry_decisions._named_rates import (
+        NO_REPORT,
+        NamedRates,
+        RateReport,
+    )
     from mulberry_decisions._part_blocks import (
         PartReach,
         part_block_duration_s,
@@ -308,7 +317,6 @@
             ),
             "_adaptive_hedging": ("AdaptiveHedging",),
             "_kept_prompts": ("KeptPrompts", "PromptSize"),
-            "_named_rates": ("NamedRates", "RateReport"),
             "_reading_rates": ("ReadingRates",),
             "_upstream_pace": ("UpstreamPace",),
             "_work_ledger": (
@@ -317,6 +325,8 @@
                 "PromptWork",
                 "WorkLedger",
             ),
+            "_named_rates": ("NO_REPORT", "NamedRates", "RateReport"),
+            "_cold_limits": ("ColdLimit", "ColdMarks", "cold_limit"),
             "_part_blocks": (
                 "PartReach",
                 "part_block_duration_s",
@@ -419,6 +429,7 @@
     "LEAST_URGENT",
     "MAX_STRIKES",
     "MODEL_CHOOSERS",
+    "NO_REPORT",
     "NO_STEP",
     "RETRY_BUDGETS",
     "ROLLOUT_ADVANCERS",
@@ -432,6 +443,8 @@
     "Attempt",
     "CacheEvent",
     "CascadeAttempt",
+    "ColdLimit",
+    "ColdMarks",
     "ConfidenceCascade",
     "ContentCrashes",
     "CrashGuard",
@@ -537,6 +550,7 @@
     "Work",
     "WorkLedger",
     "block_duration_s",
+    "cold_limit",
     "crash_causes",
     "duration_bucket",
     "find_regression",
--- a/libs/gateway/mulberry_gateway/__init__.py
+++ b/libs/gateway/mulberry_gateway/__init__.py
@@ -1,6 +1,12 @@
 """Forwards requests for any host and path to upstreams, bytes unchanged."""
 
 from mulberry_gateway._catalog import UpstreamCatalog
+from mulberry_gateway._cold_reports import ColdReports
+from mulberry_gateway._cold_upstreams import (
+    ColdReason,
+    ColdRules,
+    ColdUpstreams,
+)
 from mulberry_gateway._components import GatewayComponents
 from mulberry_gateway._connection import (
     Connection,
@@ -37,6 +43,7 @@
     SharedPermitOwner,
     add_permits_service,
 )
+from mulberry_gateway._permit_granter import PermitGranter
 from mulberry_gateway._permit_owner import LocalPermitOwner, PermitOwner
 from mulberry_gateway._placement_exchange import (
     PlacementClient,
@@ -46,7 +53,7 @@
     add_placements_service,
 )
 from mulberry_gateway._quarantine import RequestQuarantine
-from mulberry_gateway._rate_gate import RateGate
+from mulberry_gateway._rate_gate import Admission, RateGate
 from mulberry_gateway._relay_server import RelayServer
 from mulberry_gateway._relayed_connection import RelayedConnection
 from mulberry_gateway._relays import PublishedRelays, Relay, RelaySource
@@ -61,6 +68,11 @@
 
 __all__ = [
     "JSON",
+    "Admission",
+    "ColdReason",
+    "ColdReports",
+    "ColdRules",
+    "ColdUpstreams",
     "Connection",
     "ConnectionFailure",
     "ConnectionStarter",
@@ -84,6 +96,7 @@
     "LocalPermitOwner",
     "MetricsEndpoint",
     "ModelSelector",
+    "PermitGranter",
     "PermitOwner",
     "PermitsServicer",
     "PlacementClient",
--- a/libs/gateway/mulberry_gateway/_control.py
+++ b/libs/gateway/mulberry_gateway/_control.py
@@ -1,7 +1,8 @@
 """Operations for operators and upstreams."""
 
+import dataclasses
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import TypeVar
 
 import mulberry_core as core
@@ -31,6 +32,11 @@
 )
 
 
+def _always(service: str | core.Missing) -> bool:
+    del service
+    return True
+
+
 class Control:
     """Changes and reads the replicated state; accepts announcements."""
 
@@ -40,7 +46,19 @@
         directory: membership.UpstreamDirectory,
         soft_state: membership.SoftState,
         log: core.DecisionLog,
+        counts_cold: Callable[[str | core.Missing], bool] = _always,
     ) -> None:
+        """Creates the operations.
+
+        Args:
+            client: The replicated state.
+            directory: Takes the announcements.
+            soft_state: Records of all instances.
+            log: Log of decisions.
+            counts_cold: Whether it matters that an upstream of a service is
+                cold; otherwise its records do not say so.
+        """
+        self._counts_cold = counts_cold
         self._client = client
         self._directory = directory
         self._soft_state = soft_state
@@ -175,6 +193,8 @@
         self, announcement: membership.Announcement
     ) -> membership.AnnounceOutcome:
         """Accepts the announcement of an upstream."""
+        if announcement.cold_s and not self._counts_cold(announcement.service):
+            announcement = dataclasses.replace(announcement, cold_s=0.0)
         outcome = self._directory.announce(announcement)
         if (
             announcement.state is membership.UpstreamState.LEAVING
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -18,6 +18,7 @@
 from mulberry_gateway import (
     _bootstrap,
     _catalog,
+    _cold_upstreams,
     _components,
     _control,
     _dialect,
@@ -29,10 +30,9 @@
     _link_recorder,
     _listener,
     _model_selection,
-    _permit_exchange,
+    _permits,
     _placement_exchange,
     _quarantine,
-    _rate_gate,
     _relay_server,
     _relays,
     _rollout_controller,
@@ -133,8 +133,18 @@
         self._bootstrap = _bootstrap.ClusterBootstrap(
             settings, self.membership, self._node, self.client, clock
         )
+        self._routing = _routing_table_store.RoutingTableStore(
+            self.client, parser, log
+        )
+        rules = _cold_upstreams.ColdRules(
+            lambda: self._routing.table, settings.bounds
+        )
         self.control = _control.Control(
-            self.client, self.directory, self.membership, log
+            self.client,
+            self.directory,
+            self.membership,
+            log,
+            rules.may_apply,
         )
         self._catalog = catalog = _catalog.UpstreamCatalog(
             self.directory, self.membership, clock, log
@@ -158,17 +168,19 @@
             settings.bounds.rollout_view_age_s,
             clock,
         )
-        self._allocator = decisions.RateAllocator(clock)
-        self._permit_channels = state.Channels(state.open_insecure)
         self._ledgers = _placement_exchange.WorkLedgers(clock)
+        self._placement_channels = state.Channels(state.open_insecure)
         self._placements = _placement_exchange.PlacementClient(
             settings.name,
             self.membership.members,
             self._ledgers,
-            self._permit_channels,
+            self._placement_channels,
             clock,
             self.counters,
         )
+        evacuations = _evacuations.Evacuations(
+            self.client, clock, self.counters, log, catalog.by_service
+        )
         upstream_selector = _upstream_selection.UpstreamSelector(
             settings.zone,
             catalog,
@@ -183,18 +195,27 @@
                 self._ledgers,
                 settings.schedules_engines,
             ),
-            _evacuations.Evacuations(
-                self.client, clock, self.counters, log, catalog.by_service
-            ),
+            evacuations,
+        )
+        self._permits = _permits.Permits(
+            settings,
+            rules,
+            catalog,
+            self.directory,
+            self.membership.members,
+            upstream_selector.named_rates,
+            clock,
+            self.counters,
+            log,
+            evacuations.ended_s,
         )
+        self._permits.add_to(self._grpc)
         self.components = _components.GatewayComponents(
             clock=clock,
             counters=self.counters,
             log=log,
             state=self.client,
-            routing=_routing_table_store.RoutingTableStore(
-                self.client, parser, log
-            ),
+            routing=self._routing,
             upstream_selector=upstream_selector,
             model_selector=_model_selection.ModelSelector(
                 decisions.ConfidenceCascade(),
@@ -226,22 +247,7 @@
                 _relays.PublishedRelays(self.membership, settings.zone),
                 self._links,
             ),
-            rate_gate=_rate_gate.RateGate(
-                upstream_selector.named_rates,
-                _permit_exchange.SharedPermitOwner(
-                    settings.name,
-                    self.membership.members,
-                    self._allocator,
-                    self._permit_channels,
-                    clock,
-                ),
-                self.counters,
-                log,
-            ),
-        )
-        _permit_exchange.add_permits_service(
-            self._grpc,
-            _permit_exchange.PermitsServicer(self._allocator, catalog.find),
+            rate_gate=self._permits.rate_gate,
         )
         _placement_exchange.add_placements_service(
             self._grpc, _placement_exchange.PlacementsServicer(self._ledgers)
@@ -289,6 +295,7 @@
         if not isinstance(self._relay, core.Missing):
             self._relay.start()
         self.timers.every(1.0, self._refresh_entry, "entry")
+        self._permits.start(self.timers)
         self.timers.every(
             _STRIKE_CHECK_PERIOD_S,
             self.components.quarantine.check_incomplete_runs,
@@ -379,7 +386,8 @@
             took_s=round(self._clock.now() - began_s, 2),
         )
         self._log.stop()
-        self._permit_channels.close()
+        self._permits.close()
+        self._placement_channels.close()
         if not isinstance(self._relay, core.Missing):
             self._relay.stop()
         leave_beside(self.membership.leave, self._stop_node)
@@ -446,7 +454,7 @@
 
     def _prune_removed(self) -> None:
         self.components.upstream_selector.prune_removed()
-        self._allocator.keep_only(self._catalog.names())
+        self._permits.prune()
         self._links.health.keep_only(self._catalog.names())
         self._catalog.prune_departures()
 
