--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -22,7 +22,6 @@
     _components,
     _control,
     _dialect,
-    _engine_scheduling,
     _evacuations,
     _forwarder,
     _instance_rank,
@@ -31,7 +30,7 @@
     _listener,
     _model_selection,
     _permits,
-    _placement_exchange,
+    _placements,
     _quarantine,
     _relay_server,
     _relays,
@@ -53,8 +52,6 @@
 #: Interval between checks for upstreams that ended after an incomplete run,
 #: seconds; shorter than the interval between announcements of an upstream.
 _STRIKE_CHECK_PERIOD_S = 0.5
-#: Interval between checks for progress that schedulers wait for, seconds.
-_PROGRESS_PERIOD_S = 0.25
 #: Interval between updates of the voters' gauges, seconds.
 _VOTER_GAUGES_PERIOD_S = 1.0
 #: Maximum age of the upstream list while no upstream record changes, seconds.
@@ -168,16 +165,10 @@
             settings.bounds.rollout_view_age_s,
             clock,
         )
-        self._ledgers = _placement_exchange.WorkLedgers(clock)
-        self._placement_channels = state.Channels(state.open_insecure)
-        self._placements = _placement_exchange.PlacementClient(
-            settings.name,
-            self.membership.members,
-            self._ledgers,
-            self._placement_channels,
-            clock,
-            self.counters,
+        self._placements = _placements.Placements(
+            settings, self.membership.members, clock, self.counters
         )
+        self._placements.add_to(self._grpc)
         evacuations = _evacuations.Evacuations(
             self.client, clock, self.counters, log, catalog.by_service
         )
@@ -189,12 +180,7 @@
             lambda: _instance_rank.instance_rank(
                 self.membership.members(), settings.zone, settings.name
             ),
-            _engine_scheduling.EngineScheduling(
-                settings.zone,
-                self._placements,
-                self._ledgers,
-                settings.schedules_engines,
-            ),
+            self._placements.scheduling,
             evacuations,
         )
         self._permits = _permits.Permits(
@@ -249,9 +235,6 @@
             ),
             rate_gate=self._permits.rate_gate,
         )
-        _placement_exchange.add_placements_service(
-            self._grpc, _placement_exchange.PlacementsServicer(self._ledgers)
-        )
         self._relay = self._open_relay()
         self._publishing = threading.Lock()
         self._limit_exchange = _limit_exchange.LimitExchange(
@@ -301,9 +284,7 @@
             self.components.quarantine.check_incomplete_runs,
             "suspects",
         )
-        self.timers.every(
-            _PROGRESS_PERIOD_S, self._placements.flush, "placements"
-        )
+        self._placements.start(self.timers)
         self.timers.every(
             _PRUNE_PERIOD_S,
             self._prune_removed,
@@ -387,7 +368,7 @@
         )
         self._log.stop()
         self._permits.close()
-        self._placement_channels.close()
+        self._placements.close()
         if not isinstance(self._relay, core.Missing):
             self._relay.stop()
         leave_beside(self.membership.leave, self._stop_node)
