Allowed regions of routes and teams

What callers saw: AllowedRegions in the routing document had no effect, and requests went to upstreams in any region. Cause: neither the parser nor the selection of upstreams knew regions.

The selector leaves out upstreams in other regions; both restrictions apply, and a zone that is not listed is in no allowed region. Where direct connections fail, relays are limited to allowed regions and the region of the caller's entry; test connections, which carry no body, are not limited.

Ruled out: choosing among the services of a route by region, which would change the shares that the operator set.

UpstreamConnector.connect has the new keyword may_relay.

--- a/libs/gateway/mulberry_gateway/__init__.py
+++ b/libs/gateway/mulberry_gateway/__init__.py
@@ -39,6 +39,7 @@
 from mulberry_gateway._permit_owner import LocalPermitOwner, PermitOwner
 from mulberry_gateway._quarantine import RequestQuarantine
 from mulberry_gateway._rate_gate import RateGate
+from mulberry_gateway._regions import RegionPolicy
 from mulberry_gateway._relay_server import RelayServer
 from mulberry_gateway._relayed_connection import RelayedConnection
 from mulberry_gateway._relays import PublishedRelays, Relay, RelaySource
@@ -80,6 +81,7 @@
     "PromptPart",
     "PublishedRelays",
     "RateGate",
+    "RegionPolicy",
     "Relay",
     "RelayServer",
     "RelaySource",
--- a/libs/gateway/mulberry_gateway/_components.py
+++ b/libs/gateway/mulberry_gateway/_components.py
@@ -11,6 +11,7 @@
     _model_selection,
     _quarantine,
     _rate_gate,
+    _regions,
     _rollout_controller,
     _rollout_filter,
     _routing_table_store,
@@ -42,6 +43,7 @@
     quarantine: _quarantine.RequestQuarantine
     connector: _upstream_connector.UpstreamConnector
     rate_gate: _rate_gate.RateGate
+    regions: _regions.RegionPolicy
     #: Durations of complete requests by route.
     durations: decisions.RecentDurations = dataclasses.field(
         default_factory=decisions.RecentDurations
--- a/libs/gateway/mulberry_gateway/_exchange.py
+++ b/libs/gateway/mulberry_gateway/_exchange.py
@@ -10,6 +10,7 @@
     _connection,
     _dialect,
     _messages,
+    _regions,
     _strike_records,
 )
 
@@ -136,6 +137,18 @@
             for part in self.metadata.shared_parts
         )
 
+    @functools.cached_property
+    def allowed_regions(self) -> _regions.AllowedRegions:
+        """Regions that both the route and the team allow."""
+        restrictions = [self.route.regions]
+        team = self.table.teams_by_name.get(self.team)
+        if team is not None:
+            restrictions.append(team.regions)
+        restrictions = [regions for regions in restrictions if regions]
+        if not restrictions:
+            return core.Missing.UNLIMITED
+        return frozenset.intersection(*restrictions)
+
     @property
     def session(self) -> str:
         """Session id qualified by the route; empty for none."""
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -31,6 +31,7 @@
     _permit_exchange,
     _quarantine,
     _rate_gate,
+    _regions,
     _relay_server,
     _relays,
     _rollout_controller,
@@ -156,6 +157,9 @@
         )
         self._allocator = decisions.RateAllocator(clock)
         self._permit_channels = state.Channels(state.open_insecure)
+        regions = _regions.RegionPolicy(
+            settings.region_by_zone, settings.zone, settings.region
+        )
         upstream_selector = _upstream_selection.UpstreamSelector(
             settings.zone,
             catalog,
@@ -167,6 +171,7 @@
             _evacuations.Evacuations(
                 self.client, clock, self.counters, log, catalog.by_service
             ),
+            regions,
         )
         self.components = _components.GatewayComponents(
             clock=clock,
@@ -219,6 +224,7 @@
                 self.counters,
                 log,
             ),
+            regions=regions,
         )
         _permit_exchange.add_permits_service(
             self._grpc,
--- a/libs/gateway/mulberry_gateway/_relays.py
+++ b/libs/gateway/mulberry_gateway/_relays.py
@@ -15,6 +15,8 @@
     name: str
     #: `IP:PORT`.
     address: str
+    #: Availability zone, empty if it is not known.
+    zone: str = ""
 
 
 class RelaySource(abc.ABC):
@@ -50,6 +52,6 @@
             and not entry.cut_off
         ]
         return [
-            Relay(name, entry.relay_address)
+            Relay(name, entry.relay_address, entry.zone)
             for _, _, name, entry in sorted(ranked, key=lambda row: row[:2])
         ]
--- a/libs/gateway/mulberry_gateway/_settings.py
+++ b/libs/gateway/mulberry_gateway/_settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import pathlib
+from collections.abc import Mapping
 
 import mulberry_core as core
 import mulberry_membership as membership
@@ -94,6 +95,8 @@
     #: Address at which this instance relays connections to upstreams for other
     #: instances; empty if it does not.
     relay_address: str = ""
+    #: Region of each zone; one that is not listed is in no allowed region.
+    region_by_zone: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
     @property
     def timing(self) -> rules.Timing:
--- a/libs/gateway/mulberry_gateway/_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/_upstream_call.py
@@ -9,6 +9,7 @@
 import enum
 import math
 import time
+from collections.abc import Callable
 
 import httptools
 
@@ -19,6 +20,7 @@
     _connection,
     _messages,
     _read_deadline,
+    _relays,
     _upstream_connector,
     _upstream_paths,
 )
@@ -104,9 +106,20 @@
         self.last_received_s = 0.0
         self._deadline = _read_deadline.ReadDeadline(time.monotonic)
 
-    def connect(self, timeout_s: float = math.inf) -> Fault | core.Missing:
-        """Opens the connection; nothing is sent before that."""
-        connection = self._connector.connect(self._upstream, timeout_s)
+    def connect(
+        self,
+        timeout_s: float = math.inf,
+        may_relay: Callable[[_relays.Relay], bool] = lambda relay: True,
+    ) -> Fault | core.Missing:
+        """Opens the connection; nothing is sent before that.
+
+        Args:
+            timeout_s: Time left, seconds.
+            may_relay: Whether the connection may go over a relay.
+        """
+        connection = self._connector.connect(
+            self._upstream, timeout_s, may_relay=may_relay
+        )
         if connection is _connection.ConnectionFailure.TIMEOUT:
             return Fault.UNREACHABLE
         if isinstance(connection, _connection.ConnectionFailure):
--- a/libs/gateway/mulberry_gateway/_upstream_connector.py
+++ b/libs/gateway/mulberry_gateway/_upstream_connector.py
@@ -1,7 +1,7 @@
 """Opens connections to upstreams over the best path."""
 
 import math
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
 import mulberry_core as core
 import mulberry_decisions as decisions
@@ -50,12 +50,15 @@
         self,
         upstream: membership.Upstream,
         timeout_s: float = math.inf,
+        *,
+        may_relay: Callable[[_relays.Relay], bool] = lambda relay: True,
     ) -> _upstream_paths.UpstreamConnection | _connection.ConnectionFailure:
         """Opens a connection to an upstream over any path.
 
         Args:
             upstream: The upstream.
             timeout_s: Time left, seconds; less than this may be used.
+            may_relay: Whether the connection may go over a relay.
 
         Returns:
             The connection, or `TIMEOUT` or `RESET`; no byte has been sent to
@@ -63,13 +66,14 @@
         """
         health = self._recorder.health
         if health.is_known_down(upstream.name) and all(
-            health.has_relay_failed(relay.name) for relay in self._candidates()
+            health.has_relay_failed(relay.name)
+            for relay in self._candidates(may_relay)
         ):
             return _connection.ConnectionFailure.TIMEOUT
         order = health.choose_order(upstream.name)
         race = self._begin_race(upstream, min(timeout_s, CONNECT_TIMEOUT_S))
         return race.run(
-            self._paths(race, order),
+            self._paths(race, order, may_relay),
             is_trial=order is decisions.PathOrder.RELAYS_AND_DIRECT,
         )
 
@@ -99,20 +103,29 @@
         )
 
     def _paths(
-        self, race: _path_race.PathRace, order: decisions.PathOrder
+        self,
+        race: _path_race.PathRace,
+        order: decisions.PathOrder,
+        may_relay: Callable[[_relays.Relay], bool],
     ) -> Iterator[_upstream_paths.Path | core.Missing]:
         """Starts one path after the other, whenever the next is asked for."""
         is_direct_last = order is decisions.PathOrder.RELAYS_FIRST
         if not is_direct_last:
             yield race.start_direct()
-        for relay in self._candidates()[:_MAX_RELAYS]:
+        for relay in self._candidates(may_relay)[:_MAX_RELAYS]:
             yield race.start_relay(relay)
         if is_direct_last:
             yield race.start_direct()
 
-    def _candidates(self) -> Sequence[_relays.Relay]:
-        """Returns the relays, those that failed lately last."""
-        relay_by_name = {relay.name: relay for relay in self._relays.relays()}
+    def _candidates(
+        self, may_relay: Callable[[_relays.Relay], bool]
+    ) -> Sequence[_relays.Relay]:
+        """Returns the permitted relays, those that failed lately last."""
+        relay_by_name = {
+            relay.name: relay
+            for relay in self._relays.relays()
+            if may_relay(relay)
+        }
         names = self._recorder.health.order_relays(relay_by_name)
         return [relay_by_name[name] for name in names]
 
--- a/libs/gateway/mulberry_gateway/_upstream_opener.py
+++ b/libs/gateway/mulberry_gateway/_upstream_opener.py
@@ -98,7 +98,10 @@
         load = components.upstream_selector.load
         load.started(upstream.name)
         try:
-            fault = call.connect(self._retries.remaining_s(exchange))
+            fault = call.connect(
+                self._retries.remaining_s(exchange),
+                components.regions.relay_filter(exchange.allowed_regions),
+            )
         finally:
             load.ended(upstream.name)
         if isinstance(fault, _upstream_call.Fault):
--- a/libs/gateway/mulberry_gateway/_upstream_selection.py
+++ b/libs/gateway/mulberry_gateway/_upstream_selection.py
@@ -11,6 +11,7 @@
     _catalog,
     _evacuations,
     _exchange,
+    _regions,
     _rollout_filter,
 )
 
@@ -37,6 +38,7 @@
         clock: core.Clock,
         rank: Callable[[], decisions.InstanceRank],
         evacuations: _evacuations.Evacuations,
+        regions: _regions.RegionPolicy,
     ) -> None:
         """Creates a selector without knowledge of any upstream.
 
@@ -48,11 +50,13 @@
             rank: Returns the position of this instance among all that share
                 the upstreams.
             evacuations: Knows the zones that get no requests.
+            regions: Knows the regions of the zones.
         """
         self._catalog = catalog
         self._rank = rank
         self._rollout_filter = rollout_filter
         self._evacuations = evacuations
+        self._regions = regions
         self.load = decisions.LoadEstimator(clock)
         self.health = decisions.UpstreamHealth(clock)
         self.rejection_limiter = decisions.RejectionLimiter(clock)
@@ -167,22 +171,42 @@
         """
         waits_s = [
             self.health.unavailable_s(upstream.name, upstream.incarnation)
-            for upstream in self._catalog.for_service(exchange.service)
-            if upstream.state is membership.UpstreamState.READY
+            for upstream in self._candidates(exchange)
         ]
         soonest_s = min(waits_s, default=math.inf)
         return soonest_s if 0.0 < soonest_s < math.inf else core.Missing.UNSET
 
+    def _candidates(
+        self, exchange: _exchange.Exchange
+    ) -> Sequence[membership.Upstream]:
+        """Returns the ready upstreams in zones that may get the request."""
+        return [
+            upstream
+            for upstream in self._catalog.for_service(exchange.service)
+            if upstream.state is membership.UpstreamState.READY
+            and not self._evacuations.is_evacuated(upstream.zone)
+            and self._regions.permits(exchange.allowed_regions, upstream.zone)
+        ]
+
     def _no_upstream_reason(self, exchange: _exchange.Exchange) -> str:
-        """Explains that no upstream remains, naming evacuated zones."""
+        """Explains that no upstream remains, naming the zones left out."""
         reason = f"service {exchange.service} has no upstream for this request"
-        evacuated = {
+        zones = {
             upstream.zone
             for upstream in self._catalog.for_service(exchange.service)
-            if self._evacuations.is_evacuated(upstream.zone)
         }
-        if evacuated:
-            reason += f"; evacuated zones: {', '.join(sorted(evacuated))}"
+        allowed = {
+            zone
+            for zone in zones
+            if self._regions.permits(exchange.allowed_regions, zone)
+        }
+        evacuated = filter(self._evacuations.is_evacuated, allowed)
+        for text, left_out in (
+            ("zones outside the allowed regions", zones - allowed),
+            ("evacuated zones", evacuated),
+        ):
+            if names := ", ".join(sorted(left_out)):
+                reason += f"; {text}: {names}"
         return reason
 
     def _blocked_s(self, upstream: membership.Upstream) -> float:
@@ -226,11 +250,9 @@
         }
         ready = [
             upstream
-            for upstream in self._catalog.for_service(exchange.service)
-            if upstream.state is membership.UpstreamState.READY
-            and upstream.name not in failed_upstreams
+            for upstream in self._candidates(exchange)
+            if upstream.name not in failed_upstreams
             and not self._is_refusing(upstream)
-            and not self._evacuations.is_evacuated(upstream.zone)
         ]
         allowed = self._rollout_filter.filter(
             exchange.service,
--- a/libs/gateway/mulberry_gateway/tests/test_upstream_connector.py
+++ b/libs/gateway/mulberry_gateway/tests/test_upstream_connector.py
@@ -405,6 +405,7 @@
     orders = {tuple(r.name for r in source.relays()) for _ in range(50)}
     assert orders == {("b", "f", "a"), ("f", "b", "a")}
     assert source.relays()[2].address == "10.0.0.1:1"
+    assert [r.zone for r in source.relays()] == ["gent", "gent", "brugge"]
 
 
 class _SoftState(membership.LocalSoftState):
--- a/libs/routing/mulberry_routing/_routes.py
+++ b/libs/routing/mulberry_routing/_routes.py
@@ -50,6 +50,8 @@
     max_event_gap_s: float = 1.0
     #: Models to choose from, smallest first; empty if the caller chooses.
     model_names: tuple[str, ...] = ()
+    #: Regions whose upstreams may get requests; empty for any.
+    regions: frozenset[str] = frozenset()
 
     @property
     def is_idempotent(self) -> bool:
--- a/libs/routing/mulberry_routing/_table.py
+++ b/libs/routing/mulberry_routing/_table.py
@@ -20,6 +20,8 @@
     key_hashes: frozenset[str]
     #: Overrides the priority of the route; unset to keep it.
     priority: int | core.Missing = core.Missing.UNSET
+    #: Regions whose upstreams may get its requests; empty for any.
+    regions: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True)
