--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -32,6 +32,7 @@
     _permits,
     _placements,
     _quarantine,
+    _regions,
     _relay_server,
     _relays,
     _rollout_controller,
@@ -172,6 +173,9 @@
         evacuations = _evacuations.Evacuations(
             self.client, clock, self.counters, log, catalog.by_service
         )
+        regions = _regions.RegionPolicy(
+            settings.region_by_zone, settings.zone, settings.region
+        )
         upstream_selector = _upstream_selection.UpstreamSelector(
             settings.zone,
             catalog,
@@ -182,6 +186,7 @@
             ),
             self._placements.scheduling,
             evacuations,
+            regions,
         )
         self._permits = _permits.Permits(
             settings,
@@ -234,6 +239,7 @@
                 self._links,
             ),
             rate_gate=self._permits.rate_gate,
+            regions=regions,
         )
         self._relay = self._open_relay()
         self._publishing = threading.Lock()
--- a/libs/gateway/mulberry_gateway/_settings.py
+++ b/libs/gateway/mulberry_gateway/_settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import pathlib
+from collections.abc import Mapping
 
 import mulberry_core as core
 import mulberry_membership as membership
@@ -102,6 +103,8 @@
     #: Whether all services with engines are scheduled; otherwise only those
     #: whose upstreams report how long work takes.
     schedules_engines: bool = False
+    #: Region of each zone; one that is not listed is in no allowed region.
+    region_by_zone: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
     @property
     def timing(self) -> rules.Timing:
