Add one memory budget for all connections of a process

Cause: each listener had a budget of its own, and it counted neither header lines, nor the copies of a body, nor threads, nor answers that callers do not read. Nothing took back what stalled requests held.

`core.MemoryBudget` counts bytes and connections. A charge that does not fit gives up connections without progress, the oldest first, then idle ones, then the newest incomplete request, which may be the asking one. A request that was given up cannot start to run (`MemoryAccount.run` decides both under one lock), so its refusal with 503 is true; a running request is never given up. A share is reserved for operators and workers, and large requests leave a share to small ones.

`core.return_freed_memory` sets glibc's malloc to two arenas and a fixed threshold for blocks with pages of their own. Ruled out: MALLOC_ARENA_MAX, which the process cannot set for itself.

Nothing uses the budget yet.

--- a/libs/core/mulberry_core/__init__.py
+++ b/libs/core/mulberry_core/__init__.py
@@ -28,6 +28,14 @@
     hash_key,
     ring_position,
 )
+from mulberry_core._malloc import return_freed_memory
+from mulberry_core._memory_budget import (
+    BudgetLimits,
+    MemoryAccount,
+    MemoryBudget,
+    MemoryUsage,
+    Phase,
+)
 from mulberry_core._numbers import parse_count
 from mulberry_core._on_demand import import_on_demand
 from mulberry_core._process import end_process_after
@@ -41,6 +49,7 @@
     "ANSWER_BY_KIND",
     "BUCKETS_MS",
     "BodyLimits",
+    "BudgetLimits",
     "Clock",
     "Counters",
     "DecisionLog",
@@ -48,8 +57,12 @@
     "ErrorKind",
     "Histogram",
     "ManualClock",
+    "MemoryAccount",
+    "MemoryBudget",
     "MemoryCounters",
+    "MemoryUsage",
     "Missing",
+    "Phase",
     "Refusal",
     "RunState",
     "SseSplitter",
@@ -67,6 +80,7 @@
     "hash_key",
     "import_on_demand",
     "parse_count",
+    "return_freed_memory",
     "ring_position",
     "run_step",
 ]
