Keep callers' memory and connections within one budget

Callers saw: open requests of legal size fill the memory of the machine; the process is ended and all its callers are cut off.

Cause, by part: a pair of strings for each header line (0.9 MB for a head of 16 KiB); bodies kept beside the buffer in which they arrived, and sliced anew with each send; first 64 KiB of each body not counted; a budget for each of five listeners; answers not counted while a caller takes them; five thread pools of 1,024 whose threads never end; freed bodies that stay in malloc's heap; MaxFds not read. The parts were not measured one by one.

All listeners share one ConnectionPool with the budget of MemoryMb and MaxFds; lines beyond the first 64 are kept as bytes; charges are made before bytes are received. A request that is given up gets 503 and is not forwarded. The answer of a run waits for no memory if nobody can be given up.

test_request_bodies_share_one_budget read the listener's own budget, which is gone; it now checks the peak and the end of the shared one with the same bound.

--- a/libs/core/mulberry_core/_memory_budget.py
+++ b/libs/core/mulberry_core/_memory_budget.py
@@ -16,7 +16,7 @@
 _POLL_S = 0.05
 #: A connection with more than this counts as large, bytes. Its charges leave
 #: a share of the budget to requests of the usual size.
-_LARGE_BYTES = 131_072
+_LARGE_BYTES = 262_144
 #: Charges are made in steps of this size, so that few of them take the lock.
 _STEP_BYTES = 16_384
 
@@ -167,6 +167,8 @@
         self._peak_bytes = 0
         self._refused = 0
         self._closed = 0
+        #: When a waiting charge last looked for connections to give up.
+        self._searched_s = 0.0
 
     def usage(self) -> MemoryUsage:
         """Returns the state of the budget."""
@@ -250,7 +252,12 @@
                 if lacking is None:
                     return True
                 waited_s = self._clock.now() - began_s
-                is_patient = waited_s < self.limits.max_wait_s / 2
+                # A run goes before all incomplete requests, and its deadline
+                # passes meanwhile.
+                is_patient = (
+                    waited_s < self.limits.max_wait_s / 2
+                    and account.phase is not Phase.RUNNING
+                )
                 if not self._give_up_others(account, lacking, is_patient):
                     return False
                 if waited_s >= self.limits.max_wait_s:
@@ -290,6 +297,12 @@
         is_patient: bool,
     ) -> bool:
         """Gives up connections; false if the account itself must be."""
+        if is_patient and account in self._accounts:
+            # Hundreds of charges may wait, and each would look at all others.
+            now_s = self._clock.now()
+            if 0.0 <= now_s - self._searched_s < _POLL_S / 2:
+                return True
+            self._searched_s = now_s
         lacking_bytes, lacking_connections = lacking
         for other in self._accounts:
             if other.is_evicted:
--- a/libs/core/mulberry_core/tests/test_memory_budget.py
+++ b/libs/core/mulberry_core/tests/test_memory_budget.py
@@ -171,6 +171,24 @@
     assert not account.is_evicted
 
 
+def test_an_answer_does_not_wait_if_nobody_can_be_given_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a run that waits for memory until its deadline.
+
+    Sixty-four endless answers were given up one by one, 1.5 s each, and ended
+    with 504.
+    """
+    made = _Budget(dataclasses.replace(_LIMITS, max_wait_s=1.5))
+
+    def wait(timeout_s: float) -> None:
+        pytest.fail(f"waits for {timeout_s} s")
+
+    monkeypatch.setattr(made.budget._changed, "wait", wait)
+    made.running("a", 600 * _KIB)
+    assert not made.running("b", 0).charge_answer(600 * _KIB)
+
+
 @pytest.mark.parametrize(
     ("is_reserved", "size_bytes", "fits"),
     [
--- a/libs/gateway/mulberry_gateway/__init__.py
+++ b/libs/gateway/mulberry_gateway/__init__.py
@@ -7,6 +7,7 @@
     ConnectionFailure,
     ConnectionStarter,
 )
+from mulberry_gateway._connection_pool import ConnectionPool
 from mulberry_gateway._control import Control
 from mulberry_gateway._dialect import (
     Dialect,
@@ -45,7 +46,11 @@
 from mulberry_gateway._rollout_controller import RolloutController
 from mulberry_gateway._rollout_filter import RolloutFilter
 from mulberry_gateway._routing_table_store import RoutingTableStore
-from mulberry_gateway._settings import GatewayBounds, GatewaySettings
+from mulberry_gateway._settings import (
+    GatewayBounds,
+    GatewaySettings,
+    ProcessLimits,
+)
 from mulberry_gateway._upstream_connector import UpstreamConnector
 from mulberry_gateway._upstream_paths import UpstreamConnection
 from mulberry_gateway._upstream_selection import UpstreamSelector
@@ -54,6 +59,7 @@
     "JSON",
     "Connection",
     "ConnectionFailure",
+    "ConnectionPool",
     "ConnectionStarter",
     "Control",
     "Dialect",
@@ -75,6 +81,7 @@
     "ModelSelector",
     "PermitOwner",
     "PermitsServicer",
+    "ProcessLimits",
     "PromptPart",
     "PublishedRelays",
     "RateGate",
--- a/libs/gateway/mulberry_gateway/_body_limits.py
+++ b/libs/gateway/mulberry_gateway/_body_limits.py
@@ -11,19 +11,11 @@
 #: One answer that is buffered completely before it is forwarded: twice the
 #: default limit for callers' bodies.
 MAX_ANSWER_BYTES = 8 << 20
-#: All answers that are buffered at one time; also all request bodies of one
-#: listener. An instance has 200 MB, of which a running daemon takes 70 MB.
+#: All answers that are buffered at one time, whatever the memory budget of the
+#: process allows.
 TOTAL_BODY_BYTES = 32 << 20
 
 
 def for_answers() -> core.BodyLimits:
     """Returns limits for buffered answers."""
     return core.BodyLimits(MAX_ANSWER_BYTES, TOTAL_BODY_BYTES)
-
-
-def for_requests() -> core.BodyLimits:
-    """Returns limits for request bodies.
-
-    The limit for a single body is a setting, so only the total applies here.
-    """
-    return core.BodyLimits(TOTAL_BODY_BYTES, TOTAL_BODY_BYTES)
--- a/libs/gateway/mulberry_gateway/_connection.py
+++ b/libs/gateway/mulberry_gateway/_connection.py
@@ -18,7 +18,13 @@
 #: `TCP_USER_TIMEOUT`, milliseconds: a connection whose data stays
 #: unacknowledged for this long is dropped, which detects dead peers.
 USER_TIMEOUT_MS = 8_000
-_RECEIVE_BYTES = 65_536
+#: Most bytes of one read.
+RECEIVE_BYTES = 65_536
+
+#: How long to wait for the peer to close after the last answer, seconds.
+LINGER_S = 0.5
+#: Longest time to drain what has arrived, seconds.
+_MIN_DRAIN_S = 0.05
 
 _READ_HANGUP = getattr(select, "POLLRDHUP", 0x2000)
 _CLOSED_EVENTS = select.POLLERR | select.POLLHUP | select.POLLNVAL
@@ -51,6 +57,8 @@
         #: Whether sending failed because the connection broke. The system
         #: reports this once, and then the end of a connection in order.
         self._is_broken = False
+        #: What the connection may take; unset if that is not limited.
+        self.memory: core.MemoryAccount | core.Missing = core.Missing.UNSET
 
     @classmethod
     def connect(
@@ -103,16 +111,20 @@
         return self._fd
 
     def receive(
-        self, timeout_s: float, partner: "Connection | None" = None
+        self,
+        timeout_s: float,
+        partner: "Connection | None" = None,
+        max_bytes: int = RECEIVE_BYTES,
     ) -> bytes | ConnectionFailure:
         """Returns the received bytes, or why there are none.
 
         Args:
             timeout_s: How long to wait for the first byte.
             partner: Another connection; the wait also ends if it closes.
+            max_bytes: Most bytes to return.
         """
         try:
-            return self._sock.recv(_RECEIVE_BYTES) or self._end()
+            return self._sock.recv(max_bytes) or self._end()
         except BlockingIOError:
             pass
         except OSError:
@@ -132,13 +144,13 @@
                 if fd != self._fd:
                     return ConnectionFailure.PARTNER_GONE
             try:
-                return self._sock.recv(_RECEIVE_BYTES) or self._end()
+                return self._sock.recv(max_bytes) or self._end()
             except BlockingIOError:
                 continue
             except OSError:
                 return ConnectionFailure.RESET
 
-    def send(self, data: bytes) -> int | ConnectionFailure:
+    def send(self, data: bytes | memoryview) -> int | ConnectionFailure:
         """Sends without waiting; returns the number of bytes sent."""
         try:
             return self._sock.send(data)
@@ -208,21 +220,32 @@
             # A reset by the peer can be reported here; the descriptor is freed.
             return
 
-    def close_gracefully(self) -> None:
+    def close_gracefully(self, linger_s: float = LINGER_S) -> None:
         """Shuts down the sending side, drains the input, then closes.
 
         Closing with unread bytes would reset the connection, and the peer
         could lose the last answer.
+
+        Args:
+            linger_s: Longest wait for the peer to close, seconds; without any,
+                only what has arrived is drained.
         """
         if not self._shut_down(socket.SHUT_WR):
             self.close()
             return
-        until_s = time.monotonic() + _LINGER_S
+        until_s = time.monotonic() + max(linger_s, _MIN_DRAIN_S)
         while (left_s := until_s - time.monotonic()) > 0:
-            if isinstance(self.receive(left_s), ConnectionFailure):
+            wait_s = left_s if linger_s else 0.0
+            if isinstance(self.receive(wait_s), ConnectionFailure):
                 break
         self.close()
 
+    def charge_answer(self, size_bytes: int) -> bool:
+        """Whether an answer that takes this much memory may be kept."""
+        return isinstance(
+            self.memory, core.Missing
+        ) or self.memory.charge_answer(size_bytes)
+
     def _shut_down(self, how: int) -> bool:
         """Ends one or both sides; returns whether they were still open."""
         try:
@@ -246,8 +269,5 @@
             self._is_broken = True
 
 
-#: How long to wait for the peer to close after the last answer, seconds.
-_LINGER_S = 0.5
-
 #: Starts to connect to `IP:PORT`, like `Connection.start_connecting`.
 ConnectionStarter = Callable[[str], Connection | ConnectionFailure]
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -19,6 +19,7 @@
     _bootstrap,
     _catalog,
     _components,
+    _connection_pool,
     _control,
     _dialect,
     _forwarder,
@@ -26,6 +27,7 @@
     _limit_exchange,
     _link_recorder,
     _listener,
+    _memory_gauges,
     _model_selection,
     _permit_exchange,
     _quarantine,
@@ -52,6 +54,8 @@
 _STRIKE_CHECK_PERIOD_S = 0.5
 #: Interval between updates of the voters' gauges, seconds.
 _VOTER_GAUGES_PERIOD_S = 1.0
+#: Interval between updates of the gauges of memory, seconds.
+_MEMORY_GAUGES_PERIOD_S = 1.0
 #: Maximum age of the upstream list while no upstream record changes, seconds.
 #: The gateway does not use the ages of announced loads.
 _MAX_SNAPSHOT_AGE_S = 1.0
@@ -93,6 +97,9 @@
         self._log = log
         self.counters = core.MemoryCounters()
         self.timers = core.TimerService(clock)
+        self.connections = _connection_pool.ConnectionPool(
+            settings.limits, clock
+        )
         threads = _PEER_THREADS
         if not isinstance(settings.data_dir, core.Missing):
             threads += state.SERVER_THREADS
@@ -230,6 +237,7 @@
             settings.entry_address,
             _forwarder.Forwarder(self.components),
             clock,
+            self.connections,
         )
         self._tasks = core.TaskPool("instance", 1)
         self._serving = threading.Event()
@@ -263,6 +271,10 @@
         if not isinstance(self._relay, core.Missing):
             self._relay.start()
         self.timers.every(1.0, self._refresh_entry, "entry")
+        memory = _memory_gauges.MemoryGauges(
+            self.connections.budget, self.counters, self._log
+        )
+        self.timers.every(_MEMORY_GAUGES_PERIOD_S, memory.record, "memory")
         self.timers.every(
             _STRIKE_CHECK_PERIOD_S,
             self.components.quarantine.check_incomplete_runs,
@@ -429,6 +441,7 @@
             self._catalog.find,
             self._links,
             self.counters,
+            max_open=self._settings.limits.max_relayed,
         )
 
     def _open_node(self) -> state.StateNode | core.Missing:
--- a/libs/gateway/mulberry_gateway/_listener.py
+++ b/libs/gateway/mulberry_gateway/_listener.py
@@ -5,23 +5,23 @@
 import socket
 import threading
 import time
-from concurrent import futures
 
 from absl import logging
 
 import mulberry_core as core
 import mulberry_routing as routing
 from mulberry_gateway import (
-    _body_limits,
     _connection,
+    _connection_pool,
     _messages,
     _request_reader,
+    _settings,
 )
 
 #: Listen backlog. Many callers connect at once after a restart, and a dropped
 #: SYN packet delays a connection by a second.
 _BACKLOG = 512
-#: Connections served at once; further ones wait.
+#: Connections of a listener without a shared pool that are served at once.
 _MAX_CONNECTIONS = 1_024
 _ACCEPT_PERIOD_S = 1.0
 _CLOSE_POLL_S = 0.01
@@ -60,8 +60,25 @@
     """Serves one address until stopped."""
 
     def __init__(
-        self, name: str, address: str, handler: Handler, clock: core.Clock
+        self,
+        name: str,
+        address: str,
+        handler: Handler,
+        clock: core.Clock,
+        pool: _connection_pool.ConnectionPool | None = None,
+        is_reserved: bool = False,
     ) -> None:
+        """Binds the address.
+
+        Args:
+            name: Shown in log lines.
+            address: `IP:PORT`; with port 0 the system chooses one.
+            handler: Answers the requests.
+            clock: Source of time.
+            pool: Shared by the listeners of a process; by default a separate
+                one.
+            is_reserved: Whether the connections may use the reserved share.
+        """
         host, _, port = address.rpartition(":")
         self._name = name
         self._handler = handler
@@ -69,9 +86,10 @@
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.bind((host, int(port)))
-        self._pool = futures.ThreadPoolExecutor(
-            _MAX_CONNECTIONS, thread_name_prefix=name
+        self._pool = pool or _connection_pool.ConnectionPool(
+            _settings.ProcessLimits(), clock, _MAX_CONNECTIONS
         )
+        self._is_reserved = is_reserved
         self._accept_thread = threading.Thread(
             target=self._accept, name=f"{name}-accept", daemon=True
         )
@@ -82,8 +100,6 @@
         #: Connections on which a request is awaited or being read.
         self._reading: set[_connection.Connection] = set()
         self._is_closing = False
-        #: Budget for bodies of requests that are being read or answered.
-        self._body_budget = _body_limits.for_requests()
         self._stopping = threading.Event()
         #: When set, each connection is closed after its next answer.
         self.draining = threading.Event()
@@ -172,55 +188,56 @@
             self._submit_connection(sock)
 
     def _submit_connection(self, sock: socket.socket) -> None:
-        """Serves a connection on a task of its own."""
+        """Serves a connection on a task of its own, unless there is no room."""
+        account = self._pool.open_account(sock, self._is_reserved)
+        if isinstance(account, core.Missing):
+            sock.close()
+            return
         with self._lock:
             self._open.add(sock)
         try:
-            self._pool.submit(self._serve, sock)
+            self._pool.submit(self._serve, sock, account)
         except RuntimeError:
             # No thread could be started. The running ones continue, and the
             # accepting thread must not end.
             logging.exception("%s: no thread for a new connection", self._name)
             sock.close()
+            account.close()
             self._remove(sock)
 
     def _remove(self, sock: socket.socket) -> None:
         with self._lock:
             self._open.discard(sock)
 
-    def _serve(self, sock: socket.socket) -> None:
+    def _serve(self, sock: socket.socket, account: core.MemoryAccount) -> None:
         try:
-            self._serve_socket(sock)
+            self._serve_socket(sock, account)
         finally:
+            account.close()
             self._remove(sock)
 
-    def _serve_socket(self, sock: socket.socket) -> None:
+    def _serve_socket(
+        self, sock: socket.socket, account: core.MemoryAccount
+    ) -> None:
         try:
             connection = _connection.Connection(sock)
         except OSError:
             # The connection was reset before it was served.
             sock.close()
             return
+        connection.memory = account
         try:
-            self._serve_connection(connection)
+            self._serve_requests(connection, account)
         except Exception:
             logging.exception("%s: connection task failed", self._name)
             connection.close()
 
-    def _serve_connection(self, connection: _connection.Connection) -> None:
-        reader = _request_reader.RequestReader(
-            connection, self._handler.limits(), self._clock, self._body_budget
-        )
-        try:
-            self._serve_requests(connection, reader)
-        finally:
-            reader.close()
-
     def _serve_requests(
-        self,
-        connection: _connection.Connection,
-        reader: _request_reader.RequestReader,
+        self, connection: _connection.Connection, account: core.MemoryAccount
     ) -> None:
+        reader = _request_reader.RequestReader(
+            connection, self._handler.limits(), self._clock
+        )
         while True:
             reader.limits = self._handler.limits()
             request = self._read(connection, reader)
@@ -228,8 +245,14 @@
                 connection.close()
                 return
             if isinstance(request, _request_reader.InvalidRequest):
+                # The answer and the wait for the peer need none of it.
+                reader.discard()
                 self._handler.reject(request, connection)
-                connection.close_gracefully()
+                # A connection that was given up sends nothing, and others
+                # wait for its memory.
+                connection.close_gracefully(
+                    0.0 if account.is_evicted else _connection.LINGER_S
+                )
                 return
             keep = request.keep_alive and not self.draining.is_set()
             try:
@@ -237,7 +260,8 @@
             finally:
                 with self._lock:
                     self._busy -= 1
-                reader.release_answered()
+            # The next request is awaited without the memory of this one.
+            del request
             if not keep:
                 connection.close_gracefully()
                 return
--- /dev/null
+++ b/libs/gateway/mulberry_gateway/_memory_gauges.py
@@ -0,0 +1,64 @@
+"""Exports the state of the memory budget, and logs when it is short."""
+
+import os
+import pathlib
+
+import mulberry_core as core
+
+_STATM = pathlib.Path("/proc/self/statm")
+#: Column of `statm` with the resident memory, in pages.
+_RESIDENT = 1
+
+
+class MemoryGauges:
+    """Sets the gauges; called by one thread at a time."""
+
+    def __init__(
+        self,
+        budget: core.MemoryBudget,
+        counters: core.Counters,
+        log: core.DecisionLog,
+    ) -> None:
+        self._budget = budget
+        self._counters = counters
+        self._log = log
+        self._last = budget.usage()
+        self._is_short = False
+
+    def record(self) -> None:
+        """Sets the gauges and counts what was refused and closed since."""
+        usage, last = self._budget.usage(), self._last
+        self._last = usage
+        refused = usage.refused - last.refused
+        closed = usage.closed - last.closed
+        counters = self._counters
+        counters.gauge("gateway.memory.limit_bytes", float(usage.limit_bytes))
+        counters.gauge(
+            "gateway.memory.charged_bytes", float(usage.charged_bytes)
+        )
+        counters.gauge("gateway.memory.peak_bytes", float(usage.peak_bytes))
+        counters.gauge("gateway.memory.connections", float(usage.connections))
+        counters.gauge("gateway.memory.resident_bytes", _resident_bytes())
+        counters.increment("gateway.memory.refused", refused)
+        counters.increment("gateway.memory.closed", closed)
+        is_short = bool(refused or closed)
+        if is_short != self._is_short:
+            self._is_short = is_short
+            self._log.note(
+                "memory",
+                keep=True,
+                short=is_short,
+                refused=usage.refused,
+                closed=usage.closed,
+                charged_bytes=usage.charged_bytes,
+                limit_bytes=usage.limit_bytes,
+                connections=usage.connections,
+            )
+
+
+def _resident_bytes() -> float:
+    try:
+        pages = int(_STATM.read_text().split()[_RESIDENT])
+    except (OSError, ValueError, IndexError):
+        return 0.0
+    return float(pages * os.sysconf("SC_PAGE_SIZE"))
--- a/libs/gateway/mulberry_gateway/_messages.py
+++ b/libs/gateway/mulberry_gateway/_messages.py
@@ -4,7 +4,9 @@
 import http
 from collections.abc import Iterable, Sequence
 
-Header = tuple[str, str]
+from mulberry_gateway import _headers
+
+Header = _headers.Header
 
 #: Headers that apply to a single connection and are never forwarded.
 HOP_BY_HOP = frozenset(
@@ -31,7 +33,7 @@
     method: str
     #: As received, not percent-decoded.
     target: str
-    headers: tuple[Header, ...]
+    headers: Sequence[Header]
     body: bytes
     #: Whether the request declares a body, which may be empty.
     has_body: bool
@@ -82,6 +84,8 @@
 
 def find_header(headers: Sequence[Header], name: str) -> str:
     """Returns the first value of a header, empty if there is none."""
+    if isinstance(headers, _headers.PackedHeaders):
+        return next(headers.values_of(name.lower()), "")
     wanted = name.lower()
     for key, value in headers:
         if key.lower() == wanted:
@@ -100,8 +104,7 @@
     """
     connection_tokens = {
         token.strip().lower()
-        for key, value in headers
-        if key.lower() == "connection"
+        for value in _headers.values_of(headers, "connection")
         for token in value.split(",")
     }
     return [
--- a/libs/gateway/mulberry_gateway/_relay_server.py
+++ b/libs/gateway/mulberry_gateway/_relay_server.py
@@ -20,8 +20,8 @@
     _relay_protocol,
 )
 
-#: Open relayed connections; further ones are refused. Each takes a thread and
-#: up to 128 KiB.
+#: Open relayed connections by default; further ones are refused. Each takes a
+#: thread and up to 128 KiB.
 MAX_OPEN = 256
 #: Connections that were accepted and are not open yet; further ones are closed.
 _MAX_OPENING = 64
@@ -57,6 +57,7 @@
         start_connecting: _connection.ConnectionStarter = (
             _connection.Connection.start_connecting
         ),
+        max_open: int | None = None,
     ) -> None:
         """Binds the address.
 
@@ -66,17 +67,19 @@
             recorder: Told how direct connections went.
             counters: Counts relayed connections.
             start_connecting: Replaced by tests, to cut links.
+            max_open: Lowers `MAX_OPEN` on a machine with few descriptors.
         """
         host, _, port = address.rpartition(":")
         self._find_upstream = find_upstream
         self._recorder = recorder
         self._counters = counters
         self._start_connecting = start_connecting
+        self._max_open = MAX_OPEN if max_open is None else max_open
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.bind((host, int(port)))
         self._pool = futures.ThreadPoolExecutor(
-            MAX_OPEN + _MAX_OPENING, thread_name_prefix="relay"
+            self._max_open + _MAX_OPENING, thread_name_prefix="relay"
         )
         self._lock = threading.Lock()
         #: Accepted connections, and those of them that were admitted.
@@ -136,7 +139,7 @@
 
     def _submit(self, sock: socket.socket) -> None:
         with self._lock:
-            is_full = self._accepted >= MAX_OPEN + _MAX_OPENING
+            is_full = self._accepted >= self._max_open + _MAX_OPENING
             self._accepted += not is_full
         if is_full:
             self._counters.increment("gateway.relay.refused")
@@ -192,7 +195,7 @@
         with self._lock:
             if self._is_leaving:
                 return _relay_protocol.Reason.LEAVING
-            if self._open >= MAX_OPEN:
+            if self._open >= min(self._max_open, MAX_OPEN):
                 return _relay_protocol.Reason.BUSY
             order = self._recorder.health.choose_order(request.upstream)
             if order is decisions.PathOrder.RELAYS_FIRST:
--- a/libs/gateway/mulberry_gateway/_relayed_connection.py
+++ b/libs/gateway/mulberry_gateway/_relayed_connection.py
@@ -63,7 +63,9 @@
                 return data
             self._content = self._frames.feed(data)
 
-    def send(self, data: bytes) -> int | _connection.ConnectionFailure:
+    def send(
+        self, data: bytes | memoryview
+    ) -> int | _connection.ConnectionFailure:
         """Sends without waiting; returns the number of bytes sent."""
         return self._connection.send(data)
 
--- a/libs/gateway/mulberry_gateway/_settings.py
+++ b/libs/gateway/mulberry_gateway/_settings.py
@@ -25,6 +25,24 @@
 _LEASE_SHARE = 0.9
 
 
+#: Relayed connections, if descriptors do not allow fewer. Each takes a thread
+#: and up to 128 KiB.
+_MAX_RELAYED = 256
+#: Part of the descriptors that relayed connections may take is twice the
+#: inverse of this.
+_RELAY_DIVISOR = 16
+#: Connections of callers and others, if descriptors do not allow fewer. Each
+#: takes a thread.
+_MAX_CONNECTIONS = 1_024
+#: With fewer the process could not serve callers and workers at one time.
+_MIN_CONNECTIONS = 16
+#: Descriptors of the process without these connections: files, and connections
+#: to other instances and to relays that are being opened.
+_DAEMON_DESCRIPTORS = 160
+#: A request takes the connection of its caller and one to the upstream.
+_DESCRIPTORS_OF_CONNECTION = 2
+
+
 @dataclasses.dataclass(frozen=True)
 class GatewayBounds:
     """Bounds that the deployment must meet; timings are derived from them."""
@@ -71,6 +89,34 @@
         return self.rollback_s * _ROLLOUT_VIEW_AGE_SHARE
 
 
+@dataclasses.dataclass(frozen=True)
+class ProcessLimits:
+    """What the machine allows the process to take."""
+
+    #: Resident memory, millions of bytes.
+    memory_mb: float = 200.0
+    #: Open file descriptors.
+    max_fds: int = 4_096
+
+    @property
+    def max_relayed(self) -> int:
+        """Connections that are relayed for other instances at one time."""
+        return max(1, min(_MAX_RELAYED, self.max_fds // _RELAY_DIVISOR))
+
+    @property
+    def max_connections(self) -> int:
+        """Connections of callers, workers and operators at one time."""
+        left = (
+            self.max_fds
+            - _DAEMON_DESCRIPTORS
+            - _DESCRIPTORS_OF_CONNECTION * self.max_relayed
+        )
+        return max(
+            _MIN_CONNECTIONS,
+            min(_MAX_CONNECTIONS, left // _DESCRIPTORS_OF_CONNECTION),
+        )
+
+
 @dataclasses.dataclass(frozen=True)
 class GatewaySettings:
     """Addresses, location and bounds of one instance."""
@@ -91,6 +137,7 @@
     #: Minimum number of voters that must remain until lost ones are replaced.
     min_voters: int
     bounds: GatewayBounds = GatewayBounds()
+    limits: ProcessLimits = ProcessLimits()
     #: Address at which this instance relays connections to upstreams for other
     #: instances; empty if it does not.
     relay_address: str = ""
--- a/libs/gateway/mulberry_gateway/_stream_relay.py
+++ b/libs/gateway/mulberry_gateway/_stream_relay.py
@@ -15,6 +15,11 @@
 
 #: Ids with more digits are compared with no other.
 _MAX_ID_DIGITS = 100
+#: Reads of at most this size are covered by the charge of the connection. Only
+#: a caller that reads slower than its upstream sends makes larger ones.
+_SMALL_READ_BYTES = 8_192
+#: Copies of the bytes of one read that exist while a caller is written to.
+_EVENT_COPIES = 5
 _EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 #: Events with content. Comments only keep a connection open and do not count.
 _CONTENT = re.compile(rb"^(?:data|id)\b", re.MULTILINE)
@@ -73,6 +78,12 @@
                 return StreamFailure(data)
             if not data:
                 break
+            if len(
+                data
+            ) > _SMALL_READ_BYTES and not exchange.caller.charge_answer(
+                len(data) * _EVENT_COPIES + _body_limits.MAX_EVENT_BYTES
+            ):
+                return StreamFailure(_upstream_call.Fault.EXCESSIVE)
             arrived = event_splitter.feed(data)
             with_content = sum(
                 _CONTENT.search(event) is not None for event in arrived
--- a/libs/gateway/mulberry_gateway/_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/_upstream_call.py
@@ -24,6 +24,9 @@
 )
 
 _NO_BODY = frozenset({204, 304})
+#: Copies of an answer at one time: while it is completed, and while it is sent.
+#: The eighth is what a growing body reserves.
+_ANSWER_COPIES = 2.125
 
 
 class Fault(enum.Enum):
@@ -87,7 +90,7 @@
         #: Bytes received since the last part of the body, or since the start.
         self._framing_bytes = 0
         self._connection: _upstream_paths.UpstreamConnection | None = None
-        self._unsent = b""
+        self._unsent: bytes | memoryview = b""
         self._parser = httptools.HttpResponseParser(self)
         self._reason = b""
         self._headers: list[_messages.Header] = []
@@ -132,7 +135,8 @@
         sent = connection.send(data)
         if isinstance(sent, _connection.ConnectionFailure):
             return Fault.NO_ANSWER
-        self._unsent = data[sent:]
+        # A slice of the bytes would be another copy of a large body.
+        self._unsent = memoryview(data)[sent:] if sent < len(data) else b""
         return core.Missing.UNSET
 
     def read_head(self, timeout_s: float) -> _messages.ResponseHead | Fault:
@@ -170,6 +174,11 @@
                 self._body.clear()
                 return Fault.EXCESSIVE
             self._granted_bytes = self._received_bytes
+            if not self._caller.charge_answer(
+                int(self._received_bytes * _ANSWER_COPIES)
+            ):
+                self._body.clear()
+                return Fault.EXCESSIVE
         return self._take_body()
 
     def accepts_connections(self) -> bool:
--- a/libs/gateway/mulberry_gateway/tests/test_listener.py
+++ b/libs/gateway/mulberry_gateway/tests/test_listener.py
@@ -241,14 +241,18 @@
     caller.close()
 
 
-def test_request_bodies_share_one_budget(
-    listener: gateway.Listener,
-) -> None:
+def test_request_bodies_share_one_budget() -> None:
     """Guards against bodies that only together exceed the memory.
 
     Sixty-four callers that each stopped just before the end of a 4 MiB body
     took 256 MB; an instance has 200 MB.
     """
+    clock = core.SystemClock()
+    # Leaves 32 MB to connections.
+    pool = gateway.ConnectionPool(gateway.ProcessLimits(107.0), clock)
+    listener = gateway.Listener(
+        "test", "127.0.0.1:0", _FixedHandler(), clock, pool
+    )
     listener.start()
     size = 4 << 20
     head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
@@ -260,13 +264,15 @@
             caller.sendall(head % size + b"x" * (size - 1))
         callers.append(caller)
     time.sleep(0.2)
-    assert listener._body_budget.held_bytes <= 32 << 20
+    assert pool.budget.usage().peak_bytes <= 32 << 20
     small = _connect(listener)
     assert small.recv(1_000) == _ANSWER
     small.close()
     for caller in callers:
         caller.close()
     deadline_s = time.monotonic() + 5.0
-    while listener._body_budget.held_bytes and time.monotonic() < deadline_s:
+    while pool.budget.usage().charged_bytes and time.monotonic() < deadline_s:
         time.sleep(0.02)
-    assert listener._body_budget.held_bytes == 0
+    assert pool.budget.usage().charged_bytes == 0
+    assert pool.budget.usage().peak_bytes <= 32 << 20
+    listener.stop_accepting()
