--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -20,6 +20,7 @@
     _catalog,
     _cold_upstreams,
     _components,
+    _connection_pool,
     _control,
     _dialect,
     _evacuations,
@@ -28,6 +29,7 @@
     _limit_exchange,
     _link_recorder,
     _listener,
+    _memory_gauges,
     _model_selection,
     _permits,
     _placements,
@@ -55,6 +57,8 @@
 _STRIKE_CHECK_PERIOD_S = 0.5
 #: Interval between updates of the voters' gauges, seconds.
 _VOTER_GAUGES_PERIOD_S = 1.0
+#: Interval between updates of the gauges of memory, seconds.
+_MEMORY_GAUGES_PERIOD_S = 1.0
 #: Maximum age of the upstream list while no upstream record changes, seconds.
 #: The gateway does not use the ages of announced loads.
 _MAX_SNAPSHOT_AGE_S = 1.0
@@ -96,6 +100,9 @@
         self._log = log
         self.counters = core.MemoryCounters()
         self.timers = core.TimerService(clock)
+        self.connections = _connection_pool.ConnectionPool(
+            settings.limits, clock
+        )
         threads = _PEER_THREADS
         if not isinstance(settings.data_dir, core.Missing):
             threads += state.SERVER_THREADS
@@ -251,6 +258,7 @@
             settings.entry_address,
             _forwarder.Forwarder(self.components),
             clock,
+            self.connections,
         )
         self._tasks = core.TaskPool("instance", 1)
         self._serving = threading.Event()
@@ -285,6 +293,10 @@
             self._relay.start()
         self.timers.every(1.0, self._refresh_entry, "entry")
         self._permits.start(self.timers)
+        memory = _memory_gauges.MemoryGauges(
+            self.connections.budget, self.counters, self._log
+        )
+        self.timers.every(_MEMORY_GAUGES_PERIOD_S, memory.record, "memory")
         self.timers.every(
             _STRIKE_CHECK_PERIOD_S,
             self.components.quarantine.check_incomplete_runs,
@@ -453,6 +465,7 @@
             self._catalog.find,
             self._links,
             self.counters,
+            max_open=self._settings.limits.max_relayed,
         )
 
     def _open_node(self) -> state.StateNode | core.Missing:
