--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -57,8 +57,6 @@
 _STRIKE_CHECK_PERIOD_S = 0.5
 #: Interval between updates of the voters' gauges, seconds.
 _VOTER_GAUGES_PERIOD_S = 1.0
-#: Interval between updates of the gauges of memory, seconds.
-_MEMORY_GAUGES_PERIOD_S = 1.0
 #: Maximum age of the upstream list while no upstream record changes, seconds.
 #: The gateway does not use the ages of announced loads.
 _MAX_SNAPSHOT_AGE_S = 1.0
@@ -293,10 +291,9 @@
             self._relay.start()
         self.timers.every(1.0, self._refresh_entry, "entry")
         self._permits.start(self.timers)
-        memory = _memory_gauges.MemoryGauges(
+        _memory_gauges.MemoryGauges(
             self.connections.budget, self.counters, self._log
-        )
-        self.timers.every(_MEMORY_GAUGES_PERIOD_S, memory.record, "memory")
+        ).start(self.timers)
         self.timers.every(
             _STRIKE_CHECK_PERIOD_S,
             self.components.quarantine.check_incomplete_runs,
--- a/libs/gateway/mulberry_gateway/_memory_gauges.py
+++ b/libs/gateway/mulberry_gateway/_memory_gauges.py
@@ -8,6 +8,8 @@
 _STATM = pathlib.Path("/proc/self/statm")
 #: Column of `statm` with the resident memory, in pages.
 _RESIDENT = 1
+#: Interval between updates of the gauges, seconds.
+_PERIOD_S = 1.0
 
 
 class MemoryGauges:
@@ -25,6 +27,10 @@
         self._last = budget.usage()
         self._is_short = False
 
+    def start(self, timers: core.TimerService) -> None:
+        """Starts to update the gauges."""
+        timers.every(_PERIOD_S, self.record, "memory")
+
     def record(self) -> None:
         """Sets the gauges and counts what was refused and closed since."""
         usage, last = self._budget.usage(), self._last
