Bound what one request, report or lost message does to the placement

- A second model was placed as the first one, so its engine was chosen for the wrong work and the rates were learned under the wrong name.
- Rejections counted as prompts read in no time, which happens just under overload.
- Progress was lost with a call that failed, and a placement whose reply was lost held its slot for 30 s: the sender now chooses the ticket, and keeps progress for a later call.
- A reply that names no candidate failed the request.
Calls to schedulers ran on the timer thread, and also to schedulers that are lost.

--- a/libs/decisions/mulberry_decisions/_kept_prompts.py
+++ b/libs/decisions/mulberry_decisions/_kept_prompts.py
@@ -2,7 +2,15 @@
 
 import collections
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+
+import mulberry_core as core
+
+#: Number of parts that are remembered. Callers choose their ids and sizes, so
+#: the sum of the tokens alone would not bound the memory.
+_MAX_KEPT_PARTS = 2_000
+#: Smallest part that is worth remembering, tokens. Engines keep whole blocks.
+_MIN_PART_TOKENS = 16
 
 
 @dataclasses.dataclass(frozen=True)
@@ -25,26 +33,39 @@
     def __init__(self, max_tokens: int) -> None:
         self._max_tokens = max_tokens
         self._tokens = 0
-        #: Tokens by model and id of the part, least recently used first.
-        self._tokens_by_part: collections.OrderedDict[tuple[str, str], int] = (
+        #: Tokens by model and hash of the part, least recently used first.
+        self._tokens_by_part: collections.OrderedDict[tuple[str, int], int] = (
             collections.OrderedDict()
         )
 
+    def __len__(self) -> int:
+        return len(self._tokens_by_part)
+
     def kept_tokens(self, model: str, parts: Sequence[PromptSize]) -> int:
         """Returns how many tokens of a prompt need not be read."""
         kept = 0
-        for part in parts:
-            if (model, part.id) not in self._tokens_by_part:
+        for key, tokens in _keys(model, parts):
+            if key not in self._tokens_by_part:
                 break
-            kept += part.tokens
+            kept += tokens
         return kept
 
     def read(self, model: str, parts: Sequence[PromptSize]) -> None:
         """Records that the engine reads a prompt with these parts."""
-        for part in parts:
-            key = (model, part.id)
-            self._tokens += part.tokens - self._tokens_by_part.pop(key, 0)
-            self._tokens_by_part[key] = part.tokens
-        while self._tokens > self._max_tokens and self._tokens_by_part:
+        for key, tokens in _keys(model, parts):
+            self._tokens += tokens - self._tokens_by_part.pop(key, 0)
+            self._tokens_by_part[key] = tokens
+        while self._tokens_by_part and (
+            self._tokens > self._max_tokens or len(self) > _MAX_KEPT_PARTS
+        ):
             _, tokens = self._tokens_by_part.popitem(last=False)
             self._tokens -= tokens
+
+
+def _keys(
+    model: str, parts: Sequence[PromptSize]
+) -> Iterator[tuple[tuple[str, int], int]]:
+    for part in parts:
+        if part.tokens >= _MIN_PART_TOKENS:
+            # A hash, because callers choose the length of the id.
+            yield (model, core.ring_position(part.id)), part.tokens
--- a/libs/decisions/mulberry_decisions/_reading_rates.py
+++ b/libs/decisions/mulberry_decisions/_reading_rates.py
@@ -13,9 +13,12 @@
 #: Time from the start of reading to the first part of the answer that does not
 #: depend on the length of the prompt, seconds.
 START_S = 0.015
-#: Largest measurement that counts, as a multiple of the expected time. Longer
-#: ones come from requests that waited for something else.
+#: Largest factor between a measurement and the expected time. Longer ones come
+#: from requests that waited for something else, shorter ones from callers that
+#: count their tokens wrongly.
 _MAX_RATIO = 8.0
+#: Largest measurement that counts in full, as a share of those before it.
+_MAX_SHARE = 0.25
 
 
 @dataclasses.dataclass
@@ -61,15 +64,20 @@
         """
         if tokens <= 0:
             return
-        expected_s = self.reading_s(model, tokens)
-        busy_s = min(max(took_s - START_S, 0.0), _MAX_RATIO * expected_s)
+        expected_s = tokens * self.token_s(model)
+        busy_s = min(
+            max(took_s - START_S, expected_s / _MAX_RATIO),
+            expected_s * _MAX_RATIO,
+        )
         sums = self._sums_by_model.get(model)
         if sums is None:
             token_s = self.token_s(model)
             sums = _Sums(_INITIAL_WEIGHT_S, _INITIAL_WEIGHT_S / token_s)
             self._sums_by_model[model] = sums
-        sums.busy_s += busy_s
-        sums.tokens += tokens
+        # No single measurement counts for more than the ones before it.
+        weight = min(1.0, _MAX_SHARE * sums.busy_s / max(busy_s, expected_s))
+        sums.busy_s += weight * busy_s
+        sums.tokens += weight * tokens
         if sums.busy_s > _MAX_WEIGHT_S:
             sums.busy_s /= 2
             sums.tokens /= 2
--- a/libs/decisions/mulberry_decisions/_work_ledger.py
+++ b/libs/decisions/mulberry_decisions/_work_ledger.py
@@ -1,7 +1,6 @@
 """Places requests on engines by the time until their answers begin."""
 
 import dataclasses
-import itertools
 import random
 import threading
 from collections.abc import Callable, Sequence
@@ -21,9 +20,10 @@
 #: engine reads it later, but its callers then wait for this request.
 _LESS_URGENT_SHARE = 0.25
 #: Run time of a request after its answer has begun, until some were measured,
-#: and the weight of each measurement; seconds.
+#: seconds.
 _INITIAL_RUN_S = 1.0
-_RUN_WEIGHT = 0.02
+#: Weight of each request in moving means.
+_MEAN_WEIGHT = 0.02
 #: Time after which a request without news counts as ended, seconds. The
 #: instance that sent it may be lost.
 _MAX_AGE_S = 30.0
@@ -31,9 +31,18 @@
 #: after this multiple of the expected time and this many seconds.
 _OVERDUE_FACTOR = 2.0
 _OVERDUE_S = 1.0
+#: Longest prompt and most shared parts that count. The numbers are the
+#: callers' word, and no engine has memory for more.
+_MAX_TOKENS = 1_000_000
+_MAX_PARTS = 8
 #: Time after which half of the requests that a report shows beyond the known
 #: ones still count, seconds.
 _UNKNOWN_HALF_LIFE_S = 1.0
+#: Most of these requests, as a multiple of the slots, and the number below
+#: which they do not matter. The queues of engines are about as long as twice
+#: their slots; a larger number is false.
+_MAX_UNKNOWN_FACTOR = 2
+_MIN_UNKNOWN = 0.05
 #: Differences of the expected time that do not matter, seconds. Among
 #: upstreams that are as good as each other, the choice is random.
 _INDIFFERENT_S = 0.005
@@ -67,7 +76,7 @@
     """The engine chosen for a request."""
 
     name: str
-    #: Identifies the request at this ledger.
+    #: Identifies the request at the ledger.
     ticket: int
     #: Expected time until the engine begins to read the prompt, seconds.
     wait_s: float
@@ -77,7 +86,6 @@
 
 @dataclasses.dataclass
 class _Entry:
-    upstream: str
     model: str
     urgency: int
     tokens: int
@@ -86,13 +94,14 @@
     placed_s: float
     #: `Clock.now` after which the prompt counts as read, seconds.
     overdue_s: float
-    #: `Clock.now` when the answer began, seconds; 0 before.
+    #: `Clock.now` when the answer began or was overdue, seconds; 0 before.
     began_s: float = 0.0
 
 
 @dataclasses.dataclass
 class _Engine:
     incarnation: int
+    slots: int
     pace: _upstream_pace.UpstreamPace
     kept: _kept_prompts.KeptPrompts
     #: Requests whose prompt is not read yet, by ticket, oldest first.
@@ -105,6 +114,20 @@
     reported_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True)
+class _Option:
+    """A candidate, with what the request would cost there."""
+
+    name: str
+    tokens: int
+    #: Time to read the prompt at the usual pace, seconds.
+    work_s: float
+    #: Expected times there, seconds.
+    wait_s: float
+    read_s: float
+    cost_s: float
+
+
 class WorkLedger:
     """Keeps the work at each engine of a service in a zone; thread-safe.
 
@@ -125,51 +148,53 @@
         self._random = rng or random.Random()
         self._lock = threading.Lock()
         self._rates = _reading_rates.ReadingRates()
+        #: Moving mean of run times at the usual pace, seconds.
         self._run_s = _INITIAL_RUN_S
+        #: Moving mean of the work of a request, seconds at the usual pace.
+        self._mean_work_s = _reading_rates.START_S
         self._engine_by_name: dict[str, _Engine] = {}
         self._engine_by_ticket: dict[int, _Engine] = {}
-        # Tickets of the process before this one must not be taken for its own.
-        self._tickets = itertools.count(self._random.getrandbits(48))
+
+    def __len__(self) -> int:
+        with self._lock:
+            return len(self._engine_by_name)
 
     def place(
-        self, work: PromptWork, candidates: Sequence[EngineCandidate]
+        self,
+        work: PromptWork,
+        candidates: Sequence[EngineCandidate],
+        ticket: int,
     ) -> EnginePlacement | core.Missing:
         """Chooses an engine and enters the request; unset without candidates.
 
         Args:
             work: The request.
             candidates: Engines that may run it.
+            ticket: Identifies the request; chosen by the caller, so that it can
+                end a request whose placement it has not heard of.
         """
         if not candidates:
             return core.Missing.UNSET
+        work = dataclasses.replace(
+            work,
+            prompt_tokens=min(work.prompt_tokens, _MAX_TOKENS),
+            shared_parts=work.shared_parts[:_MAX_PARTS],
+        )
         with self._lock:
             now_s = self._clock.now()
-            options = []
-            for candidate in candidates:
-                engine = self._engine(candidate)
-                tokens = _tokens_to_read(engine, work)
-                work_s = self._rates.reading_s(work.model, tokens)
-                pace = engine.pace.at(now_s)
-                wait_s, later_s = self._wait_s(
-                    engine, candidate, work.urgency, pace, now_s
-                )
-                read_s = work_s * pace
-                cost_s = wait_s + read_s + _LESS_URGENT_SHARE * later_s
-                options.append(
-                    (cost_s, candidate.name, wait_s, read_s, work_s, tokens)
-                )
-            best_s = min(option[0] for option in options)
-            _, name, wait_s, read_s, work_s, tokens = self._random.choice(
+            options = [
+                self._option(work, candidate, now_s) for candidate in candidates
+            ]
+            best_s = min(option.cost_s for option in options)
+            best = self._random.choice(
                 [
                     option
                     for option in options
-                    if option[0] <= best_s + _INDIFFERENT_S
+                    if option.cost_s <= best_s + _INDIFFERENT_S
                 ]
             )
-            ticket = self._enter(
-                name, work, tokens, work_s, wait_s + read_s, now_s
-            )
-        return EnginePlacement(name, ticket, wait_s, read_s)
+            self._enter(best, work, ticket, now_s)
+        return EnginePlacement(best.name, ticket, best.wait_s, best.read_s)
 
     def began(self, ticket: int, age_s: float = 0.0) -> None:
         """Records that the answer to a request began some time ago."""
@@ -202,7 +227,9 @@
             entry = engine.running_by_ticket.pop(ticket, None)
             if entry is not None:
                 took_s = max(0.0, self._clock.now() - age_s - entry.began_s)
-                self._run_s += _RUN_WEIGHT * (took_s - self._run_s)
+                self._run_s += _MEAN_WEIGHT * (
+                    took_s / engine.pace.usual - self._run_s
+                )
 
     def reported(
         self, name: str, report: _load_estimator.LoadReport, age_s: float = 0.0
@@ -217,8 +244,9 @@
                 engine.pace.reported(report.pace, at_s)
             if at_s >= engine.reported_s:
                 engine.reported_s = at_s
-                engine.unknown_waiting = max(
-                    0.0, report.waiting - len(engine.reading_by_ticket)
+                engine.unknown_waiting = min(
+                    max(0.0, report.waiting - len(engine.reading_by_ticket)),
+                    float(_MAX_UNKNOWN_FACTOR * engine.slots),
                 )
 
     def keep_only(self, is_known: Callable[[str], bool]) -> None:
@@ -243,6 +271,7 @@
                 self._forget(engine)
             engine = _Engine(
                 candidate.incarnation,
+                candidate.slots,
                 _upstream_pace.UpstreamPace(),
                 _kept_prompts.KeptPrompts(_KEPT_TOKENS),
                 {},
@@ -255,45 +284,55 @@
         for ticket in (*engine.reading_by_ticket, *engine.running_by_ticket):
             self._engine_by_ticket.pop(ticket, None)
 
+    def _option(
+        self, work: PromptWork, candidate: EngineCandidate, now_s: float
+    ) -> _Option:
+        engine = self._engine(candidate)
+        self._drop_overdue(engine, now_s)
+        kept = engine.kept.kept_tokens(work.model, work.shared_parts)
+        tokens = max(0, work.prompt_tokens - kept)
+        work_s = self._rates.reading_s(work.model, tokens)
+        pace = engine.pace.at(now_s)
+        before_s, after_s = self._work_around(engine, work.urgency, pace, now_s)
+        wait_s = (before_s + self._slot_work_s(engine)) * pace
+        read_s = work_s * pace
+        return _Option(
+            candidate.name,
+            tokens,
+            work_s,
+            wait_s,
+            read_s,
+            wait_s + read_s + _LESS_URGENT_SHARE * after_s * pace,
+        )
+
     def _enter(
-        self,
-        name: str,
-        work: PromptWork,
-        tokens: int,
-        work_s: float,
-        expected_s: float,
-        now_s: float,
-    ) -> int:
-        engine = self._engine_by_name[name]
+        self, option: _Option, work: PromptWork, ticket: int, now_s: float
+    ) -> None:
+        engine = self._engine_by_name[option.name]
         if not engine.reading_by_ticket:
             engine.reading_since_s = now_s
         engine.kept.read(work.model, work.shared_parts)
-        ticket = next(self._tickets)
+        self._mean_work_s += _MEAN_WEIGHT * (option.work_s - self._mean_work_s)
+        overdue_s = (
+            _OVERDUE_FACTOR * (option.wait_s + option.read_s) + _OVERDUE_S
+        )
         engine.reading_by_ticket[ticket] = _Entry(
-            name,
             work.model,
             work.urgency,
-            tokens,
-            work_s,
+            option.tokens,
+            option.work_s,
             now_s,
-            now_s + _OVERDUE_FACTOR * expected_s + _OVERDUE_S,
+            now_s + min(overdue_s, _MAX_AGE_S),
         )
         self._engine_by_ticket[ticket] = engine
-        return ticket
 
-    def _wait_s(
-        self,
-        engine: _Engine,
-        candidate: EngineCandidate,
-        urgency: int,
-        pace: float,
-        now_s: float,
+    def _work_around(
+        self, engine: _Engine, urgency: int, pace: float, now_s: float
     ) -> tuple[float, float]:
-        """Returns the time of the work before a request and of that after it.
+        """Returns the work before a request and after it.
 
-        Both in seconds.
+        Both in seconds at the usual pace.
         """
-        self._drop_overdue(engine, now_s)
         before_s = after_s = 0.0
         for entry in engine.reading_by_ticket.values():
             if entry.urgency <= urgency:
@@ -305,25 +344,23 @@
             done_s = min(first.work_s, (now_s - engine.reading_since_s) / pace)
             # Whatever its urgency, what is being read is before the request.
             before_s = max(0.0, before_s - done_s)
-        if engine.unknown_waiting:
-            age_s = now_s - engine.reported_s
-            count = engine.unknown_waiting * 0.5 ** (
-                age_s / _UNKNOWN_HALF_LIFE_S
-            )
-            before_s += count * self._mean_work_s()
+        return before_s + self._unknown_work_s(engine, now_s), after_s
+
+    def _unknown_work_s(self, engine: _Engine, now_s: float) -> float:
+        """Returns the work of requests that only a report has shown."""
+        if not engine.unknown_waiting:
+            return 0.0
+        age_s = now_s - engine.reported_s
+        count = engine.unknown_waiting * 0.5 ** (age_s / _UNKNOWN_HALF_LIFE_S)
+        if count < _MIN_UNKNOWN:
+            engine.unknown_waiting = 0.0
+        return float(count * self._mean_work_s)
+
+    def _slot_work_s(self, engine: _Engine) -> float:
+        """Returns the time until a slot is free, seconds at the usual pace."""
         occupied = len(engine.reading_by_ticket) + len(engine.running_by_ticket)
-        excess = occupied + 1 - candidate.slots
-        if excess > 0:
-            before_s += excess * self._run_s / candidate.slots
-        return before_s * pace, after_s * pace
-
-    def _mean_work_s(self) -> float:
-        works = [
-            entry.work_s
-            for engine in self._engine_by_name.values()
-            for entry in engine.reading_by_ticket.values()
-        ]
-        return sum(works) / len(works) if works else _reading_rates.START_S
+        excess = occupied + 1 - engine.slots
+        return max(0, excess) * self._run_s / engine.slots
 
     def _drop_overdue(self, engine: _Engine, now_s: float) -> None:
         for ticket, entry in list(engine.reading_by_ticket.items()):
@@ -332,12 +369,6 @@
                 entry.began_s = now_s
                 engine.running_by_ticket[ticket] = entry
         for ticket, entry in list(engine.running_by_ticket.items()):
-            if now_s <= entry.placed_s + _MAX_AGE_S:
-                break
-            del engine.running_by_ticket[ticket]
-            self._engine_by_ticket.pop(ticket, None)
-
-
-def _tokens_to_read(engine: _Engine, work: PromptWork) -> int:
-    kept = engine.kept.kept_tokens(work.model, work.shared_parts)
-    return max(0, work.prompt_tokens - kept)
+            if now_s > entry.placed_s + _MAX_AGE_S:
+                del engine.running_by_ticket[ticket]
+                self._engine_by_ticket.pop(ticket, None)
--- a/libs/decisions/mulberry_decisions/tests/test_reading_rates.py
+++ b/libs/decisions/mulberry_decisions/tests/test_reading_rates.py
@@ -54,3 +54,12 @@
     before = rates.token_s("small")
     rates.measured("small", 0, 1.0)
     assert rates.token_s("small") == before
+
+
+def test_one_wrong_token_count_says_little() -> None:
+    # The count is the caller's word.
+    rates = ReadingRates()
+    _learn(rates, "small", 2e-5)
+    before_s = rates.token_s("small")
+    rates.measured("small", 10**15, 0.05)
+    assert rates.token_s("small") == pytest.approx(before_s, rel=0.5)
--- a/libs/decisions/mulberry_decisions/tests/test_work_ledger.py
+++ b/libs/decisions/mulberry_decisions/tests/test_work_ledger.py
@@ -2,6 +2,7 @@
 
 import collections
 import heapq
+import itertools
 import random
 
 import pytest
@@ -17,6 +18,7 @@
 )
 
 _TOKEN_S = 2e-5
+_TICKETS = itertools.count()
 
 
 def _candidates(count: int, slots: int = 16) -> list[EngineCandidate]:
@@ -36,7 +38,7 @@
     parts: tuple[PromptSize, ...] = (),
 ) -> EnginePlacement:
     placed = ledger.place(
-        PromptWork("small", tokens, parts, urgency), candidates
+        PromptWork("small", tokens, parts, urgency), candidates, next(_TICKETS)
     )
     assert isinstance(placed, EnginePlacement)
     return placed
@@ -44,7 +46,7 @@
 
 def test_without_candidates() -> None:
     _, ledger = _ledger()
-    assert ledger.place(PromptWork("small", 1), []) is core.Missing.UNSET
+    assert ledger.place(PromptWork("small", 1), [], 1) is core.Missing.UNSET
 
 
 def test_requests_at_the_same_moment_go_to_different_engines() -> None:
@@ -169,6 +171,29 @@
     assert _place(ledger, candidates).wait_s == 0.0
 
 
+def test_lost_ticket_of_a_false_token_count_ends() -> None:
+    # The count is the caller's word, and nobody may be left to end the ticket.
+    clock, ledger = _ledger()
+    candidates = _candidates(2)
+    lost = _place(ledger, candidates, 2**32 - 1).name
+    clock.advance(60.0)
+    assert lost in {_place(ledger, candidates).name for _ in range(20)}
+
+
+def test_false_report_of_a_queue_passes() -> None:
+    # An engine that gets nothing sends no report that could correct it.
+    clock, ledger = _ledger()
+    candidates = _candidates(2)
+    for candidate in candidates:
+        ledger.ended(_place(ledger, [candidate], 100).ticket)
+    ledger.reported("e0", LoadReport(0, 1_000_000, 16, 1.0))
+    names = set()
+    for _ in range(50):
+        clock.advance(0.1)
+        names.add(_place(ledger, candidates).name)
+    assert names == {"e0", "e1"}
+
+
 def test_restarted_engine_begins_empty() -> None:
     _, ledger = _ledger()
     old, new = EngineCandidate("a", 1, 4), EngineCandidate("a", 2, 4)
--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -231,7 +231,7 @@
         metadata = components.dialect.parse_response(
             head, exchange.metadata.request_id
         )
-        components.upstream_selector.answered(
+        components.upstream_selector.reported(
             selection, exchange.service, metadata.load
         )
         self._signals.apply(exchange.service, selection.upstream, metadata)
@@ -241,6 +241,7 @@
             return self._handle_fault(
                 exchange, attempt, _upstream_call.Fault.GARBLED
             )
+        components.upstream_selector.began(selection)
         components.model_selector.answered(exchange)
         exchange.update_run_state(core.RunState.RAN)
         if head.status < 300 and self._should_escalate(
@@ -299,15 +300,16 @@
         load = self._components.upstream_selector.load
         attempt.outcome = _exchange.UNSURE
         load.ended(attempt.upstream)
+        # The upstream is chosen for the work of the larger model.
+        exchange.model = model
         try:
             is_secured = replacement.secure()
         finally:
             load.started(attempt.upstream)
         if not is_secured:
             attempt.outcome = _exchange.RUNNING
-            return False
-        exchange.model = model
-        return True
+            exchange.model = attempt.model
+        return is_secured
 
     def _handle_answer(
         self,
--- a/libs/gateway/mulberry_gateway/_engine_scheduling.py
+++ b/libs/gateway/mulberry_gateway/_engine_scheduling.py
@@ -16,6 +16,8 @@
 #: too, and the advantage that it must offer, since traffic between zones costs.
 _SPILL_SHARE = 0.5
 _SPILL_ADVANTAGE = 0.25
+#: Parts of a prompt that are passed on.
+_MAX_PARTS = 8
 
 
 class EngineScheduling:
@@ -82,27 +84,31 @@
             metadata.prompt_tokens,
             tuple(
                 decisions.PromptSize(part.id, part.tokens)
-                for part in metadata.shared_parts
+                for part in metadata.shared_parts[:_MAX_PARTS]
             ),
             decisions.urgency(exchange.priority, len(exchange.attempts) + 1),
         )
         return self._place_in_zones(exchange, work, engines_by_zone)
 
-    def answered(
+    def reported(
         self,
         service: str,
         ticket: _placement_exchange.PlacementTicket | core.Missing,
-        report: decisions.LoadReport | core.Missing,
+        report: decisions.LoadReport,
     ) -> None:
-        """Records that an answer has begun, with the upstream's report."""
-        if (
-            not isinstance(report, core.Missing)
-            and not isinstance(report.pace, core.Missing)
-            and service not in self._paced_services
-        ):
+        """Records the load that an upstream reported in a response."""
+        is_paced = not isinstance(report.pace, core.Missing)
+        if is_paced and service not in self._paced_services:
             self._paced_services |= {service}
         if not isinstance(ticket, core.Missing):
-            self._client.began(ticket, report)
+            self._client.reported(ticket, report)
+
+    def began(
+        self, ticket: _placement_exchange.PlacementTicket | core.Missing
+    ) -> None:
+        """Records that the answer to a request has begun."""
+        if not isinstance(ticket, core.Missing):
+            self._client.began(ticket)
 
     def released(
         self, ticket: _placement_exchange.PlacementTicket | core.Missing
@@ -136,7 +142,10 @@
         zone = self._zone if self._zone in engines_by_zone else ""
         if not zone:
             zone = others.pop(random.randrange(len(others)))
-        ticket = self._client.place(service, zone, work, engines_by_zone[zone])
+        deadline_s = exchange.deadline_s
+        ticket = self._client.place(
+            service, zone, work, engines_by_zone[zone], deadline_s
+        )
         target_s = exchange.route.target_latency_s
         if (
             isinstance(ticket, core.Missing)
@@ -146,7 +155,11 @@
             return ticket
         other_zone = random.choice(others)
         other = self._client.place(
-            service, other_zone, work, engines_by_zone[other_zone]
+            service,
+            other_zone,
+            work,
+            engines_by_zone[other_zone],
+            deadline_s,
         )
         if isinstance(other, core.Missing):
             return ticket
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -299,7 +299,7 @@
             self.components.quarantine.check_incomplete_runs,
             "suspects",
         )
-        self._placements.start(self.timers)
+        self._placements.start()
         self.timers.every(
             _PRUNE_PERIOD_S,
             self._prune_removed,
--- a/libs/gateway/mulberry_gateway/_placement_exchange.py
+++ b/libs/gateway/mulberry_gateway/_placement_exchange.py
@@ -2,10 +2,13 @@
 
 import collections
 import dataclasses
+import enum
+import random
 import threading
 from collections.abc import Callable, Iterator, Mapping, Sequence
 
 import grpc
+from absl import logging
 
 import mulberry_core as core
 import mulberry_decisions as decisions
@@ -16,6 +19,9 @@
 #: Time limit for asking a scheduler, seconds. It answers without waiting for
 #: anything; a request that is placed without it loses little.
 _PLACE_TIMEOUT_S = 0.15
+#: Least time worth waiting for a scheduler, seconds. Repeated shorter limits
+#: would close the channel to a healthy one.
+_MIN_TIMEOUT_S = 0.02
 #: Pause in asking a scheduler that did not answer, seconds. Meanwhile the next
 #: instance of the zone takes its place.
 _FAILURE_PAUSE_S = 2.0
@@ -28,8 +34,8 @@
 _PROGRESS_AGE_S = 0.25
 #: Progress that is kept for one scheduler; older one is dropped.
 _MAX_PROGRESS = 64
-#: Parts of a prompt that are passed on.
-_MAX_PARTS = 8
+_TICKET_BITS = 63
+_MAX_LOGGED_NAME = 80
 _MAX_COUNT = 2**32 - 1
 
 
@@ -52,12 +58,20 @@
         return self.wait_s + self.read_s
 
 
+class _Event(enum.Enum):
+    BEGAN = placement_pb2.PLACEMENT_EVENT_BEGAN
+    ENDED = placement_pb2.PLACEMENT_EVENT_ENDED
+    REPORTED = placement_pb2.PLACEMENT_EVENT_REPORTED
+
+
 @dataclasses.dataclass(frozen=True)
 class _Progress:
-    ticket: PlacementTicket
-    ended: bool
+    event: _Event
+    ticket: int
+    #: Engine that sent the report; empty without one.
+    upstream: str
     at_s: float
-    report: decisions.LoadReport | core.Missing
+    report: decisions.LoadReport | core.Missing = core.Missing.UNSET
 
 
 class WorkLedgers:
@@ -80,9 +94,12 @@
     def keep_only(self, is_known: Callable[[str], bool]) -> None:
         """Removes engines that are not known any more from all ledgers."""
         with self._lock:
-            ledgers = list(self._ledger_by_service.values())
-        for ledger in ledgers:
+            ledgers = list(self._ledger_by_service.items())
+        for service, ledger in ledgers:
             ledger.keep_only(is_known)
+            if not len(ledger):
+                with self._lock:
+                    self._ledger_by_service.pop(service, None)
 
 
 class PlacementClient:
@@ -120,6 +137,7 @@
         zone: str,
         work: decisions.PromptWork,
         candidates: Sequence[decisions.EngineCandidate],
+        deadline_s: float,
     ) -> PlacementTicket | core.Missing:
         """Returns the engine of a request; unset if no scheduler answers.
 
@@ -128,13 +146,17 @@
             zone: Availability zone of the candidates.
             work: The request.
             candidates: Engines that may run the request.
+            deadline_s: `Clock.now` by which the request must be answered.
         """
         members = self._members()
         for tries, name in enumerate(self._schedulers(service, zone, members)):
-            if tries >= _MAX_TRIES:
+            timeout_s = min(_PLACE_TIMEOUT_S, deadline_s - self._clock.now())
+            if tries >= _MAX_TRIES or timeout_s < _MIN_TIMEOUT_S:
                 break
+            number = random.getrandbits(_TICKET_BITS)
             if name == self._own_name:
-                placed = self._ledgers.find(service).place(work, candidates)
+                ledger = self._ledgers.find(service)
+                placed = ledger.place(work, candidates, number)
                 if isinstance(placed, core.Missing):
                     return core.Missing.UNSET
                 self._counters.increment("gateway.placements.local")
@@ -142,29 +164,30 @@
                     name,
                     service,
                     placed.name,
-                    placed.ticket,
+                    number,
                     placed.wait_s,
                     placed.read_s,
                 )
-            ticket = self._ask(name, members[name], service, work, candidates)
+            request = _encode_request(service, work, candidates, number)
+            ticket = self._ask(name, members[name], request, timeout_s)
             if not isinstance(ticket, core.Missing):
                 return ticket
         self._counters.increment("gateway.placements.failed")
         return core.Missing.UNSET
 
-    def began(
-        self,
-        ticket: PlacementTicket,
-        report: decisions.LoadReport | core.Missing,
-    ) -> None:
+    def began(self, ticket: PlacementTicket) -> None:
         """Records that the answer to a request has begun."""
-        self._add(_Progress(ticket, False, self._clock.now(), report))
+        self._add(ticket, _Event.BEGAN)
 
     def ended(self, ticket: PlacementTicket) -> None:
         """Records that a request has ended, or was not sent."""
-        self._add(
-            _Progress(ticket, True, self._clock.now(), core.Missing.UNSET)
-        )
+        self._add(ticket, _Event.ENDED)
+
+    def reported(
+        self, ticket: PlacementTicket, report: decisions.LoadReport
+    ) -> None:
+        """Records the load that an engine reported in a response."""
+        self._add(ticket, _Event.REPORTED, report)
 
     def flush(self) -> None:
         """Passes on progress that has waited for long enough."""
@@ -177,73 +200,88 @@
             ]
         members = self._members()
         for name, service in due:
-            messages = self._take_progress(name, service)
+            taken = self._take_progress(name, service)
             member = members.get(name)
-            if not messages or member is None:
+            if (
+                member is None
+                or member.state is not membership.MemberState.ALIVE
+                or self._is_paused(name)
+            ):
+                # Its ledger counts the requests as read once they are overdue.
                 continue
-            self._channels.call(
+            reply = self._channels.call(
                 member.address,
                 placement_pb2_grpc.PlacementsStub,
                 "Progress",
                 placement_pb2.ProgressRequest(
-                    service=service, progress=messages
+                    service=service, progress=self._encode(taken)
                 ),
                 _PLACE_TIMEOUT_S,
             )
+            if isinstance(reply, state.Unreachable):
+                self._pause(name, reply)
+                self._return_progress(name, service, taken)
 
     def _ask(
         self,
         name: str,
         member: membership.Member,
-        service: str,
-        work: decisions.PromptWork,
-        candidates: Sequence[decisions.EngineCandidate],
+        request: placement_pb2.PlaceRequest,
+        timeout_s: float,
     ) -> PlacementTicket | core.Missing:
+        service = request.service
+        taken = self._take_progress(name, service)
+        request.progress.extend(self._encode(taken))
         reply = self._channels.call(
             member.address,
             placement_pb2_grpc.PlacementsStub,
             "Place",
-            placement_pb2.PlaceRequest(
-                service=service,
-                model=work.model,
-                prompt_tokens=min(work.prompt_tokens, _MAX_COUNT),
-                urgency=work.urgency,
-                shared_parts=[
-                    placement_pb2.SharedPartMessage(
-                        id=part.id, tokens=min(part.tokens, _MAX_COUNT)
-                    )
-                    for part in work.shared_parts[:_MAX_PARTS]
-                ],
-                candidates=[
-                    placement_pb2.EngineCandidateMessage(
-                        name=candidate.name,
-                        incarnation=candidate.incarnation,
-                        slots=candidate.slots,
-                    )
-                    for candidate in candidates
-                ],
-                progress=self._take_progress(name, service),
-            ),
-            _PLACE_TIMEOUT_S,
+            request,
+            timeout_s,
         )
         if isinstance(reply, state.Unreachable):
-            pause_s = (
-                _UNSUPPORTED_S if reply.is_unimplemented else _FAILURE_PAUSE_S
+            self._pause(name, reply)
+            # The request may have been entered all the same.
+            unknown = _Progress(
+                _Event.ENDED, request.ticket, "", self._clock.now()
             )
-            with self._lock:
-                self._paused_until_s[name] = self._clock.now() + pause_s
-            return core.Missing.UNSET
-        if not reply.upstream:
+            self._return_progress(name, service, (*taken, unknown))
             return core.Missing.UNSET
-        self._counters.increment("gateway.placements.remote")
-        return PlacementTicket(
+        ticket = PlacementTicket(
             name,
             service,
             reply.upstream,
-            reply.ticket,
+            request.ticket,
             reply.wait_us / 1e6,
             reply.read_us / 1e6,
         )
+        if all(c.name != ticket.upstream for c in request.candidates):
+            logging.warning(
+                "scheduler %s chose %r, which was no candidate",
+                name,
+                ticket.upstream[:_MAX_LOGGED_NAME],
+            )
+            self.ended(ticket)
+            return core.Missing.UNSET
+        self._counters.increment("gateway.placements.remote")
+        return ticket
+
+    def _pause(self, name: str, reply: state.Unreachable) -> None:
+        """Lets the next instance take the place of a scheduler for a time."""
+        now_s = self._clock.now()
+        pause_s = _UNSUPPORTED_S if reply.is_unimplemented else _FAILURE_PAUSE_S
+        with self._lock:
+            self._paused_until_s = {
+                other: until_s
+                for other, until_s in self._paused_until_s.items()
+                if until_s > now_s
+            }
+            self._paused_until_s[name] = now_s + pause_s
+
+    def _is_paused(self, name: str) -> bool:
+        now_s = self._clock.now()
+        with self._lock:
+            return self._paused_until_s.get(name, now_s) > now_s
 
     def _schedulers(
         self,
@@ -252,46 +290,56 @@
         members: Mapping[str, membership.Member],
     ) -> Iterator[str]:
         """Yields the instances to ask, in the same order on all of them."""
-        now_s = self._clock.now()
-        with self._lock:
-            paused = {
-                name
-                for name, until_s in self._paused_until_s.items()
-                if until_s > now_s
-            }
         yield from sorted(
             (
                 name
                 for name, member in members.items()
                 if member.zone == zone
                 and member.state is membership.MemberState.ALIVE
-                and name not in paused
+                and not self._is_paused(name)
             ),
             key=lambda name: core.ring_position(f"{service}\x00{name}"),
         )
 
-    def _add(self, progress: _Progress) -> None:
-        ticket = progress.ticket
+    def _add(
+        self,
+        ticket: PlacementTicket,
+        event: _Event,
+        report: decisions.LoadReport | core.Missing = core.Missing.UNSET,
+    ) -> None:
+        now_s = self._clock.now()
+        progress = _Progress(
+            event, ticket.number, ticket.upstream, now_s, report
+        )
         if ticket.scheduler == self._own_name:
-            ledger = self._ledgers.find(ticket.service)
-            if progress.ended:
-                ledger.ended(ticket.number)
-                return
-            ledger.began(ticket.number)
-            if not isinstance(progress.report, core.Missing):
-                ledger.reported(ticket.upstream, progress.report)
+            _apply(self._ledgers.find(ticket.service), progress, now_s)
             return
         with self._lock:
-            self._progress.setdefault(
-                (ticket.scheduler, ticket.service),
-                collections.deque(maxlen=_MAX_PROGRESS),
-            ).append(progress)
+            self._queue(ticket.scheduler, ticket.service).append(progress)
 
-    def _take_progress(
-        self, name: str, service: str
-    ) -> list[placement_pb2.PlacementProgress]:
+    def _queue(self, name: str, service: str) -> collections.deque[_Progress]:
+        """Returns the progress for a scheduler; called with the lock held."""
+        return self._progress.setdefault(
+            (name, service), collections.deque(maxlen=_MAX_PROGRESS)
+        )
+
+    def _take_progress(self, name: str, service: str) -> Sequence[_Progress]:
         with self._lock:
-            taken = self._progress.pop((name, service), ())
+            return tuple(self._progress.pop((name, service), ()))
+
+    def _return_progress(
+        self, name: str, service: str, taken: Sequence[_Progress]
+    ) -> None:
+        """Keeps progress for a later call; repeating it does no harm."""
+        with self._lock:
+            queue = self._queue(name, service)
+            newer = tuple(queue)
+            queue.clear()
+            queue.extend((*taken, *newer))
+
+    def _encode(
+        self, taken: Sequence[_Progress]
+    ) -> list[placement_pb2.PlacementProgress]:
         now_s = self._clock.now()
         return [_encode_progress(progress, now_s) for progress in taken]
 
@@ -299,8 +347,9 @@
 class PlacementsServicer(placement_pb2_grpc.PlacementsServicer):
     """Schedules the engines of this zone for other instances."""
 
-    def __init__(self, ledgers: WorkLedgers) -> None:
+    def __init__(self, ledgers: WorkLedgers, clock: core.Clock) -> None:
         self._ledgers = ledgers
+        self._clock = clock
 
     def Place(  # noqa: N802 (name of the gRPC method)
         self, request: placement_pb2.PlaceRequest, context: grpc.ServicerContext
@@ -308,7 +357,7 @@
         """Chooses the engine of a request of another instance."""
         del context
         ledger = self._ledgers.find(request.service)
-        _apply_progress(ledger, request.progress)
+        self._apply_all(ledger, request.progress)
         placed = ledger.place(
             decisions.PromptWork(
                 request.model,
@@ -327,12 +376,12 @@
                 )
                 for candidate in request.candidates
             ],
+            request.ticket,
         )
         if isinstance(placed, core.Missing):
             return placement_pb2.PlaceReply()
         return placement_pb2.PlaceReply(
             upstream=placed.name,
-            ticket=placed.ticket,
             wait_us=_microseconds(placed.wait_s),
             read_us=_microseconds(placed.read_s),
         )
@@ -344,9 +393,20 @@
     ) -> placement_pb2.ProgressReply:
         """Takes the progress of requests of another instance."""
         del context
-        _apply_progress(self._ledgers.find(request.service), request.progress)
+        self._apply_all(self._ledgers.find(request.service), request.progress)
         return placement_pb2.ProgressReply()
 
+    def _apply_all(
+        self,
+        ledger: decisions.WorkLedger,
+        messages: Sequence[placement_pb2.PlacementProgress],
+    ) -> None:
+        now_s = self._clock.now()
+        for message in messages:
+            progress = _decode_progress(message, now_s)
+            if isinstance(progress, _Progress):
+                _apply(ledger, progress, now_s)
+
 
 def add_placements_service(
     server: grpc.Server, servicer: PlacementsServicer
@@ -355,18 +415,47 @@
     placement_pb2_grpc.add_PlacementsServicer_to_server(servicer, server)  # type: ignore[no-untyped-call]
 
 
+def _encode_request(
+    service: str,
+    work: decisions.PromptWork,
+    candidates: Sequence[decisions.EngineCandidate],
+    ticket: int,
+) -> placement_pb2.PlaceRequest:
+    return placement_pb2.PlaceRequest(
+        service=service,
+        model=work.model,
+        prompt_tokens=min(work.prompt_tokens, _MAX_COUNT),
+        urgency=work.urgency,
+        shared_parts=[
+            placement_pb2.SharedPartMessage(
+                id=part.id, tokens=min(part.tokens, _MAX_COUNT)
+            )
+            for part in work.shared_parts
+        ],
+        candidates=[
+            placement_pb2.EngineCandidateMessage(
+                name=candidate.name,
+                incarnation=candidate.incarnation,
+                slots=candidate.slots,
+            )
+            for candidate in candidates
+        ],
+        ticket=ticket,
+    )
+
+
 def _encode_progress(
     progress: _Progress, now_s: float
 ) -> placement_pb2.PlacementProgress:
     message = placement_pb2.PlacementProgress(
-        ticket=progress.ticket.number,
-        ended=progress.ended,
+        ticket=progress.ticket,
+        event=progress.event.value,
         age_ms=min(max(0, int((now_s - progress.at_s) * 1000)), _MAX_COUNT),
     )
     report = progress.report
     if not isinstance(report, core.Missing):
         message.has_load = True
-        message.upstream = progress.ticket.upstream
+        message.upstream = progress.upstream
         message.running = report.running
         message.waiting = report.waiting
         message.slots = report.slots
@@ -375,29 +464,43 @@
     return message
 
 
-def _apply_progress(
-    ledger: decisions.WorkLedger,
-    messages: Sequence[placement_pb2.PlacementProgress],
+def _decode_progress(
+    message: placement_pb2.PlacementProgress, now_s: float
+) -> _Progress | core.Missing:
+    """Decodes progress; unset if a later version added the event."""
+    try:
+        event = _Event(message.event)
+    except ValueError:
+        return core.Missing.UNSET
+    report: decisions.LoadReport | core.Missing = core.Missing.UNSET
+    if message.has_load:
+        report = decisions.LoadReport(
+            message.running,
+            message.waiting,
+            message.slots,
+            message.pace_percent / 100
+            if message.pace_percent
+            else core.Missing.UNSET,
+        )
+    return _Progress(
+        event,
+        message.ticket,
+        message.upstream,
+        now_s - message.age_ms / 1000,
+        report,
+    )
+
+
+def _apply(
+    ledger: decisions.WorkLedger, progress: _Progress, now_s: float
 ) -> None:
-    for message in messages:
-        age_s = message.age_ms / 1000
-        if message.ended:
-            ledger.ended(message.ticket, age_s)
-            continue
-        ledger.began(message.ticket, age_s)
-        if message.has_load:
-            ledger.reported(
-                message.upstream,
-                decisions.LoadReport(
-                    message.running,
-                    message.waiting,
-                    message.slots,
-                    message.pace_percent / 100
-                    if message.pace_percent
-                    else core.Missing.UNSET,
-                ),
-                age_s,
-            )
+    age_s = max(0.0, now_s - progress.at_s)
+    if progress.event is _Event.BEGAN:
+        ledger.began(progress.ticket, age_s)
+    elif progress.event is _Event.ENDED:
+        ledger.ended(progress.ticket, age_s)
+    if not isinstance(progress.report, core.Missing):
+        ledger.reported(progress.upstream, progress.report, age_s)
 
 
 def _microseconds(seconds: float) -> int:
--- a/libs/gateway/mulberry_gateway/_placements.py
+++ b/libs/gateway/mulberry_gateway/_placements.py
@@ -1,5 +1,6 @@
 """Wires what places requests on engines together with other instances."""
 
+import threading
 from collections.abc import Callable, Mapping
 
 import grpc
@@ -27,7 +28,9 @@
         clock: core.Clock,
         counters: core.Counters,
     ) -> None:
+        self._clock = clock
         self._channels = state.Channels(state.open_insecure)
+        self._tasks = core.TaskPool("placements", 1)
         self._ledgers = _placement_exchange.WorkLedgers(clock)
         self._client = _placement_exchange.PlacementClient(
             settings.name,
@@ -47,13 +50,20 @@
     def add_to(self, server: grpc.Server) -> None:
         """Registers the service for other instances on a server."""
         _placement_exchange.add_placements_service(
-            server, _placement_exchange.PlacementsServicer(self._ledgers)
+            server,
+            _placement_exchange.PlacementsServicer(self._ledgers, self._clock),
         )
 
-    def start(self, timers: core.TimerService) -> None:
+    def start(self) -> None:
         """Starts to pass on the progress of requests."""
-        timers.every(_PROGRESS_PERIOD_S, self._client.flush, "placements")
+        self._tasks.spawn("placements", self._pass_on)
+
+    def _pass_on(self, stop: threading.Event) -> None:
+        """Passes on progress; a task, as the calls would delay the timer."""
+        while not stop.wait(_PROGRESS_PERIOD_S):
+            self._client.flush()
 
     def close(self) -> None:
         """Closes the connections to other instances."""
         self._channels.close()
+        self._tasks.stop()
--- a/libs/gateway/mulberry_gateway/_upstream_selection.py
+++ b/libs/gateway/mulberry_gateway/_upstream_selection.py
@@ -156,16 +156,20 @@
             ticket,
         )
 
-    def answered(
+    def reported(
         self,
         selection: Selection,
         service: str,
         report: decisions.LoadReport | core.Missing,
     ) -> None:
-        """Records that the answer of a selected upstream has begun."""
+        """Records the load that a selected upstream reported, if it did."""
         if not isinstance(report, core.Missing):
             self.load.reported(selection.upstream.name, report)
-        self._scheduling.answered(service, selection.ticket, report)
+            self._scheduling.reported(service, selection.ticket, report)
+
+    def began(self, selection: Selection) -> None:
+        """Records that the answer of a selected upstream has begun."""
+        self._scheduling.began(selection.ticket)
 
     def released(self, selection: Selection) -> None:
         """Records that an attempt at a selected upstream ended or was not made.
--- a/libs/gateway/mulberry_gateway/tests/test_placement_exchange.py
+++ b/libs/gateway/mulberry_gateway/tests/test_placement_exchange.py
@@ -1,6 +1,7 @@
 """Tests of the placement between instances, over gRPC on loopback."""
 
 import collections
+import dataclasses
 from collections.abc import Callable, Iterator
 from concurrent import futures
 
@@ -12,8 +13,10 @@
 import mulberry_gateway as gateway
 import mulberry_membership as membership
 import mulberry_state as state
+from mulberry_wire import placement_pb2, placement_pb2_grpc
 
 _WORK = decisions.PromptWork("small", 5_000)
+_DEADLINE_S = 1e6
 _ENGINES = [decisions.EngineCandidate(f"e{n}", 1, 16) for n in range(6)]
 
 
@@ -34,7 +37,7 @@
         self.ledgers = gateway.WorkLedgers(clock)
         if has_service:
             gateway.add_placements_service(
-                self.server, gateway.PlacementsServicer(self.ledgers)
+                self.server, gateway.PlacementsServicer(self.ledgers, clock)
             )
         self.server.start()
         members[name] = membership.Member(
@@ -46,6 +49,7 @@
             1,
             membership.MemberState.ALIVE,
         )
+        self.members = members
         self.channels = state.Channels(state.open_insecure)
         self.client = gateway.PlacementClient(
             name,
@@ -57,7 +61,7 @@
         )
 
     def place(self) -> gateway.PlacementTicket | core.Missing:
-        return self.client.place("s", "gent", _WORK, _ENGINES)
+        return self.client.place("s", "gent", _WORK, _ENGINES, _DEADLINE_S)
 
     def stop(self) -> None:
         self.channels.close()
@@ -115,7 +119,8 @@
     assert tickets[-1].wait_s > 0.0
     for index, ticket in enumerate(tickets):
         client = instances[index % 2].client
-        client.began(ticket, decisions.LoadReport(1, 0, 16, 1.6))
+        client.reported(ticket, decisions.LoadReport(1, 0, 16, 1.6))
+        client.began(ticket)
         client.ended(ticket)
     clock.advance(0.3)
     for instance in instances:
@@ -159,6 +164,64 @@
 def test_no_instance_in_the_zone(make_instances: MakeInstances) -> None:
     """Guards against a zone whose instances are all lost."""
     instance = make_instances("a")[0]
-    placed = instance.client.place("s", "other", _WORK, _ENGINES)
+    placed = instance.client.place("s", "other", _WORK, _ENGINES, _DEADLINE_S)
     assert placed is core.Missing.UNSET
     assert instance.counters.count("gateway.placements.failed") == 1
+
+
+class _WrongReply(placement_pb2_grpc.PlacementsServicer):
+    """Answers as no scheduler should."""
+
+    def Place(  # noqa: N802 (name of the gRPC method)
+        self, request: placement_pb2.PlaceRequest, context: grpc.ServicerContext
+    ) -> placement_pb2.PlaceReply:
+        del request, context
+        return placement_pb2.PlaceReply(upstream="another")
+
+
+def test_reply_that_names_no_candidate_is_not_used(
+    make_instances: MakeInstances,
+) -> None:
+    """Guards against a request that fails for a scheduler's mistake."""
+    instances = make_instances("ab", old="ab")
+    for instance in instances:
+        gateway.add_placements_service(instance.server, _WrongReply())  # type: ignore[arg-type]
+    placed = [instance.place() for instance in instances]
+    wrong = [p for p in placed if not isinstance(p, gateway.PlacementTicket)]
+    own = [p for p in placed if isinstance(p, gateway.PlacementTicket)]
+    # The instance that comes first asks itself, the other one asks it.
+    assert len(wrong) + len(own) == 2
+    assert all(ticket.upstream != "another" for ticket in own)
+
+
+def test_progress_survives_a_failed_call(
+    make_instances: MakeInstances, clock: core.ManualClock
+) -> None:
+    """Guards against slots that stay occupied after a lost message."""
+    instances = make_instances("ab")
+    ticket = _tickets(instances[:1])[0]
+    scheduler = next(i for i in instances if i.name == ticket.scheduler)
+    other = next(i for i in instances if i.name != ticket.scheduler)
+    tickets = _tickets([other] * 40)
+    for placed in tickets:
+        other.client.began(placed)
+        other.client.ended(placed)
+    scheduler.ledgers.find("s")
+    clock.advance(0.3)
+    address = other.members[scheduler.name]
+    other.members[scheduler.name] = dataclasses.replace(
+        address, address="127.0.0.1:1"
+    )
+    other.client.flush()
+    other.members[scheduler.name] = address
+    clock.advance(2.5)
+    other.client.flush()
+    scheduler.client.ended(ticket)
+    assert _tickets([scheduler])[0].wait_s == 0.0
+
+
+def test_no_time_left(make_instances: MakeInstances) -> None:
+    """Guards against a request that waits past its deadline."""
+    instance = make_instances("a")[0]
+    placed = instance.client.place("s", "gent", _WORK, _ENGINES, 99.0)
+    assert placed is core.Missing.UNSET
