--- a/libs/gateway/mulberry_gateway/tests/test_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/tests/test_upstream_call.py
@@ -93,6 +93,17 @@
             "truncated",
         ),
         (b"not an answer at all\r\n\r\n", False, "garbled"),
+        (b"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n", False, "garbled"),
+        (b"HTTP/1.1 099 X\r\n\r\nab", False, "garbled"),
+        (b"HTTP/1.1 101 X\r\nContent-Length: 0\r\n\r\n", False, "garbled"),
+        (b"HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n", False, "garbled"),
+        (b"HTTP/1.1 999 X\r\n\r\nab", False, "garbled"),
+        (
+            b"HTTP/1.1 199 X\r\nContent-Length: 2\r\n\r\nab"
+            b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
+            False,
+            "garbled",
+        ),
         (
             b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
             b"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
