Take only statuses 200 to 599 for answers of workers

Callers of the gateway got answers with status 600 to 999 as they came, and "falseok" where a worker sent a 000, 099 or 199 with the body "false" before a 200 with "ok".

Cause: every status from 200 was final, every one below it interim, and bytes of a body were kept before the head of the final answer. Now a status outside 100 to 599 is garbled, and so is an interim response with a body; a stream is resumed elsewhere, an unsafe request answered 502 with the run unknown.

Ruled out: resets. Send and receive share what they saw (Connection), a relay leaves out the last frame, and all 24 cases of an upload whose connection is reset passed before and after.

Run: libs/gateway; of the platform test_early_answers.py (26 of its cases and of test_upstream_call.py failed before), test_broken_answers.py, test_unframed_streams.py, test_path.py, test_cut_links.py, test_faulty_workers.py: 243 passed. Formatter, linter, type checker.

--- a/libs/gateway/mulberry_gateway/_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/_upstream_call.py
@@ -24,6 +24,9 @@
 )
 
 _NO_BODY = frozenset({204, 304})
+#: Statuses of responses. Others mean nothing to callers.
+_STATUSES = range(100, 600)
+_FINAL_STATUSES = range(200, 600)
 
 
 class Fault(enum.Enum):
@@ -96,6 +99,7 @@
         # more for each chunk.
         self._body = bytearray()
         self._is_complete = False
+        self._is_garbled = False
         self._is_withdrawn = False
         self._head_only = False
         #: Whether the end of the connection is the end of the body.
@@ -256,6 +260,8 @@
             # Bytes after a complete response are ignored.
             if not self._is_complete:
                 return Fault.GARBLED
+        if self._is_garbled:
+            return Fault.GARBLED
         if self._framing_bytes > _body_limits.MAX_HEAD_BYTES:
             # The parser buffers a header until it is complete.
             return Fault.EXCESSIVE
@@ -296,7 +302,10 @@
         status = self._parser.get_status_code()
         headers, self._headers = tuple(self._headers), []
         reason, self._reason = self._reason.decode("latin-1"), b""
-        if self._head is not None or status < 200:
+        if self._head is not None:
+            return
+        if status not in _FINAL_STATUSES:
+            self._is_garbled |= status not in _STATUSES
             return
         self._head = _messages.ResponseHead(status, reason, headers)
         if self._head_only or status in _NO_BODY:
@@ -306,7 +315,11 @@
     def on_body(self, body: bytes) -> None:
         """Adds a part of the body."""
         self._framing_bytes = 0
-        if not self._is_complete:
+        if self._head is None:
+            # An interim response has no body; its bytes would begin that of
+            # the final one.
+            self._is_garbled = True
+        elif not self._is_complete:
             self._body += body
 
     def on_message_complete(self) -> None:
