Abort exchanges of the entry on statuses outside 100 to 599

Service calls returned 600 to 999, and 2000, to callers; calls that run once recorded them as their answer and billed them. Status 0200, which libcurl refuses, counted as run.

Cause: libcurl passes statuses up to 999 on, and the status was parsed a second time, with digits of any number. The status line must now match, else the exchange is aborted as failed: the run is unknown and no claim is settled. Chat was not affected, as it takes 200 alone. A reset during an upload ended each exchange as failed before as well.

Run: libs/upstream and libs/entry. The 11 cases of test_early_answers.py that failed pass.

--- a/libs/upstream/mulberry_upstream/_exchange.py
+++ b/libs/upstream/mulberry_upstream/_exchange.py
@@ -3,6 +3,7 @@
 import abc
 import dataclasses
 import enum
+import re
 import time
 from collections.abc import Callable, Mapping, Sequence
 
@@ -14,6 +15,9 @@
 MAX_BODY_BYTES = 16_777_216
 #: Methods whose requests have no body unless the caller sends one.
 _BODYLESS_METHODS = frozenset({"GET", "HEAD"})
+#: A status line with a status from 100 to 599. Others mean nothing to callers;
+#: libcurl passes statuses up to 999 on.
+_STATUS_LINE = re.compile(r"HTTP/[0-9.]+ +([1-5][0-9]{2})(?: .*)?")
 #: Returned by a callback to make libcurl abort the exchange.
 ABORT = -1
 
@@ -118,6 +122,7 @@
         self._header_by_name: dict[str, str] = {}
         self._status = 0
         self._pending_status = 0
+        self._has_invalid_status = False
         self._end: End | None = None
         self._error = ""
         self._no_byte_sent = False
@@ -224,7 +229,11 @@
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
             self._header_by_name.clear()
-            self._pending_status = _status_code(text)
+            found = _STATUS_LINE.fullmatch(text)
+            if not found:
+                self._has_invalid_status = True
+                return ABORT
+            self._pending_status = int(found.group(1))
         elif text:
             name, _, value = text.partition(":")
             self._header_by_name[name.lower()] = value.strip()
@@ -277,18 +286,12 @@
             self._record_end(End.OVERSIZE)
         elif code == pycurl.E_OPERATION_TIMEDOUT:
             self._record_end(End.CONNECT_TIMEOUT, message)
+        elif self._has_invalid_status:
+            self._record_end(End.FAILED, "the status is not valid")
         else:
             self._record_end(End.FAILED, message or f"libcurl error {code}")
 
 
-def _status_code(status_line: str) -> int:
-    """Returns the status code of a status line, or 0 if it is malformed."""
-    parts = status_line.split(None, 2)
-    if len(parts) < 2 or not parts[1].isdigit():
-        return 0
-    return int(parts[1])
-
-
 def read_rest(exchange: Exchange, initial_data: bytes = b"") -> bytes:
     """Returns the body of an exchange once it has ended.
 
