Return a failure for statuses outside 100 to 599 in the caller library

An answer with status 600 to 999, or 2000, was returned as a reply, and by `chat` as a complete chat answer. A status line without a number raised inside libcurl's callback. Both are now a failure without a response, `run` unknown, which is retried as any lost connection, with the same key.

A 200 without a length that is reset during the upload was a failure before as well.

--- a/libs/caller/mulberry_caller/_http.py
+++ b/libs/caller/mulberry_caller/_http.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import re
 from collections.abc import Iterator, Mapping
 
 import pycurl
@@ -9,6 +10,11 @@
 _CONNECT_TIMEOUT_MS = 2_000
 #: Longest wait for the socket before libcurl checks its timeouts, seconds.
 _MAX_SELECT_S = 1.0
+#: A status line with a status from 100 to 599. Others mean nothing to callers;
+#: libcurl passes statuses up to 999 on.
+_STATUS_LINE = re.compile(r"HTTP/[0-9.]+ +([1-5][0-9]{2})(?: .*)?")
+#: Returned by a callback to make libcurl abort the exchange.
+_ABORT = -1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -96,17 +102,21 @@
         easy.setopt(pycurl.FRESH_CONNECT, 1)
         easy.setopt(pycurl.FORBID_REUSE, 1)
 
-    def _on_header(self, line: bytes) -> None:
+    def _on_header(self, line: bytes) -> int | None:
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
             self.header_by_name.clear()
-            code = text.split(None, 2)[1:2]
-            self._pending_status = int(code[0]) if code else 0
+            found = _STATUS_LINE.fullmatch(text)
+            if not found:
+                self.error = "the status is not valid"
+                return _ABORT
+            self._pending_status = int(found.group(1))
         elif text:
             name, _, value = text.partition(":")
             self.header_by_name[name.lower()] = value.strip()
         elif self._pending_status >= 200:
             self.status = self._pending_status
+        return None
 
     def _perform(self) -> None:
         _, running = self._multi.perform()
@@ -116,7 +126,7 @@
             return
         self._running = False
         _, _, failed = self._multi.info_read()
-        if failed:
+        if failed and not self.error:
             self.error = failed[0][2] or f"libcurl error {failed[0][1]}"
         self.sent = self._easy.getinfo(pycurl.REQUEST_SIZE) > 0
         self._multi.remove_handle(self._easy)
