Check a routing document before it is submitted

Exit status 0, 1 with errors, 2 with warnings only, 3 if a file or an instance cannot be read. Keys of tenants are counted in differences, not named.

Until now an operator learned of a route that can never match, or of a version that is not higher, only from requests: `Config.Replace` answers 200.

The frame is in the command line, the checks in the platform's package, which registers them at the entry point group `mulberrystage.document_checkers`; no library depends on `platform/`, and a daemon imports none of it. The checks are pure and read the JSON beside the parsed form, so that fields the parser does not have yet (AllowedRegions, ColdStartS, ColdPerS) are checked as well.

--- a/libs/cli/mulberry_cli/_commands.py
+++ b/libs/cli/mulberry_cli/_commands.py
@@ -279,11 +279,66 @@
     ]
 
 
+@cappa.command(
+    name="check",
+    help="Checks a routing document before it is submitted.",
+    description="Lists what instances would reject, entries without effect, "
+    "limits that contradict each other, and the differences from the document "
+    "in force. Exits with 1 if there are errors, with 2 if there are only "
+    "warnings.",
+    epilog=_examples(
+        "mulberrystage manifest check routes.json",
+        "mulberrystage manifest check routes.json --against 10.0.0.4:82",
+        "mulberrystage manifest check new.json --against-file old.json",
+        "mulberrystage manifest check routes.json --upstreams pool=56",
+    ),
+)
+@dataclasses.dataclass(frozen=True)
+class ManifestCheck:
+    """`manifest check`."""
+
+    file: Annotated[str, cappa.Arg(help="The routing document.")]
+    against: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            value_name="IP:PORT",
+            help="Control address of an instance; compares with the document "
+            "in force there.",
+            show_default=False,
+        ),
+    ] = ""
+    against_file: Annotated[
+        str,
+        cappa.Arg(
+            long=True, help="Compares with this file.", show_default=False
+        ),
+    ] = ""
+    upstreams: Annotated[
+        list[str],
+        cappa.Arg(
+            long=True,
+            value_name="SERVICE=COUNT",
+            help="Number of upstreams of a service, to check the attempts of "
+            "routes; can be repeated.",
+            show_default=False,
+        ),
+    ] = dataclasses.field(default_factory=list)
+
+
+@cappa.command(name="manifest", help="Checks routing documents.")
+@dataclasses.dataclass(frozen=True)
+class Manifest:
+    """`manifest`."""
+
+    command: cappa.Subcommands[ManifestCheck]
+
+
 @cappa.command(
     name="mulberrystage",
     help="Operates a mulberrystage deployment.",
     description="Exit codes: 0 done, 1 refused or faults found, 2 wrong "
-    "usage, 3 the instance could not be asked.",
+    "usage or warnings only, 3 the instance could not be asked.",
     epilog=_examples(
         "mulberrystage rules check colmenas.rules",
         "mulberrystage rules submit colmenas.rules",
@@ -298,7 +353,7 @@
     """The root command with the options that all commands share."""
 
     command: cappa.Subcommands[
-        Rules | Status | Explain | Trace | Audit | Ledger | Voters
+        Rules | Manifest | Status | Explain | Trace | Audit | Ledger | Voters
     ]
     instance: Annotated[
         str,
@@ -349,6 +404,6 @@
 def selected_command(program: Program) -> object:
     """Returns the innermost subcommand."""
     command: object = program.command
-    while isinstance(command, Rules | Voters):
+    while isinstance(command, Rules | Manifest | Voters):
         command = command.command
     return command
--- a/libs/cli/mulberry_cli/_main.py
+++ b/libs/cli/mulberry_cli/_main.py
@@ -11,6 +11,7 @@
 from mulberry_cli import (
     _commands,
     _connection,
+    _manifest_command,
     _outcome,
     _report_commands,
     _rules_commands,
@@ -27,6 +28,7 @@
     _commands.RulesShow: _rules_commands.show,
     _commands.RulesSubmit: _rules_commands.submit,
     _commands.RulesHistory: _rules_commands.history,
+    _commands.ManifestCheck: _manifest_command.check,
     _commands.Status: _status_command.status,
     _commands.Explain: _report_commands.explain,
     _commands.Trace: _trace_command.trace,
--- a/libs/cli/mulberry_cli/_outcome.py
+++ b/libs/cli/mulberry_cli/_outcome.py
@@ -12,6 +12,8 @@
     DONE = 0
     #: Negative result: errors in a file, a conflict or a failed check.
     REFUSED = 1
+    #: A check found warnings and no errors.
+    WARNINGS = 2
     #: The command failed: no reply from the instance or an unreadable file.
     FAILED = 3
 
--- a/libs/cli/mulberry_cli/tests/test_cli.py
+++ b/libs/cli/mulberry_cli/tests/test_cli.py
@@ -341,3 +341,18 @@
     )
     words = {line.split(":")[0] for line in completed.stdout.splitlines()}
     assert {"show", "submit"} <= words
+
+
+def test_manifest_check_without_a_format_fails(
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a document that passes because nothing checks it."""
+    monkeypatch.setattr(
+        "importlib.metadata.entry_points", lambda **selection: ()
+    )
+    path = tmp_path / "routes.json"
+    path.write_text("{}")
+    assert cli.main(["manifest", "check", str(path)]) == 3
+    assert "no package that checks manifests" in capsys.readouterr().err
--- a/libs/routing/mulberry_routing/__init__.py
+++ b/libs/routing/mulberry_routing/__init__.py
@@ -1,5 +1,6 @@
 """The routing table: routes, services, teams and limits."""
 
+from mulberry_routing._document_check import DocumentChecker, DocumentReport
 from mulberry_routing._parser import RoutingErrors, RoutingParser
 from mulberry_routing._routes import NO_ROUTE, Route, RouteKind
 from mulberry_routing._services import Engine, EngineModel, Service
@@ -13,6 +14,8 @@
 __all__ = [
     "NO_ROUTE",
     "UNKNOWN_KEY",
+    "DocumentChecker",
+    "DocumentReport",
     "Engine",
     "EngineModel",
     "Limits",
