--- a/libs/gateway/mulberry_gateway/_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/_upstream_call.py
@@ -29,6 +29,9 @@
 #: Copies of an answer at one time: while it is completed, and while it is sent.
 #: The eighth is what a growing body reserves.
 _ANSWER_COPIES = 2.125
+#: Statuses of responses. Others mean nothing to callers.
+_STATUSES = range(100, 600)
+_FINAL_STATUSES = range(200, 600)
 
 
 class Fault(enum.Enum):
@@ -101,6 +104,7 @@
         # more for each chunk.
         self._body = bytearray()
         self._is_complete = False
+        self._is_garbled = False
         self._is_withdrawn = False
         self._head_only = False
         #: Whether the end of the connection is the end of the body.
@@ -278,6 +282,8 @@
             # Bytes after a complete response are ignored.
             if not self._is_complete:
                 return Fault.GARBLED
+        if self._is_garbled:
+            return Fault.GARBLED
         if self._framing_bytes > _body_limits.MAX_HEAD_BYTES:
             # The parser buffers a header until it is complete.
             return Fault.EXCESSIVE
@@ -318,7 +324,10 @@
         status = self._parser.get_status_code()
         headers, self._headers = tuple(self._headers), []
         reason, self._reason = self._reason.decode("latin-1"), b""
-        if self._head is not None or status < 200:
+        if self._head is not None:
+            return
+        if status not in _FINAL_STATUSES:
+            self._is_garbled |= status not in _STATUSES
             return
         self._head = _messages.ResponseHead(status, reason, headers)
         if self._head_only or status in _NO_BODY:
@@ -328,7 +337,11 @@
     def on_body(self, body: bytes) -> None:
         """Adds a part of the body."""
         self._framing_bytes = 0
-        if not self._is_complete:
+        if self._head is None:
+            # An interim response has no body; its bytes would begin that of
+            # the final one.
+            self._is_garbled = True
+        elif not self._is_complete:
             self._body += body
 
     def on_message_complete(self) -> None:
