Report a request as possibly run after an internal error

Callers saw: 500 with "run":"not_run" although the upstream had the request; a caller that trusts it repeats a request that has run.

Cause: `Exchange.run` is NOT_RUN until the upstream answers or fails. An exception between the send and that moment was answered with this state.

The forwarder now looks at the attempts before it builds the refusal: one that has a time of its send, and was not turned away, makes the state unknown; a status that promises "not run" is then replaced as for other refusals. Ruled out: setting the state at the send, since an upstream's statement that it has not run the request could then not take it back. Nothing is added to requests without such an error.

--- a/libs/gateway/mulberry_gateway/_exchange.py
+++ b/libs/gateway/mulberry_gateway/_exchange.py
@@ -178,6 +178,18 @@
             if not attempt.may_have_arrived
         )
 
+    @property
+    def may_be_running(self) -> bool:
+        """Whether an upstream may have begun to run a request it was sent.
+
+        True from before the first byte, unlike `run`, which is updated once
+        the upstream has answered or failed.
+        """
+        return any(
+            attempt.sent_s > 0.0 and attempt.may_have_run
+            for attempt in self.attempts
+        )
+
     def update_run_state(self, run: core.RunState) -> None:
         """Updates the run state; a more certain state is never replaced."""
         if _RUN_RANK[run] > _RUN_RANK[self.run]:
--- a/libs/gateway/mulberry_gateway/_forwarder.py
+++ b/libs/gateway/mulberry_gateway/_forwarder.py
@@ -179,6 +179,8 @@
             keep_alive = self._try_upstreams(exchange)
         except Exception:
             logging.exception("request %s failed", exchange.metadata.request_id)
+            if exchange.may_be_running:
+                exchange.update_run_state(core.RunState.UNKNOWN)
             keep_alive = self._send_failure(
                 exchange,
                 _attempt_failure.AttemptFailure(
