Use the renewed permit of a connection

Callers saw: fewer requests at a cold upstream than its rate allows, and refusals while permits were spent on requests that already had one.

Cause: a connection that took over 0.3 s to open got another permit when it was open, but kept the time of the old one. The check before the first byte then took a third.

`RateGate.renew` (before: `may_still_send`) returns the time of the permit to use, and the connection keeps it. A permit that is still valid costs no copy of the connection. Ruled out: leaving out one of the two checks. A connection may also be opened long before it is used, and the second check is the one right before the first byte.

--- a/libs/gateway/mulberry_gateway/_rate_gate.py
+++ b/libs/gateway/mulberry_gateway/_rate_gate.py
@@ -1,6 +1,7 @@
 """Keeps requests within the rates that upstreams name, or tolerate cold."""
 
 import enum
+import math
 from concurrent import futures
 
 from absl import logging
@@ -86,25 +87,35 @@
         self._rates.block(name, incarnation, reply.wait_s)
         return Admission.DENIED
 
-    def may_still_send(
+    def renew(
         self,
         upstream: membership.Upstream,
         permit_s: float,
         timeout_s: float,
-    ) -> bool:
-        """Whether a request that was admitted some time ago may be sent now.
+    ) -> float | core.Missing:
+        """Takes another permit for a request if its own is too old by now.
 
         Args:
-            upstream: The upstream, possibly cold since then.
+            upstream: The upstream, possibly cold since the request was
+                admitted.
             permit_s: `Clock.now` when its permit was asked for, seconds; -inf
                 if it needed none.
             timeout_s: Time limit for another permit, seconds.
+
+        Returns:
+            `Clock.now` when the permit to use was asked for, seconds; -inf if
+            none is needed. Unset if the request must not be sent now.
         """
-        return (
+        asked_s = self._clock.now()
+        if (
             isinstance(self._cold.limit(upstream), core.Missing)
-            or self._clock.now() - permit_s <= _PERMIT_VALID_S
-            or self.admit(upstream, timeout_s) is not Admission.DENIED
-        )
+            or asked_s - permit_s <= _PERMIT_VALID_S
+        ):
+            return permit_s
+        admission = self.admit(upstream, timeout_s)
+        if admission is Admission.DENIED:
+            return core.Missing.UNSET
+        return asked_s if admission is Admission.PERMIT else -math.inf
 
     def connection_broke(self, service: str, name: str) -> None:
         """Records a connection to an upstream that did not open or broke."""
--- a/libs/gateway/mulberry_gateway/_upstream_opener.py
+++ b/libs/gateway/mulberry_gateway/_upstream_opener.py
@@ -175,17 +175,23 @@
         exchange: _exchange.Exchange,
         connected: _attempt_failure.ConnectedUpstream,
     ) -> _attempt_failure.ConnectedUpstream | _attempt_failure.AttemptFailure:
-        """Closes the connection if its upstream must get no request by now."""
+        """Closes the connection if its upstream must get no request by now.
+
+        Returns:
+            The connection with the permit that is valid now, or a failure.
+        """
         selection = connected.selection
         components = self._components
-        if components.upstream_selector.may_send(
-            selection.upstream
-        ) and components.rate_gate.may_still_send(
-            selection.upstream,
-            connected.permit_s,
-            self._retries.remaining_s(exchange),
-        ):
-            return connected
+        if components.upstream_selector.may_send(selection.upstream):
+            permit_s = components.rate_gate.renew(
+                selection.upstream,
+                connected.permit_s,
+                self._retries.remaining_s(exchange),
+            )
+            if permit_s == connected.permit_s:
+                return connected
+            if not isinstance(permit_s, core.Missing):
+                return dataclasses.replace(connected, permit_s=permit_s)
         connected.call.close()
         return self._unsent(
             exchange,
--- a/libs/gateway/mulberry_gateway/tests/test_cold_upstreams.py
+++ b/libs/gateway/mulberry_gateway/tests/test_cold_upstreams.py
@@ -248,7 +248,7 @@
         upstream = instance.upstream
         assert upstream.cold_until_s == -math.inf
         assert instance.gate.admit(upstream, 1.0) is gateway.Admission.FREE
-        assert instance.gate.may_still_send(upstream, -math.inf, 1.0)
+        assert instance.gate.renew(upstream, -math.inf, 1.0) == -math.inf
         instance.reports.report()
         assert not instance.owner.asked
         assert not instance.log.said
@@ -460,14 +460,16 @@
     _press(deployment, 1.0, lambda: deployment.announce("i0", 60.0))
     asked = instance.owner.asked
     now_s = deployment.clock.now()
-    assert instance.gate.may_still_send(instance.upstream, now_s - 0.2, 1.0)
+    valid_s = instance.gate.renew(instance.upstream, now_s - 0.2, 1.0)
+    assert valid_s == now_s - 0.2
     assert instance.owner.asked == asked
-    answers = [
-        instance.gate.may_still_send(instance.upstream, permit_s, 1.0)
+    renewed = [
+        instance.gate.renew(instance.upstream, permit_s, 1.0)
         for permit_s in (now_s - 0.4, -math.inf) * 4
     ]
     assert instance.owner.asked == asked + 8
-    assert not all(answers)
+    assert core.Missing.UNSET in renewed
+    assert set(renewed) <= {now_s, core.Missing.UNSET}
 
 
 def test_changes_are_logged_and_counted() -> None:
