Keep the permits of cold upstreams with few requests

Callers saw: a cold service that gets a request every 2.5 s refuses all of them for as long as its upstreams are cold, with a Retry-After (2 s and jitter) that has nothing to do with the wait for a permit.

Cause: an upstream for which no permit was asked for in 2 s begins without any, since it may have been warm. Rare requests look the same. The refusal after four upstreams without a permit carried no time.

The home now reports its own cold upstreams to the allocator, with the list that is made once a second for the log and the gauge. The report is a call of `reserve` that takes no permit, so the bound holds as for any other sequence of calls; a warm spell of 2 s still ends in no permits. The refusal now has the shortest wait of the upstreams that were asked. Ruled out: a longer time than 2 s, as every limit refuses some rate of requests and lets warm spells of the same length pass.

--- a/libs/decisions/mulberry_decisions/_rate_allocator.py
+++ b/libs/decisions/mulberry_decisions/_rate_allocator.py
@@ -15,8 +15,10 @@
 #: cold upstream, seconds. Instances that have not learned of it still ask the
 #: earlier owner.
 OWNER_CHANGE_S = 0.5
-#: A cold upstream for which no permit was asked for so long begins without any,
-#: seconds. It may have been warm, and got requests without permits.
+#: A cold upstream for which nobody asked for so long begins without permits,
+#: seconds. It may have been warm, and got requests without permits. Its owner
+#: asks once a second while it is cold, without taking a permit, so that the few
+#: requests of a service with little traffic find permits.
 _COLD_GAP_S = 2.0
 
 
@@ -42,7 +44,7 @@
     answered_s: float
     refilled_s: float
     permits: float = 0.0
-    #: `Clock.now` when a permit was last asked for while it was cold, seconds.
+    #: `Clock.now` when `reserve` was last called while it was cold, seconds.
     cold_s: float = -math.inf
 
 
@@ -80,7 +82,8 @@
             upstream: Name of the upstream.
             incarnation: Start of the upstream that the report is from.
             report: Newest report that the asking instance knows.
-            wants_permit: False only to pass on the report.
+            wants_permit: False only to pass on the report, or that the
+                upstream is cold.
             cold: Limit of a cold upstream, unlimited if it is warm.
             owned_since_s: `Clock.now` since when this instance is the owner in
                 place of another one, seconds; -inf if there was none.
--- a/libs/decisions/mulberry_decisions/tests/test_cold_limits.py
+++ b/libs/decisions/mulberry_decisions/tests/test_cold_limits.py
@@ -1,6 +1,7 @@
 """Tests of the permits for cold upstreams, over many instances."""
 
 import dataclasses
+import math
 import random
 
 import pytest
@@ -54,8 +55,12 @@
 class _Simulation:
     """Instances learn of the cold state and of owners up to 0.5 s late."""
 
-    def __init__(self, case: _Case, seed: int) -> None:
+    def __init__(
+        self, case: _Case, seed: int, refresh_period_s: float = math.inf
+    ) -> None:
         self.case = case
+        self.refresh_period_s = refresh_period_s
+        self.refreshed_s = -math.inf
         self.random = random.Random(seed)
         self.clock = core.ManualClock(0.0)
         self.limit = decisions.cold_limit(case.per_s, case.overage, case.slack)
@@ -72,6 +77,7 @@
             is_warm = self.clock.now() < 2.0
             pressure = case.warm_per_s if is_warm else case.pressure
             self.clock.advance(self.random.expovariate(pressure))
+            self._refresh()
             instance = self.random.randrange(case.instances)
             known_s = self.clock.now() - self.late_s[instance]
             if known_s >= 2.0:
@@ -83,7 +89,14 @@
                 on_its_way_s = self.random.uniform(0.0, case.in_flight_s)
                 self.arrivals_s.append(self.clock.now() + on_its_way_s)
 
-    def _reserve(self, known_s: float) -> bool:
+    def _refresh(self) -> None:
+        """Lets the owner report the cold upstream, as its home does."""
+        now_s = self.clock.now()
+        if now_s >= 2.0 and now_s >= self.refreshed_s + self.refresh_period_s:
+            self.refreshed_s = now_s
+            self._reserve(now_s, wants_permit=False)
+
+    def _reserve(self, known_s: float, wants_permit: bool = True) -> bool:
         """Asks the owner that the instance knows; whether it grants."""
         changes = [s for s in self.case.owner_changes_s if s <= known_s]
         owner = self.owners[len(changes) % 2]
@@ -91,6 +104,7 @@
             "u",
             1,
             _NO_REPORT,
+            wants_permit,
             cold=self.limit,
             owned_since_s=changes[-1] if changes else float("-inf"),
         ).is_granted
@@ -123,11 +137,12 @@
     ],
 )
 @pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("refresh_period_s", [math.inf, 1.0])
 def test_cold_upstream_gets_no_more_than_it_tolerates(
-    case: _Case, seed: int
+    case: _Case, seed: int, refresh_period_s: float
 ) -> None:
     """Guards against a cold upstream that crashes under many instances."""
-    simulation = _Simulation(case, seed)
+    simulation = _Simulation(case, seed, refresh_period_s)
     simulation.run()
     assert _most_in_a_window(simulation.arrivals_s) <= case.allowed
 
@@ -146,7 +161,12 @@
     overage=st.floats(1.0, 3.0),
     slack=st.floats(2.0, 50.0),
     steps=st.lists(
-        st.tuples(st.floats(0.0, 1.5), st.floats(0.0, 1.0), st.integers(1, 60)),
+        st.tuples(
+            st.floats(0.0, 3.0),
+            st.floats(0.0, 1.0),
+            st.integers(0, 60),
+            st.booleans(),
+        ),
         max_size=40,
     ),
 )
@@ -154,19 +174,21 @@
     per_s: float,
     overage: float,
     slack: float,
-    steps: list[tuple[float, float, int]],
+    steps: list[tuple[float, float, int, bool]],
 ) -> None:
     """Guards against bursts of requests that were on their way for long.
 
-    Each step is a pause, the share of the longest way, and how many requests
-    are made at once.
+    Each step is a pause, the share of the longest way, how many requests are
+    made at once, and whether the owner reports the upstream before that.
     """
     clock = core.ManualClock(50.0)
     allocator = decisions.RateAllocator(clock)
     limit = decisions.cold_limit(per_s, overage, slack)
     arrivals_s: list[float] = []
-    for pause_s, share, count in steps:
+    for pause_s, share, count, is_refreshed in steps:
         clock.advance(pause_s)
+        if is_refreshed:
+            allocator.reserve("u", 1, _NO_REPORT, False, cold=limit)
         for _ in range(count):
             reply = allocator.reserve("u", 1, _NO_REPORT, cold=limit)
             if not reply.is_granted:
@@ -178,16 +200,19 @@
 
 
 @given(
-    st.lists(st.tuples(st.floats(0.0, 0.7), st.booleans()), max_size=80),
+    st.lists(
+        st.tuples(st.floats(0.0, 0.7), st.booleans(), st.booleans()),
+        max_size=80,
+    ),
     st.integers(1, 40),
 )
 def test_owners_together_keep_the_bound(
-    steps: list[tuple[float, bool]], asked: int
+    steps: list[tuple[float, bool, bool]], asked: int
 ) -> None:
     """Guards against owners that each use their permits at a change.
 
-    Each step is a pause, and whether the upstream then moves. Until 0.5 s
-    after a move both owners are asked.
+    Each step is a pause, whether the upstream then moves, and whether its
+    owner reports it. Until 0.5 s after a move both owners are asked.
     """
     clock = core.ManualClock(50.0)
     owners = [decisions.RateAllocator(clock) for _ in range(2)]
@@ -195,12 +220,21 @@
     limit = decisions.cold_limit(11.0, 1.5, 5.0)
     current, moved_s = 0, float("-inf")
     granted_s: list[float] = []
-    for pause_s, moves in steps:
+    for pause_s, moves, is_refreshed in steps:
         clock.advance(pause_s)
         now_s = clock.now()
         if moves:
             current = 1 - current
             moved_s = since_s[current] = now_s
+        if is_refreshed:
+            owners[current].reserve(
+                "u",
+                1,
+                _NO_REPORT,
+                False,
+                cold=limit,
+                owned_since_s=since_s[current],
+            )
         both = now_s < moved_s + _LATE_S
         for owner in (0, 1) if both else (current,):
             granted_s += [
@@ -260,6 +294,21 @@
     assert not is_granted()
 
 
+def test_upstream_that_is_reported_keeps_its_permits() -> None:
+    """Guards against a cold service that refuses all of its few requests."""
+    clock = core.ManualClock(50.0)
+    allocator = decisions.RateAllocator(clock)
+    limit = decisions.cold_limit(11.0, 1.5, 5.0)
+    granted = 0
+    for step in range(40):
+        allocator.reserve("u", 1, _NO_REPORT, False, cold=limit)
+        clock.advance(1.0)
+        if step % 4 == 3:
+            reply = allocator.reserve("u", 1, _NO_REPORT, cold=limit)
+            granted += reply.is_granted
+    assert granted == 10
+
+
 def test_warm_upstream_needs_no_permit() -> None:
     clock = core.ManualClock(50.0)
     allocator = decisions.RateAllocator(clock)
--- a/libs/gateway/mulberry_gateway/_cold_reports.py
+++ b/libs/gateway/mulberry_gateway/_cold_reports.py
@@ -1,28 +1,34 @@
-"""Logs and counts the upstreams that this instance takes for cold."""
+"""Reports the upstreams that this instance takes for cold."""
 
 from collections.abc import Mapping
 
 import mulberry_core as core
-from mulberry_gateway import _cold_upstreams
+from mulberry_gateway import _cold_upstreams, _permit_granter
 
 
 class ColdReports:
-    """Compares the cold upstreams with those of the last call."""
+    """Logs and counts the cold upstreams, and reports them to the granter."""
 
     def __init__(
         self,
         cold: _cold_upstreams.ColdUpstreams,
+        granter: _permit_granter.PermitGranter,
         counters: core.Counters,
         log: core.DecisionLog,
     ) -> None:
         self._cold = cold
+        self._granter = granter
         self._counters = counters
         self._log = log
         self._reported: Mapping[str, _cold_upstreams.ColdReason] = {}
 
     def report(self) -> None:
-        """Logs changes and sets the gauge; to be called once a second."""
+        """Reports the current upstreams; to be called once a second.
+
+        Logs and the gauge follow changes since the last call.
+        """
         reasons = self._cold.reasons()
+        self._granter.refresh(reasons)
         if reasons == self._reported:
             return
         for name, reason in reasons.items():
--- a/libs/gateway/mulberry_gateway/_permit_granter.py
+++ b/libs/gateway/mulberry_gateway/_permit_granter.py
@@ -1,7 +1,7 @@
 """Grants the permits that this instance owns."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import mulberry_core as core
 import mulberry_decisions as decisions
@@ -79,6 +79,24 @@
             name, incarnation, report, wants_permit, limit, owned_since_s
         )
 
+    def refresh(self, names: Iterable[str]) -> None:
+        """Lets the permits of cold upstreams go on while nobody asks for any.
+
+        An upstream that is not refreshed counts as warm in the meantime, and
+        begins without permits.
+
+        Args:
+            names: Upstreams that count as cold, of all homes.
+        """
+        for name in names:
+            upstream = self._find_upstream(name)
+            if not isinstance(upstream, core.Missing) and self._is_owner(
+                upstream
+            ):
+                self.reserve(
+                    name, upstream.incarnation, decisions.NO_REPORT, False, 0.0
+                )
+
     def _is_owner(self, upstream: membership.Upstream) -> bool:
         """Whether the upstream announces itself here and not elsewhere.
 
--- a/libs/gateway/mulberry_gateway/_permits.py
+++ b/libs/gateway/mulberry_gateway/_permits.py
@@ -18,7 +18,8 @@
     _settings,
 )
 
-#: Interval between updates of the gauge of cold upstreams, seconds.
+#: Interval between reports of the cold upstreams, seconds. One report may be
+#: late: the allocator keeps the permits of an upstream for 2 s after each.
 _REPORT_PERIOD_S = 1.0
 
 
@@ -69,7 +70,9 @@
             counters,
             log,
         )
-        self._reports = _cold_reports.ColdReports(self.cold, counters, log)
+        self._reports = _cold_reports.ColdReports(
+            self.cold, self._granter, counters, log
+        )
 
     def add_to(self, server: grpc.Server) -> None:
         """Registers the service for other instances on a server."""
--- a/libs/gateway/mulberry_gateway/_rate_gate.py
+++ b/libs/gateway/mulberry_gateway/_rate_gate.py
@@ -87,6 +87,10 @@
         self._rates.block(name, incarnation, reply.wait_s)
         return Admission.DENIED
 
+    def blocked_s(self, upstream: membership.Upstream) -> float:
+        """Returns for how long the upstream gives no permit, seconds."""
+        return self._rates.blocked_s(upstream.name, upstream.incarnation)
+
     def renew(
         self,
         upstream: membership.Upstream,
--- a/libs/gateway/mulberry_gateway/_upstream_opener.py
+++ b/libs/gateway/mulberry_gateway/_upstream_opener.py
@@ -134,6 +134,7 @@
             seconds; -inf if it needs none.
         """
         components = self._components
+        blocked_s = []
         for _ in range(_MAX_PERMIT_REQUESTS):
             selection = components.upstream_selector.choose(
                 exchange, components.model_selector.choose(exchange)
@@ -149,11 +150,13 @@
             if admission is _rate_gate.Admission.PERMIT:
                 return selection, asked_s
             components.upstream_selector.released(selection)
+            blocked_s.append(components.rate_gate.blocked_s(selection.upstream))
         return core.Refusal(
             core.ErrorKind.NO_UPSTREAM,
             exchange.run,
             f"{_MAX_PERMIT_REQUESTS} upstreams of {exchange.service} gave no "
             "permit",
+            retry_after_s=min(blocked_s),
         )
 
     def confirm(
--- a/libs/gateway/mulberry_gateway/tests/test_cold_upstreams.py
+++ b/libs/gateway/mulberry_gateway/tests/test_cold_upstreams.py
@@ -119,7 +119,9 @@
         self.gate = gateway.RateGate(
             self.rates, self.owner, self.cold, clock, self.counters, self.log
         )
-        self.reports = gateway.ColdReports(self.cold, self.counters, self.log)
+        self.reports = gateway.ColdReports(
+            self.cold, self.granter, self.counters, self.log
+        )
         self.control = gateway.Control(
             state.LocalStateClient(state.FileRulesParser(), clock),
             self.directory,
@@ -472,6 +474,70 @@
     assert set(renewed) <= {now_s, core.Missing.UNSET}
 
 
+def _send_rarely(
+    deployment: _Deployment, cold_s: float, steps: int = 100
+) -> list[float]:
+    """Sends a request every 2.5 s; returns when they were sent.
+
+    All instances report their cold upstreams once a second, and the upstream
+    announces itself once a second.
+    """
+    sent_s = []
+    for step in range(steps):
+        deployment.clock.advance(0.25)
+        if step % 4 == 0:
+            deployment.announce("i0", cold_s)
+            for instance in deployment.instances.values():
+                instance.reports.report()
+        if step % 10 == 9 and deployment.instances["i1"].is_admitted():
+            sent_s.append(deployment.clock.now())
+    return sent_s
+
+
+def test_rare_requests_to_a_cold_upstream_get_permits() -> None:
+    """Guards against a cold service that refuses all of its few requests."""
+    deployment = _Deployment()
+    deployment.announce("i0", 600.0)
+    deployment.spread()
+    assert len(_send_rarely(deployment, 600.0)) == 10
+
+
+def test_upstream_that_was_warm_begins_without_permits() -> None:
+    """Guards against permits that add up with the requests to a warm one."""
+    deployment = _Deployment()
+    deployment.announce("i0", 600.0)
+    deployment.spread()
+    assert _send_rarely(deployment, 600.0, steps=40)
+    deployment.announce("i0", 0.0)
+    for _ in range(5):
+        deployment.spread()
+        deployment.clock.advance(0.5)
+        deployment.announce("i0", 0.0)
+        for instance in deployment.instances.values():
+            instance.reports.report()
+    assert not deployment.instances["i0"].is_cold()
+    deployment.announce("i0", 600.0)
+    deployment.spread()
+    assert not deployment.instances["i1"].is_admitted()
+
+
+def test_home_that_hears_nothing_refreshes_no_permits() -> None:
+    """Guards against permits that add up beside those of another home.
+
+    The home that is cut off from the upstream still takes it for cold.
+    """
+    deployment = _Deployment()
+    deployment.announce("i0", 600.0)
+    home = deployment.instances["i0"]
+    home.reports.report()
+    for _ in range(5):
+        deployment.clock.advance(1.0)
+        home.reports.report()
+    assert home.is_cold()
+    deployment.announce("i0", 590.0)
+    assert not home.is_admitted()
+
+
 def test_changes_are_logged_and_counted() -> None:
     """Guards against a limit that operators cannot see."""
     deployment = _Deployment()
