Bound the times that other instances state of cold upstreams

Callers could see: an upstream without requests for 49 days after one odd reply or record, until it or the instance restarts; and no permits for a time from a healthy home, as the channel to it was dropped.

Causes: `wait_ms` and `cold_ms` are 32-bit milliseconds, used as they come. A request near its deadline asked for a permit with the time it had left, near or below 0; two such time-outs in a row drop the channel. A late answer of an earlier start of an upstream replaced the mark of the later start, which then counted as warm.

A wait counts for 5 s at most (4.5 s is the longest that a home states), a cold time for 600 s, as in announcements. With less than 20 ms left no permit is asked for: the request is denied, without a block, since nothing is known of the upstream. Marks of earlier starts are not updated. A home that is asked with a rate near 0 cuts the wait as well; the reply could not be encoded before. Ruled out: refusing odd replies, which would count as a home that cannot be reached.

All failed before: test_wait_of_another_instance_is_bounded, test_owner_is_not_asked_without_time_for_an_answer (3 of 4 cases; the fourth is the control), test_late_answer_of_an_earlier_start_changes_no_mark, test_instance_that_names_a_tiny_rate_gets_a_reply, test_cold_time_of_another_instance_is_bounded.

--- a/libs/decisions/mulberry_decisions/_cold_limits.py
+++ b/libs/decisions/mulberry_decisions/_cold_limits.py
@@ -92,7 +92,8 @@
         """Records that an answer said for how long the upstream is cold."""
         with self._lock:
             mark = self._mark(name, incarnation)
-            mark.cold_until_s = self._clock.now() + cold_s
+            if mark is not None:
+                mark.cold_until_s = self._clock.now() + cold_s
 
     def connection_broke(
         self, name: str, incarnation: int, sequence: int
@@ -106,8 +107,9 @@
         """
         with self._lock:
             mark = self._mark(name, incarnation)
-            mark.broken_sequence = sequence
-            mark.broken_until_s = self._clock.now() + self._valid_s
+            if mark is not None:
+                mark.broken_sequence = sequence
+                mark.broken_until_s = self._clock.now() + self._valid_s
 
     def remaining_s(self, name: str, incarnation: int, sequence: int) -> float:
         """Returns for how long the upstream counts as cold, seconds."""
@@ -130,8 +132,12 @@
                 and max(mark.cold_until_s, mark.broken_until_s) > now_s
             }
 
-    def _mark(self, name: str, incarnation: int) -> _Mark:
+    def _mark(self, name: str, incarnation: int) -> _Mark | None:
+        """Returns the mark to update; `None` if a newer start has one.
+
+        An answer may arrive after its upstream has restarted.
+        """
         mark = self._mark_by_name.get(name)
-        if mark is None or mark.incarnation != incarnation:
+        if mark is None or mark.incarnation < incarnation:
             mark = self._mark_by_name[name] = _Mark(incarnation)
-        return mark
+        return mark if mark.incarnation == incarnation else None
--- a/libs/decisions/mulberry_decisions/tests/test_cold_limits.py
+++ b/libs/decisions/mulberry_decisions/tests/test_cold_limits.py
@@ -346,3 +346,19 @@
     marks.connection_broke("u", 1, 3)
     marks.keep_only({"v"})
     assert marks.remaining_s("u", 1, 3) == 0.0
+
+
+def test_late_answer_of_an_earlier_start_changes_no_mark() -> None:
+    """Guards against a restarted upstream that counts as warm.
+
+    A request to the earlier start may be answered, or break, after the later
+    one was seen.
+    """
+    clock = core.ManualClock(50.0)
+    marks = decisions.ColdMarks(clock, announcement_valid_s=6.0)
+    marks.answered("u", 2, 3.0)
+    marks.answered("u", 1, 60.0)
+    marks.connection_broke("u", 1, 9)
+    assert marks.remaining_s("u", 2, 1) == pytest.approx(3.0)
+    marks.answered("u", 3, 1.0)
+    assert marks.remaining_s("u", 3, 1) == pytest.approx(1.0)
--- a/libs/gateway/mulberry_gateway/_permit_exchange.py
+++ b/libs/gateway/mulberry_gateway/_permit_exchange.py
@@ -171,8 +171,11 @@
 
 
 def _milliseconds(seconds: float) -> int:
-    """Rounds up, as 0 stands for a permit."""
-    return math.ceil(seconds * 1000)
+    """Rounds up, as 0 stands for a permit.
+
+    The wait of an instance that names a rate near 0 would not fit the field.
+    """
+    return math.ceil(min(seconds, _permit_owner.MAX_WAIT_S) * 1000)
 
 
 def _refusal(reason: str) -> core.Refusal:
--- a/libs/gateway/mulberry_gateway/_permit_owner.py
+++ b/libs/gateway/mulberry_gateway/_permit_owner.py
@@ -6,6 +6,10 @@
 import mulberry_decisions as decisions
 import mulberry_membership as membership
 
+#: Longest time until another permit is asked for, seconds. At the lowest rate
+#: and after a change of the owner it takes 4.5 s. Other instances may state more.
+MAX_WAIT_S = 5.0
+
 
 class PermitOwner(abc.ABC):
     """Grants permits; implementations are thread-safe."""
--- a/libs/gateway/mulberry_gateway/_rate_gate.py
+++ b/libs/gateway/mulberry_gateway/_rate_gate.py
@@ -14,6 +14,9 @@
 #: Time limit for asking the owner of a rate, seconds. It answers without
 #: waiting for anything.
 _RESERVE_TIMEOUT_S = 0.25
+#: Time that must be left to ask the owner of a rate, seconds. A call takes about
+#: 1 ms, and two time-outs in a row drop the channel to the owner.
+_MIN_RESERVE_S = 0.02
 #: Pause in requests to an upstream whose owner cannot be asked, seconds.
 _FAILURE_WAIT_S = 0.5
 #: Age up to which the permit of a cold upstream is used, seconds. It covers the
@@ -60,7 +63,8 @@
         """Whether a request may be sent now; takes a permit if one is needed.
 
         Otherwise the upstream counts as blocked until a permit may be
-        available.
+        available. If too little time is left to ask for one, the request is
+        denied, which says nothing about the upstream.
         """
         name, incarnation = upstream.name, upstream.incarnation
         cold = self._cold.limit(upstream)
@@ -71,6 +75,8 @@
             report.rate_per_s, core.Missing
         ):
             return Admission.FREE
+        if timeout_s < _MIN_RESERVE_S:
+            return Admission.DENIED
         reply = self._owner.reserve(
             upstream, report, True, min(timeout_s, _RESERVE_TIMEOUT_S), cold
         )
@@ -84,7 +90,9 @@
             self._counters.increment("gateway.permits.granted")
             return Admission.PERMIT
         self._counters.increment("gateway.permits.denied")
-        self._rates.block(name, incarnation, reply.wait_s)
+        self._rates.block(
+            name, incarnation, min(reply.wait_s, _permit_owner.MAX_WAIT_S)
+        )
         return Admission.DENIED
 
     def blocked_s(self, upstream: membership.Upstream) -> float:
--- a/libs/gateway/mulberry_gateway/tests/test_cold_upstreams.py
+++ b/libs/gateway/mulberry_gateway/tests/test_cold_upstreams.py
@@ -54,6 +54,8 @@
     def __init__(self, deployment: "_Deployment") -> None:
         self._deployment = deployment
         self.asked = 0
+        #: Wait of all replies instead of what the home says, seconds.
+        self.odd_wait_s: float | core.Missing = core.Missing.UNSET
 
     def reserve(
         self,
@@ -64,6 +66,8 @@
         cold: decisions.ColdLimit | core.Missing = _UNLIMITED,
     ) -> decisions.PermitReply | core.Refusal:
         self.asked += 1
+        if not isinstance(self.odd_wait_s, core.Missing):
+            return decisions.PermitReply(self.odd_wait_s, report)
         home = self._deployment.instances.get(upstream.home)
         if home is None or upstream.home in self._deployment.crashed:
             return core.Refusal(
@@ -538,6 +542,41 @@
     assert not home.is_admitted()
 
 
+def test_wait_of_another_instance_is_bounded() -> None:
+    """Guards against an upstream that is blocked for weeks by one reply."""
+    deployment = _Deployment()
+    deployment.announce("i0", 60.0)
+    deployment.spread()
+    instance = deployment.instances["i1"]
+    # The longest wait that a reply can state.
+    instance.owner.odd_wait_s = (2**32 - 1) / 1000
+    assert not instance.is_admitted()
+    assert instance.gate.blocked_s(instance.upstream) > 0.0
+    deployment.clock.advance(5.0)
+    assert instance.gate.blocked_s(instance.upstream) == 0.0
+
+
+@pytest.mark.parametrize(
+    ("left_s", "is_asked"),
+    [(0.02, True), (0.019, False), (0.0, False), (-1.0, False)],
+)
+def test_owner_is_not_asked_without_time_for_an_answer(
+    left_s: float, is_asked: bool
+) -> None:
+    """Guards against time-outs that drop the channel to a healthy home.
+
+    Only what the home says blocks the upstream for requests with more time.
+    """
+    deployment = _Deployment()
+    deployment.announce("i0", 60.0)
+    deployment.spread()
+    instance = deployment.instances["i1"]
+    admission = instance.gate.admit(instance.upstream, left_s)
+    assert admission is gateway.Admission.DENIED
+    assert instance.owner.asked == is_asked
+    assert bool(instance.gate.blocked_s(instance.upstream)) is is_asked
+
+
 def test_changes_are_logged_and_counted() -> None:
     """Guards against a limit that operators cannot see."""
     deployment = _Deployment()
--- a/libs/gateway/mulberry_gateway/tests/test_permit_exchange.py
+++ b/libs/gateway/mulberry_gateway/tests/test_permit_exchange.py
@@ -188,3 +188,20 @@
     assert isinstance(reply, decisions.PermitReply)
     assert reply.is_granted
     assert reply.report.rate_per_s is _UNLIMITED
+
+
+def test_instance_that_names_a_tiny_rate_gets_a_reply(
+    make_instances: MakeInstances,
+) -> None:
+    """Guards against a wait that does not fit into the reply."""
+    instances = make_instances("ab")
+    for rate_per_s in (1e-300, 5e-324):
+        reply = instances[1].owner.reserve(
+            _upstream("a"),
+            decisions.NO_REPORT,
+            False,
+            _TIMEOUT_S,
+            decisions.ColdLimit(rate_per_s, 1.0),
+        )
+        assert isinstance(reply, decisions.PermitReply)
+        assert not reply.is_granted
--- a/libs/membership/mulberry_membership/_upstreams.py
+++ b/libs/membership/mulberry_membership/_upstreams.py
@@ -23,8 +23,9 @@
 _MAX_CAPACITY = 1_000_000
 #: Longest address with a scheme.
 _MAX_ADDRESS_LENGTH = 128
-#: Longest time for which an upstream may say that it is cold, milliseconds.
-_MAX_COLD_MS = 2**32 - 1
+#: Longest time for which an upstream may say that it is cold, milliseconds. It
+#: applies to announcements as well; records of other instances may state more.
+_MAX_COLD_MS = 600_000
 #: Number of cached checks. All upstreams are listed several times a second, and
 #: checking those of the design scale anew each time took 3 of 19 ms.
 _CACHED_CHECKS = 2_048
@@ -186,7 +187,9 @@
         home=record.owner,
         load_age_s=load_age_s,
         release=payload.release,
-        cold_until_s=now_s - load_age_s + payload.cold_ms / 1000
+        cold_until_s=now_s
+        - load_age_s
+        + min(payload.cold_ms, _MAX_COLD_MS) / 1000
         if payload.cold_ms
         else -math.inf,
     )
--- a/libs/membership/mulberry_membership/tests/test_cold_upstreams.py
+++ b/libs/membership/mulberry_membership/tests/test_cold_upstreams.py
@@ -185,3 +185,15 @@
         assert isinstance(upstream, membership.Upstream)
         assert announced_s + 3.0 <= upstream.cold_until_s
         assert upstream.cold_until_s <= simulation.clock.now() + 3.0
+
+
+def test_cold_time_of_another_instance_is_bounded() -> None:
+    """Guards against an upstream that is cold for weeks by one odd record."""
+    home = _Home()
+    payload = peer_pb2.UpstreamPayload(
+        address="10.0.0.9:8080", zone="gent", capacity=8, cold_ms=2**32 - 1
+    )
+    home.state.put(_KIND, "w", 7, 1, payload.SerializeToString())
+    upstream = home.directory.find("w")
+    assert isinstance(upstream, membership.Upstream)
+    assert upstream.cold_until_s == pytest.approx(home.clock.now() + 600.0)
