--- a/libs/gateway/mulberry_gateway/_rate_gate.py
+++ b/libs/gateway/mulberry_gateway/_rate_gate.py
@@ -1,6 +1,7 @@
 """Keeps requests within the rates that upstreams name, or tolerate cold."""
 
 import enum
+import math
 from concurrent import futures
 
 from absl import logging
@@ -13,6 +14,9 @@
 #: Time limit for asking the owner of a rate, seconds. It answers without
 #: waiting for anything.
 _RESERVE_TIMEOUT_S = 0.25
+#: Time that must be left to ask the owner of a rate, seconds. A call takes about
+#: 1 ms, and two time-outs in a row drop the channel to the owner.
+_MIN_RESERVE_S = 0.02
 #: Pause in requests to an upstream whose owner cannot be asked, seconds.
 _FAILURE_WAIT_S = 0.5
 #: Age up to which the permit of a cold upstream is used, seconds. It covers the
@@ -59,7 +63,8 @@
         """Whether a request may be sent now; takes a permit if one is needed.
 
         Otherwise the upstream counts as blocked until a permit may be
-        available.
+        available. If too little time is left to ask for one, the request is
+        denied, which says nothing about the upstream.
         """
         name, incarnation = upstream.name, upstream.incarnation
         cold = self._cold.limit(upstream)
@@ -70,6 +75,8 @@
             report.rate_per_s, core.Missing
         ):
             return Admission.FREE
+        if timeout_s < _MIN_RESERVE_S:
+            return Admission.DENIED
         reply = self._owner.reserve(
             upstream, report, True, min(timeout_s, _RESERVE_TIMEOUT_S), cold
         )
@@ -83,28 +90,44 @@
             self._counters.increment("gateway.permits.granted")
             return Admission.PERMIT
         self._counters.increment("gateway.permits.denied")
-        self._rates.block(name, incarnation, reply.wait_s)
+        self._rates.block(
+            name, incarnation, min(reply.wait_s, _permit_owner.MAX_WAIT_S)
+        )
         return Admission.DENIED
 
-    def may_still_send(
+    def blocked_s(self, upstream: membership.Upstream) -> float:
+        """Returns for how long the upstream gives no permit, seconds."""
+        return self._rates.blocked_s(upstream.name, upstream.incarnation)
+
+    def renew(
         self,
         upstream: membership.Upstream,
         permit_s: float,
         timeout_s: float,
-    ) -> bool:
-        """Whether a request that was admitted some time ago may be sent now.
+    ) -> float | core.Missing:
+        """Takes another permit for a request if its own is too old by now.
 
         Args:
-            upstream: The upstream, possibly cold since then.
+            upstream: The upstream, possibly cold since the request was
+                admitted.
             permit_s: `Clock.now` when its permit was asked for, seconds; -inf
                 if it needed none.
             timeout_s: Time limit for another permit, seconds.
+
+        Returns:
+            `Clock.now` when the permit to use was asked for, seconds; -inf if
+            none is needed. Unset if the request must not be sent now.
         """
-        return (
+        asked_s = self._clock.now()
+        if (
             isinstance(self._cold.limit(upstream), core.Missing)
-            or self._clock.now() - permit_s <= _PERMIT_VALID_S
-            or self.admit(upstream, timeout_s) is not Admission.DENIED
-        )
+            or asked_s - permit_s <= _PERMIT_VALID_S
+        ):
+            return permit_s
+        admission = self.admit(upstream, timeout_s)
+        if admission is Admission.DENIED:
+            return core.Missing.UNSET
+        return asked_s if admission is Admission.PERMIT else -math.inf
 
     def connection_broke(self, service: str, name: str) -> None:
         """Records a connection to an upstream that did not open or broke."""
