Replace all silent channels only if they have replied before

While a fleet starts, calls to instances that do not listen yet time out at one address after the other, so each instance replaced all its channels again and again. A channel that has never replied has not gone silent.

--- a/libs/state/mulberry_state/_channels.py
+++ b/libs/state/mulberry_state/_channels.py
@@ -35,7 +35,9 @@
 #: Addresses at which calls time out, with no reply from any address between,
 #: after which all channels are replaced. The connections of this instance have
 #: then gone silent together, and a client that tries one voter after the other
-#: would wait for two time-outs at each.
+#: would wait for two time-outs at each. Only channels that have replied before
+#: count: while a fleet starts, calls to instances that do not listen yet time
+#: out, and new channels would cost each instance a tenth of its start.
 _MAX_SILENT_ADDRESSES = 2
 
 
@@ -56,6 +58,8 @@
         self._timeouts_by_address: dict[str, int] = {}
         #: Addresses with a timeout since the last reply of any address.
         self._silent_addresses: set[str] = set()
+        #: Addresses whose channel has brought a reply.
+        self._proven_addresses: set[str] = set()
         self._closed = False
 
     def stub(self, address: str, stub_type: Any) -> Any:
@@ -102,6 +106,8 @@
         with self._lock:
             self._timeouts_by_address.pop(address, None)
             self._silent_addresses.clear()
+            if address in self._channel_by_address:
+                self._proven_addresses.add(address)
         return reply
 
     def _count_timeout(self, address: str, stub_type: Any, stub: Any) -> None:
@@ -114,7 +120,8 @@
             is_current = self._stub_by_key.get((address, stub_type)) is stub
             if not is_current or self._closed:
                 return
-            self._silent_addresses.add(address)
+            if address in self._proven_addresses:
+                self._silent_addresses.add(address)
             timeouts = self._timeouts_by_address.get(address, 0) + 1
             self._timeouts_by_address[address] = timeouts
             if len(self._silent_addresses) >= _MAX_SILENT_ADDRESSES:
@@ -126,6 +133,7 @@
         """Makes the next calls to some addresses open new channels."""
         dropped = frozenset(addresses)
         self._silent_addresses -= dropped
+        self._proven_addresses -= dropped
         for address in dropped:
             self._channel_by_address.pop(address, None)
             self._timeouts_by_address.pop(address, None)
