--- a/libs/state/mulberry_state/tests/test_severed_connections.py
+++ b/libs/state/mulberry_state/tests/test_severed_connections.py
@@ -130,6 +130,18 @@
     assert sorted(voters.opened) == sorted(voters.addresses)
 
 
+def test_connections_without_any_reply_are_kept(
+    stack: contextlib.ExitStack,
+) -> None:
+    """Guards against new channels again and again while a fleet starts."""
+    voters = _Voters(stack)
+    for servicer in voters.servicers:
+        servicer.answers.clear()
+    for address in voters.addresses:
+        assert voters.ask(address, 0.2)
+    assert sorted(voters.opened) == sorted(voters.addresses)
+
+
 def test_a_late_time_out_does_not_count_against_a_new_connection(
     stack: contextlib.ExitStack,
 ) -> None:
