Charge the requests of the chat entry to one memory budget

cheroot received a whole body, or a whole chunk of any declared size, before it was measured, and bodies were limited one by one only. It also received the rest of a body that nobody reads, to drop it.

Requests are now charged to a core.MemoryBudget, by lines of the head and before each piece of the body. The new setting limits.max_memory_mb (200 by default) sets it; the largest legal request always fits. Bodies are read by a reader of the entry. A response that leaves a body unread ends its connection. A read of a body that times out is refused with 408 like the request as a whole, where it got 400 if the socket's time limit came first.

Not covered: many connections without a request, slow readers of answers, the objects of a parsed body.

--- a/libs/daemon/mulberry_daemon/_main.py
+++ b/libs/daemon/mulberry_daemon/_main.py
@@ -34,6 +34,7 @@
             print(error, file=sys.stderr)
         sys.exit(2)
     sys.setswitchinterval(_THREAD_SWITCH_S)
+    core.return_freed_memory()
     stopping, forced = threading.Event(), threading.Event()
 
     def on_termination(count: int) -> None:
--- a/libs/entry/mulberry_entry/_requests.py
+++ b/libs/entry/mulberry_entry/_requests.py
@@ -9,7 +9,7 @@
 
 import mulberry_core as core
 import mulberry_rules as rules
-from mulberry_entry import _server
+from mulberry_entry import _body_reader, _server
 
 #: Valid idempotency keys, session ids and kind names.
 _NAME_PATTERN = re.compile(r"[\x21-\x7e]{1,200}\Z")
@@ -69,7 +69,7 @@
     request: werkzeug.Request, max_bytes: int
 ) -> bytes | core.Refusal:
     """Reads the body and refuses it if it is truncated or too large."""
-    http_request = request.environ.get(_server.REQUEST_KEY)
+    http_request = request.environ[_server.REQUEST_KEY]
     declared = request.environ.get("CONTENT_LENGTH") or "0"
     if not declared.isdecimal():
         return _refuse(core.ErrorKind.BAD_REQUEST, "invalid Content-Length")
@@ -79,29 +79,27 @@
             core.ErrorKind.REQUEST_TOO_LARGE,
             f"{declared} bytes, at most {max_bytes} are accepted",
         )
+    reader = _body_reader.BodyReader(
+        http_request, max_bytes, http_request.server.max_request_header_size
+    )
+    body: bytes | core.Refusal
     try:
-        body = bytes(request.environ["wsgi.input"].read(max_bytes + 1))
-    except Exception as error:  # cheroot raises unrelated types for bad chunks
-        _close_with_unread_input(http_request)
-        return _refuse(core.ErrorKind.BAD_REQUEST, f"invalid body: {error}")
-    if http_request is not None:
-        if http_request.conn.timed_out:
-            _close_with_unread_input(http_request)
-            return _refuse(
-                core.ErrorKind.REQUEST_TIMEOUT, "the body arrived too slowly"
-            )
-        http_request.conn.finish_receiving()
-    if len(body) > max_bytes:
-        _close_with_unread_input(http_request)
-        return _refuse(
-            core.ErrorKind.REQUEST_TOO_LARGE, f"more than {max_bytes} bytes"
+        body = reader.read()
+    except TimeoutError:
+        # The time limit of a read ends as the one of the whole request.
+        body = _refuse(
+            core.ErrorKind.REQUEST_TIMEOUT, "the body arrived too slowly"
         )
-    if len(body) < int(declared):
+    except OSError as error:
+        body = _refuse(core.ErrorKind.BAD_REQUEST, f"invalid body: {error}")
+    if isinstance(body, core.Refusal):
         _close_with_unread_input(http_request)
-        return _refuse(
-            core.ErrorKind.BAD_REQUEST,
-            f"body ends after {len(body)} of {declared} bytes",
-        )
+        return body
+    http_request.conn.finish_receiving()
+    # From here on the request is not given up for others.
+    if not http_request.conn.memory.run():
+        _close_with_unread_input(http_request)
+        return _body_reader.out_of_memory()
     return body
 
 
--- a/libs/entry/mulberry_entry/_server.py
+++ b/libs/entry/mulberry_entry/_server.py
@@ -1,6 +1,7 @@
 """HTTP server of an entry: cheroot with limits on slow and large input."""
 
 import json
+import math
 import select
 import socket
 import threading
@@ -14,6 +15,7 @@
 
 import mulberry_core as core
 import mulberry_rules as rules
+from mulberry_entry import _body_reader, _memory
 
 #: Limits on unread input that is drained before a connection is closed.
 _DISCARD_S = 0.5
@@ -61,6 +63,27 @@
 class _Request(cheroot_server.HTTPRequest):
     """A request whose protocol errors have the application's error format."""
 
+    #: Whether a body in chunks was received to its end.
+    is_body_read = False
+
+    def read_request_headers(self) -> bool:
+        """Reads the head and charges for its lines."""
+        self.rfile = _memory.ChargedHead(self.rfile, self.conn.memory)
+        return bool(super().read_request_headers())  # type: ignore[no-untyped-call]
+
+    def send_headers(self) -> None:
+        """Sends the head of a response; closes if input is left unread.
+
+        cheroot would receive the rest of the body at once to drop it.
+        """
+        is_unread = (self.chunked_read and not self.is_body_read) or getattr(
+            self.rfile, "remaining", 0
+        ) > 0
+        if is_unread:
+            self.close_connection = True
+            self.conn.has_unread_input = True
+        super().send_headers()
+
     def simple_response(self, status: str, msg: str = "") -> None:
         """Writes an error that cheroot detected before the application ran."""
         if str(status).startswith("100"):
@@ -68,14 +91,23 @@
             return
         kind = _KIND_BY_STATUS.get(str(status)[:3], core.ErrorKind.BAD_REQUEST)
         refusal = core.Refusal(kind, core.RunState.NOT_RUN, msg or str(status))
+        if self.conn.memory.is_refused:
+            refusal = _body_reader.out_of_memory()
+            kind = refusal.kind
         body = refusal_body(refusal, "")
         self.close_connection = True
         self.conn.has_unread_input = True
         self.sent_headers = True
+        after_s = refusal.effective_retry_after_s
+        retry_after = (
+            ""
+            if isinstance(after_s, core.Missing)
+            else f"Retry-After: {max(1, math.ceil(after_s))}\r\n"
+        )
         head = (
             f"HTTP/1.1 {refusal.answer.status} {kind.value}\r\n"
             "Content-Type: application/json\r\n"
-            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+            f"{retry_after}Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
         )
         self.conn.wfile.write(head.encode("latin-1") + body)
 
@@ -91,20 +123,30 @@
     timed_out = False
     #: Set when a response is sent before all input was read.
     has_unread_input = False
+    #: What the current request is charged.
+    memory: _memory.RequestMemory
 
     def communicate(self) -> bool:
         """Reads and answers one request; the server aborts slow ones."""
+        self.memory = _memory.RequestMemory(
+            self.server.budget, self.server.clock, self.socket
+        )
         self.receive_started_s = time.monotonic()
         self.server.receiving.add(self)
         try:
+            if self.memory.is_refused:
+                _Request(self.server, self).simple_response("503")
+                self._discard_input()
+                return False
             keep = bool(super().communicate())  # type: ignore[no-untyped-call]
             if self.timed_out and self.receive_started_s:
                 self._answer_timeout()
             if self.has_unread_input:
                 self._discard_input()
-            return keep and not self.timed_out
+            return keep and not self.timed_out and not self.memory.is_refused
         finally:
             self.finish_receiving()
+            self.memory.close()
 
     def has_request(self) -> bool:
         """Returns whether data of another request is available."""
@@ -202,6 +244,8 @@
         super().__init__(**options)
         self.gateway = _Gateway
         self.receiving: set[_Connection] = set()
+        self.clock = core.SystemClock()
+        self.budget: core.MemoryBudget
 
     def prepare(self) -> None:
         """Binds the address and installs `_ConnectionManager`."""
@@ -253,6 +297,8 @@
             timeout=limits.read_timeout_s,
         )
         self._server.max_request_header_size = limits.max_header_bytes
+        # Requests that are left when the server stops run on one more thread.
+        self._server.budget = _memory.budget(limits, threads + 1)
         # The default of 10 would close idle connections that callers and
         # upstreams expect to stay open.
         self._server.keep_alive_conn_limit = threads
--- a/libs/rules/mulberry_rules/_load_settings.py
+++ b/libs/rules/mulberry_rules/_load_settings.py
@@ -130,6 +130,7 @@
     max_streams: int = _integer_field(120, 1, 10_000)
     max_queue: int = _integer_field(200, 0, 100_000)
     max_kept_answer_bytes: int = _integer_field(65_536, 0, 1_048_576)
+    max_memory_mb: int = _integer_field(200, 100, 1_000_000)
 
 
 class _Timing(_Section):
--- a/libs/rules/mulberry_rules/_settings.py
+++ b/libs/rules/mulberry_rules/_settings.py
@@ -22,6 +22,9 @@
     max_queue: int = 200
     #: Maximum size in bytes of an answer that is kept for replay.
     max_kept_answer_bytes: int = 65_536
+    #: Memory of the process in millions of bytes. What the daemon leaves of it
+    #: bounds what all requests take together.
+    max_memory_mb: int = 200
 
 
 @dataclasses.dataclass(frozen=True)
