--- a/libs/gateway/mulberry_gateway/_placement_exchange.py
+++ b/libs/gateway/mulberry_gateway/_placement_exchange.py
@@ -2,7 +2,6 @@
 
 import collections
 import dataclasses
-import enum
 import random
 import threading
 from collections.abc import Callable, Iterator, Mapping, Sequence
@@ -14,6 +13,7 @@
 import mulberry_decisions as decisions
 import mulberry_membership as membership
 import mulberry_state as state
+from mulberry_gateway import _placement_messages
 from mulberry_wire import placement_pb2, placement_pb2_grpc
 
 #: Time limit for asking a scheduler, seconds. It answers without waiting for
@@ -37,7 +37,6 @@
 _MAX_PROGRESS = 64
 _TICKET_BITS = 63
 _MAX_LOGGED_NAME = 80
-_MAX_COUNT = 2**32 - 1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,22 +58,6 @@
         return self.wait_s + self.read_s
 
 
-class _Event(enum.Enum):
-    BEGAN = placement_pb2.PLACEMENT_EVENT_BEGAN
-    ENDED = placement_pb2.PLACEMENT_EVENT_ENDED
-    REPORTED = placement_pb2.PLACEMENT_EVENT_REPORTED
-
-
-@dataclasses.dataclass(frozen=True)
-class _Progress:
-    event: _Event
-    ticket: int
-    #: Engine that sent the report; empty without one.
-    upstream: str
-    at_s: float
-    report: decisions.LoadReport | core.Missing = core.Missing.UNSET
-
-
 class WorkLedgers:
     """The ledgers of this instance by service; thread-safe."""
 
@@ -130,7 +113,9 @@
         #: `Clock.now` until which each instance is not asked, seconds.
         self._paused_until_s: dict[str, float] = {}
         #: By scheduler and service, oldest first.
-        self._progress: dict[tuple[str, str], collections.deque[_Progress]] = {}
+        self._progress: dict[
+            tuple[str, str], collections.deque[_placement_messages.Progress]
+        ] = {}
 
     def place(
         self,
@@ -169,7 +154,9 @@
                     placed.wait_s,
                     placed.read_s,
                 )
-            request = _encode_request(service, work, candidates, number)
+            request = _placement_messages.encode_request(
+                service, work, candidates, number
+            )
             ticket = self._ask(name, members[name], request, timeout_s)
             if not isinstance(ticket, core.Missing):
                 return ticket
@@ -178,17 +165,17 @@
 
     def began(self, ticket: PlacementTicket) -> None:
         """Records that the answer to a request has begun."""
-        self._add(ticket, _Event.BEGAN)
+        self._add(ticket, _placement_messages.Event.BEGAN)
 
     def ended(self, ticket: PlacementTicket) -> None:
         """Records that a request has ended, or was not sent."""
-        self._add(ticket, _Event.ENDED)
+        self._add(ticket, _placement_messages.Event.ENDED)
 
     def reported(
         self, ticket: PlacementTicket, report: decisions.LoadReport
     ) -> None:
         """Records the load that an engine reported in a response."""
-        self._add(ticket, _Event.REPORTED, report)
+        self._add(ticket, _placement_messages.Event.REPORTED, report)
 
     def flush(self) -> None:
         """Passes on progress that has waited for long enough."""
@@ -243,8 +230,11 @@
         if isinstance(reply, state.Unreachable):
             self._pause(name, reply)
             # The request may have been entered all the same.
-            unknown = _Progress(
-                _Event.ENDED, request.ticket, "", self._clock.now()
+            unknown = _placement_messages.Progress(
+                _placement_messages.Event.ENDED,
+                request.ticket,
+                "",
+                self._clock.now(),
             )
             self._return_progress(name, service, (*taken, unknown))
             return core.Missing.UNSET
@@ -305,11 +295,11 @@
     def _add(
         self,
         ticket: PlacementTicket,
-        event: _Event,
+        event: _placement_messages.Event,
         report: decisions.LoadReport | core.Missing = core.Missing.UNSET,
     ) -> None:
         now_s = self._clock.now()
-        progress = _Progress(
+        progress = _placement_messages.Progress(
             event, ticket.number, ticket.upstream, now_s, report
         )
         if ticket.scheduler == self._own_name:
@@ -318,18 +308,25 @@
         with self._lock:
             self._queue(ticket.scheduler, ticket.service).append(progress)
 
-    def _queue(self, name: str, service: str) -> collections.deque[_Progress]:
+    def _queue(
+        self, name: str, service: str
+    ) -> collections.deque[_placement_messages.Progress]:
         """Returns the progress for a scheduler; called with the lock held."""
         return self._progress.setdefault(
             (name, service), collections.deque(maxlen=_MAX_PROGRESS)
         )
 
-    def _take_progress(self, name: str, service: str) -> Sequence[_Progress]:
+    def _take_progress(
+        self, name: str, service: str
+    ) -> Sequence[_placement_messages.Progress]:
         with self._lock:
             return tuple(self._progress.pop((name, service), ()))
 
     def _return_progress(
-        self, name: str, service: str, taken: Sequence[_Progress]
+        self,
+        name: str,
+        service: str,
+        taken: Sequence[_placement_messages.Progress],
     ) -> None:
         """Keeps progress for a later call; repeating it does no harm."""
         with self._lock:
@@ -339,10 +336,13 @@
             queue.extend((*taken, *newer))
 
     def _encode(
-        self, taken: Sequence[_Progress]
+        self, taken: Sequence[_placement_messages.Progress]
     ) -> list[placement_pb2.PlacementProgress]:
         now_s = self._clock.now()
-        return [_encode_progress(progress, now_s) for progress in taken]
+        return [
+            _placement_messages.encode_progress(progress, now_s)
+            for progress in taken
+        ]
 
 
 class PlacementsServicer(placement_pb2_grpc.PlacementsServicer):
@@ -383,8 +383,8 @@
             return placement_pb2.PlaceReply()
         return placement_pb2.PlaceReply(
             upstream=placed.name,
-            wait_us=_microseconds(placed.wait_s),
-            read_us=_microseconds(placed.read_s),
+            wait_us=_placement_messages.microseconds(placed.wait_s),
+            read_us=_placement_messages.microseconds(placed.read_s),
         )
 
     def Progress(  # noqa: N802 (name of the gRPC method)
@@ -404,8 +404,8 @@
     ) -> None:
         now_s = self._clock.now()
         for message in messages:
-            progress = _decode_progress(message, now_s)
-            if isinstance(progress, _Progress):
+            progress = _placement_messages.decode_progress(message, now_s)
+            if isinstance(progress, _placement_messages.Progress):
                 _apply(ledger, progress, now_s)
 
 
@@ -416,93 +416,15 @@
     placement_pb2_grpc.add_PlacementsServicer_to_server(servicer, server)  # type: ignore[no-untyped-call]
 
 
-def _encode_request(
-    service: str,
-    work: decisions.PromptWork,
-    candidates: Sequence[decisions.EngineCandidate],
-    ticket: int,
-) -> placement_pb2.PlaceRequest:
-    return placement_pb2.PlaceRequest(
-        service=service,
-        model=work.model,
-        prompt_tokens=min(work.prompt_tokens, _MAX_COUNT),
-        urgency=work.urgency,
-        shared_parts=[
-            placement_pb2.SharedPartMessage(
-                id=part.id, tokens=min(part.tokens, _MAX_COUNT)
-            )
-            for part in work.shared_parts
-        ],
-        candidates=[
-            placement_pb2.EngineCandidateMessage(
-                name=candidate.name,
-                incarnation=candidate.incarnation,
-                slots=candidate.slots,
-            )
-            for candidate in candidates
-        ],
-        ticket=ticket,
-    )
-
-
-def _encode_progress(
-    progress: _Progress, now_s: float
-) -> placement_pb2.PlacementProgress:
-    message = placement_pb2.PlacementProgress(
-        ticket=progress.ticket,
-        event=progress.event.value,
-        age_ms=min(max(0, int((now_s - progress.at_s) * 1000)), _MAX_COUNT),
-    )
-    report = progress.report
-    if not isinstance(report, core.Missing):
-        message.has_load = True
-        message.upstream = progress.upstream
-        message.running = report.running
-        message.waiting = report.waiting
-        message.slots = report.slots
-        if not isinstance(report.pace, core.Missing):
-            message.pace_percent = max(1, round(report.pace * 100))
-    return message
-
-
-def _decode_progress(
-    message: placement_pb2.PlacementProgress, now_s: float
-) -> _Progress | core.Missing:
-    """Decodes progress; unset if a later version added the event."""
-    try:
-        event = _Event(message.event)
-    except ValueError:
-        return core.Missing.UNSET
-    report: decisions.LoadReport | core.Missing = core.Missing.UNSET
-    if message.has_load:
-        report = decisions.LoadReport(
-            message.running,
-            message.waiting,
-            message.slots,
-            message.pace_percent / 100
-            if message.pace_percent
-            else core.Missing.UNSET,
-        )
-    return _Progress(
-        event,
-        message.ticket,
-        message.upstream,
-        now_s - message.age_ms / 1000,
-        report,
-    )
-
-
 def _apply(
-    ledger: decisions.WorkLedger, progress: _Progress, now_s: float
+    ledger: decisions.WorkLedger,
+    progress: _placement_messages.Progress,
+    now_s: float,
 ) -> None:
     age_s = max(0.0, now_s - progress.at_s)
-    if progress.event is _Event.BEGAN:
+    if progress.event is _placement_messages.Event.BEGAN:
         ledger.began(progress.ticket, age_s)
-    elif progress.event is _Event.ENDED:
+    elif progress.event is _placement_messages.Event.ENDED:
         ledger.ended(progress.ticket, age_s)
     if not isinstance(progress.report, core.Missing):
         ledger.reported(progress.upstream, progress.report, age_s)
-
-
-def _microseconds(seconds: float) -> int:
-    return min(round(seconds * 1e6), _MAX_COUNT)
