Let the allocator keep buffers of ordinary requests

Blocks from 1 MiB still have pages of their own, so bodies go back when they are freed; the number of arenas is left to the operator's variable if it is set.

--- a/libs/core/mulberry_core/_malloc.py
+++ b/libs/core/mulberry_core/_malloc.py
@@ -1,6 +1,7 @@
 """Settings of the C library's memory allocator."""
 
 import ctypes
+import os
 
 from absl import logging
 
@@ -9,12 +10,15 @@
 #: By default there are eight arenas per core, and each keeps what the threads
 #: that used it have freed.
 _ARENAS = 2
+#: The number of arenas that an operator has set.
+_ARENAS_VARIABLE = "MALLOC_ARENA_MAX"
 #: Blocks from this size have pages of their own, which go back to the system
 #: when they are freed. Without a fixed value the threshold rises to the size
-#: of the largest body, and freed bodies stay in the heap.
-_MMAP_BYTES = 131_072
+#: of the largest body, and freed bodies stay in the heap. At 128 KiB, buffers
+#: of ordinary requests cost system calls each time.
+_MMAP_BYTES = 1 << 20
 #: Free memory at the end of the heap that is kept.
-_TRIM_BYTES = 1 << 20
+_TRIM_BYTES = 4 << 20
 
 
 def return_freed_memory() -> None:
@@ -27,10 +31,9 @@
     except (OSError, AttributeError):
         logging.info("this C library has no mallopt")
         return
-    for parameter, value in (
-        (_ARENA_MAX, _ARENAS),
-        (_MMAP_THRESHOLD, _MMAP_BYTES),
-        (_TRIM_THRESHOLD, _TRIM_BYTES),
-    ):
+    values = [(_MMAP_THRESHOLD, _MMAP_BYTES), (_TRIM_THRESHOLD, _TRIM_BYTES)]
+    if _ARENAS_VARIABLE not in os.environ:
+        values.append((_ARENA_MAX, _ARENAS))
+    for parameter, value in values:
         if mallopt(ctypes.c_int(parameter), ctypes.c_int(value)) != 1:
             logging.warning("mallopt(%d, %d) failed", parameter, value)
