Require keys under an empty list of tenants

Cause: an absent field and an empty list both became an empty mapping of teams, and the forwarder took a table without teams for one that needs no key. The table now tells them apart: `NO_KEY_REQUIRED`, or a mapping that may be empty. What is stored and sent between instances is unchanged, so a restart from disk and another instance come to the same table.

Ruled out: a late configuration, and a lease that outlives it (lookups by a view that is not current are refused with 503, also for an empty list). The chat entry accepts no key without teams; `AllowedRegions` is documented as "empty for any".

The regions of the team move into the exchange, as a table may have no teams.

--- a/libs/gateway/mulberry_gateway/_exchange.py
+++ b/libs/gateway/mulberry_gateway/_exchange.py
@@ -99,6 +99,8 @@
     keep_alive: bool
     #: `Clock.now` by which the answer must be complete, seconds.
     deadline_s: float
+    #: Regions whose upstreams may get the team's requests; empty for any.
+    team_regions: frozenset[str] = frozenset()
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     #: Whether the request has run, or may have, over all attempts.
     run: core.RunState = core.RunState.NOT_RUN
@@ -140,11 +142,11 @@
     @functools.cached_property
     def allowed_regions(self) -> _regions.AllowedRegions:
         """Regions that both the route and the team allow."""
-        restrictions = [self.route.regions]
-        team = self.table.teams_by_name.get(self.team)
-        if team is not None:
-            restrictions.append(team.regions)
-        restrictions = [regions for regions in restrictions if regions]
+        restrictions = [
+            regions
+            for regions in (self.route.regions, self.team_regions)
+            if regions
+        ]
         if not restrictions:
             return core.Missing.UNLIMITED
         return frozenset.intersection(*restrictions)
--- a/libs/gateway/mulberry_gateway/_forwarder.py
+++ b/libs/gateway/mulberry_gateway/_forwarder.py
@@ -121,8 +121,9 @@
         if isinstance(team, core.Refusal):
             return team
         team_name, priority = "", route.priority
+        team_regions: frozenset[str] = frozenset()
         if isinstance(team, routing.Team):
-            team_name = team.name
+            team_name, team_regions = team.name, team.regions
             if not isinstance(team.priority, core.Missing):
                 priority = team.priority
         return _exchange.Exchange(
@@ -132,6 +133,7 @@
             table=table,
             service=_select_service(route, metadata),
             team=team_name,
+            team_regions=team_regions,
             priority=priority,
             caller=caller,
             keep_alive=keep_alive,
@@ -145,7 +147,7 @@
         metadata: _dialect.RequestMetadata,
         validity: "_Validity",
     ) -> routing.Team | core.Missing | core.Refusal:
-        if route.is_public or not table.teams_by_name:
+        if route.is_public or not table.requires_key:
             return core.Missing.UNSET
         team = table.team_of(metadata.key)
         if isinstance(team, core.Missing):
--- a/libs/gateway/mulberry_gateway/_routing_table_store.py
+++ b/libs/gateway/mulberry_gateway/_routing_table_store.py
@@ -55,4 +55,5 @@
             replaced=version,
             revision=view.revision,
             routes=len(parsed.routes),
+            requires_key=parsed.requires_key,
         )
--- a/libs/routing/mulberry_routing/__init__.py
+++ b/libs/routing/mulberry_routing/__init__.py
@@ -5,6 +5,7 @@
 from mulberry_routing._routes import NO_ROUTE, Route, RouteKind
 from mulberry_routing._services import Engine, EngineModel, Service
 from mulberry_routing._table import (
+    NO_KEY_REQUIRED,
     UNKNOWN_KEY,
     Limits,
     RoutingTable,
@@ -12,6 +13,7 @@
 )
 
 __all__ = [
+    "NO_KEY_REQUIRED",
     "NO_ROUTE",
     "UNKNOWN_KEY",
     "DocumentChecker",
--- a/libs/routing/mulberry_routing/_table.py
+++ b/libs/routing/mulberry_routing/_table.py
@@ -9,6 +9,8 @@
 
 #: Result of a lookup with a key that belongs to no team.
 UNKNOWN_KEY = core.Missing.UNSET
+#: `RoutingTable.teams_by_name` if requests need no key.
+NO_KEY_REQUIRED = core.Missing.UNSET
 
 
 @dataclasses.dataclass(frozen=True)
@@ -43,7 +45,9 @@
     version: int
     routes: tuple[_routes.Route, ...]
     services_by_name: Mapping[str, _services.Service]
-    teams_by_name: Mapping[str, Team] = dataclasses.field(default_factory=dict)
+    #: Teams whose keys are accepted. Without any team no key is accepted, which
+    #: differs from `NO_KEY_REQUIRED`.
+    teams_by_name: Mapping[str, Team] | core.Missing = NO_KEY_REQUIRED
     limits: Limits = Limits()
 
     def match(self, host: str, path: str) -> _routes.Route | core.Missing:
@@ -64,6 +68,11 @@
                 return route
         return _routes.NO_ROUTE
 
+    @property
+    def requires_key(self) -> bool:
+        """Whether requests on routes that are not public need a key."""
+        return not isinstance(self.teams_by_name, core.Missing)
+
     def team_of(self, key: str) -> Team | core.Missing:
         """Returns the team that a key belongs to, or `UNKNOWN_KEY`."""
         return self._team_by_key_hash.get(core.hash_key(key), UNKNOWN_KEY)
@@ -81,6 +90,8 @@
 
     @functools.cached_property
     def _team_by_key_hash(self) -> Mapping[str, Team]:
+        if isinstance(self.teams_by_name, core.Missing):
+            return {}
         return {
             key_hash: team
             for team in self.teams_by_name.values()
--- a/libs/routing/mulberry_routing/tests/test_table.py
+++ b/libs/routing/mulberry_routing/tests/test_table.py
@@ -1,5 +1,7 @@
 """Tests for lookups in the routing table."""
 
+import dataclasses
+
 import pytest
 
 import mulberry_core as core
@@ -58,6 +60,23 @@
     assert TABLE.match(host, path) is routing.NO_ROUTE
 
 
+@pytest.mark.parametrize(
+    ("teams_by_name", "is_required"),
+    [
+        (routing.NO_KEY_REQUIRED, False),
+        ({}, True),
+        ({"ventas": routing.Team("ventas", frozenset())}, True),
+    ],
+)
+def test_a_key_is_required_by_any_list_of_teams(
+    teams_by_name: dict[str, routing.Team] | core.Missing, is_required: bool
+) -> None:
+    """Guards against a table that accepts every key once it has no team."""
+    table = dataclasses.replace(TABLE, teams_by_name=teams_by_name)
+    assert table.requires_key is is_required
+    assert table.team_of("k1") is routing.UNKNOWN_KEY
+
+
 def test_a_key_belongs_to_its_team_only() -> None:
     team = TABLE.team_of("k1")
     assert isinstance(team, routing.Team)
