Free requests and answers as their connections end

Cause: a reader and its httptools parser refer to each other, as the parser keeps bound methods of the reader. Up to 4 MiB of an incomplete body waited for a garbage collection, which comes after 10,000 allocations. The call to an upstream has the same cycle, and kept the unsent rest of the request, a copy of a large body, and the connection of the caller.

Closing a reader or a call replaces the parser by one without a protocol. Both new tests failed before: the reader and the call were alive without a garbage collection.

--- a/libs/gateway/mulberry_gateway/_listener.py
+++ b/libs/gateway/mulberry_gateway/_listener.py
@@ -226,18 +226,23 @@
             sock.close()
             return
         connection.memory = account
+        reader = _request_reader.RequestReader(
+            connection, self._handler.limits(), self._clock
+        )
         try:
-            self._serve_requests(connection, account)
+            self._serve_requests(connection, account, reader)
         except Exception:
             logging.exception("%s: connection task failed", self._name)
             connection.close()
+        finally:
+            reader.close()
 
     def _serve_requests(
-        self, connection: _connection.Connection, account: core.MemoryAccount
+        self,
+        connection: _connection.Connection,
+        account: core.MemoryAccount,
+        reader: _request_reader.RequestReader,
     ) -> None:
-        reader = _request_reader.RequestReader(
-            connection, self._handler.limits(), self._clock
-        )
         while True:
             reader.limits = self._handler.limits()
             request = self._read(connection, reader)
--- a/libs/gateway/mulberry_gateway/_request_reader.py
+++ b/libs/gateway/mulberry_gateway/_request_reader.py
@@ -32,6 +32,8 @@
 _BODY_HEADERS = frozenset({"content-length", "transfer-encoding"})
 #: Part of the requests that the fixed charge of a connection covers.
 _FREE_BYTES = 16_384
+#: Parser of a reader that is closed; calls nothing.
+_NO_PARSER = httptools.HttpRequestParser(object())
 
 
 @dataclasses.dataclass(frozen=True)
@@ -166,6 +168,13 @@
         self._partial = _PartialRequest()
         self._charge(0)
 
+    def close(self) -> None:
+        """Drops all that has arrived; called when the connection ends."""
+        self.discard()
+        # The parser refers to this object. The cycle would keep both until
+        # the next garbage collection, while nothing is charged for them.
+        self._parser = _NO_PARSER
+
     def _read_some(
         self, deadline: _read_deadline.ReadDeadline
     ) -> InvalidRequest | _connection.ConnectionFailure | core.Missing:
--- a/libs/gateway/mulberry_gateway/_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/_upstream_call.py
@@ -61,6 +61,8 @@
 
 #: Faults after which the request cannot have reached the upstream.
 NOT_SENT = frozenset({Fault.REFUSED, Fault.UNREACHABLE})
+#: Parser of a call that is closed; calls nothing.
+_NO_PARSER = httptools.HttpResponseParser(object())
 
 
 class UpstreamCall:
@@ -222,6 +224,11 @@
         self._granted_bytes = 0
         if self._connection is not None:
             self._connection.close()
+        self._unsent = b""
+        self._body = bytearray()
+        # The parser refers to this object. The cycle would keep both, and the
+        # caller's connection, until the next garbage collection.
+        self._parser = _NO_PARSER
 
     def _take_body(self) -> bytes:
         data = bytes(self._body)
--- a/libs/gateway/mulberry_gateway/tests/test_memory.py
+++ b/libs/gateway/mulberry_gateway/tests/test_memory.py
@@ -1,8 +1,10 @@
 """Memory of callers' requests: how heads are kept, and what is charged."""
 
+import gc
 import socket
 import threading
 import time
+import weakref
 from collections.abc import Iterator
 from typing import Any
 
@@ -105,6 +107,24 @@
     assert fault.kind is core.ErrorKind.BAD_REQUEST
 
 
+def test_a_closed_reader_leaves_no_garbage(caller: _Caller) -> None:
+    """Guards against requests that outlive the charge of their connection.
+
+    The reader and its parser refer to each other, and kept what had arrived
+    of a body until the next garbage collection.
+    """
+    caller.sock.sendall(_HEAD + b"Content-Length: 9\r\n\r\nabc")
+    gc.disable()
+    try:
+        caller.reader.read()
+        reader = weakref.ref(caller.reader)
+        caller.reader.close()
+        del caller.reader
+        assert reader() is None
+    finally:
+        gc.enable()
+
+
 def test_a_body_is_charged_until_the_next_request_is_awaited(
     pool: gateway.ConnectionPool, caller: _Caller
 ) -> None:
--- a/libs/gateway/mulberry_gateway/tests/test_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/tests/test_upstream_call.py
@@ -1,7 +1,9 @@
 """Answers of upstreams are complete or reported as faults."""
 
+import gc
 import socket
 import threading
+import weakref
 from collections.abc import Callable
 
 import pytest
@@ -63,6 +65,31 @@
     return result
 
 
+def test_a_closed_call_leaves_no_garbage() -> None:
+    """Guards against requests and answers that outlive their call.
+
+    The call and its parser refer to each other, and kept the rest of a request
+    and of an answer until the next garbage collection.
+    """
+    caller, remote = _caller()
+    gc.disable()
+    try:
+        call = relay_harness.call(
+            _serve(lambda connection: connection.sendall(b"HTTP/1.1 200")),
+            caller,
+        )
+        call.send(_REQUEST, head_only=False)
+        assert isinstance(call.read_head(1.0), Fault)
+        reference = weakref.ref(call)
+        call.close()
+        del call
+        assert reference() is None
+    finally:
+        gc.enable()
+        caller.close()
+        remote.close()
+
+
 @pytest.mark.parametrize(
     ("data", "then_reset", "wanted"),
     [
