End the threads that a crowd has left

A daemon that a crowd had left kept a thread for each of its connections, up to 1,024.

`ConnectionThreads` runs each connection on a thread and keeps at most 16 idle ones, the newest of which is used first. Ruled out: a time after which idle threads end, because crowds come within it; a thread for each connection, because ordinary callers come one after another.

Its threads don't hold up the end of the interpreter, unlike those of `concurrent.futures`, so the program waits for them as before (`join`). The relay server, whose threads were never ended either, uses it as well.

--- a/libs/gateway/mulberry_gateway/_connection_pool.py
+++ b/libs/gateway/mulberry_gateway/_connection_pool.py
@@ -3,10 +3,9 @@
 import contextlib
 import socket
 from collections.abc import Callable
-from concurrent import futures
 
 import mulberry_core as core
-from mulberry_gateway import _settings
+from mulberry_gateway import _connection_threads, _settings
 
 #: What a running daemon takes without connections. It takes 66 MB alone, and
 #: the more the larger the fleet; the rest is for the allocator.
@@ -46,18 +45,21 @@
             ),
             clock,
         )
-        # Threads are never ended, so all listeners use the same ones.
-        self._threads = futures.ThreadPoolExecutor(
-            max_threads or count, thread_name_prefix="connection"
+        self._threads = _connection_threads.ConnectionThreads(
+            max_threads or count, "connection"
         )
 
-    def submit(self, serve: Callable[..., None], *args: object) -> None:
+    def submit(self, serve: Callable[[], None]) -> None:
         """Serves a connection on a thread.
 
         Raises:
             RuntimeError: No thread could be started.
         """
-        self._threads.submit(serve, *args)
+        self._threads.submit(serve)
+
+    def join(self) -> None:
+        """Waits until all connections are closed; for the process's end."""
+        self._threads.join()
 
     def open_account(
         self, sock: socket.socket, is_reserved: bool
--- a/libs/gateway/mulberry_gateway/_instance.py
+++ b/libs/gateway/mulberry_gateway/_instance.py
@@ -388,6 +388,12 @@
             self._relay.stop()
         leave_beside(self.membership.leave, self._stop_node)
 
+    def join(self) -> None:
+        """Waits for the connections that are open after `stop`."""
+        self.connections.join()
+        if not isinstance(self._relay, core.Missing):
+            self._relay.join()
+
     @property
     def entry_list_s(self) -> float:
         """How long callers may use an entry list, seconds."""
--- a/libs/gateway/mulberry_gateway/_listener.py
+++ b/libs/gateway/mulberry_gateway/_listener.py
@@ -196,7 +196,7 @@
         with self._lock:
             self._open.add(sock)
         try:
-            self._pool.submit(self._serve, sock, account)
+            self._pool.submit(lambda: self._serve(sock, account))
         except RuntimeError:
             # No thread could be started. The running ones continue, and the
             # accepting thread must not end.
--- a/libs/gateway/mulberry_gateway/_relay_server.py
+++ b/libs/gateway/mulberry_gateway/_relay_server.py
@@ -6,7 +6,6 @@
 import threading
 import time
 from collections.abc import Callable
-from concurrent import futures
 
 from absl import logging
 
@@ -16,6 +15,7 @@
 from mulberry_gateway import (
     _byte_relay,
     _connection,
+    _connection_threads,
     _link_recorder,
     _relay_protocol,
 )
@@ -78,8 +78,8 @@
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.bind((host, int(port)))
-        self._pool = futures.ThreadPoolExecutor(
-            self._max_open + _MAX_OPENING, thread_name_prefix="relay"
+        self._threads = _connection_threads.ConnectionThreads(
+            self._max_open + _MAX_OPENING, "relay"
         )
         self._lock = threading.Lock()
         #: Accepted connections, and those of them that were admitted.
@@ -124,6 +124,10 @@
             self._sock.shutdown(socket.SHUT_RDWR)
         self._sock.close()
 
+    def join(self) -> None:
+        """Waits until all relayed connections are closed."""
+        self._threads.join()
+
     def _accept(self) -> None:
         while not self._stopping.is_set():
             try:
@@ -146,7 +150,7 @@
             sock.close()
             return
         try:
-            self._pool.submit(self._serve, sock)
+            self._threads.submit(lambda: self._serve(sock))
         except RuntimeError:
             logging.exception("relay: no thread for a new connection")
             with self._lock:
--- a/libs/gateway/mulberry_gateway/tests/test_memory.py
+++ b/libs/gateway/mulberry_gateway/tests/test_memory.py
@@ -107,6 +107,29 @@
     assert fault.kind is core.ErrorKind.BAD_REQUEST
 
 
+def test_a_crowd_leaves_few_threads(pool: gateway.ConnectionPool) -> None:
+    """Guards against the memory of threads that nobody is charged for.
+
+    All threads that a crowd had needed were kept, with their stacks.
+    """
+    before = threading.active_count()
+    running = threading.Semaphore(0)
+    release = threading.Event()
+
+    def serve() -> None:
+        running.release()
+        release.wait(10.0)
+
+    for _ in range(100):
+        pool.submit(serve)
+    assert all(running.acquire(timeout=5.0) for _ in range(100))
+    release.set()
+    until_s = time.monotonic() + 5.0
+    while threading.active_count() > before + 20:
+        assert time.monotonic() < until_s, threading.active_count()
+        time.sleep(0.01)
+
+
 def test_a_closed_reader_leaves_no_garbage(caller: _Caller) -> None:
     """Guards against requests that outlive the charge of their connection.
 
