Trim the heap while large requests come and go

`HeapTrimmer` decides: once an eighth of the budget was freed since the last trim, at most once a second, on the timer of the memory gauges. Ruled out: a lower threshold for blocks with pages of their own, which costs system calls for ordinary requests; trimming each second without a reason.

New counter `gateway.memory.trimmed`. No limit is added.

--- a/libs/core/mulberry_core/__init__.py
+++ b/libs/core/mulberry_core/__init__.py
@@ -28,7 +28,7 @@
     hash_key,
     ring_position,
 )
-from mulberry_core._malloc import return_freed_memory
+from mulberry_core._malloc import return_freed_memory, trim_heap
 from mulberry_core._memory_budget import (
     BudgetLimits,
     MemoryAccount,
@@ -83,4 +83,5 @@
     "return_freed_memory",
     "ring_position",
     "run_step",
+    "trim_heap",
 ]
--- a/libs/core/mulberry_core/_malloc.py
+++ b/libs/core/mulberry_core/_malloc.py
@@ -1,7 +1,9 @@
 """Settings of the C library's memory allocator."""
 
 import ctypes
+import functools
 import os
+from collections.abc import Callable
 
 from absl import logging
 
@@ -21,6 +23,25 @@
 _TRIM_BYTES = 4 << 20
 
 
+def trim_heap() -> None:
+    """Returns the free memory between used blocks to the system.
+
+    Does nothing with another C library than glibc. Takes some milliseconds.
+    """
+    trim = _find_trim()
+    if trim is not None:
+        trim(ctypes.c_size_t(0))
+
+
+@functools.cache
+def _find_trim() -> Callable[[ctypes.c_size_t], int] | None:
+    try:
+        return ctypes.CDLL(None).malloc_trim
+    except (OSError, AttributeError):
+        logging.info("this C library has no malloc_trim")
+        return None
+
+
 def return_freed_memory() -> None:
     """Makes `malloc` return freed blocks to the system where it can.
 
--- a/libs/core/mulberry_core/_memory_budget.py
+++ b/libs/core/mulberry_core/_memory_budget.py
@@ -44,6 +44,8 @@
     refused: int
     #: Connections that were closed so far to make room.
     closed: int
+    #: Sum of all charges that have been freed so far.
+    freed_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -167,6 +169,7 @@
         self._peak_bytes = 0
         self._refused = 0
         self._closed = 0
+        self._freed_bytes = 0
         #: When a waiting charge last looked for connections to give up.
         self._searched_s = 0.0
 
@@ -180,6 +183,7 @@
                 len(self._accounts),
                 self._refused,
                 self._closed,
+                self._freed_bytes,
             )
 
     def open(
@@ -238,6 +242,7 @@
         self._charged_bytes += added
         self._peak_bytes = max(self._peak_bytes, self._charged_bytes)
         if added < 0:
+            self._freed_bytes -= added
             self._changed.notify_all()
 
     def _make_room(self, account: MemoryAccount, total_bytes: int) -> bool:
--- a/libs/gateway/mulberry_gateway/_memory_gauges.py
+++ b/libs/gateway/mulberry_gateway/_memory_gauges.py
@@ -1,9 +1,10 @@
-"""Exports the state of the memory budget, and logs when it is short."""
+"""Exports the state of the memory budget, and trims the heap."""
 
 import os
 import pathlib
 
 import mulberry_core as core
+from mulberry_gateway import _heap_trimmer
 
 _STATM = pathlib.Path("/proc/self/statm")
 #: Column of `statm` with the resident memory, in pages.
@@ -20,7 +21,17 @@
         budget: core.MemoryBudget,
         counters: core.Counters,
         log: core.DecisionLog,
+        trimmer: _heap_trimmer.HeapTrimmer | None = None,
     ) -> None:
+        """Creates the gauges.
+
+        Args:
+            budget: Its state is exported.
+            counters: Gets the gauges and counters.
+            log: Told when the memory is short, and when it no longer is.
+            trimmer: Asked after each update; by default a new one.
+        """
+        self._trimmer = trimmer or _heap_trimmer.HeapTrimmer()
         self._budget = budget
         self._counters = counters
         self._log = log
@@ -32,7 +43,7 @@
         timers.every(_PERIOD_S, self.record, "memory")
 
     def record(self) -> None:
-        """Sets the gauges and counts what was refused and closed since."""
+        """Sets the gauges, counts what happened since, and trims the heap."""
         usage, last = self._budget.usage(), self._last
         self._last = usage
         refused = usage.refused - last.refused
@@ -45,6 +56,7 @@
         counters.gauge("gateway.memory.peak_bytes", float(usage.peak_bytes))
         counters.gauge("gateway.memory.connections", float(usage.connections))
         counters.gauge("gateway.memory.resident_bytes", _resident_bytes())
+        counters.increment("gateway.memory.trimmed", self._trimmer.check(usage))
         counters.increment("gateway.memory.refused", refused)
         counters.increment("gateway.memory.closed", closed)
         is_short = bool(refused or closed)
--- a/libs/gateway/mulberry_gateway/tests/test_memory.py
+++ b/libs/gateway/mulberry_gateway/tests/test_memory.py
@@ -15,7 +15,12 @@
 import mulberry_core as core
 import mulberry_gateway as gateway
 import mulberry_routing as routing
-from mulberry_gateway import _headers, _memory_gauges, _messages
+from mulberry_gateway import (
+    _headers,
+    _heap_trimmer,
+    _memory_gauges,
+    _messages,
+)
 
 _HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\n"
 _BODY = b"x" * (1 << 20)
@@ -254,3 +259,44 @@
     gauges.record()
     assert log.shorts == [True, False]
     assert counters.snapshot()["gateway.memory.resident_bytes"] > 0
+
+
+@pytest.mark.parametrize(
+    ("sizes", "trims"),
+    [
+        # Bodies of a quarter of the memory come and go.
+        ([250_000] * 4, 4),
+        # Bodies of which it takes several to make a trim worth its time.
+        ([49_152] * 6, 2),
+        # Bodies that stay.
+        ([], 0),
+    ],
+)
+def test_the_heap_is_trimmed_after_large_requests(
+    sizes: list[int], trims: int
+) -> None:
+    """Guards against a heap that stays as large as the crowds before."""
+    budget = core.MemoryBudget(
+        core.BudgetLimits(max_bytes=1_000_000, max_connections=4),
+        core.SystemClock(),
+    )
+    counters = core.MemoryCounters()
+    calls: list[int] = []
+    gauges = _memory_gauges.MemoryGauges(
+        budget,
+        counters,
+        _Log(),
+        _heap_trimmer.HeapTrimmer(lambda: calls.append(1)),
+    )
+    kept = budget.open(lambda: None)
+    assert isinstance(kept, core.MemoryAccount)
+    assert kept.charge_request(250_000)
+    for size in sizes:
+        account = budget.open(lambda: None)
+        assert isinstance(account, core.MemoryAccount)
+        assert account.charge_request(size)
+        account.close()
+        gauges.record()
+    gauges.record()
+    assert len(calls) == trims
+    assert counters.count("gateway.memory.trimmed") == trims
