Accept the keys of all tenants of one name

Cause: the parser keyed the teams by their names, so the last entry of a name replaced the others. `RoutingTable.teams` is a tuple; lookups go by the key as before.

--- a/libs/gateway/mulberry_gateway/tests/cold_harness.py
+++ b/libs/gateway/mulberry_gateway/tests/cold_harness.py
@@ -41,7 +41,6 @@
         services_by_name={
             "app": routing.Service("app", cold_s=2.0, cold_rate_per_s=per_s)
         },
-        teams_by_name={},
         limits=routing.Limits(),
     )
 
--- a/libs/routing/mulberry_routing/_table.py
+++ b/libs/routing/mulberry_routing/_table.py
@@ -9,7 +9,7 @@
 
 #: Result of a lookup with a key that belongs to no team.
 UNKNOWN_KEY = core.Missing.UNSET
-#: `RoutingTable.teams_by_name` if requests need no key.
+#: `RoutingTable.teams` if requests need no key.
 NO_KEY_REQUIRED = core.Missing.UNSET
 
 
@@ -45,9 +45,9 @@
     version: int
     routes: tuple[_routes.Route, ...]
     services_by_name: Mapping[str, _services.Service]
-    #: Teams whose keys are accepted. Without any team no key is accepted, which
-    #: differs from `NO_KEY_REQUIRED`.
-    teams_by_name: Mapping[str, Team] | core.Missing = NO_KEY_REQUIRED
+    #: Teams whose keys are accepted; several may have one name. Without any team
+    #: no key is accepted, which differs from `NO_KEY_REQUIRED`.
+    teams: tuple[Team, ...] | core.Missing = NO_KEY_REQUIRED
     limits: Limits = Limits()
 
     def match(self, host: str, path: str) -> _routes.Route | core.Missing:
@@ -71,7 +71,7 @@
     @property
     def requires_key(self) -> bool:
         """Whether requests on routes that are not public need a key."""
-        return not isinstance(self.teams_by_name, core.Missing)
+        return not isinstance(self.teams, core.Missing)
 
     def team_of(self, key: str) -> Team | core.Missing:
         """Returns the team that a key belongs to, or `UNKNOWN_KEY`."""
@@ -90,11 +90,11 @@
 
     @functools.cached_property
     def _team_by_key_hash(self) -> Mapping[str, Team]:
-        if isinstance(self.teams_by_name, core.Missing):
+        if isinstance(self.teams, core.Missing):
             return {}
         return {
             key_hash: team
-            for team in self.teams_by_name.values()
+            for team in self.teams
             for key_hash in team.key_hashes
         }
 
--- a/libs/routing/mulberry_routing/tests/test_table.py
+++ b/libs/routing/mulberry_routing/tests/test_table.py
@@ -24,11 +24,9 @@
     version=1,
     routes=(_route("all", "/"), _route("a", "/a/"), _route("deep", "/a/b/")),
     services_by_name={"pool": routing.Service("pool")},
-    teams_by_name={
-        "ventas": routing.Team(
-            "ventas", frozenset({core.hash_key("k1")}), priority=2
-        )
-    },
+    teams=(
+        routing.Team("ventas", frozenset({core.hash_key("k1")}), priority=2),
+    ),
 )
 
 
@@ -61,18 +59,18 @@
 
 
 @pytest.mark.parametrize(
-    ("teams_by_name", "is_required"),
+    ("teams", "is_required"),
     [
         (routing.NO_KEY_REQUIRED, False),
-        ({}, True),
-        ({"ventas": routing.Team("ventas", frozenset())}, True),
+        ((), True),
+        ((routing.Team("ventas", frozenset()),), True),
     ],
 )
 def test_a_key_is_required_by_any_list_of_teams(
-    teams_by_name: dict[str, routing.Team] | core.Missing, is_required: bool
+    teams: tuple[routing.Team, ...] | core.Missing, is_required: bool
 ) -> None:
     """Guards against a table that accepts every key once it has no team."""
-    table = dataclasses.replace(TABLE, teams_by_name=teams_by_name)
+    table = dataclasses.replace(TABLE, teams=teams)
     assert table.requires_key is is_required
     assert table.team_of("k1") is routing.UNKNOWN_KEY
 
