Apply the limits in force as a request begins

Cause: the listener handed the limits to the reader before the reader waited for the next request. The reader asks for them itself now, as a request begins; within a request they stay the same. At the end of the idle time it asks once more.

--- a/libs/gateway/mulberry_gateway/_listener.py
+++ b/libs/gateway/mulberry_gateway/_listener.py
@@ -227,7 +227,7 @@
             return
         connection.memory = account
         reader = _request_reader.RequestReader(
-            connection, self._handler.limits(), self._clock
+            connection, self._handler.limits, self._clock
         )
         try:
             self._serve_requests(connection, account, reader)
@@ -244,7 +244,6 @@
         reader: _request_reader.RequestReader,
     ) -> None:
         while True:
-            reader.limits = self._handler.limits()
             request = self._read(connection, reader)
             if isinstance(request, _connection.ConnectionFailure):
                 connection.close()
--- a/libs/gateway/mulberry_gateway/_request_reader.py
+++ b/libs/gateway/mulberry_gateway/_request_reader.py
@@ -2,7 +2,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import httptools
 
@@ -95,14 +95,15 @@
     def __init__(
         self,
         connection: _connection.Connection,
-        limits: routing.Limits,
+        current_limits: Callable[[], routing.Limits],
         clock: core.Clock,
     ) -> None:
         """Creates a reader for a new connection.
 
         Args:
             connection: Connection of the caller.
-            limits: Limits for the caller's requests.
+            current_limits: Returns the limits for callers' requests, which
+                hold for each request that begins from then on.
             clock: Source of time.
         """
         #: What the requests in `_ready` take, bytes.
@@ -110,7 +111,8 @@
         #: Charged for the requests, without what is free.
         self._charged_bytes = 0
         self._connection = connection
-        self._limits = limits
+        self._current_limits = current_limits
+        self._limits = current_limits()
         self._clock = clock
         self._parser = httptools.HttpRequestParser(self)
         self._partial = _PartialRequest()
@@ -123,15 +125,6 @@
         self._framing_bytes = 0
         self._ready: collections.deque[_messages.Request] = collections.deque()
 
-    @property
-    def limits(self) -> routing.Limits:
-        """Limits for requests; may be replaced between requests."""
-        return self._limits
-
-    @limits.setter
-    def limits(self, limits: routing.Limits) -> None:
-        self._limits = limits
-
     @property
     def has_partial_request(self) -> bool:
         """Whether a request has begun to arrive and is not complete."""
@@ -142,11 +135,18 @@
     ) -> _messages.Request | InvalidRequest | _connection.ConnectionFailure:
         """Returns the next request, or why there is none."""
         deadline = _read_deadline.ReadDeadline(self._clock.now)
-        deadline.start(self._limits.idle_timeout_s)
+        began_s = self._clock.now()
+        deadline.start(self._current_limits().idle_timeout_s)
         self._begin_waiting()
         while not self._ready:
             was_started, was_in_body = self._started, self._in_body
             failure = self._read_some(deadline)
+            if (
+                failure is _connection.ConnectionFailure.TIMEOUT
+                and (idle_s := self._idle_remaining_s(began_s)) > 0.0
+            ):
+                deadline.start(idle_s)
+                continue
             if not isinstance(failure, core.Missing):
                 return failure
             if self._fault:
@@ -203,6 +203,15 @@
                 return self._no_memory()
         return core.Missing.UNSET
 
+    def _idle_remaining_s(self, began_s: float) -> float:
+        """Returns how much longer a request may be awaited, as limits change.
+
+        Args:
+            began_s: When the wait began, `Clock.now`, seconds.
+        """
+        waited_s = self._clock.now() - began_s
+        return self._current_limits().idle_timeout_s - waited_s
+
     def _begin_waiting(self) -> None:
         memory = self._connection.memory
         if not isinstance(memory, core.Missing):
@@ -287,6 +296,7 @@
 
     def on_message_begin(self) -> None:
         """Starts a new request."""
+        self._limits = self._current_limits()
         self._partial = _PartialRequest()
         self._started = True
         self._in_body = False
--- a/libs/gateway/mulberry_gateway/tests/test_endless_answers.py
+++ b/libs/gateway/mulberry_gateway/tests/test_endless_answers.py
@@ -150,7 +150,7 @@
     accepted, _ = host.accept()
     host.close()
     reader = _request_reader.RequestReader(
-        gateway.Connection(accepted), routing.Limits(), core.SystemClock()
+        gateway.Connection(accepted), routing.Limits, core.SystemClock()
     )
 
     def send() -> None:
@@ -191,7 +191,7 @@
     host.close()
     reader = _request_reader.RequestReader(
         gateway.Connection(accepted),
-        routing.Limits(),
+        routing.Limits,
         core.SystemClock(),
     )
 
--- a/libs/gateway/mulberry_gateway/tests/test_listener.py
+++ b/libs/gateway/mulberry_gateway/tests/test_listener.py
@@ -1,6 +1,7 @@
 """Accepting connections, during shutdown and with scarce resources."""
 
 import contextlib
+import dataclasses
 import socket
 import threading
 import time
@@ -11,6 +12,7 @@
 
 import mulberry_core as core
 import mulberry_gateway as gateway
+import mulberry_routing as routing
 from mulberry_gateway import _listener as gateway_listener
 
 _REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
@@ -241,6 +243,99 @@
     caller.close()
 
 
+class _LimitedHandler(_FixedHandler):
+    """Answers every request; the limits may be replaced at any time."""
+
+    def __init__(self, limits: routing.Limits) -> None:
+        self.current = limits
+
+    def limits(self) -> routing.Limits:
+        return self.current
+
+    def handle(
+        self,
+        request: gateway.Request,
+        caller: gateway.Connection,
+        keep_alive: bool,
+    ) -> bool:
+        return caller.send_all(_ANSWER) and keep_alive
+
+
+@pytest.fixture
+def limited() -> Iterator[tuple[_LimitedHandler, gateway.Listener]]:
+    handler = _LimitedHandler(
+        routing.Limits(
+            max_header_bytes=200, max_body_bytes=100, idle_timeout_s=0.3
+        )
+    )
+    limited_listener = gateway.Listener(
+        "test", "127.0.0.1:0", handler, core.SystemClock()
+    )
+    limited_listener.start()
+    yield handler, limited_listener
+    limited_listener.stop_accepting()
+
+
+_KEPT_REQUEST = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n%b\r\n"
+
+
+@pytest.mark.parametrize(
+    ("changes", "request_bytes", "pause_s"),
+    [
+        pytest.param(
+            {"max_body_bytes": 1_000},
+            _KEPT_REQUEST % (500, b"") + b"x" * 500,
+            0.0,
+            id="body",
+        ),
+        pytest.param(
+            {"max_header_bytes": 2_000},
+            _KEPT_REQUEST % (0, b"X-A: " + b"a" * 1_000 + b"\r\n"),
+            0.0,
+            id="head",
+        ),
+        pytest.param(
+            {"idle_timeout_s": 5.0},
+            _KEPT_REQUEST % (0, b""),
+            0.6,
+            id="idle time",
+        ),
+    ],
+)
+def test_limits_that_are_raised_hold_for_idle_connections(
+    limited: tuple[_LimitedHandler, gateway.Listener],
+    changes: dict[str, Any],
+    request_bytes: bytes,
+    pause_s: float,
+) -> None:
+    """Guards against connections that keep the limits of an older document.
+
+    The limits were read before the wait for the next request.
+    """
+    handler, limited_listener = limited
+    with _connect(limited_listener, _KEPT_REQUEST % (0, b"")) as caller:
+        assert caller.recv(65_536) == _ANSWER
+        # The connection is idle by then.
+        time.sleep(0.1)
+        handler.current = dataclasses.replace(handler.current, **changes)
+        time.sleep(pause_s)
+        caller.sendall(request_bytes)
+        assert caller.recv(65_536) == _ANSWER
+
+
+def test_limits_do_not_change_within_a_request(
+    limited: tuple[_LimitedHandler, gateway.Listener],
+) -> None:
+    """Guards against a body that was allowed when it began to arrive."""
+    handler, limited_listener = limited
+    request_bytes = _KEPT_REQUEST % (90, b"")
+    with _connect(limited_listener, request_bytes) as caller:
+        time.sleep(0.1)
+        handler.current = dataclasses.replace(handler.current, max_body_bytes=9)
+        caller.sendall(b"x" * 90)
+        assert caller.recv(65_536) == _ANSWER
+
+
 def test_request_bodies_share_one_budget() -> None:
     """Guards against bodies that only together exceed the memory.
 
--- a/libs/gateway/mulberry_gateway/tests/test_memory.py
+++ b/libs/gateway/mulberry_gateway/tests/test_memory.py
@@ -42,9 +42,10 @@
         self.account = account
         self.connection = gateway.Connection(accepted)
         self.connection.memory = account
+        self.limits = routing.Limits(idle_timeout_s=0.3, header_timeout_s=0.3)
         self.reader = gateway.RequestReader(
             self.connection,
-            routing.Limits(idle_timeout_s=0.3, header_timeout_s=0.3),
+            lambda: self.limits,
             core.SystemClock(),
         )
 
@@ -173,7 +174,7 @@
     pool: gateway.ConnectionPool, caller: _Caller
 ) -> None:
     """Guards against a crowd of stalled requests that keeps its memory."""
-    caller.reader.limits = routing.Limits()
+    caller.limits = routing.Limits()
     results: list[object] = []
 
     def read() -> None:
--- a/libs/gateway/mulberry_gateway/tests/test_request_reader.py
+++ b/libs/gateway/mulberry_gateway/tests/test_request_reader.py
@@ -31,7 +31,7 @@
     connection = gateway.Connection(accepted)
     yield (
         caller,
-        gateway.RequestReader(connection, _LIMITS, core.SystemClock()),
+        gateway.RequestReader(connection, lambda: _LIMITS, core.SystemClock()),
     )
     caller.close()
     connection.close()
