End responses without a body with their heads

Cause: `Forwarder` wrote refusals without `head_only`, which only answers of upstreams had. By the same mistake, a stream's relay sent a last chunk behind the answer to HEAD, and behind 204 and 304.

Refusals of HEAD end with the head now, and an answer without a body is not relayed as a stream. Requests that cannot be parsed keep their answer, as their connection ends with it.

--- a/libs/gateway/mulberry_gateway/_attempts.py
+++ b/libs/gateway/mulberry_gateway/_attempts.py
@@ -324,6 +324,9 @@
         if (
             exchange.route.kind is routing.RouteKind.STREAMING
             and head.status < 300
+            # Without a body there is nothing to relay, and no last chunk.
+            and exchange.request.method != "HEAD"
+            and head.status not in _messages.BODILESS_STATUSES
         ):
             components.upstream_selector.health.succeeded(attempt.upstream)
             return self._relay_stream(
--- a/libs/gateway/mulberry_gateway/_forwarder.py
+++ b/libs/gateway/mulberry_gateway/_forwarder.py
@@ -235,7 +235,11 @@
         )
         exchange.status = response.status
         self._log_refusal(exchange, refusal)
-        data = _messages.write_response(response, exchange.keep_alive)
+        data = _messages.write_response(
+            response,
+            exchange.keep_alive,
+            head_only=exchange.request.method == "HEAD",
+        )
         return exchange.caller.send_all(data) and exchange.keep_alive
 
     def _with_retry_after(self, refusal: core.Refusal) -> core.Refusal:
@@ -286,7 +290,10 @@
             revision=components.state.view().revision,
         )
         response = components.dialect.error_response(refusal, request_id)
-        return caller.send_all(_messages.write_response(response, keep_alive))
+        data = _messages.write_response(
+            response, keep_alive, head_only=request.method == "HEAD"
+        )
+        return caller.send_all(data)
 
     def _record_completion(self, exchange: _exchange.Exchange) -> None:
         components = self._components
--- a/libs/gateway/mulberry_gateway/_messages.py
+++ b/libs/gateway/mulberry_gateway/_messages.py
@@ -24,6 +24,8 @@
 )
 #: Headers that are computed for each message.
 _FRAMING = frozenset({"content-length", "expect"})
+#: Statuses of responses that have no body, whatever their headers say.
+BODILESS_STATUSES = frozenset({204, 304})
 
 
 @dataclasses.dataclass(frozen=True)
@@ -148,7 +150,7 @@
 ) -> bytes:
     """Serializes a complete response."""
     headers = [*response.headers]
-    if response.status not in (204, 304):
+    if response.status not in BODILESS_STATUSES:
         headers.append(("Content-Length", str(len(response.body))))
     if not keep_alive:
         headers.append(("Connection", "close"))
--- a/libs/gateway/mulberry_gateway/_upstream_call.py
+++ b/libs/gateway/mulberry_gateway/_upstream_call.py
@@ -25,7 +25,6 @@
     _upstream_paths,
 )
 
-_NO_BODY = frozenset({204, 304})
 #: Copies of an answer at one time: while it is completed, and while it is sent.
 #: The eighth is what a growing body reserves.
 _ANSWER_COPIES = 2.125
@@ -337,7 +336,7 @@
             self._is_garbled |= status not in _STATUSES
             return
         self._head = _messages.ResponseHead(status, reason, headers)
-        if self._head_only or status in _NO_BODY:
+        if self._head_only or status in _messages.BODILESS_STATUSES:
             self._is_complete = True
         self._ends_with_connection = not self._head.has_framing
 
