Take no connections once the process ends

`ConnectionThreads.join` went on taking them, so that clients who connect again and again could have kept a stopped process until SIGKILL.

test_no_task_begins_once_the_process_ends failed before: nothing was raised.

--- a/libs/gateway/mulberry_gateway/_connection_pool.py
+++ b/libs/gateway/mulberry_gateway/_connection_pool.py
@@ -53,12 +53,12 @@
         """Serves a connection on a thread.
 
         Raises:
-            RuntimeError: No thread could be started.
+            RuntimeError: No thread could be started, or the process ends.
         """
         self._threads.submit(serve)
 
     def join(self) -> None:
-        """Waits until all connections are closed; for the process's end."""
+        """Serves no more connections and waits until all are closed."""
         self._threads.join()
 
     def open_account(
--- a/libs/gateway/mulberry_gateway/_connection_threads.py
+++ b/libs/gateway/mulberry_gateway/_connection_threads.py
@@ -7,8 +7,8 @@
 
 from absl import logging
 
-#: Idle threads that are kept. A thread takes some 30 KB for its stack and the
-#: allocator, which nobody is charged while it is idle.
+#: Idle threads that are kept. A thread has a stack, and blocks that the allocator
+#: keeps for it, which nobody is charged for while it is idle.
 MAX_IDLE = 16
 
 _Task = Callable[[], None]
@@ -29,6 +29,7 @@
         #: Notified when the last task has ended.
         self._changed = threading.Condition()
         self._threads = 0
+        self._is_closed = False
         #: Where each idle thread waits for its next task, newest last.
         self._idle: list[queue.SimpleQueue[_Task]] = []
         #: Tasks without a thread.
@@ -38,9 +39,11 @@
         """Runs a task.
 
         Raises:
-            RuntimeError: No thread could be started.
+            RuntimeError: No thread could be started, or the process ends.
         """
         with self._changed:
+            if self._is_closed:
+                raise RuntimeError(f"{self._name}: the process ends")
             if self._idle:
                 self._idle.pop().put(task)
                 return
@@ -59,8 +62,12 @@
             raise
 
     def join(self) -> None:
-        """Waits until no task runs; for the end of the process."""
+        """Takes no more tasks and waits for those that run.
+
+        The threads do not hold up the end of the process themselves.
+        """
         with self._changed:
+            self._is_closed = True
             self._changed.wait_for(self._is_idle)
 
     def _work(self, task: _Task) -> None:
--- a/libs/gateway/mulberry_gateway/_heap_trimmer.py
+++ b/libs/gateway/mulberry_gateway/_heap_trimmer.py
@@ -4,8 +4,7 @@
 
 import mulberry_core as core
 
-#: Share of the limit that has to be freed between two trims, 0 to 1. Blocks of
-#: a few bytes that are still used keep as much of the heap resident at most.
+#: Share of the limit that has to be freed between two trims, 0 to 1.
 _MIN_FREED_SHARE = 0.125
 
 
--- a/libs/gateway/mulberry_gateway/tests/test_connection_threads.py
+++ b/libs/gateway/mulberry_gateway/tests/test_connection_threads.py
@@ -92,7 +92,6 @@
 def test_join_waits_for_running_tasks_only(name: str) -> None:
     """Guards against a process that ends in the middle of an answer."""
     pool = _connection_threads.ConnectionThreads(2, name)
-    pool.join()
     crowd = _Crowd()
     for _ in range(3):
         pool.submit(crowd.run)
@@ -106,6 +105,14 @@
     assert not joiner.is_alive()
 
 
+def test_no_task_begins_once_the_process_ends(name: str) -> None:
+    """Guards against clients that keep a stopped process alive."""
+    pool = _connection_threads.ConnectionThreads(2, name)
+    pool.join()
+    with pytest.raises(RuntimeError):
+        pool.submit(lambda: None)
+
+
 def test_a_failed_task_ends_no_thread(name: str) -> None:
     """Guards against a pool that runs out of threads by errors."""
     pool = _connection_threads.ConnectionThreads(1, name)
