--- a/review/standins3/fleet.py
+++ b/review/standins3/fleet.py
@@ -23,6 +23,8 @@
 HOST = "ficu95.example"
 #: Most bytes of an answer's head.
 _HEAD_BYTES = 65_536
+#: Time until a killed daemon is started again, seconds.
+_RESTART_S = 0.5
 _BOUNDS = {
     "SeedLagS": 3,
     "AddrReuseS": 2,
@@ -241,7 +243,8 @@
 class MemoryLimit:
     """Kills a daemon that takes more memory than its machine has.
 
-    The platform does so; bytes that were not read yet are not counted here.
+    The platform does so, and starts it again after a short delay. Bytes that
+    were not read yet are not counted here.
     """
 
     def __init__(self, fleet: Fleet) -> None:
@@ -264,6 +267,9 @@
                     machine.signal(signal.SIGKILL)
                     assert machine.process is not None
                     machine.process.wait()
+                    asyncio.get_running_loop().call_later(
+                        _RESTART_S, machine.start
+                    )
             await asyncio.sleep(0.01)
 
 
