--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 # built by the deploy file; the stand-ins are Python files without packages.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -m py_compile standins3/*.py 13/*.py 14/*.py
+python3 -m py_compile standins3/*.py 11/*.py 12/*.py
