--- a/review/standins3/fleet.py
+++ b/review/standins3/fleet.py
@@ -193,7 +193,7 @@
             "CpuShare = 0.968",
             "Cores = 2",
             f"MemoryMb = {self.memory_mb}",
-            "MaxFds = 4100",
+            f"MaxFds = {fleet.max_fds}",
             "LinkMbps = 1000.0",
             "DiskMb = 64",
             "[FaultTolerance]",
@@ -210,13 +210,18 @@
     """Machines of a deployment in a temporary folder."""
 
     def __init__(
-        self, count: int = 3, disks: int = 3, memory_mb: int = 300
+        self,
+        count: int = 3,
+        disks: int = 3,
+        memory_mb: int = 300,
+        max_fds: int = 4_100,
     ) -> None:
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         self.command = deploy["roles"]["router"]["run"].split()
         self._temporary = tempfile.TemporaryDirectory(prefix="review-3-")
         self.folder = pathlib.Path(self._temporary.name)
         self.tolerated = (disks - 1) // 2
+        self.max_fds = max_fds
         subnet = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}"
         self.subnet = subnet
         ips = [f"{subnet}.{index + 10}" for index in range(count)]
